--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Development commands. `make demo` and `make test` need only Go.
+
+GO ?= go
+GOLANGCI_LINT_VERSION := v2.12.2
+TOOLS := $(CURDIR)/.tools
+PACKAGES := ./...
+
+.PHONY: build test lint format demo matrix measure generate tools
+
+build:
+	$(GO) build -o bin/ . ./standin/foxtailspool-standin
+
+test:
+	$(GO) test -race $(PACKAGES)
+
+tools: $(TOOLS)/golangci-lint
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+lint: tools
+	$(TOOLS)/golangci-lint fmt --diff
+	$(TOOLS)/golangci-lint run
+
+format: tools
+	$(TOOLS)/golangci-lint fmt
+
+# Regenerates the committed protobuf and twirp code; needs protoc and its Go plug-ins.
+generate:
+	for f in $$(git ls-files '*.proto'); do \
+	  protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. $$f || exit 1; \
+	done
--- /dev/null
+++ b/identifier/identifier.go
@@ -0,0 +1,121 @@
+// Package identifier names the things that foxtailspool routes between and the
+// units it counts them in, so that one id or unit cannot be passed for another.
+package identifier
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Node is the name of one entry VM's process, unique in the fleet.
+type Node string
+
+// Incarnation counts the starts of a node: a larger one replaces a smaller one.
+type Incarnation uint64
+
+// DataCentre is the name of a data centre.
+type DataCentre string
+
+// Pool is the name of a row of the pools table.
+type Pool string
+
+// Route is the name of a row of the routes table.
+type Route string
+
+// Member is the name of a backend server, unique within its pool.
+type Member string
+
+// Account is the name of a caller's account.
+type Account string
+
+// Model is the name of a language model.
+type Model string
+
+// Request identifies one request of a caller through all its attempts.
+type Request string
+
+// Attempt identifies one execution attempt of a request at a backend server.
+// No two attempts of one request share it.
+type Attempt string
+
+// Grant identifies a lease on engine memory. It is unique in the fleet.
+type Grant string
+
+// Key is the Idempotency-Key of a request that may not be repeated.
+type Key string
+
+// Address is the IP address and port of a TCP listener.
+type Address string
+
+// Configuration numbers an accepted snapshot of both tables. Zero is none.
+type Configuration uint64
+
+// Fence is a fencing number: a backend server that checks it refuses an order
+// with a smaller one than it has seen.
+type Fence uint64
+
+// Pieces counts pieces of engine memory.
+type Pieces int
+
+// Tokens counts tokens of a prompt or of generated text.
+type Tokens int
+
+// BytesPerSecond is the rate of a link.
+type BytesPerSecond int64
+
+// Rank orders work: urgent work goes before lesser work.
+type Rank uint8
+
+// The ranks, urgent first.
+const (
+	Urgent Rank = iota
+	Lesser
+)
+
+// Ranks lists all ranks, urgent first.
+var Ranks = [...]Rank{Urgent, Lesser}
+
+var rankNames = [...]string{Urgent: "urgent", Lesser: "lesser"}
+
+// String returns the rank's name as the tables write it.
+func (r Rank) String() string {
+	if int(r) < len(rankNames) {
+		return rankNames[r]
+	}
+	return fmt.Sprintf("rank-%d", uint8(r))
+}
+
+// MarshalText writes the rank's name.
+func (r Rank) MarshalText() ([]byte, error) {
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText reads a rank's name and refuses unknown ones.
+func (r *Rank) UnmarshalText(text []byte) error {
+	for rank, name := range rankNames {
+		if name == string(text) {
+			*r = Rank(rank)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown rank %q, want urgent or lesser", text)
+}
+
+// UnmarshalJSON reads a rank's name from a JSON string.
+func (r *Rank) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("rank: %w", err)
+	}
+	return r.UnmarshalText([]byte(text))
+}
+
+// Role says what a member of a pool does.
+type Role string
+
+// The roles of pool members.
+const (
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+	Service Role = "service"
+)
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,86 @@
+// Package placer decides where a model request runs: which prefill engine,
+// which decode engine and when. It is pure: state and events in, outcomes out,
+// without transport, clock or goroutines.
+package placer
+
+import (
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Demand is one request that wants engine memory.
+type Demand struct {
+	Request identifier.Request
+	// Attempt fences: a larger one of the same request replaces a smaller one.
+	Attempt uint32
+	Pool    identifier.Pool
+	Rank    identifier.Rank
+	Account identifier.Account
+	// Node asked and renews the grant; it stands in DataCentre.
+	Node       identifier.Node
+	DataCentre identifier.DataCentre
+	// Prompt is the prompt's length, positive. Limit bounds the output; zero
+	// is no bound.
+	Prompt identifier.Tokens
+	Limit  identifier.Tokens
+	// Wait is how much of the first-token target is left; Between is the
+	// target between tokens.
+	Wait    time.Duration
+	Between time.Duration
+	// Prefixes are hashes of the prompt's leading blocks, shortest first.
+	Prefixes []uint64
+	// Avoid lists members that this request failed on.
+	Avoid []identifier.Member
+}
+
+// Placement is a granted demand.
+type Placement struct {
+	Grant   identifier.Grant
+	Prefill identifier.Member
+	Decode  identifier.Member
+	// Lease is how long the grant stands unless it is renewed.
+	Lease time.Duration
+}
+
+// Reason says why a demand was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// NoMember: no engine of a needed role takes work.
+	NoMember Reason = "no-member"
+	// TooLate: the targets can no longer be met.
+	TooLate Reason = "too-late"
+	// QueueFull: the queue of the rank is at its limit.
+	QueueFull Reason = "queue-full"
+	// TooLarge: no engine's memory holds the request.
+	TooLarge Reason = "too-large"
+	// Superseded: a later attempt of the same request took over.
+	Superseded Reason = "superseded"
+	// Gone: the node that asked withdrew the demand or is gone.
+	Gone Reason = "gone"
+)
+
+// Refusal is a demand that is not placed. The request did not run.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Outcome answers a demand: exactly one of its fields is set.
+type Outcome struct {
+	Placement *Placement
+	Refusal   *Refusal
+}
+
+// Result is what a node reports when it gives a grant back.
+type Result struct {
+	// Output is how many tokens were generated.
+	Output identifier.Tokens
+	// Prefilled tells that the prefill ran, Decoded that its result was used.
+	Prefilled bool
+	Decoded   bool
+	// Failed names a member that failed the request, or is empty.
+	Failed identifier.Member
+}
--- /dev/null
+++ b/standin/foxtailspool-standin/main.go
@@ -0,0 +1,4 @@
+// Command foxtailspool-standin runs small stand-ins of the outside systems.
+package main
+
+func main() {}
--- /dev/null
+++ b/tabulator/parse.go
@@ -0,0 +1,147 @@
+package tabulator
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Invalid is the error type of a table that is refused. Its message names each
+// fault with the row it stands in.
+var Invalid = errorx.NewNamespace("tables").NewType("invalid")
+
+// ParseTOML reads a table as operators write it and refuses unknown keys.
+func ParseTOML[T Routes | Pools](text []byte) (T, error) {
+	var table T
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	err := decoder.Decode(&table)
+	if err == nil {
+		return table, nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return table, Invalid.New("unknown keys:\n%s", strict.String())
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, column := decode.Position()
+		return table, Invalid.New("line %d, column %d: %s", line, column, decode.Error())
+	}
+	return table, Invalid.Wrap(err, "read table")
+}
+
+// ParseJSON reads a table as the platform keeps it and refuses unknown keys.
+func ParseJSON[T Routes | Pools](text []byte) (T, error) {
+	var table T
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&table); err != nil {
+		return table, Invalid.Wrap(err, "read table")
+	}
+	return table, nil
+}
+
+// Join checks both tables as a whole and returns the snapshot they make.
+func Join(number identifier.Configuration, routes Routes, pools Pools) (*Snapshot, error) {
+	var faults []string
+	faults = append(faults, checkPools(pools)...)
+	faults = append(faults, checkRoutes(routes, pools)...)
+	if len(faults) > 0 {
+		return nil, Invalid.New("%s", strings.Join(faults, "; "))
+	}
+	return &Snapshot{Number: number, Routes: routes, Pools: pools}, nil
+}
+
+func checkRoutes(routes Routes, pools Pools) []string {
+	kinds := map[identifier.Pool]Kind{}
+	for _, pool := range pools.Pools {
+		kinds[pool.Name] = pool.Kind
+	}
+	var faults []string
+	seen := map[identifier.Route]bool{}
+	for _, route := range routes.Routes {
+		fault := func(format string, a ...any) {
+			faults = append(faults, fmt.Sprintf("route %q: ", route.Name)+fmt.Sprintf(format, a...))
+		}
+		if route.Name == "" || seen[route.Name] {
+			fault("name missing or used twice")
+		}
+		seen[route.Name] = true
+		kind, known := kinds[route.Pool]
+		if !known {
+			fault("names pool %q, which is not in the pools table", route.Pool)
+		}
+		if kind == Models && (route.FirstToken <= 0 || route.BetweenTokens <= 0) {
+			fault("first-token and between-tokens must be positive")
+		}
+		if route.Timeout < 0 {
+			fault("timeout must not be negative")
+		}
+	}
+	return faults
+}
+
+func checkPools(pools Pools) []string {
+	var faults []string
+	seen := map[identifier.Pool]bool{}
+	for _, pool := range pools.Pools {
+		if pool.Name == "" || seen[pool.Name] {
+			faults = append(faults, fmt.Sprintf("pool %q: name missing or used twice", pool.Name))
+		}
+		seen[pool.Name] = true
+		for _, fault := range checkPool(pool) {
+			faults = append(faults, fmt.Sprintf("pool %q: %s", pool.Name, fault))
+		}
+	}
+	return faults
+}
+
+func checkPool(pool Pool) []string {
+	var faults []string
+	switch {
+	case pool.Kind != Models && pool.Kind != Services:
+		faults = append(faults, fmt.Sprintf("kind %q is neither models nor services", pool.Kind))
+	case pool.Kind == Models && (pool.PieceTokens <= 0 || pool.KVBytesPerToken <= 0):
+		faults = append(faults, "piece-tokens and kv-bytes-per-token must be positive")
+	}
+	if pool.LesserShare < 0 || pool.LesserShare > 1 {
+		faults = append(faults, "lesser-share must lie from 0 to 1")
+	}
+	if len(pool.Members) == 0 {
+		faults = append(faults, "has no members")
+	}
+	seen := map[identifier.Member]bool{}
+	for _, member := range pool.Members {
+		if member.Name == "" || seen[member.Name] {
+			faults = append(faults, fmt.Sprintf("member %q: name missing or used twice", member.Name))
+		}
+		seen[member.Name] = true
+		if fault := checkMember(pool.Kind, member); fault != "" {
+			faults = append(faults, fmt.Sprintf("member %q: %s", member.Name, fault))
+		}
+	}
+	return faults
+}
+
+func checkMember(kind Kind, member Member) string {
+	isEngine := member.Role == identifier.Prefill || member.Role == identifier.Decode
+	switch {
+	case member.Address == "":
+		return "address missing"
+	case kind == Models && !isEngine:
+		return fmt.Sprintf("role %q is neither prefill nor decode", member.Role)
+	case kind == Services && member.Role != identifier.Service:
+		return fmt.Sprintf("role %q is not service", member.Role)
+	case kind == Models && member.Pieces <= 0:
+		return "pieces must be positive"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/tabulator/tabulator.go
@@ -0,0 +1,150 @@
+// Package tabulator reads the routes and the pools table, joins them by name
+// and checks the whole, and matches requests against the result.
+//
+// A Snapshot is immutable: nodes swap it whole when a larger number arrives.
+package tabulator
+
+import (
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Duration is a time span that the tables write as text, such as "700ms".
+type Duration time.Duration
+
+// Route sends the requests it matches to a pool. An empty match field matches
+// every request; the first matching route of the table wins.
+type Route struct {
+	Name identifier.Route `json:"name" toml:"name"`
+	// Model, Path, Method and Account are matched together. Path is a prefix.
+	Model   identifier.Model   `json:"model,omitempty" toml:"model"`
+	Path    string             `json:"path,omitempty" toml:"path"`
+	Method  string             `json:"method,omitempty" toml:"method"`
+	Account identifier.Account `json:"account,omitempty" toml:"account"`
+	Pool    identifier.Pool    `json:"pool" toml:"pool"`
+	Rank    identifier.Rank    `json:"rank" toml:"rank"`
+	// Repeatable requests may run twice at a backend server. Model requests
+	// always are; a service route that is not needs an Idempotency-Key.
+	Repeatable bool `json:"repeatable" toml:"repeatable"`
+	// FirstToken and BetweenTokens are the latency targets of model routes,
+	// positive on those.
+	FirstToken    Duration `json:"first-token,omitempty" toml:"first-token"`
+	BetweenTokens Duration `json:"between-tokens,omitempty" toml:"between-tokens"`
+	// Timeout bounds one request as a whole, positive.
+	Timeout Duration `json:"timeout,omitempty" toml:"timeout"`
+}
+
+// Kind says what a pool serves.
+type Kind string
+
+// The kinds of pools.
+const (
+	// Models pools have prefill and decode members.
+	Models Kind = "models"
+	// Services pools have service members.
+	Services Kind = "services"
+)
+
+// Pool is a set of backend servers that serve the same requests.
+type Pool struct {
+	Name identifier.Pool `json:"name" toml:"name"`
+	Kind Kind            `json:"kind" toml:"kind"`
+	// PieceTokens is how many tokens of KV cache a piece of memory holds,
+	// positive in model pools.
+	PieceTokens identifier.Tokens `json:"piece-tokens,omitempty" toml:"piece-tokens"`
+	// KVBytesPerToken sizes a transfer, positive in model pools.
+	KVBytesPerToken int64 `json:"kv-bytes-per-token,omitempty" toml:"kv-bytes-per-token"`
+	// LesserShare is the least share of memory, from 0 to 1, that lesser work
+	// keeps in an urgent flood.
+	LesserShare float64 `json:"lesser-share,omitempty" toml:"lesser-share"`
+	// QueueLimit bounds the requests that wait for memory, for each rank.
+	QueueLimit int `json:"queue-limit,omitempty" toml:"queue-limit"`
+	// Members is not empty and holds each name once.
+	Members []Member `json:"members" toml:"members"`
+}
+
+// Member is one backend server of a pool.
+type Member struct {
+	Name       identifier.Member     `json:"name" toml:"name"`
+	Address    identifier.Address    `json:"address" toml:"address"`
+	DataCentre identifier.DataCentre `json:"data-centre,omitempty" toml:"data-centre"`
+	Role       identifier.Role       `json:"role" toml:"role"`
+	// Pieces is the engine's memory, positive for engines.
+	Pieces identifier.Pieces `json:"pieces,omitempty" toml:"pieces"`
+	// Concurrency bounds the requests the member runs at once; zero is no bound.
+	Concurrency int `json:"concurrency,omitempty" toml:"concurrency"`
+	// PrefillRate is the prompt tokens a second that a prefill engine computes.
+	PrefillRate identifier.Tokens `json:"prefill-rate,omitempty" toml:"prefill-rate"`
+	// LinkRate bounds the KV transfers out of or into the engine.
+	LinkRate identifier.BytesPerSecond `json:"link-rate,omitempty" toml:"link-rate"`
+	// ChecksFencing tells whether the member refuses orders with old fencing numbers.
+	ChecksFencing bool `json:"checks-fencing,omitempty" toml:"checks-fencing"`
+	// Model, Adapter and Version are what the member should have loaded; orders
+	// bring it there.
+	Model   identifier.Model `json:"model,omitempty" toml:"model"`
+	Adapter string           `json:"adapter,omitempty" toml:"adapter"`
+	Version string           `json:"version,omitempty" toml:"version"`
+	// Leaving members finish what they run and get no new work.
+	Leaving bool `json:"leaving,omitempty" toml:"leaving"`
+}
+
+// Routes is the routes table. Order matters: the first match wins.
+type Routes struct {
+	Routes []Route `json:"routes" toml:"routes"`
+}
+
+// Pools is the pools table.
+type Pools struct {
+	Pools []Pool `json:"pools" toml:"pools"`
+}
+
+// Snapshot is the accepted configuration: both tables, joined and checked.
+// It is immutable.
+type Snapshot struct {
+	// Number grows with each accepted configuration and is never reused.
+	Number identifier.Configuration `json:"number"`
+	Routes Routes                   `json:"routes-table"`
+	Pools  Pools                    `json:"pools-table"`
+}
+
+// Query is what a route is matched against.
+type Query struct {
+	Model   identifier.Model
+	Path    string
+	Method  string
+	Account identifier.Account
+}
+
+// Match returns the first route that matches and its pool.
+func (s *Snapshot) Match(q Query) (Route, Pool, bool) {
+	for _, route := range s.Routes.Routes {
+		if !route.matches(q) {
+			continue
+		}
+		pool, ok := s.Pool(route.Pool)
+		return route, pool, ok
+	}
+	return Route{}, Pool{}, false
+}
+
+// Pool returns the pool of a name.
+func (s *Snapshot) Pool(name identifier.Pool) (Pool, bool) {
+	for _, pool := range s.Pools.Pools {
+		if pool.Name == name {
+			return pool, true
+		}
+	}
+	return Pool{}, false
+}
+
+// WithRole returns the pool's members of a role that take new work.
+func (p Pool) WithRole(role identifier.Role) []Member {
+	var members []Member
+	for _, member := range p.Members {
+		if member.Role == role && !member.Leaving {
+			members = append(members, member)
+		}
+	}
+	return members
+}
