Add the stand-in of the platform's object API

Cause: the demo and the failure tests need a platform that keeps the conventions of storer's client, with faults and with counts of its own for the checkers.

--- /dev/null
+++ b/emulator/platform_faults.go
@@ -0,0 +1,141 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// DownMode is how the platform fails while it is down.
+type DownMode string
+
+// The ways of being down.
+const (
+	// Up is no outage.
+	Up DownMode = ""
+	// DownRefusing answers 503; no call has an effect.
+	DownRefusing DownMode = "refusing"
+	// DownCutting closes the connection without an answer; no call has an effect.
+	DownCutting DownMode = "cutting"
+	// DownHanging holds calls until the client gives up; no call has an effect.
+	DownHanging DownMode = "hanging"
+)
+
+// WatchFault is how watches fail.
+type WatchFault string
+
+// The faults of watches.
+const (
+	// WatchesWork is no fault.
+	WatchesWork WatchFault = ""
+	// WatchesSilent stay open and send nothing, bookmarks included.
+	WatchesSilent WatchFault = "silent"
+	// WatchesLapse end at their next event or bookmark.
+	WatchesLapse WatchFault = "lapsing"
+	// WatchesExpire end with the error that their version is no longer kept.
+	WatchesExpire WatchFault = "expiring"
+)
+
+// PlatformFaults are the faults of the platform. The zero value is none.
+type PlatformFaults struct {
+	Down DownMode `json:"down,omitempty"`
+	// Slow delays each call before its effect, which comes although the client
+	// has given up by then.
+	Slow tabulator.Duration `json:"slow,omitempty"`
+	// LoseAnswers is how many of the next successful writes lose their answer.
+	LoseAnswers int `json:"lose-answers,omitempty"`
+	// LateAnswers is how many of the next successful writes answer only after
+	// Late, although the effect came at once.
+	LateAnswers int                `json:"late-answers,omitempty"`
+	Late        tabulator.Duration `json:"late,omitempty"`
+	// Stale makes reads answer the state at the time the fault was set.
+	Stale bool `json:"stale,omitempty"`
+	// Watches is the fault of all watches.
+	Watches WatchFault `json:"watches,omitempty"`
+	// SkipEvents is how many of the next changes no watch tells.
+	SkipEvents int `json:"skip-events,omitempty"`
+}
+
+// Faults returns the faults as they are, with what is left of their counts.
+func (p *Platform) Faults() PlatformFaults {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.faults
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.frozen = nil
+	if faults.Stale {
+		frozen := p.state.clone()
+		p.frozen = &frozen
+	}
+	p.faults = faults
+	p.notify()
+}
+
+// serveFaults answers GET and PUT of the faults as JSON.
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut || r.Method == http.MethodPost {
+		var faults PlatformFaults
+		decoder := json.NewDecoder(r.Body)
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.SetFaults(faults)
+	}
+	writeJSON(w, http.StatusOK, p.Faults())
+}
+
+// admit applies the faults that come before a call's effect and tells whether
+// the call goes on.
+func (p *Platform) admit(w http.ResponseWriter, r *http.Request) bool {
+	faults := p.Faults()
+	if faults.Slow > 0 {
+		time.Sleep(time.Duration(faults.Slow))
+		faults = p.Faults()
+	}
+	switch faults.Down {
+	case Up:
+		return true
+	case DownCutting:
+		panic(http.ErrAbortHandler)
+	case DownHanging:
+		<-r.Context().Done()
+	default:
+		writeStatus(w, http.StatusServiceUnavailable)
+	}
+	return false
+}
+
+// hold applies the faults that come between a write's effect and its answer.
+func (p *Platform) hold(r *http.Request) {
+	p.mutex.Lock()
+	lost := p.faults.LoseAnswers > 0
+	late := !lost && p.faults.LateAnswers > 0
+	wait := time.Duration(p.faults.Late)
+	switch {
+	case lost:
+		p.faults.LoseAnswers--
+	case late:
+		p.faults.LateAnswers--
+	}
+	p.mutex.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if late {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+		}
+	}
+}
