--- a/tabulator/parse.go
+++ b/tabulator/parse.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -50,13 +51,20 @@
 
 // Join checks both tables as a whole and returns the snapshot they make.
 func Join(number identifier.Configuration, routes Routes, pools Pools) (*Snapshot, error) {
-	var faults []string
-	faults = append(faults, checkPools(pools)...)
-	faults = append(faults, checkRoutes(routes, pools)...)
-	if len(faults) > 0 {
+	if faults := Check(routes, pools); len(faults) > 0 {
 		return nil, Invalid.New("%s", strings.Join(faults, "; "))
 	}
-	return &Snapshot{Number: number, Routes: routes, Pools: pools}, nil
+	return &Snapshot{Number: number, Routes: routes, Pools: pools, index: newIndex(routes, pools)}, nil
+}
+
+// Check lists the faults of both tables as a whole, each with its row.
+func Check(routes Routes, pools Pools) []string {
+	var faults []string
+	if pools.ConcurrentLoads < 0 {
+		faults = append(faults, "concurrent-loads must not be negative")
+	}
+	faults = append(faults, checkPools(pools)...)
+	return append(faults, checkRoutes(routes, pools)...)
 }
 
 func checkRoutes(routes Routes, pools Pools) []string {
@@ -111,9 +119,13 @@
 	case pool.Kind == Models && (pool.PieceTokens <= 0 || pool.KVBytesPerToken <= 0):
 		faults = append(faults, "piece-tokens and kv-bytes-per-token must be positive")
 	}
-	if pool.LesserShare < 0 || pool.LesserShare > 1 {
+	// The condition is written so that NaN fails it.
+	if !(pool.LesserShare >= 0 && pool.LesserShare <= 1) {
 		faults = append(faults, "lesser-share must lie from 0 to 1")
 	}
+	if pool.QueueLimit < 0 {
+		faults = append(faults, "queue-limit must not be negative")
+	}
 	if len(pool.Members) == 0 {
 		faults = append(faults, "has no members")
 	}
@@ -132,9 +144,14 @@
 
 func checkMember(kind Kind, member Member) string {
 	isEngine := member.Role == identifier.Prefill || member.Role == identifier.Decode
+	_, port, err := net.SplitHostPort(string(member.Address))
 	switch {
 	case member.Address == "":
 		return "address missing"
+	case err != nil || port == "":
+		return fmt.Sprintf("address %q is not of the form host:port", member.Address)
+	case member.Concurrency < 0 || member.PrefillRate < 0 || member.LinkRate < 0:
+		return "concurrency, prefill-rate and link-rate must not be negative"
 	case kind == Models && !isEngine:
 		return fmt.Sprintf("role %q is neither prefill nor decode", member.Role)
 	case kind == Services && member.Role != identifier.Service:
--- a/tabulator/tabulator.go
+++ b/tabulator/tabulator.go
@@ -22,8 +22,11 @@
 	Path    string             `json:"path,omitempty" toml:"path"`
 	Method  string             `json:"method,omitempty" toml:"method"`
 	Account identifier.Account `json:"account,omitempty" toml:"account"`
-	Pool    identifier.Pool    `json:"pool" toml:"pool"`
-	Rank    identifier.Rank    `json:"rank" toml:"rank"`
+	// Accounts are further accounts, any of which matches. A long list in one
+	// route takes far less room than a route for each account.
+	Accounts []identifier.Account `json:"accounts,omitempty" toml:"accounts"`
+	Pool     identifier.Pool      `json:"pool" toml:"pool"`
+	Rank     identifier.Rank      `json:"rank" toml:"rank"`
 	// Repeatable requests may run twice at a backend server. Model requests
 	// always are; a service route that is not needs an Idempotency-Key.
 	Repeatable bool `json:"repeatable" toml:"repeatable"`
@@ -96,7 +99,10 @@
 
 // Pools is the pools table.
 type Pools struct {
-	Pools []Pool `json:"pools" toml:"pools"`
+	// ConcurrentLoads bounds the engines of the fleet that load weights at
+	// once, because they share the weight store's rate; zero is a bound of one.
+	ConcurrentLoads int    `json:"concurrent-loads,omitempty" toml:"concurrent-loads"`
+	Pools           []Pool `json:"pools" toml:"pools"`
 }
 
 // Snapshot is the accepted configuration: both tables, joined and checked.
@@ -106,6 +112,8 @@
 	Number identifier.Configuration `json:"number"`
 	Routes Routes                   `json:"routes-table"`
 	Pools  Pools                    `json:"pools-table"`
+	// index is built by Join and nil in snapshots made otherwise.
+	index *index
 }
 
 // Query is what a route is matched against.
@@ -116,28 +124,6 @@
 	Account identifier.Account
 }
 
-// Match returns the first route that matches and its pool.
-func (s *Snapshot) Match(q Query) (Route, Pool, bool) {
-	for _, route := range s.Routes.Routes {
-		if !route.matches(q) {
-			continue
-		}
-		pool, ok := s.Pool(route.Pool)
-		return route, pool, ok
-	}
-	return Route{}, Pool{}, false
-}
-
-// Pool returns the pool of a name.
-func (s *Snapshot) Pool(name identifier.Pool) (Pool, bool) {
-	for _, pool := range s.Pools.Pools {
-		if pool.Name == name {
-			return pool, true
-		}
-	}
-	return Pool{}, false
-}
-
 // WithRole returns the pool's members of a role that take new work.
 func (p Pool) WithRole(role identifier.Role) []Member {
 	var members []Member
