--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -4,6 +4,9 @@
 package assigner
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -22,30 +25,52 @@
 
 // Member is one node as the others see it.
 type Member struct {
-	Node        identifier.Node
+	Node identifier.Node
+	// Incarnation names one run of the node; it stays the same until the
+	// process ends.
 	Incarnation identifier.Incarnation
 	DataCentre  identifier.DataCentre
 	// Peers is where other nodes reach it, Callers where callers do.
 	Peers   identifier.Address
 	Callers identifier.Address
 	State   State
+	// Configuration is the largest snapshot the node has said to be in force
+	// on it. It lags, and never falls within one incarnation.
+	Configuration identifier.Configuration
 }
 
 // View is an immutable membership view. Members is sorted by node, holds each
-// node once, and holds Self.
+// node once, and holds Self. Dead members stay listed until they are forgotten,
+// so that a dead node can be told from one not heard of yet.
 type View struct {
 	Self    Member
 	Members []Member
+	// Suspended is set while the node cannot know what the others decided about
+	// it, after a pause of its process. It then owns nothing, unless no other
+	// node is left.
+	Suspended bool
 }
 
 // Find returns the member of a name.
 func (v *View) Find(node identifier.Node) (Member, bool) {
+	i, found := slices.BinarySearchFunc(v.Members, node, func(m Member, n identifier.Node) int {
+		return cmp.Compare(m.Node, n)
+	})
+	if !found {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Live returns the members that are not dead, Self among them.
+func (v *View) Live() []Member {
+	live := make([]Member, 0, len(v.Members))
 	for _, member := range v.Members {
-		if member.Node == node {
-			return member, true
+		if member.State != Dead {
+			live = append(live, member)
 		}
 	}
-	return Member{}, false
+	return live
 }
 
 // Owner returns the owner of a shard: the alive member of the largest hash.
@@ -60,17 +85,37 @@
 func (v *View) OwnerIn(dataCentre identifier.DataCentre, shard string) Member {
 	inside := func(m Member) bool { return m.DataCentre == dataCentre }
 	for _, member := range v.Members {
-		if inside(member) && owns(member) {
+		if inside(member) && v.owns(member) {
 			return v.ownerAmong(shard, inside)
 		}
 	}
 	return v.Owner(shard)
 }
 
+// Owns tells whether the node itself is the owner of a shard.
+func (v *View) Owns(shard string) bool {
+	return v.Owner(shard).Node == v.Self.Node
+}
+
+// Ranked returns up to limit members in the order in which they would own a
+// shard: the owner first, then who follows when those before are gone.
+func (v *View) Ranked(shard string, limit int) []Member {
+	var ranked []Member
+	for _, member := range v.Members {
+		if v.owns(member) {
+			ranked = append(ranked, member)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(score(b.Node, shard), score(a.Node, shard)), cmp.Compare(b.Node, a.Node))
+	})
+	return ranked[:min(limit, len(ranked))]
+}
+
 func (v *View) ownerAmong(shard string, eligible func(Member) bool) Member {
 	best, bestScore := v.Self, uint64(0)
 	for _, member := range v.Members {
-		if !owns(member) || !eligible(member) {
+		if !v.owns(member) || !eligible(member) {
 			continue
 		}
 		if score := score(member.Node, shard); score >= bestScore {
@@ -80,7 +125,10 @@
 	return best
 }
 
-func owns(m Member) bool {
+func (v *View) owns(m Member) bool {
+	if v.Suspended && m.Node == v.Self.Node {
+		return false
+	}
 	return m.State == Alive || m.State == Suspect
 }
 
