Detect failures between nodes by probes on four rings

Cause: the platform's VM list lags, so nodes must find out by themselves who lives, at a cost that does not grow with the fleet. Ruled out: probing every node in turn, since it keeps a connection to each of 350 nodes; one ring with several successors, since news spreads on it in steps linear in the nodes. Change: each node probes its successor on four rings of its own order (an expander), first on the kept connection, then on a new one, then through the target's other neighbours, before it suspects. News is pushed at once by who hears it, bounded by tokens, and repaired by bucket digests. A gap in the own running suspends ownership until a peer has answered. A death heard of a node that is alive here counts as a suspicion, so that healed cuts refute. Figures: cases of prober/testdata/machine only (virtual time): go test ./prober.

--- /dev/null
+++ b/prober/machine_test.go
@@ -0,0 +1,135 @@
+package prober
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// TestMachine runs the cases of testdata/machine: a fleet, faults and what the
+// nodes see of each other.
+func TestMachine(t *testing.T) {
+	datadriven.Walk(t, "testdata/machine", func(t *testing.T, path string) {
+		var f *fleet
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "fleet" {
+				var size, centres int
+				d.ScanArgs(t, "nodes", &size)
+				d.ScanArgs(t, "centres", &centres)
+				f = newFleet(size, centres, 1, Options{})
+				took := f.until(time.Minute, f.whole)
+				return fmt.Sprintf("whole: %v after less than %v", f.whole(), took.Round(time.Second)+time.Second)
+			}
+			return command(t, f, d)
+		})
+	})
+}
+
+func command(t *testing.T, f *fleet, d *datadriven.TestData) string {
+	first := ""
+	if len(d.CmdArgs) > 0 {
+		first = d.CmdArgs[0].Key
+	}
+	switch d.Cmd {
+	case "run":
+		duration, err := time.ParseDuration(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.run(duration)
+	case "kill":
+		f.node(first).killed = true
+	case "start":
+		f.start(first, "dc0")
+	case "pause":
+		f.pause(f.node(first))
+	case "resume":
+		f.resume(f.node(first))
+	case "leave":
+		node := f.node(first)
+		f.at(node, func() { node.machine.leave(f.now) })
+	case "end":
+		node := f.node(first)
+		f.at(node, func() { node.machine.end(f.now) })
+		node.killed = true
+	case "silence":
+		for _, to := range f.nodes {
+			f.silent[[2]identifier.Node{identifier.Node(first), to.name}] = true
+		}
+	case "cut":
+		f.cut(d)
+	case "slow":
+		f.latency = func(from, to *fakeNode) time.Duration {
+			if string(from.name) == first || string(to.name) == first {
+				return 150 * time.Millisecond
+			}
+			return time.Millisecond
+		}
+	case "heal":
+		f.blocked = func(_, _ *fakeNode) bool { return false }
+	case "rumour":
+		node := f.node(first)
+		f.at(node, func() { node.machine.broadcast(f.now, "topic", []byte(d.CmdArgs[1].Key)) })
+	case "announce":
+		node := f.node(first)
+		f.at(node, func() { node.machine.announce(7) })
+	case "show":
+		return f.show(d)
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+// cut blocks one node from another, one way, or a whole data centre both ways;
+// `cut dc1 dc0` blocks only the pairs of both.
+func (f *fleet) cut(d *datadriven.TestData) {
+	first := d.CmdArgs[0].Key
+	names := func(n *fakeNode, name string) bool { return string(n.name) == name || string(n.centre) == name }
+	if len(d.CmdArgs) == 1 {
+		f.blocked = func(from, to *fakeNode) bool { return names(from, first) != names(to, first) }
+		return
+	}
+	second := d.CmdArgs[1].Key
+	f.blocked = func(from, to *fakeNode) bool { return names(from, first) && names(to, second) }
+}
+
+// show prints how the others see a node, whether the fleet is whole, what has
+// been noted since the last show, or who heard a rumour.
+func (f *fleet) show(d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, arg := range d.CmdArgs {
+		switch arg.Key {
+		case "whole":
+			fmt.Fprintf(&out, "whole: %v\n", f.whole())
+		case "heard":
+			fmt.Fprintf(&out, "heard: %v\n", f.heard)
+		case "events":
+			fmt.Fprintf(&out, "events: %v\n", f.events)
+			clear(f.events)
+		case "configuration":
+			count := 0
+			for _, node := range f.nodes {
+				for _, held := range node.machine.table.records {
+					if held.member.Configuration == 7 {
+						count++
+					}
+				}
+			}
+			fmt.Fprintf(&out, "configuration 7: known %d times\n", count)
+		default:
+			name := identifier.Node(arg.Key)
+			fmt.Fprintf(&out, "%s: alive %d, suspect %d, leaving %d, dead %d; suspended %v\n", name,
+				f.seen(name, assigner.Alive), f.seen(name, assigner.Suspect),
+				f.seen(name, assigner.Leaving), f.seen(name, assigner.Dead),
+				f.node(arg.Key).machine.view().Suspended)
+		}
+	}
+	return out.String()
+}
--- /dev/null
+++ b/prober/table.go
@@ -0,0 +1,195 @@
+package prober
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// bucketCount is the number of parts in which two tables are compared.
+const bucketCount = 32
+
+type digests [bucketCount]uint64
+
+// table holds the newest record of each node. It is a pure value without time.
+type table struct {
+	records map[identifier.Node]record
+	// buckets holds the digests of the live records, and is kept up to date.
+	buckets digests
+	// generation changes whenever the set of live nodes does.
+	generation uint64
+}
+
+func newTable() *table {
+	return &table{records: map[identifier.Node]record{}}
+}
+
+// merge takes a record in and tells whether it was news.
+func (t *table) merge(r record) bool {
+	held, known := t.records[r.member.Node]
+	if known && r.compare(held) <= 0 {
+		return false
+	}
+	if known && held.member.Incarnation == r.member.Incarnation {
+		r.member.Configuration = max(r.member.Configuration, held.member.Configuration)
+	}
+	t.put(r)
+	return true
+}
+
+// advance raises the configuration of a node and tells whether it was news.
+func (t *table) advance(node identifier.Node, run identifier.Incarnation, number identifier.Configuration) bool {
+	held, known := t.records[node]
+	if !known || held.member.Incarnation != run || number <= held.member.Configuration {
+		return false
+	}
+	held.member.Configuration = number
+	t.records[node] = held
+	return true
+}
+
+// displaced returns the live records whose address a later run took over, as far
+// as one record tells: no two processes listen at one address.
+func (t *table) displaced(by record) []record {
+	var displaced []record
+	for _, held := range t.records {
+		if held.member.Peers != by.member.Peers || held.member.Node == by.member.Node {
+			continue
+		}
+		older := by
+		if held.member.Incarnation < by.member.Incarnation {
+			older = held
+		}
+		if older.health != dead {
+			displaced = append(displaced, older)
+		}
+	}
+	return displaced
+}
+
+func (t *table) put(r record) {
+	held, known := t.records[r.member.Node]
+	wasLive := known && held.health != dead
+	if wasLive {
+		t.buckets[bucketOf(r.member.Node)] -= held.digest()
+	}
+	if r.health != dead {
+		t.buckets[bucketOf(r.member.Node)] += r.digest()
+	}
+	if wasLive != (r.health != dead) {
+		t.generation++
+	}
+	t.records[r.member.Node] = r
+}
+
+// forget drops the record of a dead node.
+func (t *table) forget(node identifier.Node) {
+	if held, known := t.records[node]; known && held.health == dead {
+		delete(t.records, node)
+	}
+}
+
+func bucketOf(node identifier.Node) int {
+	return int(mix(hashName(node)) % bucketCount)
+}
+
+// digest covers all live records.
+func (t *table) digest() uint64 {
+	var sum uint64
+	for _, bucket := range t.buckets {
+		sum = mix(sum ^ bucket)
+	}
+	return sum
+}
+
+// differing returns the records, dead ones too, of the buckets that differ from
+// another table's, up to a limit.
+func (t *table) differing(from digests, limit int) []record {
+	var found []record
+	for _, held := range t.records {
+		bucket := bucketOf(held.member.Node)
+		if t.buckets[bucket] != from[bucket] {
+			found = append(found, held)
+		}
+	}
+	sortRecords(found)
+	return found[:min(limit, len(found))]
+}
+
+// live returns the nodes that are not dead, but for one, sorted by name.
+func (t *table) live(except identifier.Node) []record {
+	found := make([]record, 0, len(t.records))
+	for _, held := range t.records {
+		if held.health != dead && held.member.Node != except {
+			found = append(found, held)
+		}
+	}
+	sortRecords(found)
+	return found
+}
+
+func sortRecords(records []record) {
+	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.member.Node, b.member.Node) })
+}
+
+// members returns all members sorted by node, as a view lists them.
+func (t *table) members() []assigner.Member {
+	members := make([]assigner.Member, 0, len(t.records))
+	for _, held := range t.records {
+		members = append(members, held.viewed())
+	}
+	slices.SortFunc(members, func(a, b assigner.Member) int { return cmp.Compare(a.Node, b.Node) })
+	return members
+}
+
+// successors returns the node's neighbours: on each of several rings, in which
+// the live nodes stand in an order of their own, the next that is not taken yet.
+// Several rings make the graph an expander, on which news spreads in a number of
+// steps logarithmic in the nodes.
+func (t *table) successors(of identifier.Node, rings int) []identifier.Node {
+	others := t.live(of)
+	var chosen []identifier.Node
+	for ring := range rings {
+		own := ringPosition(of, ring)
+		best, bestDistance := identifier.Node(""), uint64(0)
+		for _, other := range others {
+			distance := ringPosition(other.member.Node, ring) - own
+			if slices.Contains(chosen, other.member.Node) {
+				continue
+			}
+			if best == "" || distance < bestDistance {
+				best, bestDistance = other.member.Node, distance
+			}
+		}
+		if best != "" {
+			chosen = append(chosen, best)
+		}
+	}
+	return chosen
+}
+
+// predecessors returns the nodes that most likely keep a connection to a node.
+func (t *table) predecessors(of identifier.Node, rings int) []identifier.Node {
+	others := t.live(of)
+	var chosen []identifier.Node
+	for ring := range rings {
+		own := ringPosition(of, ring)
+		best, bestDistance := identifier.Node(""), uint64(0)
+		for _, other := range others {
+			distance := own - ringPosition(other.member.Node, ring)
+			if best == "" || distance < bestDistance {
+				best, bestDistance = other.member.Node, distance
+			}
+		}
+		if best != "" && !slices.Contains(chosen, best) {
+			chosen = append(chosen, best)
+		}
+	}
+	return chosen
+}
+
+func ringPosition(node identifier.Node, ring int) uint64 {
+	return mix(hashName(node) + uint64(ring)*0x9e3779b97f4a7c15)
+}
