--- /dev/null
+++ b/recorder/committer.go
@@ -0,0 +1,204 @@
+package recorder
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/storer"
+)
+
+// committer writes one batch of operations of one place.
+type committer struct {
+	recorder *Recorder
+	// bucket belongs to the committer until its commit returns.
+	bucket *bucket
+}
+
+// The pauses between the tries of one batch.
+const (
+	firstCommitPause = 20 * time.Millisecond
+	longestPause     = 320 * time.Millisecond
+)
+
+// stalePage is how old a page may be for telling that a call still runs.
+const stalePage = time.Second
+
+// commit carries out a batch, answers each operation and tells whether the
+// store is out.
+func (c *committer) commit(ctx context.Context, batch []*operation) bool {
+	for number := 0; len(batch) > 0; number++ {
+		if number == len(c.bucket.parts) {
+			c.bucket.parts = append(c.bucket.parts, &part{name: c.bucket.place.object(number)})
+		}
+		remaining, err := c.commitPart(ctx, c.bucket.parts[number], batch)
+		if err != nil {
+			c.fail(remaining, err)
+			return !errorx.IsOfType(err, BadPage)
+		}
+		batch = remaining
+	}
+	return false
+}
+
+func (c *committer) fail(batch []*operation, err error) {
+	r := c.recorder
+	r.metrics.commitFailed.Inc(1)
+	r.options.Log.Log(eventCommitFailed, logger.Fields{
+		"page": c.bucket.place.object(0), "operations": len(batch), "error": err.Error(),
+	})
+	failAll(batch, !errorx.IsOfType(err, storer.Unavailable))
+}
+
+// commitPart carries out the operations that belong to one object and returns
+// the others. On an error all that it returns have failed; the error is
+// Unavailable only where no write can have taken effect.
+func (c *committer) commitPart(ctx context.Context, p *part, batch []*operation) ([]*operation, error) {
+	lostWrite := false
+	for pause := firstCommitPause; ; pause = min(2*pause, longestPause) {
+		remaining, err := c.tryPart(ctx, p, batch)
+		switch {
+		case err == nil:
+			return remaining, nil
+		case errorx.IsOfType(err, BadPage), errorx.IsOfType(err, storer.Invalid):
+			return batch, err
+		case errorx.IsOfType(err, storer.Conflict), errorx.IsOfType(err, storer.NotFound):
+			c.recorder.metrics.conflicts.Inc(1)
+		case errorx.IsOfType(err, storer.Unavailable):
+		default:
+			lostWrite = true
+			c.recorder.metrics.lostAnswers.Inc(1)
+		}
+		// What the object holds now is read back before anything is decided.
+		p.page, p.version = nil, ""
+		if !sleep(ctx, pause) {
+			return batch, afterTimeout(err, lostWrite)
+		}
+	}
+}
+
+// afterTimeout keeps Unavailable only where no write was lost.
+func afterTimeout(err error, lostWrite bool) error {
+	if lostWrite || !errorx.IsOfType(err, storer.Unavailable) {
+		return storer.Uncertain.Wrap(err, "batch")
+	}
+	return err
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// tryPart makes one conditional update with the operations of an object. Their
+// results are told only after the write took effect.
+func (c *committer) tryPart(ctx context.Context, p *part, batch []*operation) ([]*operation, error) {
+	if err := c.refresh(ctx, p, batch); err != nil {
+		return nil, err
+	}
+	next, effects, changed := c.applyAll(p.page, batch)
+	if changed {
+		if err := c.write(ctx, p, next); err != nil {
+			return nil, err
+		}
+	}
+	return c.tell(batch, effects), nil
+}
+
+func (c *committer) applyAll(seen *page, batch []*operation) (*page, []effect, bool) {
+	next := seen.clone()
+	effects := make([]effect, len(batch))
+	changed := false
+	for i, op := range batch {
+		effects[i] = next.apply(op, c.recorder.options.PageEntries)
+		changed = changed || effects[i].changed
+	}
+	return next, effects, changed
+}
+
+// tell answers the operations that the object decided and returns the others.
+func (c *committer) tell(batch []*operation, effects []effect) []*operation {
+	var remaining []*operation
+	for i, op := range batch {
+		if effects[i].elsewhere {
+			remaining = append(remaining, op)
+			continue
+		}
+		op.results <- c.stillInWindow(op, effects[i].result)
+	}
+	return remaining
+}
+
+// stillInWindow forbids a claim to run whose key left the window before the
+// write was known to have taken effect: the page may have been deleted before
+// that, and with it an earlier claim.
+func (c *committer) stillInWindow(op *operation, decided result) result {
+	if decided.claim.Verdict == Run && !c.recorder.inWindow(op.key.issued) {
+		return verdictOf(TooOld)
+	}
+	return decided
+}
+
+// refresh reads the object unless what is known of it will do.
+func (c *committer) refresh(ctx context.Context, p *part, batch []*operation) error {
+	if p.page != nil && (time.Since(p.seen) < stalePage || !c.tellsRunning(p.page, batch)) {
+		return nil
+	}
+	object, err := c.recorder.options.Store.Get(ctx, storer.KindLedger, p.name)
+	c.recorder.metrics.reads.Inc(1)
+	if errorx.IsOfType(err, storer.NotFound) {
+		p.page, p.version, p.seen = newPage(), "", time.Now()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	read, err := decodePage(object)
+	if err != nil {
+		return err
+	}
+	p.page, p.version, p.seen = read, object.Version, time.Now()
+	return nil
+}
+
+// tellsRunning tells whether an operation would be answered with a started
+// entry, which another owner may have ended since.
+func (c *committer) tellsRunning(seen *page, batch []*operation) bool {
+	for _, op := range batch {
+		current := seen.Entries[op.key.text]
+		if op.waits() && current != nil && current.State == started {
+			return true
+		}
+	}
+	return false
+}
+
+// write replaces the object on condition that it is as it was last seen.
+func (c *committer) write(ctx context.Context, p *part, next *page) error {
+	spec, err := next.encode()
+	if err != nil {
+		return err
+	}
+	object := storer.Object{Kind: storer.KindLedger, Name: p.name, Version: p.version, Spec: spec}
+	c.recorder.metrics.writes.Inc(1)
+	c.recorder.metrics.writtenBytes.Inc(int64(len(spec)))
+	var stored storer.Object
+	if p.version == "" {
+		stored, err = c.recorder.options.Store.Create(ctx, object)
+	} else {
+		stored, err = c.recorder.options.Store.Update(ctx, object)
+	}
+	if err != nil {
+		return err
+	}
+	p.page, p.version, p.seen = next, stored.Version, time.Now()
+	return nil
+}
--- /dev/null
+++ b/recorder/events.go
@@ -0,0 +1,53 @@
+package recorder
+
+import (
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/logger"
+)
+
+var (
+	eventCommitFailed = logger.Define(3000, logrus.WarnLevel, "ledger batch failed",
+		"The platform did not decide a batch in time; its claims were refused, its answers are tried again.")
+	eventForwardFailed = logger.Define(3001, logrus.InfoLevel, "ledger owner not reached",
+		"Another node owns the shard and did not answer; this node writes the page itself.")
+	eventUnsettled = logger.Define(3002, logrus.ErrorLevel, "answers left unsettled at shutdown",
+		"The ledger could not be reached while the node stopped; resends of these calls are told unknown.")
+	eventPruneFailed = logger.Define(3003, logrus.InfoLevel, "ledger pruning failed",
+		"Old pages stay in the platform until the next try.")
+)
+
+func fields(op *operation, err error) logger.Fields {
+	return logger.Fields{"operation": op.kind, "attempt": op.call.Attempt, "error": err.Error()}
+}
+
+// metrics counts what the ledger does.
+type metrics struct {
+	scope         tally.Scope
+	forwardFailed tally.Counter
+	commitFailed  tally.Counter
+	conflicts     tally.Counter
+	lostAnswers   tally.Counter
+	reads         tally.Counter
+	writes        tally.Counter
+	writtenBytes  tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	scope = scope.SubScope("ledger")
+	return metrics{
+		scope:         scope,
+		forwardFailed: scope.Counter("forward-failed"),
+		commitFailed:  scope.Counter("commit-failed"),
+		conflicts:     scope.Counter("conflicts"),
+		lostAnswers:   scope.Counter("lost-answers"),
+		reads:         scope.Counter("store-reads"),
+		writes:        scope.Counter("store-writes"),
+		writtenBytes:  scope.Counter("written-bytes"),
+	}
+}
+
+func (m *metrics) verdict(verdict Verdict) {
+	m.scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("claims").Inc(1)
+}
--- /dev/null
+++ b/recorder/fake_test.go
@@ -0,0 +1,233 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/storer"
+)
+
+// fault is what goes wrong with one call of the fake store.
+type fault int
+
+const (
+	healthy fault = iota
+	// refused: no effect, and the caller knows it.
+	refused
+	// lostBefore: no effect, and the answer is lost.
+	lostBefore
+	// lostAfter: the effect, and the answer is lost.
+	lostAfter
+	// lateEffect: the answer is lost, and the write takes effect later.
+	lateEffect
+)
+
+// fakeStore is the platform in memory, with faults.
+type fakeStore struct {
+	mutex   sync.Mutex
+	objects map[string]storer.Object
+	version int
+	// fault chooses what goes wrong with the next call; nil is nothing.
+	fault func(method, name string) fault
+	// latency is how long a call takes.
+	latency time.Duration
+	// late holds writes that will take effect when released.
+	late   []func()
+	writes int
+	reads  int
+	bytes  int
+	// blind ignores the versions of updates and the names of creations: it
+	// shows that the conditional update is needed.
+	blind bool
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[string]storer.Object{}}
+}
+
+func (s *fakeStore) next(method, name string) fault {
+	if s.fault == nil {
+		return healthy
+	}
+	return s.fault(method, name)
+}
+
+func (s *fakeStore) Get(_ context.Context, _ storer.Kind, name string) (storer.Object, error) {
+	s.pause()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reads++
+	switch s.next("get", name) {
+	case healthy:
+	case refused:
+		return storer.Object{}, storer.Unavailable.New("out")
+	case lostBefore, lostAfter, lateEffect:
+		return storer.Object{}, storer.Uncertain.New("lost")
+	}
+	object, ok := s.objects[name]
+	if !ok {
+		return storer.Object{}, storer.NotFound.New("%s", name)
+	}
+	return object, nil
+}
+
+func (s *fakeStore) pause() {
+	if s.latency > 0 {
+		time.Sleep(s.latency)
+	}
+}
+
+func (s *fakeStore) write(method string, object storer.Object, do func() (storer.Object, error)) (storer.Object, error) {
+	s.pause()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.writes++
+	s.bytes += len(object.Spec)
+	switch s.next(method, object.Name) {
+	case refused:
+		return storer.Object{}, storer.Unavailable.New("out")
+	case lostBefore:
+		return storer.Object{}, storer.Uncertain.New("lost")
+	case lostAfter:
+		_, _ = do()
+		return storer.Object{}, storer.Uncertain.New("lost")
+	case lateEffect:
+		s.late = append(s.late, func() { _, _ = do() })
+		return storer.Object{}, storer.Uncertain.New("lost")
+	case healthy:
+	}
+	return do()
+}
+
+// release lets the late writes take effect.
+func (s *fakeStore) release() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, do := range s.late {
+		do()
+	}
+	s.late = nil
+}
+
+func (s *fakeStore) put(object storer.Object) storer.Object {
+	s.version++
+	object.Version = storer.Version(strconv.Itoa(s.version))
+	s.objects[object.Name] = object
+	return object
+}
+
+func (s *fakeStore) Create(_ context.Context, object storer.Object) (storer.Object, error) {
+	return s.write("create", object, func() (storer.Object, error) {
+		if _, taken := s.objects[object.Name]; taken && !s.blind {
+			return storer.Object{}, storer.Conflict.New("%s", object.Name)
+		}
+		return s.put(object), nil
+	})
+}
+
+func (s *fakeStore) Update(_ context.Context, object storer.Object) (storer.Object, error) {
+	return s.write("update", object, func() (storer.Object, error) {
+		stored, ok := s.objects[object.Name]
+		if !ok {
+			return storer.Object{}, storer.NotFound.New("%s", object.Name)
+		}
+		if stored.Version != object.Version && !s.blind {
+			return storer.Object{}, storer.Conflict.New("%s", object.Name)
+		}
+		return s.put(object), nil
+	})
+}
+
+func (s *fakeStore) Delete(_ context.Context, object storer.Object) error {
+	_, err := s.write("delete", object, func() (storer.Object, error) {
+		stored, ok := s.objects[object.Name]
+		if !ok {
+			return storer.Object{}, storer.NotFound.New("%s", object.Name)
+		}
+		if stored.Version != object.Version {
+			return storer.Object{}, storer.Conflict.New("%s", object.Name)
+		}
+		delete(s.objects, object.Name)
+		return storer.Object{}, nil
+	})
+	return err
+}
+
+func (s *fakeStore) List(context.Context, storer.Kind) (storer.Listing, error) {
+	return storer.Listing{}, storer.Unavailable.New("not offered")
+}
+
+func (s *fakeStore) Watch(context.Context, storer.Kind, storer.Version) (storer.Watch, error) {
+	return nil, storer.Unavailable.New("not offered")
+}
+
+// setFault changes what goes wrong from now on.
+func (s *fakeStore) setFault(f func(method, name string) fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fault = f
+}
+
+// always makes every call fail in one way.
+func always(f fault) func(string, string) fault {
+	return func(string, string) fault { return f }
+}
+
+// alone is the view of a node that knows of no other.
+func alone(node identifier.Node, incarnation identifier.Incarnation) func() *assigner.View {
+	self := assigner.Member{Node: node, Incarnation: incarnation, State: assigner.Alive}
+	view := &assigner.View{Self: self, Members: []assigner.Member{self}}
+	return func() *assigner.View { return view }
+}
+
+// run starts a recorder until the test ends.
+func run(t testing.TB, options Options) *Recorder {
+	t.Helper()
+	r, stop := runUntil(t, options)
+	t.Cleanup(stop)
+	return r
+}
+
+// runUntil starts a recorder until stop is called.
+func runUntil(t testing.TB, options Options) (*Recorder, func()) {
+	t.Helper()
+	r := New(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- r.Run(ctx) }()
+	return r, func() {
+		cancel()
+		if err := <-end; err != nil {
+			t.Errorf("recorder ended: %v", err)
+		}
+	}
+}
+
+// newKey returns a UUIDv7 of the present, or of a time past.
+func newKey(age time.Duration) identifier.Key {
+	id := uuid.Must(uuid.NewV7())
+	milliseconds := time.Now().Add(-age).UnixMilli()
+	for i := range 6 {
+		id[i] = byte(milliseconds >> (8 * (5 - i)))
+	}
+	return identifier.Key(id.String())
+}
+
+// callOf returns a call by an attempt of a node.
+func callOf(key identifier.Key, attempt int, node identifier.Node) Call {
+	return Call{
+		Key:         key,
+		Fingerprint: 7,
+		Attempt:     identifier.Attempt(fmt.Sprintf("%s-%d", node, attempt)),
+		Node:        node,
+		Incarnation: 1,
+	}
+}
--- /dev/null
+++ b/recorder/forwarder.go
@@ -0,0 +1,127 @@
+package recorder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/recorder/recorderrpc"
+)
+
+// forward sends an operation to another node.
+func (r *Recorder) forward(ctx context.Context, to assigner.Member, op *operation) (result, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.ForwardTimeout)
+	defer cancel()
+	client := recorderrpc.NewLedgerProtobufClient("http://"+string(to.Peers), &http.Client{Transport: r.options.Peers})
+	send := client.Apply
+	if op.kind == opSeal {
+		send = client.Seal
+	}
+	outcome, err := send(ctx, toWire(op))
+	if err != nil {
+		return result{}, err
+	}
+	return result{
+		claim:     Claim{Verdict: Verdict(outcome.GetVerdict()), Answer: fromWireAnswer(outcome.GetAnswer())},
+		failed:    outcome.GetFailed(),
+		uncertain: outcome.GetUncertain(),
+	}, nil
+}
+
+// Handler returns the service that other nodes call, and its path.
+func (r *Recorder) Handler() (string, http.Handler) {
+	server := recorderrpc.NewLedgerServer(&handler{recorder: r})
+	return server.PathPrefix(), server
+}
+
+// handler serves operations of other nodes.
+type handler struct {
+	recorder *Recorder
+}
+
+// Apply carries out an operation as the owner of its shard.
+func (h *handler) Apply(ctx context.Context, wire *recorderrpc.Operation) (*recorderrpc.Outcome, error) {
+	op, err := fromWire(wire)
+	if err != nil {
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	switch op.kind {
+	case opClaim, opSettle, opWithdraw, opKeep, opLook:
+		return toOutcome(h.recorder.applyHere(ctx, op)), nil
+	default:
+		return nil, twirp.InvalidArgumentError("kind", "unknown")
+	}
+}
+
+// Seal tells what became of a key that is bound to this process.
+func (h *handler) Seal(_ context.Context, wire *recorderrpc.Operation) (*recorderrpc.Outcome, error) {
+	op, err := fromWire(wire)
+	if err != nil {
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	if op.kind != opSeal || !op.key.bound || !h.recorder.boundHere(op.key) {
+		return nil, twirp.FailedPrecondition.Error("the key is not bound to this process")
+	}
+	return toOutcome(h.recorder.bound.decide(op)), nil
+}
+
+func toWire(op *operation) *recorderrpc.Operation {
+	wire := &recorderrpc.Operation{
+		Kind:        string(op.kind),
+		Key:         string(op.call.Key),
+		Fingerprint: op.call.Fingerprint,
+		Attempt:     string(op.call.Attempt),
+		Node:        string(op.call.Node),
+		Incarnation: uint64(op.call.Incarnation),
+		Answer:      toWireAnswer(op.answer),
+	}
+	if !op.call.Issued.IsZero() {
+		wire.IssuedMilliseconds = op.call.Issued.UnixMilli()
+	}
+	return wire
+}
+
+func fromWire(wire *recorderrpc.Operation) (*operation, error) {
+	call := Call{
+		Key:         identifier.Key(wire.GetKey()),
+		Fingerprint: wire.GetFingerprint(),
+		Attempt:     identifier.Attempt(wire.GetAttempt()),
+		Node:        identifier.Node(wire.GetNode()),
+		Incarnation: identifier.Incarnation(wire.GetIncarnation()),
+	}
+	if wire.GetIssuedMilliseconds() != 0 {
+		call.Issued = time.UnixMilli(wire.GetIssuedMilliseconds())
+	}
+	key, err := parseKey(call.Key, call.Issued)
+	if err != nil {
+		return nil, err
+	}
+	return newOperation(operationKind(wire.GetKind()), key, call, fromWireAnswer(wire.GetAnswer())), nil
+}
+
+func toOutcome(answer result) *recorderrpc.Outcome {
+	return &recorderrpc.Outcome{
+		Verdict:   string(answer.claim.Verdict),
+		Answer:    toWireAnswer(answer.claim.Answer),
+		Failed:    answer.failed,
+		Uncertain: answer.uncertain,
+	}
+}
+
+func toWireAnswer(answer *Answer) *recorderrpc.Answer {
+	if answer == nil {
+		return nil
+	}
+	return &recorderrpc.Answer{Status: int32(answer.Status), ContentType: answer.ContentType, Body: answer.Body}
+}
+
+func fromWireAnswer(wire *recorderrpc.Answer) *Answer {
+	if wire == nil {
+		return nil
+	}
+	return &Answer{Status: int(wire.GetStatus()), ContentType: wire.GetContentType(), Body: wire.GetBody()}
+}
--- /dev/null
+++ b/recorder/page.go
@@ -0,0 +1,177 @@
+package recorder
+
+import (
+	"encoding/json"
+	"maps"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/storer"
+)
+
+type state string
+
+const (
+	// started: an attempt may be running.
+	started state = "started"
+	// withdrawn: the attempt proved not to have run; another may claim.
+	withdrawn state = "withdrawn"
+	// answered: the attempt ran and its answer is known.
+	answered state = "answered"
+)
+
+// entry is what the ledger knows of a key. It is immutable; a change puts
+// another in its place.
+type entry struct {
+	State       state                  `json:"state"`
+	Attempt     identifier.Attempt     `json:"attempt"`
+	Node        identifier.Node        `json:"node"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	Fingerprint uint64                 `json:"fingerprint"`
+	// Answer is set in answered entries unless Unkept.
+	Answer *Answer `json:"answer,omitempty"`
+	// Unkept tells that the answer was too large to keep.
+	Unkept bool `json:"unkept,omitempty"`
+}
+
+// page is the content of one object: entries by key.
+type page struct {
+	Entries map[string]*entry `json:"entries"`
+	// Full pages get no new entries: keys that are not in them go to the next
+	// part of the place. A full page never becomes open again.
+	Full bool `json:"full,omitempty"`
+}
+
+func newPage() *page {
+	return &page{Entries: map[string]*entry{}}
+}
+
+func decodePage(object storer.Object) (*page, error) {
+	p := newPage()
+	if err := json.Unmarshal(object.Spec, p); err != nil {
+		return nil, BadPage.Wrap(err, "object %s", object.Name)
+	}
+	for key, e := range p.Entries {
+		if e == nil || e.State != started && e.State != withdrawn && e.State != answered {
+			return nil, BadPage.New("object %s: entry %q", object.Name, key)
+		}
+	}
+	return p, nil
+}
+
+func (p *page) encode() (json.RawMessage, error) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, BadPage.Wrap(err, "encode")
+	}
+	return data, nil
+}
+
+func (p *page) clone() *page {
+	return &page{Entries: maps.Clone(p.Entries), Full: p.Full}
+}
+
+// effect is what an operation does to a page.
+type effect struct {
+	result result
+	// changed tells that the page must be written before result holds.
+	changed bool
+	// elsewhere tells that the key may be in the next part of the place.
+	elsewhere bool
+}
+
+// apply carries out an operation on a page that nobody else sees yet.
+func (p *page) apply(op *operation, capacity int) effect {
+	current := p.Entries[op.key.text]
+	if current == nil {
+		return p.applyNew(op, capacity)
+	}
+	switch op.kind {
+	case opClaim, opSeal, opLook:
+		return p.claimAgain(op, current)
+	case opSettle, opWithdraw, opKeep:
+		return p.end(op, current)
+	}
+	return effect{}
+}
+
+// applyNew carries out an operation on a key that the page does not hold.
+func (p *page) applyNew(op *operation, capacity int) effect {
+	if p.Full {
+		return effect{elsewhere: true}
+	}
+	switch op.kind {
+	case opClaim:
+		p.put(op, &entry{State: started}, capacity)
+		return effect{result: verdictOf(Run), changed: true}
+	case opKeep:
+		p.put(op, op.answeredEntry(), capacity)
+		return effect{changed: true}
+	case opSeal:
+		p.put(op, &entry{State: withdrawn}, capacity)
+		return effect{result: verdictOf(Closed), changed: true}
+	case opWithdraw:
+		// The claim that this follows may still be on its way.
+		p.put(op, &entry{State: withdrawn}, capacity)
+		return effect{changed: true}
+	case opLook, opSettle:
+	}
+	return effect{result: verdictOf(Lost)}
+}
+
+func (p *page) put(op *operation, e *entry, capacity int) {
+	e.Attempt = op.call.Attempt
+	e.Node = op.call.Node
+	e.Incarnation = op.call.Incarnation
+	e.Fingerprint = op.call.Fingerprint
+	p.Entries[op.key.text] = e
+	if len(p.Entries) >= capacity {
+		p.Full = true
+	}
+}
+
+// claimAgain answers a claim for a key that has an entry.
+func (p *page) claimAgain(op *operation, current *entry) effect {
+	switch {
+	case current.Fingerprint != op.call.Fingerprint:
+		return effect{result: verdictOf(Mismatch)}
+	case current.State == answered:
+		return effect{result: result{claim: current.claim()}}
+	case current.State == withdrawn && (op.kind == opSeal || current.Attempt == op.call.Attempt):
+		// The same attempt was given up by its node and must not come back.
+		return effect{result: verdictOf(Closed)}
+	case current.State == withdrawn:
+		taken := *current
+		taken.State, taken.Attempt = started, op.call.Attempt
+		taken.Node, taken.Incarnation = op.call.Node, op.call.Incarnation
+		p.Entries[op.key.text] = &taken
+		return effect{result: verdictOf(Run), changed: true}
+	case op.kind == opClaim && current.Attempt == op.call.Attempt:
+		// This very claim took effect although its answer was lost.
+		return effect{result: verdictOf(Run)}
+	default:
+		return effect{result: result{claim: Claim{Verdict: Running}, node: current.Node, incarnation: current.Incarnation}}
+	}
+}
+
+// end records how an attempt ended. Only the attempt that holds the claim may.
+func (p *page) end(op *operation, current *entry) effect {
+	if current.Attempt != op.call.Attempt || current.State != started {
+		return effect{}
+	}
+	ended := *current
+	if op.kind == opWithdraw {
+		ended.State = withdrawn
+	} else {
+		kept := op.answeredEntry()
+		ended.State, ended.Answer, ended.Unkept = kept.State, kept.Answer, kept.Unkept
+	}
+	p.Entries[op.key.text] = &ended
+	return effect{changed: true}
+}
+
+func (e *entry) claim() Claim {
+	if e.Unkept {
+		return Claim{Verdict: Unkept}
+	}
+	return Claim{Verdict: Answered, Answer: e.Answer}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,16 +2,30 @@
 // repeated were started, and what they answered. It decides at-most-once
 // execution by conditional updates of the platform's objects, so that two
 // owners of a shard at once cannot both start a call.
+//
+// A key's time of issue and hash choose the one object that its entry is in.
+// The soft owner of the key's shard collects operations for a short time and
+// writes them in one conditional update. docs/LEDGER.md gives the rules.
 package recorder
 
 import (
+	"context"
+	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/storer"
 )
 
 // Call is one call that may not be repeated.
 type Call struct {
+	// Key is a UUIDv7, or any text together with Issued. A key followed by
+	// "@" and a node's Binding is run by that incarnation of the node or never.
 	Key identifier.Key
 	// Fingerprint is a hash of the call's route, method, path and body: a key
 	// used again for another call is refused.
@@ -22,8 +36,12 @@
 	// Node and Incarnation own the attempt.
 	Node        identifier.Node
 	Incarnation identifier.Incarnation
-	// Issued is when the caller made the key.
+	// Issued is when the caller made the key. It is part of the key's identity
+	// and must be the same in every resend. A UUIDv7 carries its own.
 	Issued time.Time
+	// First tells that the caller vouches for never having sent the key before.
+	// Only then does a refusal without the ledger prove that nothing ran.
+	First bool
 }
 
 // Verdict is the ledger's answer to a claim.
@@ -35,17 +53,25 @@
 	Run Verdict = "run"
 	// Answered: the call ran; its answer is in Claim.Answer.
 	Answered Verdict = "answered"
+	// Unkept: the call ran and was answered; the answer was too large to keep.
+	Unkept Verdict = "unkept"
 	// Running: another attempt started and has not ended; outcome unknown.
 	Running Verdict = "running"
 	// Lost: another attempt started and will never tell its outcome.
 	Lost Verdict = "lost"
 	// Mismatch: the key was used for another call; this one did not run.
 	Mismatch Verdict = "mismatch"
-	// TooOld: the key is older than the window; whether it ran is unknown.
+	// Malformed: the key is too long or has no time of issue; nothing with
+	// this key ever runs.
+	Malformed Verdict = "malformed"
+	// TooOld: the key's time of issue is outside the window; whether it ran is
+	// unknown, and it never runs from now on.
 	TooOld Verdict = "too-old"
-	// Closed: the ledger cannot be reached and nothing was recorded; the call
-	// did not run.
+	// Closed: nothing is recorded as run; the call did not run.
 	Closed Verdict = "closed"
+	// Unknown: the ledger cannot be reached. This attempt did not run, but an
+	// earlier sending of the key may have.
+	Unknown Verdict = "unknown"
 )
 
 // Claim answers a call.
@@ -61,3 +87,224 @@
 	ContentType string `json:"content-type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
 }
+
+// Errors is the namespace of this package's error types.
+var Errors = errorx.NewNamespace("recorder")
+
+// The error types of the ledger. Test with errorx.IsOfType.
+var (
+	// BadPage: a stored object cannot be read as a page of the ledger.
+	BadPage = Errors.NewType("bad-page")
+	// BadKey: a key is too long or has no time of issue.
+	BadKey = Errors.NewType("bad-key")
+)
+
+// Options sets up a recorder. Zero durations and counts take the defaults.
+type Options struct {
+	// Self and Incarnation name this process.
+	Self        identifier.Node
+	Incarnation identifier.Incarnation
+	// Store is the platform's object API.
+	Store storer.Store
+	// View returns the present membership view; never nil.
+	View func() *assigner.View
+	// Peers carries calls to other nodes' peer addresses.
+	Peers http.RoundTripper
+	// Log takes this package's events, Scope its metrics.
+	Log   *logger.Logger
+	Scope tally.Scope
+	// Shards is how many owners share the ledger. It decides where entries are
+	// kept: every node must have the same.
+	Shards int
+	// BucketWidth is how long a time of issue one page covers, a whole number
+	// of seconds. Every node must have the same.
+	BucketWidth time.Duration
+	// GroupCommit is the shortest time between two writes of one page.
+	GroupCommit time.Duration
+	// SettleDelay is how long an answer may wait for company before its page
+	// is written.
+	SettleDelay time.Duration
+	// Window is how long after its issue a key may be claimed and its answer
+	// asked for. Every node must have the same.
+	Window time.Duration
+	// ClockSkew is the largest difference between any two clocks of nodes.
+	// Pages are deleted ClockSkew after their window has passed, and keys
+	// issued further ahead than it are refused.
+	ClockSkew time.Duration
+	// CommitTimeout bounds the work on one batch, ForwardTimeout one call to
+	// another node.
+	CommitTimeout  time.Duration
+	ForwardTimeout time.Duration
+	// AwaitPoll is the time between two looks at a running call.
+	AwaitPoll time.Duration
+	// OutagePause is how long claims are refused at once after the store
+	// failed a batch.
+	OutagePause time.Duration
+	// DrainTimeout bounds the settling of answers when the node stops.
+	DrainTimeout time.Duration
+	// PageEntries is the largest number of entries in one object, and
+	// InlineAnswer the largest answer body kept inside it, in bytes. Together
+	// they keep an object under the platform's megabyte.
+	PageEntries  int
+	InlineAnswer int
+	// BoundEntries bounds the keys bound to this node that it remembers.
+	BoundEntries int
+}
+
+// The defaults of Options.
+const (
+	defaultShards         = 16
+	defaultBucketWidth    = 2 * time.Second
+	defaultGroupCommit    = 150 * time.Millisecond
+	defaultSettleDelay    = 500 * time.Millisecond
+	defaultWindow         = 10 * time.Minute
+	defaultClockSkew      = 5 * time.Second
+	defaultCommitTimeout  = 2 * time.Second
+	defaultForwardTimeout = 3 * time.Second
+	defaultAwaitPoll      = 200 * time.Millisecond
+	defaultOutagePause    = 500 * time.Millisecond
+	defaultDrainTimeout   = 5 * time.Second
+	defaultPageEntries    = 300
+	defaultInlineAnswer   = 1 << 10
+	defaultBoundEntries   = 8192
+)
+
+func orDefault[T int | time.Duration](value *T, standard T) {
+	if *value == 0 {
+		*value = standard
+	}
+}
+
+func (o *Options) fill() {
+	orDefault(&o.Shards, defaultShards)
+	orDefault(&o.BucketWidth, defaultBucketWidth)
+	orDefault(&o.GroupCommit, defaultGroupCommit)
+	orDefault(&o.SettleDelay, defaultSettleDelay)
+	orDefault(&o.Window, defaultWindow)
+	orDefault(&o.ClockSkew, defaultClockSkew)
+	orDefault(&o.CommitTimeout, defaultCommitTimeout)
+	orDefault(&o.ForwardTimeout, defaultForwardTimeout)
+	orDefault(&o.AwaitPoll, defaultAwaitPoll)
+	orDefault(&o.OutagePause, defaultOutagePause)
+	orDefault(&o.DrainTimeout, defaultDrainTimeout)
+	orDefault(&o.PageEntries, defaultPageEntries)
+	orDefault(&o.InlineAnswer, defaultInlineAnswer)
+	orDefault(&o.BoundEntries, defaultBoundEntries)
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Log == nil {
+		o.Log = logger.Discard()
+	}
+}
+
+// Recorder is one node's part of the ledger: it claims for the calls that the
+// node took in, and writes the pages of the shards that the node owns.
+type Recorder struct {
+	options Options
+	// operations passes work to the loop of Run, which owns all pages.
+	operations chan *operation
+	settler    *settler
+	bound      *boundLedger
+	metrics    metrics
+}
+
+// New returns a recorder. Claims wait until Run runs.
+func New(options Options) *Recorder {
+	options.fill()
+	r := &Recorder{
+		options:    options,
+		operations: make(chan *operation),
+		bound:      newBoundLedger(options),
+		metrics:    newMetrics(options.Scope),
+	}
+	r.settler = newSettler(r)
+	return r
+}
+
+// Claim asks to run a call. Only Run allows sending it, once.
+func (r *Recorder) Claim(ctx context.Context, call Call) Claim {
+	claim := r.claim(ctx, call)
+	r.metrics.verdict(claim.Verdict)
+	return claim
+}
+
+func (r *Recorder) claim(ctx context.Context, call Call) Claim {
+	key, err := parseKey(call.Key, call.Issued)
+	if err != nil {
+		return Claim{Verdict: Malformed}
+	}
+	if !r.inWindow(key.issued) {
+		return Claim{Verdict: TooOld}
+	}
+	if answer, held := r.settler.held(call); held {
+		return Claim{Verdict: Answered, Answer: answer}
+	}
+	if key.bound {
+		return r.claimBound(ctx, key, call)
+	}
+	op := newOperation(opClaim, key, call, nil)
+	result := r.apply(ctx, op)
+	if result.claim.Verdict == Unknown {
+		if result.uncertain {
+			// The claim may be in the ledger although it will never run.
+			r.settler.add(newOperation(opWithdraw, key, call, nil))
+		}
+		return r.refused(call)
+	}
+	return result.claim
+}
+
+// refused answers a claim that was not decided by the ledger.
+func (r *Recorder) refused(call Call) Claim {
+	if call.First {
+		return Claim{Verdict: Closed}
+	}
+	return Claim{Verdict: Unknown}
+}
+
+// Await claims a call that another attempt runs: it waits for that attempt's
+// answer, and claims the call if that attempt proves not to have run.
+func (r *Recorder) Await(ctx context.Context, call Call) Claim {
+	for {
+		claim := r.claim(ctx, call)
+		if claim.Verdict != Running {
+			r.metrics.verdict(claim.Verdict)
+			return claim
+		}
+		select {
+		case <-ctx.Done():
+			return claim
+		case <-time.After(r.options.AwaitPoll):
+		}
+	}
+}
+
+// Settle records the end of a call that Claim allowed to run: its answer, or
+// nil where it is proven that it did not run. It returns at once; the record
+// is retried until it is kept or the key's window has passed.
+func (r *Recorder) Settle(_ context.Context, call Call, answer *Answer) {
+	key, err := parseKey(call.Key, call.Issued)
+	if err != nil {
+		return
+	}
+	kind := opSettle
+	if answer == nil {
+		kind = opWithdraw
+	}
+	if key.bound {
+		r.bound.end(kind, key, call, answer)
+		if answer == nil {
+			return
+		}
+		kind = opKeep
+	}
+	r.settler.add(newOperation(kind, key, call, answer))
+}
+
+// inWindow tells whether a key of a time of issue may be claimed by this
+// node's clock.
+func (r *Recorder) inWindow(issued time.Time) bool {
+	age := time.Since(issued)
+	return age <= r.options.Window && age >= -r.options.ClockSkew
+}
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,104 @@
+package recorder
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func optionsOf(store *fakeStore) Options {
+	return Options{Self: "a", Incarnation: 1, Store: store, View: alone("a", 1)}
+}
+
+func expect(t *testing.T, got Claim, want Verdict) {
+	t.Helper()
+	if got.Verdict != want {
+		t.Fatalf("verdict %s, want %s", got.Verdict, want)
+	}
+}
+
+func TestAnswerIsKeptForResends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := run(t, optionsOf(newFakeStore()))
+		ctx, key := context.Background(), newKey(0)
+		expect(t, r.Claim(ctx, callOf(key, 1, "a")), Run)
+		expect(t, r.Claim(ctx, callOf(key, 2, "a")), Running)
+		r.Settle(ctx, callOf(key, 1, "a"), &Answer{Status: 201, Body: []byte("booked")})
+		time.Sleep(2 * time.Second)
+		claim := r.Claim(ctx, callOf(key, 3, "a"))
+		expect(t, claim, Answered)
+		if string(claim.Answer.Body) != "booked" || claim.Answer.Status != 201 {
+			t.Fatalf("another answer: %+v", claim.Answer)
+		}
+		other := callOf(key, 4, "a")
+		other.Fingerprint++
+		expect(t, r.Claim(ctx, other), Mismatch)
+	})
+}
+
+func TestWithdrawnCallMayRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := run(t, optionsOf(newFakeStore()))
+		ctx, key := context.Background(), newKey(0)
+		expect(t, r.Claim(ctx, callOf(key, 1, "a")), Run)
+		r.Settle(ctx, callOf(key, 1, "a"), nil)
+		expect(t, r.Await(ctx, callOf(key, 2, "a")), Run)
+		// The first attempt's end comes again, late: it must not free the second.
+		r.Settle(ctx, callOf(key, 1, "a"), nil)
+		time.Sleep(2 * time.Second)
+		expect(t, r.Claim(ctx, callOf(key, 3, "a")), Running)
+	})
+}
+
+func TestOutageRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		r := run(t, optionsOf(store))
+		ctx, key := context.Background(), newKey(0)
+		store.setFault(always(refused))
+		expect(t, r.Claim(ctx, callOf(key, 1, "a")), Unknown)
+		first := callOf(newKey(0), 1, "a")
+		first.First = true
+		expect(t, r.Claim(ctx, first), Closed)
+		store.setFault(nil)
+		time.Sleep(time.Second)
+		expect(t, r.Claim(ctx, callOf(key, 2, "a")), Run)
+	})
+}
+
+func TestOldAndFutureKeysNeverRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := run(t, optionsOf(newFakeStore()))
+		ctx := context.Background()
+		expect(t, r.Claim(ctx, callOf(newKey(11*time.Minute), 1, "a")), TooOld)
+		expect(t, r.Claim(ctx, callOf(newKey(-time.Minute), 1, "a")), TooOld)
+		expect(t, r.Claim(ctx, callOf("no-time", 1, "a")), Malformed)
+	})
+}
+
+// A write whose answer was lost takes effect only after another owner's.
+func TestLateWriteLosesToAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		a, b := run(t, optionsOf(store)), run(t, optionsOf(store))
+		ctx, key := context.Background(), newKey(0)
+		failed := false
+		store.setFault(func(method, _ string) fault {
+			if method == "create" && !failed {
+				failed = true
+				return lateEffect
+			}
+			if failed && method == "get" {
+				return refused
+			}
+			return healthy
+		})
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Unknown)
+		store.setFault(nil)
+		expect(t, b.Claim(ctx, callOf(key, 2, "a")), Run)
+		store.release()
+		time.Sleep(3 * time.Second)
+		expect(t, b.Claim(ctx, callOf(key, 3, "a")), Running)
+	})
+}
--- /dev/null
+++ b/recorder/runner.go
@@ -0,0 +1,28 @@
+package recorder
+
+import "context"
+
+// Run serves the ledger until ctx ends. What this node has to settle is then
+// settled first, and its pages are written as long as that needs them.
+func (r *Recorder) Run(ctx context.Context) error {
+	loopContext, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoop()
+	loopEnd := make(chan error, 1)
+	go func() { loopEnd <- r.runLoop(loopContext) }()
+	workers := []func(context.Context) error{r.settler.run, r.runPruner}
+	ends := make(chan error, len(workers))
+	for _, work := range workers {
+		go func() { ends <- work(ctx) }()
+	}
+	var failure error
+	for range workers {
+		if err := <-ends; err != nil {
+			failure = err
+		}
+	}
+	stopLoop()
+	if err := <-loopEnd; err != nil {
+		failure = err
+	}
+	return failure
+}
