Let a later attempt take over an earlier one's stream

Cause: a caller that was cut off comes back through another node, which has to know which stream on the decode engine to go on with. Change: attempts are numbered by the time they began; a placement names the attempt granted and the earlier attempt whose stream may be resumed.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,7 +13,9 @@
 type Demand struct {
 	Request identifier.Request
 	// Attempt fences: a larger one of the same request replaces a smaller one.
-	Attempt uint32
+	// It is the Unix time in milliseconds at which the attempt began, so that a
+	// caller who comes back through another node gets a larger one.
+	Attempt uint64
 	Pool    identifier.Pool
 	Rank    identifier.Rank
 	Account identifier.Account
@@ -39,6 +41,12 @@
 	Grant   identifier.Grant
 	Prefill identifier.Member
 	Decode  identifier.Member
+	// Attempt is the attempt that was granted. It is larger than the demand's
+	// where an earlier attempt's node had a clock that ran ahead.
+	Attempt uint64
+	// Resume is the earlier attempt whose stream Decode may still hold, or zero.
+	// The new attempt took its grant over and goes on with its stream.
+	Resume uint64
 	// Lease is how long the grant stands unless it is renewed.
 	Lease time.Duration
 }
