--- /dev/null
+++ b/emulator/connection.go
@@ -0,0 +1,180 @@
+package emulator
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// segment is bytes on their way, readable from a moment on.
+type segment struct {
+	data []byte
+	at   time.Time
+}
+
+// half is one direction of an in-memory connection.
+type half struct {
+	mutex    sync.Mutex
+	segments []segment
+	closed   bool
+	held     bool
+	failure  error
+	// wake is closed and replaced at each change.
+	wake chan struct{}
+}
+
+func newHalf() *half {
+	return &half{wake: make(chan struct{})}
+}
+
+func (h *half) change(apply func()) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	apply()
+	close(h.wake)
+	h.wake = make(chan struct{})
+}
+
+func (h *half) hold(held bool)     { h.change(func() { h.held = held }) }
+func (h *half) fail(failure error) { h.change(func() { h.failure = failure }) }
+func (h *half) close()             { h.change(func() { h.closed = true }) }
+
+func (h *half) write(data []byte, delay time.Duration) (int, error) {
+	var failure error
+	h.change(func() {
+		failure = h.failure
+		if failure == nil && h.closed {
+			failure = io.ErrClosedPipe
+		}
+		if failure == nil {
+			h.segments = append(h.segments, segment{append([]byte(nil), data...), time.Now().Add(delay)})
+		}
+	})
+	if failure != nil {
+		return 0, failure
+	}
+	return len(data), nil
+}
+
+// take reads what has arrived. Otherwise it returns what to wait for: a change,
+// and a time until the next segment, or zero.
+func (h *half) take(into []byte) (count int, err error, wake chan struct{}, until time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	switch {
+	case h.failure != nil:
+		return 0, h.failure, nil, 0
+	case h.held:
+		return 0, nil, h.wake, 0
+	case len(h.segments) > 0:
+		if until := time.Until(h.segments[0].at); until > 0 {
+			return 0, nil, h.wake, until
+		}
+		count = copy(into, h.segments[0].data)
+		if h.segments[0].data = h.segments[0].data[count:]; len(h.segments[0].data) == 0 {
+			h.segments = h.segments[1:]
+		}
+		return count, nil, nil, 0
+	case h.closed:
+		return 0, io.EOF, nil, 0
+	default:
+		return 0, nil, h.wake, 0
+	}
+}
+
+// memoryConn is one end of an in-memory connection.
+type memoryConn struct {
+	network       *Network
+	link          *link
+	in, out       *half
+	local, remote string
+	// span returns the one-way delay of what this end sends.
+	span func() time.Duration
+
+	mutex    sync.Mutex
+	deadline time.Time
+	closed   bool
+}
+
+// Read waits for bytes, the other end's close, or the deadline.
+func (c *memoryConn) Read(into []byte) (int, error) {
+	for {
+		c.mutex.Lock()
+		deadline, closed := c.deadline, c.closed
+		c.mutex.Unlock()
+		if closed {
+			return 0, net.ErrClosed
+		}
+		if !deadline.IsZero() && time.Until(deadline) <= 0 {
+			return 0, os.ErrDeadlineExceeded
+		}
+		count, err, wake, until := c.in.take(into)
+		if wake == nil {
+			return count, err
+		}
+		if !deadline.IsZero() && (until == 0 || time.Until(deadline) < until) {
+			until = time.Until(deadline)
+		}
+		await(wake, until)
+	}
+}
+
+// await waits for a change, or for a time where that is not zero.
+func await(wake <-chan struct{}, span time.Duration) {
+	if span <= 0 {
+		<-wake
+		return
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
+// Write sends bytes without waiting for the other end.
+func (c *memoryConn) Write(data []byte) (int, error) {
+	c.mutex.Lock()
+	closed := c.closed
+	c.mutex.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	return c.out.write(data, c.span())
+}
+
+// Close ends both directions.
+func (c *memoryConn) Close() error {
+	c.mutex.Lock()
+	c.closed = true
+	c.mutex.Unlock()
+	c.out.close()
+	c.in.close()
+	return nil
+}
+
+// LocalAddr returns this end's address.
+func (c *memoryConn) LocalAddr() net.Addr { return memoryAddr(c.local) }
+
+// RemoteAddr returns the other end's address.
+func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr(c.remote) }
+
+// SetDeadline bounds reads; writes never wait.
+func (c *memoryConn) SetDeadline(deadline time.Time) error {
+	return c.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline bounds reads, also one that waits already.
+func (c *memoryConn) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	c.deadline = deadline
+	c.mutex.Unlock()
+	c.in.change(func() {})
+	return nil
+}
+
+// SetWriteDeadline does nothing: writes never wait.
+func (c *memoryConn) SetWriteDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/emulator/control.go
@@ -0,0 +1,81 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// loadReport is what an engine tells of its load, as old as the lag says.
+type loadReport struct {
+	PiecesFree int `json:"pieces_free"`
+	Running    int `json:"running"`
+	taken      time.Time
+}
+
+type engineState struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
+	Role    string `json:"role"`
+	Running int    `json:"running"`
+}
+
+type engineOrder struct {
+	Model   string           `json:"model"`
+	Adapter string           `json:"adapter"`
+	Version string           `json:"version"`
+	Role    string           `json:"role"`
+	Fence   identifier.Fence `json:"fencing_number"`
+}
+
+// serveLoad answers the last report, and takes a new one when that is older
+// than the lag.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	now := time.Now()
+	report := e.report
+	if report.taken.IsZero() || now.Sub(report.taken) >= e.options.Lag {
+		e.report = loadReport{PiecesFree: e.options.Pieces - e.used, Running: e.running, taken: now}
+	}
+	if report.taken.IsZero() {
+		report = e.report
+	}
+	e.mutex.Unlock()
+	_ = json.NewEncoder(w).Encode(report)
+}
+
+// serveOrder carries out an order, unless its fencing number is checked and old.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engineOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, "malformed body", http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.options.ChecksFencing && order.Fence < e.fence {
+		e.counts.StaleOrders++
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.counts.Orders++
+	e.state = engineState{Model: order.Model, Adapter: order.Adapter, Version: order.Version, Role: order.Role}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	state := e.state
+	state.Running = e.running
+	e.mutex.Unlock()
+	_ = json.NewEncoder(w).Encode(state)
+}
+
+func contains(text, part string) bool {
+	return strings.Contains(text, part)
+}
--- /dev/null
+++ b/emulator/engine.go
@@ -0,0 +1,164 @@
+package emulator
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// EngineOptions sets up a stand-in engine.
+type EngineOptions struct {
+	Name identifier.Member
+	// Address is where other engines fetch exported KV cache.
+	Address identifier.Address
+	// Pieces is the engine's memory and PieceTokens what one piece holds.
+	Pieces      int
+	PieceTokens int
+	// PrefillRate is the prompt tokens computed a second.
+	PrefillRate int
+	// TokenTime is the time between tokens of an empty engine; each further
+	// running request adds a fiftieth.
+	TokenTime time.Duration
+	// Evict is how long an exported KV cache that nobody imports is kept.
+	Evict time.Duration
+	// Retain is how long a finished stream can still be resumed.
+	Retain time.Duration
+	// Lag is how old the load report is.
+	Lag time.Duration
+	// TransferTime is how long the import of a KV cache takes.
+	TransferTime time.Duration
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
+	// Crash ends the engine when it runs a prompt that contains Poison, if set.
+	Poison string
+	Crash  func()
+	// Transport fetches KV cache from other engines.
+	Transport http.RoundTripper
+}
+
+// Engine is a stand-in of a model engine: OpenAI-compatible completions with
+// KV transfer parameters, memory in pieces, resumable streams, a lagging load
+// report and orders with fencing numbers.
+type Engine struct {
+	options EngineOptions
+	mux     *http.ServeMux
+	client  *http.Client
+
+	mutex sync.Mutex
+	// streams holds the running and the retained streams by attempt.
+	streams map[string]*stream
+	// exports holds the KV caches that wait for import, by attempt.
+	exports map[string]*export
+	// used is the pieces held by streams and exports, at most options.Pieces.
+	used    int
+	running int
+	report  loadReport
+	fence   identifier.Fence
+	state   engineState
+	counts  EngineCounts
+	down    bool
+	// generation grows with each crash; work of an older one is dropped.
+	generation int
+}
+
+// EngineCounts is what an engine saw, for checkers.
+type EngineCounts struct {
+	// Prefills and Decodes count started work, Evicted the KV caches that
+	// nobody imported, Refused the requests for which there was no memory.
+	Prefills, Decodes, Evicted, Refused, Cancels int
+	// Held is the pieces in use now, Running the streams that generate now.
+	Held, Running int
+	// Orders counts the orders carried out, StaleOrders those refused.
+	Orders, StaleOrders int
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(options EngineOptions) *Engine {
+	e := &Engine{
+		options: options,
+		mux:     http.NewServeMux(),
+		client:  &http.Client{Transport: options.Transport},
+		streams: map[string]*stream{},
+		exports: map[string]*export{},
+	}
+	e.mux.HandleFunc("POST /v1/completions", e.serveCompletions)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.serveCompletions)
+	e.mux.HandleFunc("GET /v1/streams/{attempt}", e.serveResume)
+	e.mux.HandleFunc("DELETE /v1/streams/{attempt}", e.serveCancel)
+	e.mux.HandleFunc("POST /v1/kv/{attempt}/import", e.serveExport)
+	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
+	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	e.mux.HandleFunc("GET /v1/state", e.serveState)
+	return e
+}
+
+// ServeHTTP answers the engine's protocol. A crashed engine drops connections.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mutex.Lock()
+	down := e.down
+	e.mutex.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// Counts returns what the engine saw so far.
+func (e *Engine) Counts() EngineCounts {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	counts := e.counts
+	counts.Held = e.used
+	counts.Running = e.running
+	return counts
+}
+
+// Crash drops all work and memory and answers nothing until Restart.
+func (e *Engine) Crash() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.down = true
+	e.generation++
+	for attempt, s := range e.streams {
+		s.stop()
+		delete(e.streams, attempt)
+	}
+	e.exports = map[string]*export{}
+	e.used = 0
+	e.running = 0
+}
+
+// Restart brings a crashed engine back, empty.
+func (e *Engine) Restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.down = false
+	e.report = loadReport{}
+}
+
+// pieces returns the pieces that a number of tokens takes.
+func (e *Engine) pieces(tokens int) int {
+	return (tokens + e.options.PieceTokens - 1) / e.options.PieceTokens
+}
+
+// reserve takes pieces of memory unless too few are free.
+func (e *Engine) reserve(pieces int) bool {
+	if e.used+pieces > e.options.Pieces {
+		e.counts.Refused++
+		return false
+	}
+	e.used += pieces
+	return true
+}
+
+// crash ends the engine as a poison request does.
+func (e *Engine) crash() {
+	if e.options.Crash != nil {
+		e.options.Crash()
+	} else {
+		e.Crash()
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/emulator/export.go
@@ -0,0 +1,68 @@
+package emulator
+
+import (
+	"net/http"
+	"time"
+)
+
+// export is a KV cache that waits to be imported by a decode engine.
+type export struct {
+	pieces int
+	evict  *time.Timer
+}
+
+// keepExport holds a computed KV cache until it is imported or evicted. The
+// caller has reserved its pieces.
+func (e *Engine) keepExport(attempt string, pieces int) {
+	e.dropExport(attempt)
+	kept := &export{pieces: pieces}
+	kept.evict = time.AfterFunc(e.options.Evict, func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		if e.exports[attempt] == kept {
+			e.counts.Evicted++
+			e.dropExport(attempt)
+		}
+	})
+	e.exports[attempt] = kept
+}
+
+// dropExport frees a KV cache and tells whether there was one.
+func (e *Engine) dropExport(attempt string) bool {
+	kept, ok := e.exports[attempt]
+	if !ok {
+		return false
+	}
+	kept.evict.Stop()
+	delete(e.exports, attempt)
+	e.used -= kept.pieces
+	return true
+}
+
+// serveExport hands a KV cache to a decode engine and frees it.
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	e.mutex.Lock()
+	found := e.dropExport(r.PathValue("attempt"))
+	e.mutex.Unlock()
+	if !found {
+		http.Error(w, "kv cache evicted", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// importKV fetches the KV cache of an attempt from the prefill engine.
+func (e *Engine) importKV(r *http.Request, kv *kvParameters) bool {
+	url := "http://" + kv.RemoteHost + ":" + kv.RemotePort + "/v1/kv/" + kv.RemoteRequestID + "/import"
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodPost, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	pause(r.Context(), e.options.TransferTime)
+	return response.StatusCode == http.StatusNoContent
+}
--- /dev/null
+++ b/emulator/network.go
@@ -0,0 +1,245 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/connector"
+)
+
+// Network is an in-memory network with faults, for tests that pause the clock.
+// Hosts are the IP part of addresses.
+type Network struct {
+	mutex     sync.Mutex
+	latency   time.Duration
+	listeners map[string]*memoryListener
+	// links holds every connection, open or closed by one end.
+	links map[*link]struct{}
+	// cuts holds the directed pairs of hosts whose traffic is held back.
+	cuts map[direction]bool
+	down map[string]bool
+	slow map[string]time.Duration
+}
+
+type direction struct {
+	from, to string
+}
+
+// link is one connection between two hosts.
+type link struct {
+	client, server string
+	// toServer and toClient carry the bytes of the two directions.
+	toServer, toClient *half
+}
+
+// NewNetwork returns a network on which each byte takes the latency.
+func NewNetwork(latency time.Duration) *Network {
+	return &Network{
+		latency:   latency,
+		listeners: map[string]*memoryListener{},
+		links:     map[*link]struct{}{},
+		cuts:      map[direction]bool{},
+		down:      map[string]bool{},
+		slow:      map[string]time.Duration{},
+	}
+}
+
+// Host returns the network as one host sees it.
+func (n *Network) Host(host string) connector.Network {
+	return connector.Network{
+		Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return n.dial(ctx, host, address)
+		},
+		Listen: func(_ context.Context, address string) (net.Listener, error) {
+			return n.listen(address)
+		},
+	}
+}
+
+func (n *Network) listen(address string) (net.Listener, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if _, taken := n.listeners[address]; taken {
+		return nil, fmt.Errorf("address %s is in use", address)
+	}
+	listener := &memoryListener{network: n, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = listener
+	return listener, nil
+}
+
+// dial opens a connection. Between hosts that are cut off it hangs until ctx ends.
+func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	to, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	n.mutex.Lock()
+	listener, listening := n.listeners[address]
+	refused := !listening || n.down[to] || n.down[from]
+	cut := n.cuts[direction{from, to}] || n.cuts[direction{to, from}]
+	round := 2 * n.delay(from, to)
+	n.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+	}
+	if !pause(ctx, round) || refused {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	opened := &link{client: from, server: to, toServer: newHalf(), toClient: newHalf()}
+	near := &memoryConn{network: n, link: opened, in: opened.toClient, out: opened.toServer, local: from, remote: address, span: n.spanOf(from, to)}
+	far := &memoryConn{network: n, link: opened, in: opened.toServer, out: opened.toClient, local: address, remote: from, span: n.spanOf(to, from)}
+	n.mutex.Lock()
+	n.links[opened] = struct{}{}
+	n.mutex.Unlock()
+	select {
+	case listener.accept <- far:
+		return near, nil
+	case <-listener.closed:
+	case <-ctx.Done():
+	}
+	n.drop(opened)
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+}
+
+// delay is the one-way time between two hosts; the mutex is held.
+func (n *Network) delay(from, to string) time.Duration {
+	return n.latency + n.slow[from] + n.slow[to]
+}
+
+func (n *Network) spanOf(from, to string) func() time.Duration {
+	return func() time.Duration {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		return n.delay(from, to)
+	}
+}
+
+func (n *Network) drop(closed *link) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.links, closed)
+}
+
+// Slow adds a delay to all traffic of a host; zero ends it.
+func (n *Network) Slow(host string, delay time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.slow[host] = delay
+}
+
+// Kill resets all connections of a host and refuses new ones, as when its
+// process ends. Its own dials fail too.
+func (n *Network) Kill(host string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.down[host] = true
+	for open := range n.links {
+		if open.client == host || open.server == host {
+			open.toClient.fail(syscall.ECONNRESET)
+			open.toServer.fail(syscall.ECONNRESET)
+			delete(n.links, open)
+		}
+	}
+}
+
+// Revive lets a killed host listen and dial again.
+func (n *Network) Revive(host string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.down, host)
+}
+
+// CutOneWay holds back what one host sends to another until Heal. Dials between
+// them hang in both directions.
+func (n *Network) CutOneWay(from, to string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cuts[direction{from, to}] = true
+	n.holdBack()
+}
+
+// Cut holds back the traffic between two hosts in both directions until Heal.
+func (n *Network) Cut(a, b string) {
+	n.CutOneWay(a, b)
+	n.CutOneWay(b, a)
+}
+
+// Heal ends all cuts; what was held back is delivered late.
+func (n *Network) Heal() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cuts = map[direction]bool{}
+	n.holdBack()
+}
+
+// holdBack sets each connection's directions to the cuts; the mutex is held.
+func (n *Network) holdBack() {
+	for open := range n.links {
+		open.toServer.hold(n.cuts[direction{open.client, open.server}])
+		open.toClient.hold(n.cuts[direction{open.server, open.client}])
+	}
+}
+
+// Silence makes the open connections between two hosts deliver nothing any
+// more, for good. New connections work.
+func (n *Network) Silence(a, b string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for open := range n.links {
+		if open.client == a && open.server == b || open.client == b && open.server == a {
+			open.toServer.hold(true)
+			open.toClient.hold(true)
+			delete(n.links, open)
+		}
+	}
+}
+
+type memoryListener struct {
+	network *Network
+	address string
+	accept  chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept waits for the next connection.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accept:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mutex.Lock()
+		defer l.network.mutex.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr returns the listener's address.
+func (l *memoryListener) Addr() net.Addr {
+	return memoryAddr(l.address)
+}
+
+type memoryAddr string
+
+// Network names the kind of address.
+func (memoryAddr) Network() string { return "tcp" }
+
+// String returns the address.
+func (a memoryAddr) String() string { return string(a) }
--- /dev/null
+++ b/emulator/stream.go
@@ -0,0 +1,332 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+type kvParameters struct {
+	DoRemoteDecode  bool   `json:"do_remote_decode,omitempty"`
+	DoRemotePrefill bool   `json:"do_remote_prefill,omitempty"`
+	RemoteEngineID  string `json:"remote_engine_id,omitempty"`
+	RemoteRequestID string `json:"remote_request_id,omitempty"`
+	RemoteHost      string `json:"remote_host,omitempty"`
+	RemotePort      string `json:"remote_port,omitempty"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionRequest struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+	RequestID string        `json:"request_id"`
+	// Continue marks the last message as the start of the answer.
+	Continue bool          `json:"continue_final_message"`
+	Offset   int           `json:"token_offset"`
+	KV       *kvParameters `json:"kv_transfer_params"`
+}
+
+// text returns the text that the model goes on from.
+func (c completionRequest) text() string {
+	if c.Messages == nil {
+		return c.Prompt
+	}
+	return ChatText(c.Messages, c.Continue)
+}
+
+// ChatText is the stand-in's chat template.
+func ChatText(messages []chatMessage, goOn bool) string {
+	text := ""
+	for i, message := range messages {
+		text += message.Role + ": " + message.Content
+		if last := i == len(messages)-1; !last || !goOn {
+			text += "\n"
+		}
+	}
+	if !goOn {
+		text += "assistant: "
+	}
+	return text
+}
+
+type completionChoice struct {
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type completionAnswer struct {
+	ID      string             `json:"id"`
+	Choices []completionChoice `json:"choices"`
+	KV      *kvParameters      `json:"kv_transfer_params,omitempty"`
+}
+
+// stream is one generation, running or retained.
+type stream struct {
+	mutex sync.Mutex
+	// tokens are those generated so far; the first has offset first.
+	tokens []string
+	first  int
+	// done is set after the last token; wake is closed and replaced at each change.
+	done bool
+	wake chan struct{}
+	// reader is the largest reader number seen; earlier readers are ended.
+	reader uint64
+	pieces int
+	ctx    context.Context
+	stop   context.CancelFunc
+	// ended is closed when generation has ended and its memory is free.
+	ended chan struct{}
+}
+
+func (s *stream) change(apply func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	apply()
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// readBy tells whether a reader later than the given one took the stream over.
+func (s *stream) readBy(reader uint64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reader > reader
+}
+
+func (e *Engine) serveCompletions(w http.ResponseWriter, r *http.Request) {
+	var request completionRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, "malformed body", http.StatusBadRequest)
+		return
+	}
+	if e.options.Poison != "" && contains(request.text(), e.options.Poison) {
+		e.crash()
+	}
+	if request.KV != nil && request.KV.DoRemoteDecode {
+		e.prefill(w, r, request)
+		return
+	}
+	e.decode(w, r, request)
+}
+
+// prefill computes a prompt's KV cache and keeps it for export.
+func (e *Engine) prefill(w http.ResponseWriter, r *http.Request, request completionRequest) {
+	tokens := countTokens(request.text())
+	pieces := e.pieces(tokens)
+	e.mutex.Lock()
+	generation := e.generation
+	admitted := e.reserve(pieces)
+	if admitted {
+		e.counts.Prefills++
+	}
+	e.mutex.Unlock()
+	if !admitted {
+		http.Error(w, "no memory", http.StatusServiceUnavailable)
+		return
+	}
+	computed := pause(r.Context(), time.Duration(tokens)*time.Second/time.Duration(e.options.PrefillRate))
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.generation != generation {
+		panic(http.ErrAbortHandler)
+	}
+	if !computed {
+		e.used -= pieces
+		return
+	}
+	e.keepExport(request.RequestID, pieces)
+	host, port, _ := net.SplitHostPort(string(e.options.Address))
+	_ = json.NewEncoder(w).Encode(completionAnswer{
+		ID:      request.RequestID,
+		Choices: []completionChoice{{}},
+		KV: &kvParameters{
+			DoRemotePrefill: true,
+			RemoteEngineID:  string(e.options.Name),
+			RemoteRequestID: request.RequestID,
+			RemoteHost:      host,
+			RemotePort:      port,
+		},
+	})
+}
+
+// decode imports the KV cache and streams the generated tokens.
+func (e *Engine) decode(w http.ResponseWriter, r *http.Request, request completionRequest) {
+	text := request.text()
+	pieces := e.pieces(countTokens(text) + request.MaxTokens)
+	e.mutex.Lock()
+	generation := e.generation
+	admitted := e.reserve(pieces)
+	e.mutex.Unlock()
+	if !admitted {
+		http.Error(w, "no memory", http.StatusServiceUnavailable)
+		return
+	}
+	imported := request.KV == nil || e.importKV(r, request.KV)
+	e.mutex.Lock()
+	if e.generation != generation {
+		e.mutex.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	if !imported {
+		e.used -= pieces
+		e.mutex.Unlock()
+		http.Error(w, "kv cache not found", http.StatusFailedDependency)
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &stream{first: request.Offset, pieces: pieces, wake: make(chan struct{}), ctx: ctx, stop: stop, ended: make(chan struct{})}
+	if old, taken := e.streams[request.RequestID]; taken {
+		old.stop()
+	}
+	e.streams[request.RequestID] = s
+	e.running++
+	e.counts.Decodes++
+	e.mutex.Unlock()
+	go e.generate(s, request.RequestID, text, request.MaxTokens, generation)
+	s.send(w, r, request.RequestID, request.Offset, 0)
+}
+
+// generate produces tokens until the limit or a cancel, then frees the memory.
+func (e *Engine) generate(s *stream, attempt, text string, limit, generation int) {
+	for range limit {
+		e.mutex.Lock()
+		step := e.options.TokenTime + e.options.TokenTime*time.Duration(e.running-1)/50
+		e.mutex.Unlock()
+		if !pause(s.ctx, step) {
+			break
+		}
+		token := nextToken(text)
+		text += token
+		s.change(func() { s.tokens = append(s.tokens, token) })
+	}
+	s.change(func() { s.done = true })
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	defer close(s.ended)
+	if e.generation != generation {
+		return
+	}
+	e.running--
+	e.used -= s.pieces
+	time.AfterFunc(e.options.Retain, func() { e.forget(attempt, s) })
+}
+
+// forget drops a finished stream unless another took its name.
+func (e *Engine) forget(attempt string, s *stream) {
+	s.stop()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.streams[attempt] == s {
+		delete(e.streams, attempt)
+	}
+}
+
+// send writes the tokens after an offset until the stream ends, the connection
+// closes or a later reader takes over.
+func (s *stream) send(w http.ResponseWriter, r *http.Request, attempt string, after int, reader uint64) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher, _ := w.(http.Flusher)
+	for {
+		s.mutex.Lock()
+		tokens, done, wake, latest := s.tokens, s.done, s.wake, s.reader
+		s.mutex.Unlock()
+		if latest > reader || s.ctx.Err() != nil && !done {
+			panic(http.ErrAbortHandler)
+		}
+		for ; after < s.first+len(tokens); after++ {
+			last := done && after == s.first+len(tokens)-1
+			writeChunk(w, attempt, after+1, tokens[after-s.first], last)
+		}
+		if done {
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+			return
+		}
+		flusher.Flush()
+		select {
+		case <-wake:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// writeChunk writes one token as an event whose id is the offset after it.
+func writeChunk(w http.ResponseWriter, attempt string, offset int, token string, last bool) {
+	choice := completionChoice{Text: token}
+	if last {
+		reason := "length"
+		choice.FinishReason = &reason
+	}
+	data, _ := json.Marshal(completionAnswer{ID: attempt, Choices: []completionChoice{choice}})
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", offset, data)
+}
+
+// serveResume continues a stream on a new connection and ends earlier readers.
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	attempt := r.PathValue("attempt")
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	reader, _ := strconv.ParseUint(r.URL.Query().Get("reader"), 10, 64)
+	e.mutex.Lock()
+	s, ok := e.streams[attempt]
+	e.mutex.Unlock()
+	if !ok || after < s.first {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	superseded := false
+	s.change(func() {
+		superseded = reader < s.reader
+		s.reader = max(s.reader, reader)
+	})
+	if superseded {
+		http.Error(w, "a later reader took over", http.StatusConflict)
+		return
+	}
+	s.send(w, r, attempt, after, reader)
+}
+
+// serveCancel ends a stream and frees its memory before it answers.
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	attempt := r.PathValue("attempt")
+	reader, _ := strconv.ParseUint(r.URL.Query().Get("reader"), 10, 64)
+	e.mutex.Lock()
+	s, ok := e.streams[attempt]
+	if ok && s.readBy(reader) {
+		e.mutex.Unlock()
+		http.Error(w, "a later reader took over", http.StatusConflict)
+		return
+	}
+	e.counts.Cancels++
+	e.dropExport(attempt)
+	delete(e.streams, attempt)
+	e.mutex.Unlock()
+	if ok {
+		s.stop()
+		<-s.ended
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// pause waits and tells whether the time passed before ctx ended.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/invoker/control.go
@@ -0,0 +1,103 @@
+package invoker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// Load is what an engine reports of itself, late.
+type Load struct {
+	Free    identifier.Pieces
+	Running int
+}
+
+// Order tells an engine what to serve and in which role.
+type Order struct {
+	Model   identifier.Model
+	Adapter string
+	Version string
+	Role    identifier.Role
+	// Fence is the order's fencing number; some engines ignore it.
+	Fence identifier.Fence
+}
+
+// State is what an engine serves now.
+type State struct {
+	Model   identifier.Model
+	Adapter string
+	Version string
+	Role    identifier.Role
+	Running int
+}
+
+type wireLoad struct {
+	PiecesFree int `json:"pieces_free"`
+	Running    int `json:"running"`
+}
+
+type wireOrder struct {
+	Model   identifier.Model `json:"model"`
+	Adapter string           `json:"adapter"`
+	Version string           `json:"version"`
+	Role    identifier.Role  `json:"role"`
+	Fence   identifier.Fence `json:"fencing_number"`
+}
+
+type wireState struct {
+	Model   identifier.Model `json:"model"`
+	Adapter string           `json:"adapter"`
+	Version string           `json:"version"`
+	Role    identifier.Role  `json:"role"`
+	Running int              `json:"running"`
+}
+
+// Load asks an engine for its load report.
+func (i *Invoker) Load(ctx context.Context, member tabulator.Member) (Load, error) {
+	wire, err := ask[wireLoad](ctx, i, member, "/v1/load")
+	if err != nil {
+		return Load{}, err
+	}
+	return Load{Free: identifier.Pieces(wire.PiecesFree), Running: wire.Running}, nil
+}
+
+// State asks an engine what it serves.
+func (i *Invoker) State(ctx context.Context, member tabulator.Member) (State, error) {
+	wire, err := ask[wireState](ctx, i, member, "/v1/state")
+	return State(wire), err
+}
+
+// Order sends an order. Superseded means the engine has seen a larger fencing
+// number; Lost means the effect has to be read back.
+func (i *Invoker) Order(ctx context.Context, member tabulator.Member, order Order) error {
+	ctx, cancel := context.WithTimeout(ctx, i.options.Call)
+	defer cancel()
+	body, err := json.Marshal(wireOrder(order))
+	if err != nil {
+		return Malformed.Wrap(err, "order")
+	}
+	response, err := i.post(ctx, i.fresh, member, "/v1/orders", body)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// ask reads a small JSON answer.
+func ask[T any](ctx context.Context, i *Invoker, member tabulator.Member, path string) (T, error) {
+	var answer T
+	ctx, cancel := context.WithTimeout(ctx, i.options.Call)
+	defer cancel()
+	response, err := i.send(ctx, i.kept, http.MethodGet, member, path, nil)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return answer, Lost.Wrap(err, "%s%s", member.Name, path)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/invoker/service.go
@@ -0,0 +1,64 @@
+package invoker
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// Call is one call of a plain service.
+type Call struct {
+	Method string
+	// Target is the path and query.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Key is the Idempotency-Key, empty on calls that may be repeated.
+	Key identifier.Key
+}
+
+// Reply is the answer of a plain service.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call calls a plain service once. A call with a key goes out on a connection
+// of its own: a transport sends such a call again by itself when a kept
+// connection breaks, and that would execute it twice.
+func (i *Invoker) Call(ctx context.Context, member tabulator.Member, call Call) (Reply, error) {
+	client := i.kept
+	if call.Key != "" {
+		client = i.fresh
+	}
+	url := "http://" + string(member.Address) + call.Target
+	request, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	if err != nil {
+		return Reply{}, Malformed.Wrap(err, "call of %s", member.Name)
+	}
+	request.Header = call.Header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+	if call.Key != "" {
+		request.Header.Set("Idempotency-Key", string(call.Key))
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return Reply{}, callError(err, member.Name)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, i.options.AnswerBytes+1))
+	if err != nil {
+		return Reply{}, Lost.Wrap(err, "answer of %s", member.Name)
+	}
+	if int64(len(body)) > i.options.AnswerBytes {
+		return Reply{}, Lost.New("answer of %s is larger than %d bytes", member.Name, i.options.AnswerBytes)
+	}
+	return Reply{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,9 @@
 	Between time.Duration
 	// Prefixes are hashes of the prompt's leading blocks, shortest first.
 	Prefixes []uint64
+	// Suspect demands were in flight at a crash of an engine. No two of them
+	// share an engine, so that a second crash tells which one it was.
+	Suspect bool
 	// Avoid lists members that this request failed on.
 	Avoid []identifier.Member
 }
@@ -44,9 +47,10 @@
 	// Attempt is the attempt that was granted. It is larger than the demand's
 	// where an earlier attempt's node had a clock that ran ahead.
 	Attempt uint64
-	// Resume is the earlier attempt whose stream Decode may still hold, or zero.
-	// The new attempt took its grant over and goes on with its stream.
-	Resume uint64
+	// Stream names the engines' stream: it is the attempt that the grant was
+	// first given to. Where it is smaller than Attempt, a later attempt took the
+	// grant over and should resume that stream, with Attempt as reader number.
+	Stream uint64
 	// Lease is how long the grant stands unless it is renewed.
 	Lease time.Duration
 }
--- /dev/null
+++ b/receiver/completion.go
@@ -0,0 +1,318 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/router"
+)
+
+// The headers of the callers' interface.
+const (
+	accountHeader   = "X-Account"
+	requestHeader   = "X-Request-Id"
+	lastEventHeader = "Last-Event-ID"
+	keyHeader       = "Idempotency-Key"
+	issuedHeader    = "Idempotency-Key-Issued"
+)
+
+// maximumIDBytes bounds request ids and idempotency keys.
+const maximumIDBytes = 128
+
+type wireMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type wireCompletion struct {
+	Model     identifier.Model  `json:"model"`
+	Prompt    *string           `json:"prompt"`
+	Messages  []wireMessage     `json:"messages"`
+	MaxTokens identifier.Tokens `json:"max_tokens"`
+	Stream    bool              `json:"stream"`
+}
+
+type completionRequest struct {
+	completion router.Completion
+	stream     bool
+}
+
+type completionResponse struct {
+	request completionRequest
+	reply   *router.Reply
+	refusal *router.Refusal
+}
+
+func malformed(format string, a ...any) refused {
+	return refused{&router.Refusal{Outcome: router.NotRun, Reason: router.Malformed, Message: fmt.Sprintf(format, a...)}}
+}
+
+// readBody reads a request's body up to the limit.
+func (r *Receiver) readBody(request *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, r.options.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refused{&router.Refusal{
+			Outcome: router.NotRun,
+			Reason:  router.TooLarge,
+			Message: fmt.Sprintf("the body is larger than %d bytes", r.options.BodyBytes),
+		}}
+	}
+	if err != nil {
+		return nil, malformed("the body was cut off")
+	}
+	return body, nil
+}
+
+func (r *Receiver) decodeCompletion(_ context.Context, request *http.Request) (completionRequest, error) {
+	body, err := r.readBody(request)
+	if err != nil {
+		return completionRequest{}, err
+	}
+	var wire wireCompletion
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return completionRequest{}, malformed("the body is not a completion request: %v", err)
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return completionRequest{}, malformed("the body is not a JSON object")
+	}
+	prompt, err := wire.promptFor(request.URL.Path)
+	if err != nil {
+		return completionRequest{}, err
+	}
+	completion := router.Completion{
+		Account:     identifier.Account(request.Header.Get(accountHeader)),
+		Model:       wire.Model,
+		Path:        request.URL.Path,
+		Method:      request.Method,
+		Body:        fields,
+		Prompt:      prompt,
+		Limit:       wire.MaxTokens,
+		Fingerprint: fingerprint(request.URL.Path, body),
+	}
+	if err := identify(&completion, request.Header); err != nil {
+		return completionRequest{}, err
+	}
+	return completionRequest{completion: completion, stream: wire.Stream}, nil
+}
+
+// promptFor checks the fields that a path needs and returns the text in them.
+func (w wireCompletion) promptFor(path string) (string, error) {
+	if w.Model == "" {
+		return "", malformed("model is missing")
+	}
+	if w.MaxTokens < 0 {
+		return "", malformed("max_tokens is negative")
+	}
+	if strings.HasSuffix(path, "/chat/completions") {
+		if len(w.Messages) == 0 {
+			return "", malformed("messages are missing")
+		}
+		var text strings.Builder
+		for _, message := range w.Messages {
+			text.WriteString(message.Role + ": " + message.Content + "\n")
+		}
+		return text.String(), nil
+	}
+	if w.Prompt == nil {
+		return "", malformed("prompt is missing")
+	}
+	return *w.Prompt, nil
+}
+
+// identify reads the request's id and where the caller's answer broke off.
+func identify(completion *router.Completion, header http.Header) error {
+	id := header.Get(requestHeader)
+	completion.Named = id != ""
+	if !completion.Named {
+		id = uuid.NewString()
+	}
+	if !validID(id) {
+		return malformed("%s must be 1 to %d letters, digits, '-' or '_'", requestHeader, maximumIDBytes)
+	}
+	completion.Request = identifier.Request(id)
+	last := header.Get(lastEventHeader)
+	if last == "" {
+		return nil
+	}
+	offset, err := strconv.Atoi(last)
+	if err != nil || offset < 0 {
+		return malformed("%s is not a token offset", lastEventHeader)
+	}
+	if !completion.Named {
+		return malformed("%s needs the %s of the request to go on with", lastEventHeader, requestHeader)
+	}
+	completion.After = identifier.Tokens(offset)
+	return nil
+}
+
+// validID keeps ids safe in paths, logs and headers.
+func validID(id string) bool {
+	if id == "" || len(id) > maximumIDBytes {
+		return false
+	}
+	for _, c := range id {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// fingerprint hashes the parts that make two requests the same.
+func fingerprint(target string, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(target)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+func (r *Receiver) complete(ctx context.Context, request completionRequest) (completionResponse, error) {
+	reply, refusal := r.options.Router.Complete(ctx, request.completion)
+	return completionResponse{request: request, reply: reply, refusal: refusal}, nil
+}
+
+func encodeCompletion(_ context.Context, w http.ResponseWriter, response completionResponse) error {
+	id := response.request.completion.Request
+	w.Header().Set(requestHeader, string(id))
+	if response.refusal != nil {
+		writeRefusal(w, id, response.refusal)
+		return nil
+	}
+	defer response.reply.Close()
+	if response.request.stream {
+		return writeStream(w, response)
+	}
+	return writeWhole(w, response)
+}
+
+type wireChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Delta        *wireContent `json:"delta,omitempty"`
+	Message      *wireContent `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type wireContent struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type wireAnswer struct {
+	ID      identifier.Request `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   identifier.Model   `json:"model"`
+	Choices []wireChoice       `json:"choices"`
+}
+
+// answer returns the parts of an answer that stay the same in all its chunks.
+func (r completionResponse) answer(object string) wireAnswer {
+	completion := r.request.completion
+	return wireAnswer{ID: completion.Request, Object: object, Created: time.Now().Unix(), Model: completion.Model}
+}
+
+func (r completionResponse) chat() bool {
+	return strings.HasSuffix(r.request.completion.Path, "/chat/completions")
+}
+
+// writeStream writes the answer as server-sent events, a token each.
+func writeStream(w http.ResponseWriter, response completionResponse) error {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	controller := http.NewResponseController(w)
+	object := "text_completion"
+	if response.chat() {
+		object = "chat.completion.chunk"
+	}
+	chunk := response.answer(object)
+	for {
+		token, refusal := response.reply.Next()
+		if refusal != nil {
+			return writeEnd(w, "event: error\n", refusalBody(chunk.ID, refusal))
+		}
+		if token == nil {
+			_, err := io.WriteString(w, "data: [DONE]\n\n")
+			return err
+		}
+		chunk.Choices = []wireChoice{streamChoice(response.chat(), token.Text, token.Finish)}
+		if _, err := fmt.Fprintf(w, "id: %d\n", token.Offset); err != nil {
+			return err
+		}
+		if err := writeEnd(w, "", chunk); err != nil {
+			return err
+		}
+		if err := controller.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// writeEnd writes the rest of an event.
+func writeEnd(w io.Writer, prefix string, data any) error {
+	encoded, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%sdata: %s\n\n", prefix, encoded)
+	return err
+}
+
+func streamChoice(chat bool, text, finish string) wireChoice {
+	choice := wireChoice{}
+	if chat {
+		choice.Delta = &wireContent{Content: text}
+	} else {
+		choice.Text = &text
+	}
+	if finish != "" {
+		choice.FinishReason = &finish
+	}
+	return choice
+}
+
+// writeWhole collects the answer and writes it in one piece.
+func writeWhole(w http.ResponseWriter, response completionResponse) error {
+	var text strings.Builder
+	finish := ""
+	for {
+		token, refusal := response.reply.Next()
+		if refusal != nil {
+			writeRefusal(w, response.request.completion.Request, refusal)
+			return nil
+		}
+		if token == nil {
+			break
+		}
+		text.WriteString(token.Text)
+		finish = token.Finish
+	}
+	choice := wireChoice{FinishReason: &finish}
+	content := text.String()
+	object := "text_completion"
+	if response.chat() {
+		object = "chat.completion"
+		choice.Message = &wireContent{Role: "assistant", Content: content}
+	} else {
+		choice.Text = &content
+	}
+	answer := response.answer(object)
+	answer.Choices = []wireChoice{choice}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/receiver/receiver.go
@@ -0,0 +1,172 @@
+// Package receiver is the callers' HTTP interface: OpenAI-compatible
+// completions streamed as server-sent events, plain calls by route, and the
+// answer to which addresses callers should use.
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/router"
+)
+
+// Entry is one address that callers may use.
+type Entry struct {
+	Address    identifier.Address
+	DataCentre identifier.DataCentre
+}
+
+// Entries is the answer to which addresses to use, best first.
+type Entries struct {
+	Entries []Entry
+	// Keep is how long the answer may be used.
+	Keep time.Duration
+}
+
+// Router answers requests.
+type Router interface {
+	Complete(ctx context.Context, request router.Completion) (*router.Reply, *router.Refusal)
+	Call(ctx context.Context, call router.Call) (*invoker.Reply, *router.Refusal)
+}
+
+// Addresser answers which addresses callers should use.
+type Addresser interface {
+	Entries() Entries
+}
+
+// Options sets up a receiver.
+type Options struct {
+	Router    Router
+	Addresser Addresser
+	// BodyBytes bounds a request's body.
+	BodyBytes int64
+	// Requests bounds the requests answered at once.
+	Requests int
+	// RetryAfter is told to callers refused for that bound.
+	RetryAfter time.Duration
+	// Middleware goes around every endpoint: traces, say. May be nil.
+	Middleware func(name string) endpoint.Middleware
+	// Before runs before each endpoint on the request's context. May be empty.
+	Before []kithttp.RequestFunc
+	Scope  tally.Scope
+}
+
+// Receiver is the callers' HTTP handler.
+type Receiver struct {
+	options Options
+	mux     *http.ServeMux
+	// places holds one value for each request being answered.
+	places chan struct{}
+}
+
+// New returns a receiver.
+func New(options Options) *Receiver {
+	r := &Receiver{
+		options: options,
+		mux:     http.NewServeMux(),
+		places:  make(chan struct{}, options.Requests),
+	}
+	complete := handle(r, "complete", r.decodeCompletion, r.complete, encodeCompletion)
+	r.mux.Handle("POST /v1/completions", complete)
+	r.mux.Handle("POST /v1/chat/completions", complete)
+	r.mux.Handle("GET /v1/entries", handle(r, "entries", decodeNothing, r.entries, encodeEntries))
+	r.mux.Handle("/", handle(r, "call", r.decodeCall, r.call, encodeCall))
+	return r
+}
+
+// ServeHTTP answers a caller.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	select {
+	case r.places <- struct{}{}:
+		defer func() { <-r.places }()
+		r.mux.ServeHTTP(w, request)
+	default:
+		r.options.Scope.Counter("overloaded").Inc(1)
+		refusal := &router.Refusal{
+			Outcome:    router.NotRun,
+			Reason:     router.Overloaded,
+			Message:    "this node answers as many requests as it may",
+			RetryAfter: r.options.RetryAfter,
+		}
+		writeRefusal(w, "", refusal)
+	}
+}
+
+// refused carries a refusal through go-kit's decoders, whose failures are errors.
+type refused struct {
+	*router.Refusal
+}
+
+// Error returns the refusal's message.
+func (r refused) Error() string {
+	return r.Message
+}
+
+// handle builds the handler of one operation from its typed parts.
+func handle[Request, Response any](
+	r *Receiver,
+	name string,
+	decode func(context.Context, *http.Request) (Request, error),
+	operate func(context.Context, Request) (Response, error),
+	encode func(context.Context, http.ResponseWriter, Response) error,
+) http.Handler {
+	var operation endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
+		return operate(ctx, request.(Request))
+	}
+	if r.options.Middleware != nil {
+		operation = r.options.Middleware(name)(operation)
+	}
+	return kithttp.NewServer(
+		operation,
+		func(ctx context.Context, request *http.Request) (any, error) { return decode(ctx, request) },
+		func(ctx context.Context, w http.ResponseWriter, response any) error {
+			return encode(ctx, w, response.(Response))
+		},
+		kithttp.ServerBefore(r.options.Before...),
+		kithttp.ServerErrorEncoder(encodeError),
+	)
+}
+
+// encodeError writes a refusal; anything else is a fault of the node.
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	if refusal, ok := err.(refused); ok { //nolint:errorlint // Decoders return it unwrapped.
+		writeRefusal(w, "", refusal.Refusal)
+		return
+	}
+	writeRefusal(w, "", &router.Refusal{Outcome: router.Unknown, Reason: "fault", Message: err.Error()})
+}
+
+func decodeNothing(context.Context, *http.Request) (struct{}, error) {
+	return struct{}{}, nil
+}
+
+func (r *Receiver) entries(context.Context, struct{}) (Entries, error) {
+	return r.options.Addresser.Entries(), nil
+}
+
+type wireEntry struct {
+	Address    identifier.Address    `json:"address"`
+	DataCentre identifier.DataCentre `json:"data-centre"`
+}
+
+type wireEntries struct {
+	Entries     []wireEntry `json:"entries"`
+	KeepSeconds int         `json:"keep-seconds"`
+}
+
+func encodeEntries(_ context.Context, w http.ResponseWriter, entries Entries) error {
+	answer := wireEntries{Entries: []wireEntry{}, KeepSeconds: int(entries.Keep / time.Second)}
+	for _, entry := range entries.Entries {
+		answer.Entries = append(answer.Entries, wireEntry(entry))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/router/attempt.go
@@ -0,0 +1,217 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+const (
+	// bytesPerToken estimates a prompt's tokens from its length.
+	bytesPerToken = 4
+	// prefixBlockBytes is the length of the prompt blocks whose hashes are
+	// matched with the engines' prefix caches.
+	prefixBlockBytes = 1024
+	// maximumPrefixes bounds the hashes sent with a demand.
+	maximumPrefixes = 16
+)
+
+// attempt is one attempt of a model request.
+type attempt struct {
+	id        identifier.Attempt
+	placement placer.Placement
+	prefill   tabulator.Member
+	decode    tabulator.Member
+	stream    *invoker.Stream
+	// touched are the engines that may hold memory for the attempt.
+	touched   []tabulator.Member
+	prefilled bool
+	// sent tells that a call may have reached an engine.
+	sent bool
+}
+
+// begin acquires memory and starts the next attempt.
+func (p *Reply) begin() *Refusal {
+	if p.attempts >= p.router.options.Limits.Attempts {
+		return p.lost(Exhausted, "%d attempts failed", p.attempts)
+	}
+	if p.attempts > 0 {
+		p.router.retries.Inc(1)
+	}
+	p.attempts++
+	if p.from > 0 {
+		p.startAfresh()
+	}
+	outcome := p.router.options.Placer.Acquire(p.ctx, p.demand())
+	if outcome.Placement == nil {
+		return p.refused(outcome.Refusal)
+	}
+	p.attempt = &attempt{
+		id:        invoker.AttemptID(p.request.Request, outcome.Placement.Stream),
+		placement: *outcome.Placement,
+	}
+	if !p.findMembers() {
+		p.abandon(0, "")
+		return nil
+	}
+	if p.attempt.placement.Stream < p.attempt.placement.Attempt {
+		return p.takeOver()
+	}
+	return p.run()
+}
+
+// startAfresh forgets an answer whose beginning only an earlier node had. The
+// seed is the same, so that the engines generate the same answer again.
+func (p *Reply) startAfresh() {
+	p.from = 0
+	p.offset = 0
+	p.generated.Reset()
+}
+
+// refused turns placement's refusal into the caller's.
+func (p *Reply) refused(refusal *placer.Refusal) *Refusal {
+	if ended := p.ended(); ended != nil {
+		return ended
+	}
+	if refusal.Reason == placer.Superseded {
+		return unknown(Superseded, "a later attempt took the request over")
+	}
+	answer := p.lost(Reason(refusal.Reason), "no engine memory was granted")
+	answer.RetryAfter = refusal.RetryAfter
+	return answer
+}
+
+// lost is the refusal of a request that cannot go on: not run as long as no
+// engine can have worked for it.
+func (p *Reply) lost(reason Reason, format string, a ...any) *Refusal {
+	if !p.ran {
+		return notRun(reason, p.router.options.Limits.RetryAfter, format, a...)
+	}
+	return unknown(reason, format, a...)
+}
+
+func (p *Reply) demand() placer.Demand {
+	limit := p.request.Limit - p.offset
+	return placer.Demand{
+		Request:    p.request.Request,
+		Attempt:    uint64(time.Now().UnixMilli()),
+		Pool:       p.pool.Name,
+		Rank:       p.route.Rank,
+		Account:    p.request.Account,
+		Node:       p.router.options.Node,
+		DataCentre: p.router.options.DataCentre,
+		Prompt:     estimateTokens(p.request.Prompt) + p.offset,
+		Limit:      limit,
+		Wait:       time.Duration(p.route.FirstToken),
+		Between:    time.Duration(p.route.BetweenTokens),
+		Prefixes:   prefixes(p.request.Prompt),
+		Suspect:    p.suspect,
+		Avoid:      p.avoid,
+	}
+}
+
+// findMembers looks the placement's engines up; the table may have changed.
+func (p *Reply) findMembers() bool {
+	pool := p.pool
+	if snapshot := p.router.options.Snapshot(); snapshot != nil {
+		if current, ok := snapshot.Pool(p.pool.Name); ok {
+			pool = current
+		}
+	}
+	found := 0
+	for _, member := range pool.Members {
+		if member.Name == p.attempt.placement.Prefill {
+			p.attempt.prefill = member
+			found++
+		}
+		if member.Name == p.attempt.placement.Decode {
+			p.attempt.decode = member
+			found++
+		}
+	}
+	return found >= 2
+}
+
+// takeOver goes on with the stream of an earlier attempt on the decode engine.
+// Where that is gone, the request starts afresh.
+func (p *Reply) takeOver() *Refusal {
+	a := p.attempt
+	a.touched = []tabulator.Member{a.prefill, a.decode}
+	a.sent = true
+	p.ran = true
+	stream, err := p.router.options.Engines.Resume(p.ctx, a.decode, a.id, p.emitted, a.placement.Attempt)
+	if err == nil {
+		a.stream = stream
+		a.prefilled = true
+		p.from = p.emitted
+		p.offset = p.emitted
+		p.generated.Reset()
+		return nil
+	}
+	if errorx.IsOfType(err, invoker.Superseded) {
+		return p.fail(a.decode, err)
+	}
+	if refusal := p.ended(); refusal != nil {
+		return refusal
+	}
+	p.abandon(0, "")
+	return nil
+}
+
+// run computes the prompt's KV cache and starts the answer's stream.
+func (p *Reply) run() *Refusal {
+	a := p.attempt
+	work := p.work()
+	a.touched = append(a.touched, a.prefill)
+	kv, err := p.router.options.Engines.Prefill(p.ctx, a.prefill, work)
+	if !errorx.IsOfType(err, invoker.Unreached) {
+		a.sent = true
+		p.ran = true
+	}
+	if err != nil {
+		return p.fail(a.prefill, err)
+	}
+	a.prefilled = true
+	a.touched = append(a.touched, a.decode)
+	stream, err := p.router.options.Engines.Decode(p.ctx, a.decode, work, kv)
+	if err != nil {
+		return p.fail(a.decode, err)
+	}
+	a.stream = stream
+	return nil
+}
+
+func (p *Reply) work() invoker.Work {
+	return invoker.Work{
+		Attempt:   p.attempt.id,
+		Path:      p.request.Path,
+		Body:      p.request.Body,
+		Rank:      p.route.Rank,
+		Seed:      xxhash.Sum64String(string(p.request.Request)),
+		Limit:     p.request.Limit - p.offset,
+		Generated: p.generated.String(),
+		Offset:    p.offset,
+	}
+}
+
+func estimateTokens(text string) identifier.Tokens {
+	return identifier.Tokens(len(text)/bytesPerToken + 1)
+}
+
+// prefixes hashes the leading blocks of a prompt, shortest first.
+func prefixes(prompt string) []uint64 {
+	blocks := min(len(prompt)/prefixBlockBytes, maximumPrefixes)
+	hashes := make([]uint64, 0, blocks)
+	digest := xxhash.New()
+	for i := range blocks {
+		_, _ = digest.WriteString(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
--- /dev/null
+++ b/router/completion.go
@@ -0,0 +1,281 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// errSuperseded ends the answer to an earlier connection of the same request.
+var errSuperseded = errors.New("a later attempt of the request took over")
+
+// Completion is a model request as a caller sent it.
+type Completion struct {
+	Request identifier.Request
+	// Named tells that the caller chose Request and so may come back for it.
+	Named   bool
+	Account identifier.Account
+	Model   identifier.Model
+	Path    string
+	Method  string
+	// Body is the caller's JSON object, and Prompt the text in it.
+	Body   map[string]json.RawMessage
+	Prompt string
+	// Limit is the most tokens to generate, or zero.
+	Limit identifier.Tokens
+	// After is how many tokens the caller has already.
+	After identifier.Tokens
+	// Fingerprint is a hash of path and body, equal for resends.
+	Fingerprint uint64
+}
+
+// Reply is the answer to a model request, read token by token.
+type Reply struct {
+	router  *Router
+	request Completion
+	route   tabulator.Route
+	pool    tabulator.Pool
+	flight  *flight
+	ctx     context.Context
+	stop    context.CancelCauseFunc
+
+	// attempt is the one under way, or nil between two attempts.
+	attempt  *attempt
+	attempts int
+	suspect  bool
+	avoid    []identifier.Member
+	// ran is set once an engine may have worked for the request.
+	ran bool
+	// generated is the answer's tokens after from and up to offset. Where from
+	// is not zero, an earlier node sent the tokens before it.
+	generated strings.Builder
+	from      identifier.Tokens
+	offset    identifier.Tokens
+	// emitted is the offset up to which the caller has the answer. It runs ahead
+	// of offset while an answer is generated again.
+	emitted  identifier.Tokens
+	finished bool
+	// first is the token read ahead to know that the request runs.
+	first *invoker.Token
+}
+
+// Complete starts a model request and returns when its first token is there.
+func (r *Router) Complete(ctx context.Context, request Completion) (*Reply, *Refusal) {
+	query := tabulator.Query{Model: request.Model, Path: request.Path, Method: request.Method, Account: request.Account}
+	route, pool, refusal := r.match(query)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if pool.Kind != tabulator.Models {
+		return nil, notRun(NoRoute, 0, "route %q does not lead to a model pool", route.Name)
+	}
+	if r.options.Isolator.Held(request.Fingerprint) {
+		return nil, notRun(Quarantined, 0, "this request crashed several engines and is held")
+	}
+	if request.Limit <= 0 {
+		request.Limit = r.options.Limits.DefaultTokens
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	bounded, release := context.WithTimeoutCause(ctx, r.timeout(route), context.DeadlineExceeded)
+	reply := &Reply{
+		router:  r,
+		request: request,
+		route:   route,
+		pool:    pool,
+		ctx:     bounded,
+		ran:     request.After > 0,
+		emitted: request.After,
+	}
+	reply.stop = func(cause error) { stop(cause); release() }
+	reply.flight = r.flights.begin(request.Request, stop)
+	token, refusal := reply.Next()
+	if refusal != nil {
+		reply.Close()
+		return nil, refusal
+	}
+	reply.first = token
+	return reply, nil
+}
+
+// Next returns the next token, or nil after the last one.
+func (p *Reply) Next() (*invoker.Token, *Refusal) {
+	if p.first != nil {
+		token := p.first
+		p.first = nil
+		return token, nil
+	}
+	for !p.finished {
+		if p.attempt == nil {
+			if refusal := p.begin(); refusal != nil {
+				return nil, refusal
+			}
+			continue
+		}
+		token, err := p.attempt.stream.Next()
+		if errors.Is(err, io.EOF) {
+			p.finish()
+			return nil, nil
+		}
+		if err != nil {
+			if refusal := p.recover(err); refusal != nil {
+				return nil, refusal
+			}
+			continue
+		}
+		p.generated.WriteString(token.Text)
+		p.offset = token.Offset
+		if token.Offset > p.emitted {
+			p.emitted = token.Offset
+			return &token, nil
+		}
+	}
+	return nil, nil
+}
+
+// Close ends the request. What still runs for it is cancelled, after a while
+// where the caller may come back for it.
+func (p *Reply) Close() {
+	defer p.router.flights.end(p.request.Request, p.flight)
+	cut := p.ctx.Err() != nil
+	p.stop(context.Canceled)
+	if p.attempt == nil {
+		return
+	}
+	linger := time.Duration(0)
+	if cut && p.request.Named {
+		linger = p.router.options.Limits.Linger
+	}
+	p.abandon(linger, "")
+}
+
+// finish gives the grant of a whole answer back.
+func (p *Reply) finish() {
+	p.finished = true
+	p.countStrays()
+	p.attempt.stream.Close()
+	p.router.options.Placer.Release(p.attempt.placement.Grant, placer.Result{
+		Output:    p.offset,
+		Prefilled: true,
+		Decoded:   true,
+	})
+	p.attempt = nil
+}
+
+// abandon hands the attempt under way to the cleaner.
+func (p *Reply) abandon(linger time.Duration, failed identifier.Member) {
+	a := p.attempt
+	p.attempt = nil
+	if a.stream != nil {
+		a.stream.Close()
+	}
+	p.router.cleaner.abandon(abandoned{
+		attempt: a.id,
+		reader:  a.placement.Attempt,
+		members: a.touched,
+		grant:   a.placement.Grant,
+		linger:  linger,
+		result: placer.Result{
+			Output:    p.offset,
+			Prefilled: a.prefilled,
+			Decoded:   a.stream != nil,
+			Failed:    failed,
+		},
+	})
+}
+
+func (p *Reply) countStrays() {
+	if strays := p.attempt.stream.Strays; strays > 0 {
+		p.router.strays.Inc(int64(strays))
+	}
+}
+
+// recover goes on after the stream broke: on a new connection to the same
+// engine, or else with a new attempt.
+func (p *Reply) recover(cause error) *Refusal {
+	p.countStrays()
+	if refusal := p.ended(); refusal != nil {
+		return refusal
+	}
+	p.attempt.stream.Close()
+	err := cause
+	for range p.router.options.Limits.Resumes {
+		var stream *invoker.Stream
+		stream, err = p.router.options.Engines.Resume(p.ctx, p.attempt.decode, p.attempt.id, p.offset, p.attempt.placement.Attempt)
+		if err == nil {
+			p.router.options.Log.Log(streamResumed, logger.Fields{"request": p.request.Request, "member": p.attempt.decode.Name})
+			p.attempt.stream = stream
+			return nil
+		}
+		if !errorx.IsOfType(err, invoker.Lost) && !errorx.IsOfType(err, invoker.Silent) {
+			break
+		}
+	}
+	return p.fail(p.attempt.decode, err)
+}
+
+// ended tells why the request is over for its caller, if it is.
+func (p *Reply) ended() *Refusal {
+	if p.ctx.Err() == nil {
+		return nil
+	}
+	switch cause := context.Cause(p.ctx); {
+	case errors.Is(cause, errSuperseded):
+		return unknown(Superseded, "a later connection took the request over")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return unknown(TimedOut, "the request took longer than its route allows")
+	default:
+		return unknown(Cancelled, "the caller went away")
+	}
+}
+
+// fail gives up the attempt under way and tells whether the request may go on.
+func (p *Reply) fail(member tabulator.Member, err error) *Refusal {
+	if refusal := p.ended(); refusal != nil {
+		return refusal
+	}
+	if errorx.IsOfType(err, invoker.Superseded) {
+		p.abandon(0, "")
+		return unknown(Superseded, "a later attempt took the request over")
+	}
+	p.router.options.Log.Log(attemptFailed, logger.Fields{
+		"request": p.request.Request, "member": member.Name, "error": err.Error(),
+	})
+	crashed := p.attempt.sent && crashed(err)
+	p.abandon(0, member.Name)
+	if !errorx.IsOfType(err, invoker.Refused) {
+		p.avoid = append(p.avoid, member.Name)
+	}
+	if !crashed {
+		return nil
+	}
+	p.suspect = true
+	p.router.options.Isolator.Crashed(member.Name, []uint64{p.request.Fingerprint})
+	if p.router.options.Isolator.Held(p.request.Fingerprint) {
+		return unknown(Quarantined, "this request crashed several engines and is held")
+	}
+	return nil
+}
+
+// crashed tells whether an engine lost what it ran: it dropped the connection,
+// refuses new ones, or came back without the stream. A connection that fell
+// silent or an engine that is cut off is no sign of a crash.
+func crashed(err error) bool {
+	switch {
+	case errorx.IsOfType(err, invoker.Lost), errorx.IsOfType(err, invoker.Gone):
+		return true
+	default:
+		return errorx.IsOfType(err, invoker.Unreached) && errors.Is(err, syscall.ECONNREFUSED)
+	}
+}
--- /dev/null
+++ b/router/service.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/recorder"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// Call is a plain service request as a caller sent it.
+type Call struct {
+	Account identifier.Account
+	Path    string
+	// Wire is what is sent on; its key is empty where the caller gave none.
+	Wire invoker.Call
+	// Issued is when the caller made the key, or zero where only the key tells.
+	Issued time.Time
+	// Fingerprint is a hash of method, target and body, equal for resends.
+	Fingerprint uint64
+}
+
+// Call sends a plain service request to a member of its route's pool: again
+// after a failure where the route is repeatable, else at most once.
+func (r *Router) Call(ctx context.Context, call Call) (*invoker.Reply, *Refusal) {
+	query := tabulator.Query{Path: call.Path, Method: call.Wire.Method, Account: call.Account}
+	route, pool, refusal := r.match(query)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if pool.Kind != tabulator.Services {
+		return nil, notRun(NoRoute, 0, "route %q does not lead to a service", route.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.timeout(route))
+	defer cancel()
+	if route.Repeatable {
+		call.Wire.Key = ""
+		return r.callRepeatable(ctx, pool, call)
+	}
+	if call.Wire.Key == "" {
+		return nil, notRun(KeyMissing, 0, "route %q may not be repeated and needs an Idempotency-Key", route.Name)
+	}
+	return r.callOnce(ctx, pool, call)
+}
+
+// callRepeatable tries the members in turn until one answers.
+func (r *Router) callRepeatable(ctx context.Context, pool tabulator.Pool, call Call) (*invoker.Reply, *Refusal) {
+	ran := false
+	for _, member := range r.servingOrder(pool) {
+		reply, err := r.options.Services.Call(ctx, member, call.Wire)
+		if err == nil && reply.Status < http.StatusInternalServerError {
+			return &reply, nil
+		}
+		ran = ran || !errorx.IsOfType(err, invoker.Unreached)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if ran {
+		return nil, unknown(BackendDown, "no member of pool %q answered", pool.Name)
+	}
+	return nil, notRun(BackendDown, r.options.Limits.RetryAfter, "no member of pool %q can be reached", pool.Name)
+}
+
+// callOnce claims the key in the ledger before the first byte leaves.
+func (r *Router) callOnce(ctx context.Context, pool tabulator.Pool, call Call) (*invoker.Reply, *Refusal) {
+	claim := recorder.Call{
+		Key:         call.Wire.Key,
+		Fingerprint: call.Fingerprint,
+		Attempt:     identifier.Attempt(uuid.NewString()),
+		Node:        r.options.Node,
+		Incarnation: r.options.Incarnation,
+		Issued:      call.Issued,
+	}
+	answer := r.options.Ledger.Claim(ctx, claim)
+	if answer.Verdict == recorder.Running {
+		answer = r.options.Ledger.Await(ctx, claim)
+	}
+	if answer.Verdict != recorder.Run {
+		return r.verdict(answer)
+	}
+	// The execution outlives its caller's connection, so that its answer is kept
+	// for the resend of a caller that was cut off.
+	deadline, _ := ctx.Deadline()
+	execution, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	return r.execute(execution, pool, call, claim)
+}
+
+// execute sends a claimed call. Members that cannot be reached are passed over:
+// nothing was sent to them.
+func (r *Router) execute(ctx context.Context, pool tabulator.Pool, call Call, claim recorder.Call) (*invoker.Reply, *Refusal) {
+	for _, member := range r.servingOrder(pool) {
+		reply, err := r.options.Services.Call(ctx, member, call.Wire)
+		if errorx.IsOfType(err, invoker.Unreached) {
+			continue
+		}
+		if err != nil {
+			r.options.Log.Log(callUnknown, logger.Fields{"member": member.Name, "attempt": claim.Attempt, "error": err.Error()})
+			return nil, unknown(AnswerLost, "the answer of %q was lost", member.Name)
+		}
+		r.options.Ledger.Settle(context.WithoutCancel(ctx), claim, &recorder.Answer{
+			Status:      reply.Status,
+			ContentType: reply.Header.Get("Content-Type"),
+			Body:        reply.Body,
+		})
+		return &reply, nil
+	}
+	r.options.Ledger.Settle(context.WithoutCancel(ctx), claim, nil)
+	return nil, notRun(BackendDown, r.options.Limits.RetryAfter, "no member of pool %q can be reached", pool.Name)
+}
+
+// verdict answers a call that the ledger did not let run.
+func (r *Router) verdict(claim recorder.Claim) (*invoker.Reply, *Refusal) {
+	switch claim.Verdict {
+	case recorder.Answered:
+		header := http.Header{"Idempotent-Replayed": {"true"}}
+		if claim.Answer.ContentType != "" {
+			header.Set("Content-Type", claim.Answer.ContentType)
+		}
+		return &invoker.Reply{Status: claim.Answer.Status, Header: header, Body: claim.Answer.Body}, nil
+	case recorder.Mismatch:
+		return nil, notRun(KeyReused, 0, "the key was used for another call")
+	case recorder.TooOld:
+		return nil, unknown(KeyTooOld, "the key is older than the ledger's window")
+	case recorder.Closed:
+		return nil, notRun(LedgerClosed, r.options.Limits.RetryAfter, "the ledger cannot be reached")
+	case recorder.Running:
+		return nil, unknown(AnswerLost, "an earlier attempt has not ended")
+	default:
+		return nil, unknown(AnswerLost, "the outcome of an earlier attempt is not known")
+	}
+}
+
+// servingOrder spreads calls over the pool's members.
+func (r *Router) servingOrder(pool tabulator.Pool) []tabulator.Member {
+	members := pool.WithRole(identifier.Service)
+	if len(members) == 0 {
+		return nil
+	}
+	first := int(r.turn.Add(1) % uint64(len(members)))
+	return append(members[first:len(members):len(members)], members[:first]...)
+}
