Read and check a node's settings strictly

Cause: a node learns its addresses, data centre and limits from its settings only, so a slip in them must stop it before it starts, with all faults told at once. Ruled out: decoding into a struct with DisallowUnknownFields, which stops at the first bad value and has no ranges; a struct-tag validator, which would keep the units, defaults and the page apart. Change: package configurator declares each key once, with its type, range, default and meaning; values are checked key by key, lines come from the TOML parser's syntax tree, and docs/SETTINGS.md is generated from the declarations. A section written as an array of tables was taken silently at first; a case for it is in testdata/parse.

--- /dev/null
+++ b/configurator/configurator_test.go
@@ -0,0 +1,71 @@
+package configurator_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/foxtailspool/foxtailspool/configurator"
+)
+
+// TestParse reads cases of settings: "parse" prints the faults, "show" the
+// settings named in its arguments.
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, d *datadriven.TestData) string {
+		settings, faults := configurator.Parse([]byte(d.Input))
+		if len(faults) > 0 {
+			return faults.Error()
+		}
+		if d.Cmd == "show" {
+			return fmt.Sprintf("callers %s peers %s operators %s body %s seeds %v",
+				settings.Callers.Advertise, settings.Peers.Advertise, settings.Operators.Listen,
+				settings.Callers.MaxBodySize, settings.Membership.Seeds)
+		}
+		return "accepted"
+	})
+}
+
+// TestPage holds docs/SETTINGS.md against the declared keys.
+func TestPage(t *testing.T) {
+	const path = "../docs/SETTINGS.md"
+	want := page()
+	if d := datadrivenRewrite(); d {
+		if err := os.WriteFile(path, []byte(want), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("docs/SETTINGS.md differs from the declared keys; run go test ./configurator -rewrite")
+	}
+}
+
+func page() string {
+	var text strings.Builder
+	text.WriteString("# Settings\n\n" +
+		"Every key of a node's settings file, generated from package configurator.\n" +
+		"Durations and sizes are strings with their unit; unknown keys are refused.\n" +
+		"`foxtailspool check FILE` names the line and key of each fault.\n")
+	section := ""
+	for _, key := range configurator.Keys(&configurator.Settings{}) {
+		before, name, _ := strings.Cut(key.Name, ".")
+		if before != section {
+			section = before
+			fmt.Fprintf(&text, "\n## [%s]\n\n| key | type | default | allowed | meaning |\n| --- | --- | --- | --- | --- |\n", section)
+		}
+		standard := "`" + key.Default + "`"
+		if key.Required {
+			standard = "required"
+		} else if key.Default == "" {
+			standard = "empty"
+		}
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s | %s |\n", name, key.Type, standard, key.Range, key.Meaning)
+	}
+	return text.String()
+}
