Stop services one by one, last started first

Cause: a callers' listener finishes its streams after it is stopped, through services that were started before it. The run group cancelled all at once, so a drain would have taken the router away under open streams. Ruled out: an order by dependencies, which the order of registration already gives. Change: each service ends before the one before it is told to stop; a service that fails on its way down is reported.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -52,41 +54,67 @@
 	return service, ok
 }
 
-type ending struct {
+// run is a service at work.
+type run struct {
 	name string
-	err  error
+	stop context.CancelFunc
+	// ended receives the service's result once.
+	ended chan error
 }
 
 // Run starts every registered Runner and waits until all have ended. When one
-// ends or ctx does, the rest are stopped, last started first.
+// ends or ctx does, the rest are stopped, last started first. Each is stopped
+// once all that were started after it have ended, so that a service can use the
+// earlier ones until its end.
 func (s *Supervisor) Run(ctx context.Context) error {
 	runners := s.runners()
-	endings := make(chan ending, len(runners))
-	stops := make([]context.CancelFunc, 0, len(runners))
+	runs := make([]run, 0, len(runners))
+	// first receives the name of a service that ended; later ones are dropped.
+	first := make(chan ending, 1)
 	for _, runner := range runners {
-		// Services outlive ctx until their own turn to stop.
-		own, stop := context.WithCancel(context.WithoutCancel(ctx))
-		defer stop()
-		stops = append(stops, stop)
-		go func() { endings <- ending{runner.name, runner.service.Run(own)} }()
+		runs = append(runs, start(ctx, runner, first))
 	}
 	var failure error
-	ended := 0
 	select {
 	case <-ctx.Done():
-	case end := <-endings:
-		ended++
+	case end := <-first:
 		failure = Failed.New("service %q ended: %v", end.name, end.err)
 	}
-	for i := len(stops) - 1; i >= 0; i-- {
-		stops[i]()
-	}
-	for ; ended < len(runners); ended++ {
-		<-endings
+	for _, run := range slices.Backward(runs) {
+		run.stop()
+		if err := <-run.ended; failed(err) && failure == nil {
+			failure = Failed.Wrap(err, "service %q did not stop well", run.name)
+		}
 	}
 	return failure
 }
 
+// failed tells a failure from a service that reports the end of its context.
+func failed(err error) bool {
+	return err != nil && !errors.Is(err, context.Canceled)
+}
+
+type ending struct {
+	name string
+	err  error
+}
+
+// start runs a service in a context of its own, which outlives ctx until the
+// service's turn to stop.
+func start(ctx context.Context, runner namedRunner, first chan<- ending) run {
+	own, stop := context.WithCancel(context.WithoutCancel(ctx))
+	started := run{name: runner.name, stop: stop, ended: make(chan error, 1)}
+	go func() {
+		err := runner.service.Run(own)
+		select {
+		case first <- ending{runner.name, err}:
+		default:
+		}
+		started.ended <- err
+	}()
+	return started
+}
+
 type namedRunner struct {
 	name    string
 	service Runner
