Bound listeners and transports, with TLS that reloads

Cause: the node needs listeners whose connections, headers, bodies and waits are bounded without cutting a long stream, TLS whose files change while it runs, and kept connections between nodes that notice when they have gone silent. Ruled out: http.Server.WriteTimeout, which bounds the whole answer and would cut streams, so each write has its own deadline; lifting the read deadline by hand once a body is read, which net/http turned out to do itself (the test stayed green without it); a goroutine that watches the TLS files, as a look at the next handshake, at most once a second, is enough.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -69,7 +69,7 @@
 	TLS       TLS
 	// ReadHeaderTimeout bounds the wait for a request's header.
 	ReadHeaderTimeout time.Duration
-	// ReadTimeout bounds the wait for a request's body.
+	// ReadTimeout bounds the wait for a request's header and body together.
 	ReadTimeout time.Duration
 	// WriteTimeout bounds each write, not the answer as a whole.
 	WriteTimeout time.Duration
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -43,7 +43,7 @@
 	return append(
 		keys,
 		duration(at("read-header-timeout"), &l.ReadHeaderTimeout, "5s", shortest, longest, "The wait for a request's header."),
-		duration(at("read-timeout"), &l.ReadTimeout, "30s", shortest, longest, "The wait for a request's body."),
+		duration(at("read-timeout"), &l.ReadTimeout, "30s", shortest, longest, "The wait for a request's header and body together."),
 		duration(at("write-timeout"), &l.WriteTimeout, "10s", shortest, longest, "The wait for one write; a stream may last longer."),
 		duration(at("idle-timeout"), &l.IdleTimeout, "2m", shortest, longest, "How long an unused connection is kept."),
 		count(at("max-connections"), &l.MaxConnections, "2048", 1<<20, "Open connections at once."),
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -1,5 +1,7 @@
 // Package connector makes the connections of a node: HTTP transports with
-// bounded, kept connections, and listeners. Tests replace the network below it.
+// bounded, kept connections, and HTTP servers whose connections, headers,
+// bodies and waits are bounded, with or without TLS. Tests replace the network
+// below it.
 package connector
 
 import (
@@ -7,8 +9,13 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
+// Errors is the namespace of this package's error types.
+var Errors = errorx.NewNamespace("connector")
+
 // Network opens connections. The zero functions are never called: NewNetwork
 // and tests fill both.
 type Network struct {
@@ -18,7 +25,7 @@
 
 // Limits bounds the connections of one transport.
 type Limits struct {
-	// Dial bounds the time to open a connection.
+	// Dial bounds the time to open a connection, with its TLS handshake.
 	Dial time.Duration
 	// Header bounds the wait for an answer's header.
 	Header time.Duration
@@ -26,12 +33,22 @@
 	Idle time.Duration
 	// PerHost is the largest number of connections to one host.
 	PerHost int
+	// Ping, when positive, makes the transport speak HTTP/2, also without TLS,
+	// and ping a connection that has received nothing for so long. A connection
+	// that does not answer within Dial is closed, so that the next request opens
+	// a new one.
+	Ping time.Duration
+	// TLS holds the certificates for https; nil uses the system's authorities.
+	TLS *TLS
 }
 
+// keepAlive finds dead TCP connections that nothing is being sent on.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3}
+
 // NewNetwork returns the network of the operating system.
 func NewNetwork() Network {
-	dialer := &net.Dialer{KeepAlive: 15 * time.Second}
-	var listening net.ListenConfig
+	dialer := &net.Dialer{KeepAliveConfig: keepAlive}
+	listening := net.ListenConfig{KeepAliveConfig: keepAlive}
 	return Network{
 		Dial: dialer.DialContext,
 		Listen: func(ctx context.Context, address string) (net.Listener, error) {
@@ -42,16 +59,28 @@
 
 // Transport returns an HTTP transport over the network.
 func (n Network) Transport(limits Limits) *http.Transport {
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, limits.Dial)
 			defer cancel()
 			return n.Dial(ctx, network, address)
 		},
+		TLSHandshakeTimeout:   limits.Dial,
 		ResponseHeaderTimeout: limits.Header,
 		IdleConnTimeout:       limits.Idle,
 		MaxConnsPerHost:       limits.PerHost,
 		MaxIdleConnsPerHost:   limits.PerHost,
 		DisableCompression:    true,
+		Protocols:             new(http.Protocols),
+	}
+	transport.Protocols.SetHTTP1(limits.Ping <= 0)
+	if limits.Ping > 0 {
+		transport.Protocols.SetHTTP2(true)
+		transport.Protocols.SetUnencryptedHTTP2(true)
+		transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: limits.Ping, PingTimeout: limits.Dial}
+	}
+	if limits.TLS != nil {
+		transport.DialTLSContext = n.dialTLS(limits)
 	}
+	return transport
 }
--- /dev/null
+++ b/connector/server.go
@@ -0,0 +1,217 @@
+package connector
+
+import (
+	"context"
+	"crypto/tls"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
+)
+
+// The error types of servers.
+var (
+	// NotListening: the address cannot be listened at.
+	NotListening = Errors.NewType("not-listening")
+	// Broken: the listener failed while it served.
+	Broken = Errors.NewType("broken")
+)
+
+// ServerLimits bounds what one listener takes. All are positive.
+type ServerLimits struct {
+	// ReadHeader bounds the wait for a request's header and for a TLS handshake.
+	ReadHeader time.Duration
+	// Read bounds the wait for a request's header and body together.
+	Read time.Duration
+	// Write bounds each write, so that an answer may stream for longer as long
+	// as its reader takes it.
+	Write time.Duration
+	// Idle is how long an unused connection is kept.
+	Idle time.Duration
+	// Finish bounds the wait for open requests once the server stops.
+	Finish time.Duration
+	// Connections bounds the open connections; more wait to be accepted.
+	Connections int
+	// Streams bounds the requests at once on one HTTP/2 connection.
+	Streams int
+	// Header and Body bound a request's parts, in bytes. Reading beyond Body
+	// fails with http.MaxBytesError.
+	Header int
+	Body   int64
+}
+
+// ServerOptions sets up a server.
+type ServerOptions struct {
+	// Name tells the node's listeners apart in events.
+	Name    string
+	Address identifier.Address
+	Network Network
+	Limits  ServerLimits
+	// TLS holds the certificates; nil serves without TLS.
+	TLS     *TLS
+	Handler http.Handler
+	Log     *logger.Logger
+}
+
+// Server is an HTTP server at one address, a service of the micro-kernel.
+type Server struct {
+	options  ServerOptions
+	http     *http.Server
+	listener net.Listener
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(options ServerOptions) *Server {
+	limits := options.Limits
+	s := &Server{options: options}
+	s.http = &http.Server{
+		Handler:           limitBody(options.Handler, limits.Body),
+		ReadHeaderTimeout: limits.ReadHeader,
+		ReadTimeout:       limits.Read,
+		IdleTimeout:       limits.Idle,
+		MaxHeaderBytes:    limits.Header,
+		Protocols:         new(http.Protocols),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: limits.Streams},
+		ErrorLog:          log.New(errorWriter{options}, "", 0),
+	}
+	s.http.Protocols.SetHTTP1(true)
+	s.http.Protocols.SetHTTP2(true)
+	s.http.Protocols.SetUnencryptedHTTP2(true)
+	if options.TLS != nil {
+		s.http.TLSConfig = options.TLS.ServerConfig()
+	}
+	return s
+}
+
+// Listen opens the listener, so that connections can be made from now on. Run
+// does so itself where Listen was not called.
+func (s *Server) Listen(ctx context.Context) error {
+	listener, err := s.options.Network.Listen(ctx, string(s.options.Address))
+	if err != nil {
+		return NotListening.Wrap(err, "%s listener at %s", s.options.Name, s.options.Address)
+	}
+	s.options.Log.Log(EventListening, s.fields(nil))
+	limited := netutil.LimitListener(listener, s.options.Limits.Connections)
+	s.listener = writeLimitListener{limited, s.options.Limits.Write}
+	return nil
+}
+
+// Run serves until ctx ends, then takes no new connections and waits for the
+// open requests, which do not see the end of ctx.
+func (s *Server) Run(ctx context.Context) error {
+	if s.listener == nil {
+		if err := s.Listen(ctx); err != nil {
+			return err
+		}
+	}
+	served := make(chan error, 1)
+	go func() { served <- s.serve() }()
+	select {
+	case err := <-served:
+		return Broken.Wrap(err, "%s listener", s.options.Name)
+	case <-ctx.Done():
+	}
+	s.shutdown(ctx)
+	<-served
+	s.options.Log.Log(EventListenerClosed, s.fields(nil))
+	return nil
+}
+
+func (s *Server) serve() error {
+	if s.options.TLS != nil {
+		return s.http.ServeTLS(s.listener, "", "")
+	}
+	return s.http.Serve(s.listener)
+}
+
+func (s *Server) shutdown(ctx context.Context) {
+	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.Limits.Finish)
+	defer cancel()
+	if err := s.http.Shutdown(finish); err != nil {
+		s.options.Log.Log(EventRequestsCut, s.fields(err))
+		_ = s.http.Close()
+	}
+}
+
+func (s *Server) fields(err error) logger.Fields {
+	fields := logger.Fields{"listener": s.options.Name, "address": s.options.Address, "tls": s.options.TLS != nil}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	return fields
+}
+
+// limitBody bounds the size of each request's body.
+func limitBody(next http.Handler, limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// writeLimitListener bounds each write of its connections.
+type writeLimitListener struct {
+	net.Listener
+	limit time.Duration
+}
+
+func (l writeLimitListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return writeLimitConn{connection, l.limit}, nil
+}
+
+type writeLimitConn struct {
+	net.Conn
+	limit time.Duration
+}
+
+func (c writeLimitConn) Write(content []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.limit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(content)
+}
+
+// errorWriter turns the lines that net/http logs into events.
+type errorWriter struct {
+	options ServerOptions
+}
+
+func (w errorWriter) Write(line []byte) (int, error) {
+	w.options.Log.Log(EventConnectionFailed, logger.Fields{
+		"listener": w.options.Name,
+		"error":    strings.TrimSpace(string(line)),
+	})
+	return len(line), nil
+}
+
+// dialTLS opens connections with the certificates that the files hold now.
+func (n Network) dialTLS(limits Limits) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limits.Dial)
+		defer cancel()
+		raw, err := n.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		config := limits.TLS.clientConfig(limits.Ping > 0)
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			config.ServerName = host
+		}
+		connection := tls.Client(raw, config)
+		if err := connection.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return connection, nil
+	}
+}
