--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,7 +13,9 @@
 type Demand struct {
 	Request identifier.Request
 	// Attempt fences: a larger one of the same request replaces a smaller one.
-	Attempt uint32
+	// It is the Unix time in milliseconds at which the attempt began, so that a
+	// caller who comes back through another node gets a larger one.
+	Attempt uint64
 	Pool    identifier.Pool
 	Rank    identifier.Rank
 	Account identifier.Account
@@ -30,6 +32,9 @@
 	Between time.Duration
 	// Prefixes are hashes of the prompt's leading blocks, shortest first.
 	Prefixes []uint64
+	// Suspect demands were in flight at a crash of an engine. No two of them
+	// share an engine, so that a second crash tells which one it was.
+	Suspect bool
 	// Avoid lists members that this request failed on.
 	Avoid []identifier.Member
 }
@@ -39,6 +44,13 @@
 	Grant   identifier.Grant
 	Prefill identifier.Member
 	Decode  identifier.Member
+	// Attempt is the attempt that was granted. It is larger than the demand's
+	// where an earlier attempt's node had a clock that ran ahead.
+	Attempt uint64
+	// Stream names the engines' stream: it is the attempt that the grant was
+	// first given to. Where it is smaller than Attempt, a later attempt took the
+	// grant over and should resume that stream, with Attempt as reader number.
+	Stream uint64
 	// Lease is how long the grant stands unless it is renewed.
 	Lease time.Duration
 }
