Give operators an interface of their own, with its client

Cause: operators ask a node what it sees and change the two tables, on a listener apart from the callers'. Ruled out: wire types of their own on each side, which drift apart; a status code alone as the outcome, which cannot tell "nothing changed" from "cannot be told". Change: package administrator holds handlers (go-kit endpoints over generic codecs) and client; one table maps error types to answers in both directions. An error of no known type is answered as unknown, never as not run.

--- /dev/null
+++ b/administrator/administrator.go
@@ -0,0 +1,144 @@
+// Package administrator is the operators' interface of a node: what the node
+// sees, and the two tables. It holds both sides, the HTTP handlers and the
+// client that the command line uses, so that they cannot drift apart.
+//
+// The interface has a listener of its own, apart from the callers'.
+package administrator
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// Status is what one node sees.
+type Status struct {
+	Node        identifier.Node        `json:"node"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	DataCentre  identifier.DataCentre  `json:"data-centre"`
+	// State is alive, or leaving once the node drains.
+	State assigner.State `json:"state"`
+	// Configuration is the number in force at the node; zero is none.
+	Configuration identifier.Configuration `json:"configuration"`
+	// InFlight counts the callers' requests that the node serves now.
+	InFlight int      `json:"requests-in-flight"`
+	Members  []Member `json:"members"`
+	Pools    []Pool   `json:"pools"`
+}
+
+// Member is one node as the asked node sees it.
+type Member struct {
+	Node        identifier.Node        `json:"node"`
+	Incarnation identifier.Incarnation `json:"incarnation"`
+	DataCentre  identifier.DataCentre  `json:"data-centre"`
+	State       assigner.State         `json:"state"`
+	Callers     identifier.Address     `json:"callers"`
+	Peers       identifier.Address     `json:"peers"`
+}
+
+// NewMembers lists the members of a view.
+func NewMembers(view *assigner.View) []Member {
+	members := make([]Member, 0, len(view.Members))
+	for _, m := range view.Members {
+		members = append(members, Member{
+			Node: m.Node, Incarnation: m.Incarnation, DataCentre: m.DataCentre,
+			State: m.State, Callers: m.Callers, Peers: m.Peers,
+		})
+	}
+	return members
+}
+
+// Pool is a pool as the asked node sees it.
+type Pool struct {
+	Name identifier.Pool `json:"name"`
+	Kind tabulator.Kind  `json:"kind"`
+	// Owner places the pool's requests in this node's view; it is empty for
+	// pools of services.
+	Owner identifier.Node `json:"owner,omitempty"`
+	// Grants and Pieces are held now, by any node, and are known at the owner
+	// only.
+	Grants int               `json:"held-grants"`
+	Pieces identifier.Pieces `json:"held-pieces"`
+	// Waiting requests have no grant yet, by rank, known at the owner only.
+	WaitingUrgent int `json:"waiting-urgent"`
+	WaitingLesser int `json:"waiting-lesser"`
+}
+
+// Tables are the two tables in force at a node.
+type Tables struct {
+	Configuration identifier.Configuration `json:"configuration"`
+	Routes        tabulator.Routes         `json:"routes-table"`
+	Pools         tabulator.Pools          `json:"pools-table"`
+}
+
+// Edit replaces one or both tables.
+type Edit struct {
+	// Routes and Pools are the new tables; a nil one stays as it is. At least
+	// one is set.
+	Routes *tabulator.Routes `json:"routes-table,omitempty"`
+	Pools  *tabulator.Pools  `json:"pools-table,omitempty"`
+	// Base, when not zero, is the number that the edit was made from: the edit
+	// loses to any other that was accepted since.
+	Base identifier.Configuration `json:"base,omitempty"`
+}
+
+// Accepted answers an edit that is in the platform's store and held by a node
+// in every data centre that can be reached.
+type Accepted struct {
+	Configuration identifier.Configuration `json:"configuration"`
+}
+
+// Spread tells which nodes have which configuration.
+type Spread struct {
+	// Configuration is the largest number that the asked node knows.
+	Configuration identifier.Configuration `json:"configuration"`
+	Nodes         []NodeConfiguration      `json:"nodes"`
+	// Refusal is why the latest edit was not accepted; empty when it was.
+	Refusal string `json:"refusal,omitempty"`
+}
+
+// NodeConfiguration is the number in force at one node.
+type NodeConfiguration struct {
+	Node          identifier.Node          `json:"node"`
+	DataCentre    identifier.DataCentre    `json:"data-centre"`
+	Configuration identifier.Configuration `json:"configuration"`
+	// Unreachable nodes did not answer; their number is the last one known.
+	Unreachable bool `json:"unreachable,omitempty"`
+}
+
+// Observer tells what a node sees.
+type Observer interface {
+	Status(ctx context.Context) Status
+}
+
+// Publisher holds and changes the accepted configuration.
+type Publisher interface {
+	// Tables returns the tables in force; Unavailable before there are any.
+	Tables(ctx context.Context) (Tables, error)
+	// Apply returns once the edit is accepted, or with one of this package's
+	// errors.
+	Apply(ctx context.Context, edit Edit) (Accepted, error)
+	Spread(ctx context.Context) (Spread, error)
+}
+
+// Errors is the namespace of this package's error types.
+var Errors = errorx.NewNamespace("operators")
+
+// The error types of operators' calls. Test with errorx.IsOfType.
+var (
+	// Refused: the tables are wrong; nothing changed. The message names each fault.
+	Refused = Errors.NewType("refused")
+	// Raced: another edit was accepted first; nothing changed.
+	Raced = Errors.NewType("raced")
+	// Unavailable: the node cannot do it now; nothing changed.
+	Unavailable = Errors.NewType("unavailable")
+	// Unknown: whether the edit was accepted cannot be told. Ask for the tables
+	// in force before another try.
+	Unknown = Errors.NewType("unknown")
+	// Malformed: the call itself is wrong; nothing changed.
+	Malformed = Errors.NewType("malformed")
+)
--- /dev/null
+++ b/administrator/administrator_test.go
@@ -0,0 +1,128 @@
+package administrator_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/joomcode/errorx"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/administrator"
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// fakeNode answers with what a test sets.
+type fakeNode struct {
+	status administrator.Status
+	// failure, when set, answers every call about tables.
+	failure error
+}
+
+func (n *fakeNode) Status(context.Context) administrator.Status { return n.status }
+
+func (n *fakeNode) Tables(context.Context) (administrator.Tables, error) {
+	return administrator.Tables{Configuration: 7}, n.failure
+}
+
+func (n *fakeNode) Apply(_ context.Context, edit administrator.Edit) (administrator.Accepted, error) {
+	return administrator.Accepted{Configuration: edit.Base + 1}, n.failure
+}
+
+func (n *fakeNode) Spread(context.Context) (administrator.Spread, error) {
+	return administrator.Spread{Configuration: 7}, n.failure
+}
+
+func newServer(node *fakeNode) *httptest.Server {
+	return httptest.NewServer(administrator.NewHandler(administrator.HandlerOptions{
+		Observer: node, Publisher: node, Metrics: http.NotFoundHandler(),
+		Scope: tally.NoopScope, Log: logger.Discard(),
+	}))
+}
+
+// TestHandler reads cases "METHOD PATH" with a body, and prints the answer.
+func TestHandler(t *testing.T) {
+	node := &fakeNode{}
+	server := newServer(node)
+	defer server.Close()
+	datadriven.RunTest(t, "testdata/handler", func(t *testing.T, d *datadriven.TestData) string {
+		node.status = administrator.Status{Node: "entry-1", State: assigner.Alive, Configuration: 7}
+		if d.HasArg("leaving") {
+			node.status.State = assigner.Leaving
+		}
+		if d.HasArg("unconfigured") {
+			node.status.Configuration = 0
+		}
+		path := d.CmdArgs[0].Key
+		request, err := http.NewRequestWithContext(t.Context(), d.Cmd, server.URL+path, strings.NewReader(d.Input))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := server.Client().Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		var body bytes.Buffer
+		_, _ = body.ReadFrom(response.Body)
+		return fmt.Sprintf("%d\n%s", response.StatusCode, body.String())
+	})
+}
+
+// Each error type crosses the wire unchanged, so that a caller of the client can
+// tell an edit that did not run from one that may have.
+func TestErrorsCrossTheWire(t *testing.T) {
+	node := &fakeNode{}
+	server := newServer(node)
+	defer server.Close()
+	client := administrator.NewClient(administrator.ClientOptions{
+		URL: server.URL, Transport: http.DefaultTransport, Timeout: time.Minute,
+	})
+	edit := administrator.Edit{Routes: &tabulator.Routes{}, Base: 7}
+	if accepted, err := client.Apply(t.Context(), edit); err != nil || accepted.Configuration != 8 {
+		t.Errorf("got %+v, %v", accepted, err)
+	}
+	for _, kind := range []*errorx.Type{
+		administrator.Refused, administrator.Raced, administrator.Unavailable,
+		administrator.Unknown, administrator.Malformed,
+	} {
+		node.failure = kind.New("because")
+		if _, err := client.Apply(t.Context(), edit); !errorx.IsOfType(err, kind) || !strings.Contains(err.Error(), "because") {
+			t.Errorf("want %s, got %v", kind, err)
+		}
+	}
+	node.failure = errors.New("surprise")
+	if _, err := client.Apply(t.Context(), edit); !errorx.IsOfType(err, administrator.Unknown) {
+		t.Errorf("an unforeseen error: got %v", err)
+	}
+}
+
+// A call that never left had no effect; one whose answer is lost may have had.
+func TestLostCalls(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	client := administrator.NewClient(administrator.ClientOptions{
+		URL: server.URL, Transport: &http.Transport{}, Timeout: time.Minute,
+	})
+	edit := administrator.Edit{Routes: &tabulator.Routes{}}
+	if _, err := client.Apply(t.Context(), edit); !errorx.IsOfType(err, administrator.Unknown) {
+		t.Errorf("a lost answer: %v", err)
+	}
+	if _, err := client.Tables(t.Context()); !errorx.IsOfType(err, administrator.Unavailable) {
+		t.Errorf("a lost answer to a read: %v", err)
+	}
+	server.Close()
+	if _, err := client.Apply(t.Context(), edit); !errorx.IsOfType(err, administrator.Unavailable) {
+		t.Errorf("an unreachable node: %v", err)
+	}
+}
--- /dev/null
+++ b/administrator/handler.go
@@ -0,0 +1,107 @@
+package administrator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/logger"
+)
+
+// The paths of the operators' interface.
+const (
+	pathStatus = "/v1/status"
+	pathTables = "/v1/tables"
+	pathApply  = "/v1/tables/apply"
+	pathSpread = "/v1/tables/status"
+)
+
+// HandlerOptions sets up the operators' handler.
+type HandlerOptions struct {
+	Observer  Observer
+	Publisher Publisher
+	// Metrics serves /metrics.
+	Metrics http.Handler
+	Scope   tally.Scope
+	Log     *logger.Logger
+}
+
+// NewHandler returns the handler of the operators' listener.
+func NewHandler(options HandlerOptions) http.Handler {
+	status := func(ctx context.Context, _ nothing) (Status, error) {
+		return options.Observer.Status(ctx), nil
+	}
+	tables := func(ctx context.Context, _ nothing) (Tables, error) {
+		return options.Publisher.Tables(ctx)
+	}
+	spread := func(ctx context.Context, _ nothing) (Spread, error) {
+		return options.Publisher.Spread(ctx)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+pathStatus, newHandler(options.wrap("status", newEndpoint(status)), decodeNothing))
+	mux.Handle("GET "+pathTables, newHandler(options.wrap("tables", newEndpoint(tables)), decodeNothing))
+	mux.Handle("GET "+pathSpread, newHandler(options.wrap("tables-status", newEndpoint(spread)), decodeNothing))
+	apply := endpoint.Chain(options.logEdits)(newEndpoint(options.apply))
+	mux.Handle("POST "+pathApply, newHandler(options.wrap("tables-apply", apply), decodeJSON[Edit]))
+	mux.Handle("GET /metrics", options.Metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", options.ready)
+	return mux
+}
+
+// ready answers whether the node takes new work: it does once it has a
+// configuration and until it leaves.
+func (o HandlerOptions) ready(w http.ResponseWriter, r *http.Request) {
+	status := o.Observer.Status(r.Context())
+	if status.Configuration == 0 {
+		writeError(w, Unavailable.New("the node has no configuration yet"))
+		return
+	}
+	if status.State != assigner.Alive {
+		writeError(w, Unavailable.New("the node is %s", status.State))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (o HandlerOptions) apply(ctx context.Context, edit Edit) (Accepted, error) {
+	if edit.Routes == nil && edit.Pools == nil {
+		return Accepted{}, Malformed.New("the edit holds neither table")
+	}
+	return o.Publisher.Apply(ctx, edit)
+}
+
+// wrap counts and times the calls of an endpoint.
+func (o HandlerOptions) wrap(name string, next endpoint.Endpoint) endpoint.Endpoint {
+	scope := o.Scope.Tagged(map[string]string{"call": name})
+	calls, failures := scope.Counter("operator_calls"), scope.Counter("operator_call_failures")
+	latency := scope.Timer("operator_call_latency")
+	return func(ctx context.Context, request any) (any, error) {
+		started := time.Now()
+		response, err := next(ctx, request)
+		calls.Inc(1)
+		if err != nil {
+			failures.Inc(1)
+		}
+		latency.Record(time.Since(started))
+		return response, err
+	}
+}
+
+// logEdits records what became of each edit.
+func (o HandlerOptions) logEdits(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		response, err := next(ctx, request)
+		if err != nil {
+			o.Log.Log(EventEditFailed, logger.Fields{"reason": refusalOf(err).reason, "error": err.Error()})
+			return nil, err
+		}
+		accepted := response.(Accepted)
+		o.Log.Log(EventEditAccepted, logger.Fields{"configuration": accepted.Configuration})
+		return accepted, nil
+	}
+}
