Place model requests through a soft owner of each pool shard

Change: package placer holds the decisions (joint grant of prefill and decode memory in pieces, deadline order within rank, urgent first, lesser share, leases, take-over by later attempts); package dispatcher runs one placer for each pool shard on its soft owner, over twirp, with one batch a tick, a rebuild from renewals after a change of owner, cancels repeated until the engine confirms, and a capped fall-back without the owner. Ruled out: polling for outcomes each tick, which costs an exchange a tick for every queued demand; a held collect call is used instead. The fault tests of dispatcher/faults_test.go pass with the race detector.

--- /dev/null
+++ b/dispatcher/metrics.go
@@ -0,0 +1,34 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/placer"
+)
+
+// metrics counts the work of the dispatcher.
+type metrics struct {
+	scope tally.Scope
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{scope: scope.SubScope("placement")}
+}
+
+// acquired counts an answered demand and the time it waited.
+func (m metrics) acquired(outcome placer.Outcome, waited time.Duration) {
+	m.scope.Timer("acquire").Record(waited)
+	if outcome.Placement != nil {
+		m.scope.Counter("placed").Inc(1)
+		return
+	}
+	reason := map[string]string{"reason": string(outcome.Refusal.Reason)}
+	m.scope.Tagged(reason).Counter("refused").Inc(1)
+}
+
+// count adds one to a counter.
+func (m metrics) count(name string) {
+	m.scope.Counter(name).Inc(1)
+}
--- /dev/null
+++ b/dispatcher/shards.go
@@ -0,0 +1,114 @@
+package dispatcher
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// shardID names one shard of a pool.
+type shardID struct {
+	pool  identifier.Pool
+	index uint32
+}
+
+// String is the name that the owner is chosen by.
+func (s shardID) String() string {
+	return fmt.Sprintf("placement/%s/%d", s.pool, s.index)
+}
+
+// shardCount is how many shards a pool of some engines is split into.
+func shardCount(engines, perShard int) int {
+	return max(1, (engines+perShard-1)/perShard)
+}
+
+// shardMembers returns the members of one shard. Both roles are dealt out in
+// order of data centre, so that a shard's engines stand near one another.
+func shardMembers(pool tabulator.Pool, index uint32, perShard int) []tabulator.Member {
+	count := shardCount(len(pool.Members), perShard)
+	var list []tabulator.Member
+	for _, role := range []identifier.Role{identifier.Prefill, identifier.Decode} {
+		members := sortedByPlace(pool, role)
+		from := len(members) * int(index) / count
+		to := len(members) * (int(index) + 1) / count
+		list = append(list, members[from:to]...)
+	}
+	return list
+}
+
+func sortedByPlace(pool tabulator.Pool, role identifier.Role) []tabulator.Member {
+	var members []tabulator.Member
+	for _, member := range pool.Members {
+		if member.Role == role {
+			members = append(members, member)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool {
+		if members[i].DataCentre != members[j].DataCentre {
+			return members[i].DataCentre < members[j].DataCentre
+		}
+		return members[i].Name < members[j].Name
+	})
+	return members
+}
+
+// route picks the shard of a demand: spread by request over the shards that
+// have decode engines in the entry node's data centre, or over all. A later
+// attempt of a request goes to the same shard wherever it enters, as long as
+// its data centre is the same; otherwise the old grant lapses.
+func (d *Dispatcher) route(demand *placer.Demand) (shardID, bool) {
+	snapshot := d.options.Snapshot()
+	if snapshot == nil {
+		return shardID{}, false
+	}
+	pool, ok := snapshot.Pool(demand.Pool)
+	if !ok || pool.Kind != tabulator.Models {
+		return shardID{}, false
+	}
+	count := shardCount(len(pool.Members), d.options.ShardEngines)
+	if count == 1 {
+		return shardID{pool: pool.Name}, true
+	}
+	near := nearShards(pool, demand.DataCentre, d.options.ShardEngines, count)
+	hash := xxhash.Sum64String(string(demand.Request))
+	return shardID{pool: pool.Name, index: near[hash%uint64(len(near))]}, true
+}
+
+func nearShards(pool tabulator.Pool, dataCentre identifier.DataCentre, perShard, count int) []uint32 {
+	var near, all []uint32
+	for index := range uint32(count) {
+		all = append(all, index)
+		for _, member := range shardMembers(pool, index, perShard) {
+			if member.DataCentre == dataCentre && member.Role == identifier.Decode {
+				near = append(near, index)
+				break
+			}
+		}
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
+}
+
+// engines describes the members of a shard to its placer.
+func engines(members []tabulator.Member) []placer.Engine {
+	list := make([]placer.Engine, 0, len(members))
+	for _, member := range members {
+		list = append(list, placer.Engine{
+			Member:      member.Name,
+			Role:        member.Role,
+			DataCentre:  member.DataCentre,
+			Pieces:      member.Pieces,
+			PrefillRate: member.PrefillRate,
+			LinkRate:    member.LinkRate,
+			Leaving:     member.Leaving,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/dispatcher/wire.go
@@ -0,0 +1,133 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/dispatcher/dispatcherrpc"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/placer"
+)
+
+func encodeDemand(d *placer.Demand, wait time.Duration) *dispatcherrpc.Demand {
+	message := &dispatcherrpc.Demand{
+		Request:            string(d.Request),
+		Attempt:            d.Attempt,
+		Route:              string(d.Route),
+		Rank:               uint32(d.Rank),
+		Account:            string(d.Account),
+		DataCentre:         string(d.DataCentre),
+		PromptTokens:       int64(d.Prompt),
+		LimitTokens:        int64(d.Limit),
+		WaitNanoseconds:    int64(wait),
+		BetweenNanoseconds: int64(d.Between),
+		Prefixes:           d.Prefixes,
+	}
+	for _, member := range d.Avoid {
+		message.Avoid = append(message.Avoid, string(member))
+	}
+	return message
+}
+
+// decodeDemand reads a demand; false when its rank is unknown.
+func decodeDemand(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Demand) (placer.Demand, bool) {
+	d := placer.Demand{
+		Request:    identifier.Request(message.GetRequest()),
+		Attempt:    message.GetAttempt(),
+		Pool:       pool,
+		Route:      identifier.Route(message.GetRoute()),
+		Rank:       identifier.Rank(message.GetRank()),
+		Account:    identifier.Account(message.GetAccount()),
+		Node:       node,
+		DataCentre: identifier.DataCentre(message.GetDataCentre()),
+		Prompt:     identifier.Tokens(message.GetPromptTokens()),
+		Limit:      identifier.Tokens(message.GetLimitTokens()),
+		Wait:       time.Duration(message.GetWaitNanoseconds()),
+		Between:    time.Duration(message.GetBetweenNanoseconds()),
+		Prefixes:   message.GetPrefixes(),
+	}
+	for _, member := range message.GetAvoid() {
+		d.Avoid = append(d.Avoid, identifier.Member(member))
+	}
+	return d, int(message.GetRank()) < len(identifier.Ranks)
+}
+
+func encodeRenewal(h *heldGrant, withDemand bool) *dispatcherrpc.Renewal {
+	message := &dispatcherrpc.Renewal{
+		Grant:        string(h.Grant),
+		Prefill:      string(h.Prefill),
+		Decode:       string(h.Decode),
+		Pieces:       int64(h.Pieces),
+		OutputTokens: int64(h.Output),
+		Decoding:     h.Decoding,
+	}
+	if withDemand {
+		message.Demand = encodeDemand(&h.Demand, h.Demand.Wait)
+	}
+	return message
+}
+
+func decodeRenewal(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Renewal) (placer.Held, bool) {
+	demand, ok := decodeDemand(pool, node, message.GetDemand())
+	return placer.Held{
+		Grant:    identifier.Grant(message.GetGrant()),
+		Demand:   demand,
+		Prefill:  identifier.Member(message.GetPrefill()),
+		Decode:   identifier.Member(message.GetDecode()),
+		Pieces:   identifier.Pieces(message.GetPieces()),
+		Output:   identifier.Tokens(message.GetOutputTokens()),
+		Decoding: message.GetDecoding(),
+	}, ok
+}
+
+func encodeRelease(r *released) *dispatcherrpc.Release {
+	return &dispatcherrpc.Release{
+		Grant:        string(r.grant),
+		OutputTokens: int64(r.result.Output),
+		Prefilled:    r.result.Prefilled,
+		Decoded:      r.result.Decoded,
+		Failed:       string(r.result.Failed),
+	}
+}
+
+func decodeRelease(message *dispatcherrpc.Release) (identifier.Grant, placer.Result) {
+	return identifier.Grant(message.GetGrant()), placer.Result{
+		Output:    identifier.Tokens(message.GetOutputTokens()),
+		Prefilled: message.GetPrefilled(),
+		Decoded:   message.GetDecoded(),
+		Failed:    identifier.Member(message.GetFailed()),
+	}
+}
+
+func encodeDecision(d *placer.Decision) *dispatcherrpc.Decision {
+	message := &dispatcherrpc.Decision{Request: string(d.Request), Attempt: d.Attempt}
+	if placed := d.Outcome.Placement; placed != nil {
+		message.Grant = string(placed.Grant)
+		message.Prefill = string(placed.Prefill)
+		message.Decode = string(placed.Decode)
+		message.Pieces = int64(placed.Pieces)
+		message.LeaseNanoseconds = int64(placed.Lease)
+		return message
+	}
+	message.Reason = string(d.Outcome.Refusal.Reason)
+	message.RetryAfterNanoseconds = int64(d.Outcome.Refusal.RetryAfter)
+	return message
+}
+
+func decodeDecision(message *dispatcherrpc.Decision) placer.Decision {
+	decision := placer.Decision{
+		Request: identifier.Request(message.GetRequest()),
+		Attempt: message.GetAttempt(),
+	}
+	if message.GetReason() != "" {
+		decision.Outcome = refusal(placer.Reason(message.GetReason()), time.Duration(message.GetRetryAfterNanoseconds()))
+		return decision
+	}
+	decision.Outcome.Placement = &placer.Placement{
+		Grant:   identifier.Grant(message.GetGrant()),
+		Prefill: identifier.Member(message.GetPrefill()),
+		Decode:  identifier.Member(message.GetDecode()),
+		Pieces:  identifier.Pieces(message.GetPieces()),
+		Lease:   time.Duration(message.GetLeaseNanoseconds()),
+	}
+	return decision
+}
--- /dev/null
+++ b/placer/engine.go
@@ -0,0 +1,134 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Engine describes one engine of a shard as the pools table has it.
+type Engine struct {
+	Member     identifier.Member
+	Role       identifier.Role
+	DataCentre identifier.DataCentre
+	// Pieces is the engine's memory, positive.
+	Pieces identifier.Pieces
+	// PrefillRate is in tokens a second; zero takes DefaultPrefillRate.
+	PrefillRate identifier.Tokens
+	// LinkRate is in bytes a second; zero takes DefaultLinkRate.
+	LinkRate identifier.BytesPerSecond
+	// Leaving engines keep what they run and get nothing new.
+	Leaving bool
+}
+
+// The rates of engines whose rows of the pools table name none.
+const (
+	DefaultPrefillRate identifier.Tokens         = 20_000
+	DefaultLinkRate    identifier.BytesPerSecond = 4_000_000_000
+)
+
+// Load is an engine's own report. It is old by the time it is read.
+type Load struct {
+	// At is when the engine was asked.
+	At time.Time
+	// Free is the memory that no request holds.
+	Free identifier.Pieces
+	// Running counts the requests in the batch.
+	Running int
+	// Step is the time between two tokens of a stream; zero is unknown.
+	Step time.Duration
+	// PrefillRate is the measured rate in tokens a second; zero is unknown.
+	PrefillRate identifier.Tokens
+	// Backlog is the prompt tokens that wait for their prefill.
+	Backlog identifier.Tokens
+	// Cached and Evicted are prefix hashes from cache events, late and with gaps.
+	Cached  []uint64
+	Evicted []uint64
+	// Holding lists the requests that hold memory; nil when the engine does not tell.
+	Holding []Holding
+}
+
+// Holding is one request that an engine says it holds memory for.
+type Holding struct {
+	Request identifier.Request
+	Attempt uint32
+	Pieces  identifier.Pieces
+}
+
+// engine is an engine with what the placer knows about it.
+type engine struct {
+	Engine
+	// used is the sum of the pieces of all grants whose decode engine this is.
+	used identifier.Pieces
+	// running counts those grants.
+	running int
+	// foreign is memory that the last report showed held by no grant known here.
+	foreign identifier.Pieces
+	load    Load
+	// granted is the pieces granted since the last report was measured.
+	granted identifier.Pieces
+	// prefillUntil is when the prefills granted so far are expected to end,
+	// linkUntil when the transfers are.
+	prefillUntil time.Time
+	linkUntil    time.Time
+	// avoidUntil keeps an engine that failed out of new grants for a while.
+	avoidUntil time.Time
+	// removed engines left the table but still carry grants.
+	removed bool
+}
+
+// takes tells whether the engine may get new work at all.
+func (e *engine) takes(now time.Time, d *Demand) bool {
+	if e.Leaving || e.removed || now.Before(e.avoidUntil) {
+		return false
+	}
+	for _, avoided := range d.Avoid {
+		if avoided == e.Member {
+			return false
+		}
+	}
+	return true
+}
+
+// free is the memory that may be granted now. While the placer rebuilds its
+// state only what the engine itself reported as free may be.
+func (e *engine) free(rebuilding bool) identifier.Pieces {
+	free := e.Pieces - e.used - e.foreign
+	if !rebuilding {
+		return free
+	}
+	if e.load.At.IsZero() {
+		return 0
+	}
+	return min(free, e.load.Free-e.granted)
+}
+
+// prefillRate is the rate to plan with: the measured one if it is the lower.
+func (e *engine) prefillRate() identifier.Tokens {
+	rate := e.PrefillRate
+	if rate <= 0 {
+		rate = DefaultPrefillRate
+	}
+	if e.load.PrefillRate > 0 && e.load.PrefillRate < rate {
+		rate = e.load.PrefillRate
+	}
+	return rate
+}
+
+func (e *engine) linkRate() identifier.BytesPerSecond {
+	if e.LinkRate <= 0 {
+		return DefaultLinkRate
+	}
+	return e.LinkRate
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func seconds(amount, rate float64) time.Duration {
+	return time.Duration(amount / rate * float64(time.Second))
+}
--- /dev/null
+++ b/placer/events.go
@@ -0,0 +1,323 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Submit takes in a demand. It is idempotent: the same attempt sent again gets
+// the answer it got before.
+func (p *Placer) Submit(now time.Time, d Demand) {
+	if g := p.latest[d.Request]; g != nil {
+		p.submitAgain(now, d, g)
+		return
+	}
+	if w := p.queued[d.Request]; w != nil {
+		if d.Attempt <= w.demand.Attempt {
+			return
+		}
+		p.dequeue(w)
+		p.refuse(&w.demand, Superseded, 0)
+	}
+	p.enqueue(now, d)
+}
+
+// submitAgain handles a demand whose request holds a grant already.
+func (p *Placer) submitAgain(now time.Time, d Demand, g *grant) {
+	switch {
+	case d.Attempt < g.Demand.Attempt:
+		p.refuse(&d, Superseded, 0)
+	case d.Attempt == g.Demand.Attempt && g.phase == held:
+		p.renew(now, g)
+		p.answer(&d, Outcome{Placement: p.placement(g)})
+	case d.Attempt == g.Demand.Attempt:
+		p.refuse(&d, Gone, 0)
+	case g.phase == cancelling:
+		p.enqueue(now, d)
+	default:
+		p.takeOver(now, d, g)
+	}
+}
+
+// takeOver gives the memory of an earlier attempt to a later one, on the same
+// engines, so that the stream there can go on.
+func (p *Placer) takeOver(now time.Time, d Demand, old *grant) {
+	if old.decode.Leaving || old.decode.removed || avoids(&d, old.decode) {
+		p.cancel(now, old)
+		p.enqueue(now, d)
+		return
+	}
+	p.free(now, old)
+	successor := *old
+	successor.Grant = p.nextGrant()
+	successor.Demand = d
+	successor.phase = held
+	successor.expires = now.Add(p.settings.Lease)
+	p.hold(&successor)
+	p.answer(&d, Outcome{Placement: p.placement(&successor)})
+}
+
+func avoids(d *Demand, e *engine) bool {
+	for _, avoided := range d.Avoid {
+		if avoided == e.Member {
+			return true
+		}
+	}
+	return false
+}
+
+// enqueue puts a demand into the queue of its rank or refuses it.
+func (p *Placer) enqueue(now time.Time, d Demand) {
+	need := p.pieces(&d)
+	if reason, ok := p.admissible(&d, need); !ok {
+		p.refuse(&d, reason, p.settings.Lease)
+		return
+	}
+	w := &waiting{demand: d, deadline: now.Add(d.Wait)}
+	w.within = p.withinShare(&d, need)
+	queue := &p.queues[d.Rank]
+	if queue.length() >= p.settings.QueueLimit {
+		victim := queue.sacrifice()
+		if victim == nil || !w.within {
+			p.refuse(&d, QueueFull, p.retryAfter(now, d.Rank))
+			return
+		}
+		p.dequeue(victim)
+		p.refuse(&victim.demand, QueueFull, p.retryAfter(now, d.Rank))
+	}
+	w.pieces = need
+	queue.push(w)
+	queue.pieces += need
+	p.queued[d.Request] = w
+	p.account(&d, 0, need)
+}
+
+// admissible tells whether any engine could ever take the demand.
+func (p *Placer) admissible(d *Demand, need identifier.Pieces) (Reason, bool) {
+	prefill, fits, decode := false, false, false
+	for _, e := range p.prefills {
+		prefill = prefill || (!e.Leaving && !e.removed && !avoids(d, e))
+	}
+	for _, e := range p.decodes {
+		if e.Leaving || e.removed || avoids(d, e) {
+			continue
+		}
+		decode = true
+		fits = fits || e.Pieces >= need
+	}
+	switch {
+	case !prefill || !decode:
+		return NoMember, false
+	case !fits:
+		return TooLarge, false
+	default:
+		return "", true
+	}
+}
+
+// withinShare tells whether an account, with one more demand, stays within its
+// fair part of the memory that its rank's active accounts share.
+func (p *Placer) withinShare(d *Demand, need identifier.Pieces) bool {
+	var use accountUse
+	if known := p.accounts[accountKey{d.Account, d.Rank}]; known != nil {
+		use = *known
+	}
+	share := p.capacity / identifier.Pieces(max(1, len(p.accounts)))
+	return use.held+use.queued+need <= max(share, need)
+}
+
+// dequeue takes a waiting demand out of its queue.
+func (p *Placer) dequeue(w *waiting) {
+	p.queues[w.demand.Rank].remove(w)
+	p.unqueue(w)
+}
+
+// unqueue forgets a demand that has been taken out of its heap.
+func (p *Placer) unqueue(w *waiting) {
+	p.queues[w.demand.Rank].pieces -= w.pieces
+	delete(p.queued, w.demand.Request)
+	p.account(&w.demand, 0, -w.pieces)
+}
+
+// Withdraw forgets a demand whose caller is gone, or cancels its grant.
+func (p *Placer) Withdraw(now time.Time, request identifier.Request, attempt uint32) {
+	if w := p.queued[request]; w != nil && w.demand.Attempt <= attempt {
+		p.dequeue(w)
+	}
+	if g := p.latest[request]; g != nil && g.Demand.Attempt <= attempt {
+		p.cancel(now, g)
+	}
+}
+
+// Release frees the memory of a grant that its node has given back.
+func (p *Placer) Release(now time.Time, id identifier.Grant, result Result) {
+	g := p.grants[id]
+	if g == nil {
+		return
+	}
+	if result.Failed != "" {
+		p.fail(now, result.Failed)
+	} else if result.Decoded && result.Output > 0 {
+		p.outputs(&g.Demand).add(result.Output, p.settings.OutputQuantile)
+	}
+	p.free(now, g)
+}
+
+// fail keeps an engine that failed a request out of new grants for a while.
+func (p *Placer) fail(now time.Time, member identifier.Member) {
+	if e := p.engines[member]; e != nil {
+		e.avoidUntil = now.Add(p.settings.FailureHold)
+	}
+}
+
+// Renewal says what became of a renewal.
+type Renewal uint8
+
+const (
+	// Renewed means that the grant stands.
+	Renewed Renewal = iota
+	// Unknown means that the grant is not known here: renew it with its demand.
+	Unknown
+	// Revoked means that the grant is gone for good.
+	Revoked
+)
+
+// Renew extends the lease of a grant. One that is not known here is adopted if
+// the renewal carries its demand: an earlier owner or the fall-back gave it.
+func (p *Placer) Renew(now time.Time, h Held, withDemand bool) Renewal {
+	if g := p.grants[h.Grant]; g != nil {
+		p.progress(g, h)
+		if g.phase == cancelling {
+			return Revoked
+		}
+		p.renew(now, g)
+		return Renewed
+	}
+	if !withDemand {
+		return Unknown
+	}
+	if known := p.latest[h.Demand.Request]; known != nil && known.Demand.Attempt >= h.Demand.Attempt {
+		return Revoked
+	}
+	return p.adopt(now, h)
+}
+
+func (p *Placer) renew(now time.Time, g *grant) {
+	g.phase = held
+	g.expires = now.Add(p.settings.Lease)
+}
+
+// progress takes over how far a stream has come.
+func (p *Placer) progress(g *grant, h Held) {
+	g.Output = h.Output
+	g.Decoding = h.Decoding
+	if needed := p.piecesFor(g.Demand.Prompt + h.Output); needed > g.Pieces {
+		p.resize(g, needed)
+	}
+}
+
+// adopt books a grant that was given elsewhere. One on an engine of another
+// shard stands without being booked.
+func (p *Placer) adopt(now time.Time, h Held) Renewal {
+	decode, prefill := p.engines[h.Decode], p.engines[h.Prefill]
+	if decode == nil || decode.Role != identifier.Decode || h.Pieces <= 0 {
+		return Renewed
+	}
+	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now}
+	p.renew(now, g)
+	p.hold(g)
+	return Renewed
+}
+
+// Unreachable keeps an engine that does not report out of new grants.
+func (p *Placer) Unreachable(now time.Time, member identifier.Member) {
+	p.fail(now, member)
+}
+
+// Gone lapses all grants of a dead node and forgets its waiting demands.
+func (p *Placer) Gone(now time.Time, node identifier.Node) {
+	for _, g := range p.grants {
+		if g.Demand.Node == node && g.phase == held {
+			p.orphan(now, g)
+		}
+	}
+	for _, w := range p.queued {
+		if w.demand.Node == node {
+			p.dequeue(w)
+		}
+	}
+}
+
+func (p *Placer) orphan(now time.Time, g *grant) {
+	g.phase = orphaned
+	g.expires = now.Add(p.settings.OrphanGrace)
+	p.expireBy(g.expires)
+}
+
+// cancel orders the engines to drop a request and keeps its memory booked
+// until they confirm.
+func (p *Placer) cancel(now time.Time, g *grant) {
+	g.phase = cancelling
+	g.expires = now.Add(p.settings.CancelRetry)
+	p.expireBy(g.expires)
+	order := Order{Grant: g.Grant, Request: g.Demand.Request, Attempt: g.Demand.Attempt}
+	if !g.Decoding && g.prefill != nil {
+		order.Members = append(order.Members, g.prefill.Member)
+	}
+	order.Members = append(order.Members, g.decode.Member)
+	p.orders = append(p.orders, order)
+}
+
+// Confirm frees the memory of a cancelled grant: every engine of its order has
+// said that it no longer holds the request.
+func (p *Placer) Confirm(now time.Time, id identifier.Grant) {
+	if g := p.grants[id]; g != nil && g.phase == cancelling {
+		p.free(now, g)
+	}
+}
+
+// expire moves lapsed grants on: from held to orphaned, from orphaned to
+// cancelling, and orders a cancel that was not confirmed once more.
+func (p *Placer) expire(now time.Time) {
+	if p.lapse.IsZero() || now.Before(p.lapse) {
+		return
+	}
+	p.lapse = time.Time{}
+	for _, g := range p.grants {
+		switch {
+		case now.Before(g.expires):
+			p.expireBy(g.expires)
+		case g.phase == held:
+			p.orphan(now, g)
+		default:
+			p.cancel(now, g)
+		}
+	}
+}
+
+// Report takes in an engine's own report.
+func (p *Placer) Report(now time.Time, member identifier.Member, load Load) {
+	e := p.engines[member]
+	if e == nil {
+		return
+	}
+	e.load = load
+	e.granted = 0
+	for _, g := range p.grants {
+		if g.decode == e && g.granted.After(load.At) {
+			e.granted += g.Pieces
+		}
+	}
+	p.countForeign(now, e)
+}
+
+// countForeign finds memory held by requests that have no grant here.
+func (p *Placer) countForeign(_ time.Time, e *engine) {
+	e.foreign = 0
+	for _, h := range e.load.Holding {
+		if g := p.latest[h.Request]; g == nil || g.decode != e {
+			e.foreign += h.Pieces
+		}
+	}
+}
--- /dev/null
+++ b/placer/place.go
@@ -0,0 +1,237 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Advance lapses leases and places as many waiting demands as fit. Call it
+// after each batch of events and at least every lease.
+func (p *Placer) Advance(now time.Time) {
+	p.expire(now)
+	p.place(now)
+}
+
+// verdict says what became of one try to place a demand.
+type verdict uint8
+
+const (
+	// placed: the demand got its grant.
+	placed verdict = iota
+	// refused: the demand is answered otherwise.
+	refused
+	// noMemory: no decode engine has the memory now.
+	noMemory
+	// noPrefill: every prefill engine has enough work ahead.
+	noPrefill
+)
+
+// place tries the waiting demands in order of rank. Urgent work goes first,
+// but for lesser work below its minimum share. Once urgent work waits for
+// memory, lesser work beyond its share gets none.
+func (p *Placer) place(now time.Time) {
+	if !p.drainQueue(now, identifier.Lesser, p.lesserBelowShare) {
+		return
+	}
+	if !p.drainQueue(now, identifier.Urgent, always) {
+		return
+	}
+	p.drainQueue(now, identifier.Lesser, always)
+}
+
+func always() bool { return true }
+
+// lesserBelowShare tells whether lesser work holds less than its minimum share.
+func (p *Placer) lesserBelowShare() bool {
+	return float64(p.used[identifier.Lesser]) < p.settings.LesserShare*float64(p.capacity)
+}
+
+// drainQueue places demands of one rank while more is true. It reports false
+// when the rank still waits for an engine.
+func (p *Placer) drainQueue(now time.Time, rank identifier.Rank, more func() bool) bool {
+	queue := &p.queues[rank]
+	blocked := p.blocked[:0]
+	for len(blocked) <= p.settings.Lookahead && more() {
+		w := queue.pop()
+		if w == nil {
+			break
+		}
+		result := p.try(now, w)
+		if result == placed || result == refused {
+			p.unqueue(w)
+			continue
+		}
+		blocked = append(blocked, w)
+		if result == noPrefill {
+			break
+		}
+	}
+	for _, w := range blocked {
+		queue.push(w)
+	}
+	clear(blocked)
+	p.blocked = blocked[:0]
+	return len(blocked) == 0
+}
+
+// try grants one demand its engines if they have room for it.
+func (p *Placer) try(now time.Time, w *waiting) verdict {
+	d := &w.demand
+	start := p.bestPrefill(now, d)
+	if start.engine == nil {
+		if now.After(w.deadline) {
+			p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
+			return refused
+		}
+		return noPrefill
+	}
+	if start.ready.After(w.deadline) {
+		p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
+		return refused
+	}
+	if start.begin.Sub(now) > p.settings.PrefillAhead {
+		return noPrefill
+	}
+	decode := p.bestDecode(now, d, w.pieces, start)
+	if decode == nil {
+		return noMemory
+	}
+	p.grant(now, w, start, decode)
+	return placed
+}
+
+// run is a prefill as it is planned on one engine.
+type run struct {
+	engine *engine
+	// begin and end are when the prefill runs; ready is when its KV cache has
+	// been transferred.
+	begin time.Time
+	end   time.Time
+	ready time.Time
+}
+
+// bestPrefill returns the run whose KV cache is ready first.
+func (p *Placer) bestPrefill(now time.Time, d *Demand) run {
+	var best run
+	for _, e := range p.prefills {
+		if !e.takes(now, d) {
+			continue
+		}
+		planned := p.plan(now, d, e)
+		if best.engine == nil || planned.ready.Before(best.ready) {
+			best = planned
+		}
+	}
+	return best
+}
+
+// plan tells when an engine would have computed and sent a prompt.
+func (p *Placer) plan(now time.Time, d *Demand, e *engine) run {
+	begin := later(now, e.prefillUntil)
+	end := begin.Add(seconds(float64(d.Prompt), float64(e.prefillRate())))
+	ready := later(end, e.linkUntil).Add(p.transfer(d, e))
+	return run{engine: e, begin: begin, end: end, ready: ready}
+}
+
+// transfer is the time that a prompt's KV cache takes over an engine's link.
+func (p *Placer) transfer(d *Demand, e *engine) time.Duration {
+	return seconds(float64(d.Prompt)*float64(p.settings.KVBytesPerToken), float64(e.linkRate()))
+}
+
+// bestDecode returns the engine that has the memory and the most room, nearest
+// to the prefill engine among equals.
+func (p *Placer) bestDecode(now time.Time, d *Demand, need identifier.Pieces, start run) *engine {
+	rebuilding := p.rebuilding(now)
+	var best *engine
+	bestScore := 0.0
+	for _, e := range p.decodes {
+		free := e.free(rebuilding)
+		if free < need || !e.takes(now, d) {
+			continue
+		}
+		score := float64(free) / float64(e.Pieces)
+		if e.DataCentre == start.engine.DataCentre {
+			score += sameDataCentreBonus
+		}
+		if d.Between > 0 && e.load.Step > d.Between {
+			score -= tooSlowMalus
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+const (
+	// sameDataCentreBonus is the share of free memory that a decode engine in
+	// the prefill engine's data centre is preferred by.
+	sameDataCentreBonus = 0.1
+	// tooSlowMalus puts engines that miss the target between tokens last.
+	tooSlowMalus = 10
+)
+
+// grant books a placed demand.
+func (p *Placer) grant(now time.Time, w *waiting, start run, decode *engine) {
+	start.engine.prefillUntil = start.end
+	start.engine.linkUntil = start.ready
+	decode.granted += w.pieces
+	g := &grant{
+		Held: Held{
+			Grant:   p.nextGrant(),
+			Demand:  w.demand,
+			Prefill: start.engine.Member,
+			Decode:  decode.Member,
+			Pieces:  w.pieces,
+		},
+		prefill: start.engine,
+		decode:  decode,
+		granted: now,
+		expires: now.Add(p.settings.Lease),
+	}
+	p.hold(g)
+	p.answer(&w.demand, Outcome{Placement: p.placement(g)})
+}
+
+func (p *Placer) placement(g *grant) *Placement {
+	return &Placement{
+		Grant:   g.Grant,
+		Prefill: g.Prefill,
+		Decode:  g.Decode,
+		Pieces:  g.Pieces,
+		Lease:   p.settings.Lease,
+	}
+}
+
+func (p *Placer) answer(d *Demand, outcome Outcome) {
+	p.decisions = append(p.decisions, Decision{
+		Request: d.Request,
+		Attempt: d.Attempt,
+		Node:    d.Node,
+		Outcome: outcome,
+	})
+}
+
+func (p *Placer) refuse(d *Demand, reason Reason, retryAfter time.Duration) {
+	p.answer(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter}})
+}
+
+// The bounds of the time after which refused callers are asked to return.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// retryAfter is how long the demands queued at a rank and above take to drain.
+func (p *Placer) retryAfter(now time.Time, rank identifier.Rank) time.Duration {
+	var ahead identifier.Pieces
+	for _, r := range identifier.Ranks[:rank+1] {
+		ahead += p.queues[r].pieces
+	}
+	rate := p.drain.rate(now)
+	if rate <= 0 {
+		return minRetryAfter
+	}
+	return min(max(seconds(float64(ahead), rate), minRetryAfter), maxRetryAfter)
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,6 +15,8 @@
 	// Attempt fences: a larger one of the same request replaces a smaller one.
 	Attempt uint32
 	Pool    identifier.Pool
+	// Route groups requests whose outputs are alike in length; it may be empty.
+	Route   identifier.Route
 	Rank    identifier.Rank
 	Account identifier.Account
 	// Node asked and renews the grant; it stands in DataCentre.
@@ -39,6 +41,8 @@
 	Grant   identifier.Grant
 	Prefill identifier.Member
 	Decode  identifier.Member
+	// Pieces is the decode memory that the grant reserves.
+	Pieces identifier.Pieces
 	// Lease is how long the grant stands unless it is renewed.
 	Lease time.Duration
 }
