--- a/emulator/connection.go
+++ b/emulator/connection.go
@@ -58,30 +58,46 @@
 	return len(data), nil
 }
 
-// take reads what has arrived. Otherwise it returns what to wait for: a change,
-// and a time until the next segment, or zero.
-func (h *half) take(into []byte) (count int, err error, wake chan struct{}, until time.Duration) {
+// taken is what a read found: bytes, a failure, or what to wait for.
+type taken struct {
+	count   int
+	failure error
+	// wake, if set, is closed at the next change; until is the time to the next
+	// segment, or zero.
+	wake  <-chan struct{}
+	until time.Duration
+}
+
+// take reads what has arrived.
+func (h *half) take(into []byte) taken {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	switch {
 	case h.failure != nil:
-		return 0, h.failure, nil, 0
+		return taken{failure: h.failure}
 	case h.held:
-		return 0, nil, h.wake, 0
+		return taken{wake: h.wake}
 	case len(h.segments) > 0:
-		if until := time.Until(h.segments[0].at); until > 0 {
-			return 0, nil, h.wake, until
-		}
-		count = copy(into, h.segments[0].data)
-		if h.segments[0].data = h.segments[0].data[count:]; len(h.segments[0].data) == 0 {
-			h.segments = h.segments[1:]
-		}
-		return count, nil, nil, 0
+		return h.takeSegment(into)
 	case h.closed:
-		return 0, io.EOF, nil, 0
+		return taken{failure: io.EOF}
 	default:
-		return 0, nil, h.wake, 0
+		return taken{wake: h.wake}
+	}
+}
+
+// takeSegment reads from the first segment once it has arrived.
+func (h *half) takeSegment(into []byte) taken {
+	first := &h.segments[0]
+	if until := time.Until(first.at); until > 0 {
+		return taken{wake: h.wake, until: until}
+	}
+	count := copy(into, first.data)
+	first.data = first.data[count:]
+	if len(first.data) == 0 {
+		h.segments = h.segments[1:]
 	}
+	return taken{count: count}
 }
 
 // memoryConn is one end of an in-memory connection.
@@ -110,14 +126,15 @@
 		if !deadline.IsZero() && time.Until(deadline) <= 0 {
 			return 0, os.ErrDeadlineExceeded
 		}
-		count, err, wake, until := c.in.take(into)
-		if wake == nil {
-			return count, err
+		found := c.in.take(into)
+		if found.wake == nil {
+			return found.count, found.failure
 		}
+		until := found.until
 		if !deadline.IsZero() && (until == 0 || time.Until(deadline) < until) {
 			until = time.Until(deadline)
 		}
-		await(wake, until)
+		await(found.wake, until)
 	}
 }
 
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -20,10 +20,14 @@
 	listeners map[string]*memoryListener
 	// links holds every connection, open or closed by one end.
 	links map[*link]struct{}
+	// silenced holds the connections that deliver nothing any more.
+	silenced []*link
 	// cuts holds the directed pairs of hosts whose traffic is held back.
 	cuts map[direction]bool
-	down map[string]bool
-	slow map[string]time.Duration
+	// generations counts the kills of each host: what an earlier process of a
+	// host listens at or dials stays dead.
+	generations map[string]int
+	slow        map[string]time.Duration
 }
 
 type direction struct {
@@ -44,23 +48,43 @@
 		listeners: map[string]*memoryListener{},
 		links:     map[*link]struct{}{},
 		cuts:      map[direction]bool{},
-		down:      map[string]bool{},
-		slow:      map[string]time.Duration{},
+
+		generations: map[string]int{},
+		slow:        map[string]time.Duration{},
 	}
 }
 
-// Host returns the network as one host sees it.
+// Host returns the network as one process on a host sees it, until Kill.
 func (n *Network) Host(host string) connector.Network {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	generation := n.generations[host]
 	return connector.Network{
 		Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			if !n.lives(host, generation) {
+				return nil, refusedDial()
+			}
 			return n.dial(ctx, host, address)
 		},
 		Listen: func(_ context.Context, address string) (net.Listener, error) {
+			if !n.lives(host, generation) {
+				return nil, net.ErrClosed
+			}
 			return n.listen(address)
 		},
 	}
 }
 
+func (n *Network) lives(host string, generation int) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.generations[host] == generation
+}
+
+func refusedDial() error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+}
+
 func (n *Network) listen(address string) (net.Listener, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -80,7 +104,6 @@
 	}
 	n.mutex.Lock()
 	listener, listening := n.listeners[address]
-	refused := !listening || n.down[to] || n.down[from]
 	cut := n.cuts[direction{from, to}] || n.cuts[direction{to, from}]
 	round := 2 * n.delay(from, to)
 	n.mutex.Unlock()
@@ -88,8 +111,8 @@
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 	}
-	if !pause(ctx, round) || refused {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	if !pause(ctx, round) || !listening {
+		return nil, refusedDial()
 	}
 	opened := &link{client: from, server: to, toServer: newHalf(), toClient: newHalf()}
 	near := &memoryConn{network: n, link: opened, in: opened.toClient, out: opened.toServer, local: from, remote: address, span: n.spanOf(from, to)}
@@ -104,7 +127,7 @@
 	case <-ctx.Done():
 	}
 	n.drop(opened)
-	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	return nil, refusedDial()
 }
 
 // delay is the one-way time between two hosts; the mutex is held.
@@ -133,26 +156,49 @@
 	n.slow[host] = delay
 }
 
-// Kill resets all connections of a host and refuses new ones, as when its
-// process ends. Its own dials fail too.
+// Kill resets all connections of a host and ends its listeners, as when its
+// process ends. A new process of the host starts from a new call of Host.
 func (n *Network) Kill(host string) {
 	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.down[host] = true
+	n.generations[host]++
 	for open := range n.links {
 		if open.client == host || open.server == host {
-			open.toClient.fail(syscall.ECONNRESET)
-			open.toServer.fail(syscall.ECONNRESET)
+			open.fail()
 			delete(n.links, open)
 		}
 	}
+	var ended []*memoryListener
+	for address, listener := range n.listeners {
+		if hostOf(address) == host {
+			ended = append(ended, listener)
+		}
+	}
+	n.mutex.Unlock()
+	for _, listener := range ended {
+		_ = listener.Close()
+	}
 }
 
-// Revive lets a killed host listen and dial again.
-func (n *Network) Revive(host string) {
+// Close resets every connection, so that a test can end.
+func (n *Network) Close() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	delete(n.down, host)
+	for open := range n.links {
+		open.fail()
+	}
+	for _, open := range n.silenced {
+		open.fail()
+	}
+}
+
+func (l *link) fail() {
+	l.toClient.fail(syscall.ECONNRESET)
+	l.toServer.fail(syscall.ECONNRESET)
+}
+
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
 }
 
 // CutOneWay holds back what one host sends to another until Heal. Dials between
@@ -196,6 +242,7 @@
 			open.toServer.hold(true)
 			open.toClient.hold(true)
 			delete(n.links, open)
+			n.silenced = append(n.silenced, open)
 		}
 	}
 }
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -203,8 +203,8 @@
 func (i *Invoker) open(ctx context.Context, attempt identifier.Attempt, after identifier.Tokens, call func(context.Context) (*http.Response, error)) (*Stream, error) {
 	ctx, stop := context.WithCancelCause(ctx)
 	late := time.AfterFunc(i.options.Import, func() { stop(errSilent) })
-	response, err := call(ctx)
-	if err != nil || !late.Stop() {
+	response, err := call(ctx) //nolint:bodyclose // The stream closes it.
+	if opened := late.Stop(); err != nil || !opened {
 		defer stop(nil)
 		if errors.Is(context.Cause(ctx), errSilent) {
 			return nil, Silent.New("stream of %s did not open", attempt)
--- a/invoker/service.go
+++ b/invoker/service.go
@@ -19,6 +19,8 @@
 	Body   []byte
 	// Key is the Idempotency-Key, empty on calls that may be repeated.
 	Key identifier.Key
+	// Fresh sends the call on a new connection, because a kept one may be dead.
+	Fresh bool
 }
 
 // Reply is the answer of a plain service.
@@ -33,7 +35,7 @@
 // connection breaks, and that would execute it twice.
 func (i *Invoker) Call(ctx context.Context, member tabulator.Member, call Call) (Reply, error) {
 	client := i.kept
-	if call.Key != "" {
+	if call.Key != "" || call.Fresh {
 		client = i.fresh
 	}
 	url := "http://" + string(member.Address) + call.Target
--- /dev/null
+++ b/prover/caller_test.go
@@ -0,0 +1,176 @@
+package prover
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/foxtailspool/foxtailspool/emulator"
+)
+
+// completion is a caller's model request.
+type completion struct {
+	id      string
+	account string
+	prompt  string
+	tokens  int
+	// after is how many tokens the caller has already.
+	after int
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	// tokens are those received, the first at offset first+1.
+	tokens []string
+	first  int
+	whole  bool
+	// outcome and reason are set on a refusal.
+	outcome, reason string
+	body            string
+	replayed        bool
+	err             error
+}
+
+func (a answer) text() string { return strings.Join(a.tokens, "") }
+
+type refusalBody struct {
+	Error struct {
+		Outcome string `json:"outcome"`
+		Reason  string `json:"reason"`
+	} `json:"error"`
+}
+
+// complete streams a model request through a node. onToken, if set, runs after
+// each token.
+func (f *fleet) complete(ctx context.Context, n *node, c completion, onToken func(offset int)) answer {
+	body, _ := json.Marshal(map[string]any{"model": "bitacoras", "prompt": c.prompt, "max_tokens": c.tokens, "stream": true})
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(n)+"/v1/completions", strings.NewReader(string(body)))
+	if c.id != "" {
+		request.Header.Set("X-Request-Id", c.id)
+	}
+	if c.after > 0 {
+		request.Header.Set("Last-Event-ID", strconv.Itoa(c.after))
+	}
+	if c.account != "" {
+		request.Header.Set("X-Account", c.account)
+	}
+	response, err := f.caller.Do(request)
+	if err != nil {
+		return answer{err: err, first: c.after}
+	}
+	defer func() { _ = response.Body.Close() }()
+	got := answer{status: response.StatusCode, first: c.after}
+	if response.StatusCode != http.StatusOK {
+		got.refuse(response.Body)
+		return got
+	}
+	got.read(response.Body, onToken)
+	return got
+}
+
+func (a *answer) refuse(body io.Reader) {
+	data, _ := io.ReadAll(body)
+	a.body = string(data)
+	var refusal refusalBody
+	_ = json.Unmarshal(data, &refusal)
+	a.outcome, a.reason = refusal.Error.Outcome, refusal.Error.Reason
+}
+
+// read reads server-sent events until the end of the stream.
+func (a *answer) read(body io.Reader, onToken func(offset int)) {
+	scanner := bufio.NewScanner(body)
+	event, offset := "", 0
+	for scanner.Scan() {
+		line := scanner.Text()
+		switch {
+		case strings.HasPrefix(line, "event: "):
+			event = strings.TrimPrefix(line, "event: ")
+		case strings.HasPrefix(line, "id: "):
+			offset, _ = strconv.Atoi(strings.TrimPrefix(line, "id: "))
+		case line == "data: [DONE]":
+			a.whole = true
+		case strings.HasPrefix(line, "data: ") && event == "error":
+			a.refuse(strings.NewReader(strings.TrimPrefix(line, "data: ")))
+		case strings.HasPrefix(line, "data: "):
+			a.add(offset, strings.TrimPrefix(line, "data: "))
+			if onToken != nil {
+				onToken(offset)
+			}
+		}
+	}
+	a.err = scanner.Err()
+}
+
+func (a *answer) add(offset int, data string) {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	_ = json.Unmarshal([]byte(data), &chunk)
+	if offset != a.first+len(a.tokens)+1 {
+		a.reason = "token " + strconv.Itoa(offset) + " out of order"
+		return
+	}
+	a.tokens = append(a.tokens, chunk.Choices[0].Text)
+}
+
+// expected is the answer that the stand-in engines give to a prompt.
+func expected(c completion) string {
+	return strings.Join(emulator.Generate(c.prompt, c.tokens), "")
+}
+
+// book sends a booking, which may not be repeated.
+func (f *fleet) book(ctx context.Context, n *node, key, body string, first bool) answer {
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(n)+"/bookings", strings.NewReader(body))
+	request.Header.Set("Idempotency-Key", key)
+	if first {
+		request.Header.Set("Idempotency-Key-First", "true")
+	}
+	return f.do(request)
+}
+
+// lookUp sends an idempotent look-up.
+func (f *fleet) lookUp(ctx context.Context, n *node) answer {
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address(n)+"/history/17", nil)
+	return f.do(request)
+}
+
+func (f *fleet) do(request *http.Request) answer {
+	response, err := f.caller.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	got := answer{status: response.StatusCode, replayed: response.Header.Get("Idempotent-Replayed") == "true"}
+	if response.StatusCode != http.StatusOK {
+		got.refuse(response.Body)
+		return got
+	}
+	data, err := io.ReadAll(response.Body)
+	got.body, got.err = string(data), err
+	return got
+}
+
+// executions sums how often the services executed a key.
+func (f *fleet) executions(key string) int {
+	count := 0
+	for _, service := range f.services {
+		count += service.Executions()[key]
+	}
+	return count
+}
+
+// held sums the pieces of engine memory in use.
+func (f *fleet) held() int {
+	held := 0
+	for _, engine := range f.engines {
+		held += engine.Counts().Held
+	}
+	return held
+}
--- /dev/null
+++ b/prover/fleet_test.go
@@ -0,0 +1,277 @@
+package prover
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/configurator"
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/emulator"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/server"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+const (
+	callerHost   = "10.9.0.1"
+	platformHost = "10.8.0.1"
+	// settle is long enough for every lease, suspicion and clean-up to pass.
+	settle = 45 * time.Second
+)
+
+// fleet is a small deployment on an in-memory network.
+type fleet struct {
+	t        *testing.T
+	network  *emulator.Network
+	platform *emulator.Platform
+	engines  map[string]*emulator.Engine
+	services map[string]*emulator.Service
+	nodes    map[string]*node
+	routes   tabulator.Routes
+	pools    tabulator.Pools
+	stops    []func()
+	caller   *http.Client
+}
+
+// node is one process of a node.
+type node struct {
+	host   string
+	name   string
+	server *server.Server
+	// stop tells the node to leave; ended is closed when it has.
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// shape says how large a fleet is.
+type shape struct {
+	nodes, prefills, decodes, services int
+}
+
+var smallShape = shape{nodes: 3, prefills: 2, decodes: 2, services: 1}
+
+// run runs a scenario on a fleet in virtual time.
+func run(t *testing.T, size shape, scenario func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, size)
+		defer f.close()
+		scenario(t, f)
+	})
+}
+
+func newFleet(t *testing.T, size shape) *fleet {
+	f := &fleet{
+		t:        t,
+		network:  emulator.NewNetwork(time.Millisecond),
+		platform: emulator.NewPlatform(),
+		engines:  map[string]*emulator.Engine{},
+		services: map[string]*emulator.Service{},
+		nodes:    map[string]*node{},
+	}
+	f.caller = &http.Client{Transport: f.network.Host(callerHost).Transport(connector.Limits{
+		Dial: time.Second, Idle: time.Second, PerHost: 1000,
+	})}
+	f.serve(platformHost, f.platform)
+	models := tabulator.Pool{
+		Name: "summariser", Kind: tabulator.Models, PieceTokens: 16, KVBytesPerToken: 1 << 10, LesserShare: 0.2, QueueLimit: 64,
+	}
+	for i := range size.prefills {
+		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("prefill-%d", i+1), fmt.Sprintf("10.1.1.%d", i+1), identifier.Prefill))
+	}
+	for i := range size.decodes {
+		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("decode-%d", i+1), fmt.Sprintf("10.1.2.%d", i+1), identifier.Decode))
+	}
+	desk := tabulator.Pool{Name: "desk", Kind: tabulator.Services}
+	for i := range size.services {
+		name, host := fmt.Sprintf("desk-%d", i+1), fmt.Sprintf("10.1.3.%d", i+1)
+		f.services[name] = emulator.NewService(20 * time.Millisecond)
+		f.serve(host, f.services[name])
+		desk.Members = append(desk.Members, tabulator.Member{
+			Name: identifier.Member(name), Address: identifier.Address(host + ":80"), Role: identifier.Service, DataCentre: "south",
+		})
+	}
+	f.pools = tabulator.Pools{Pools: []tabulator.Pool{models, desk}}
+	f.routes = tabulator.Routes{Routes: []tabulator.Route{
+		{Name: "audit", Model: "bitacoras", Account: "audits", Pool: "summariser", Rank: identifier.Urgent, FirstToken: seconds(2), BetweenTokens: seconds(1), Timeout: seconds(120)},
+		{Name: "weekly", Model: "bitacoras", Pool: "summariser", Rank: identifier.Lesser, FirstToken: seconds(10), BetweenTokens: seconds(2), Timeout: seconds(120)},
+		{Name: "booking", Path: "/bookings", Method: "POST", Pool: "desk", Rank: identifier.Urgent, Timeout: seconds(10)},
+		{Name: "history", Path: "/history", Pool: "desk", Rank: identifier.Urgent, Repeatable: true, Timeout: seconds(10)},
+	}}
+	f.putTables()
+	for i := range size.nodes {
+		f.startNode(fmt.Sprintf("node-%d", i+1))
+	}
+	f.waitReady()
+	return f
+}
+
+func seconds(n int) tabulator.Duration {
+	return tabulator.Duration(time.Duration(n) * time.Second)
+}
+
+// putTables writes both tables to the platform as an operator's tool would.
+func (f *fleet) putTables() {
+	routes, _ := json.Marshal(f.routes)
+	pools, _ := json.Marshal(f.pools)
+	f.platform.Put("tables", "pools", pools)
+	f.platform.Put("tables", "routes", routes)
+}
+
+func (f *fleet) startEngine(name, host string, role identifier.Role) tabulator.Member {
+	address := identifier.Address(host + ":80")
+	engine := emulator.NewEngine(emulator.EngineOptions{
+		Name: identifier.Member(name), Address: address,
+		Pieces: 400, PieceTokens: 16, PrefillRate: 4000,
+		TokenTime: 50 * time.Millisecond, Evict: 800 * time.Millisecond, Retain: 5 * time.Second,
+		Lag: 500 * time.Millisecond, TransferTime: 10 * time.Millisecond,
+		ChecksFencing: true, Poison: "poisoned",
+		Transport: f.network.Host(host).Transport(connector.Limits{Dial: time.Second, Idle: time.Second, PerHost: 1000}),
+	})
+	f.engines[name] = engine
+	f.serve(host, engine)
+	return tabulator.Member{
+		Name: identifier.Member(name), Address: address, DataCentre: "south", Role: role,
+		Pieces: 400, PrefillRate: 4000, LinkRate: 1 << 30, ChecksFencing: true,
+	}
+}
+
+// serve runs a stand-in until the fleet closes.
+func (f *fleet) serve(host string, handler http.Handler) {
+	port := ":80"
+	if host == platformHost {
+		port = ":6443"
+	}
+	listener, err := f.network.Host(host).Listen(f.t.Context(), host+port)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	standin := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = standin.Serve(listener)
+	}()
+	f.stops = append(f.stops, func() {
+		_ = standin.Close()
+		<-ended
+	})
+}
+
+const settingsText = `
+[node]
+name = "%[1]s"
+data-centre = "south"
+[callers]
+listen = "%[2]s:8080"
+[peers]
+listen = "%[2]s:8081"
+[operators]
+listen = "%[2]s:9090"
+[platform]
+url = "http://` + platformHost + `:6443"
+[membership]
+seeds = ["10.0.0.1:8081", "10.0.0.2:8081", "10.0.0.3:8081"]
+[requests]
+key-window = "10m"
+[backends]
+progress-timeout = "3s"
+header-timeout = "5s"
+`
+
+// startNode starts a process of a node, also after an earlier one was killed.
+func (f *fleet) startNode(name string) *node {
+	host := "10.0.0." + strings.TrimPrefix(name, "node-")
+	settings, faults := configurator.Parse([]byte(fmt.Sprintf(settingsText, name, host)))
+	if len(faults) > 0 {
+		f.t.Fatal(faults.Error())
+	}
+	started := &node{host: host, name: name, ended: make(chan struct{})}
+	started.server = server.New(server.Options{
+		Settings:    settings,
+		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
+		Network:     f.network.Host(host),
+		Log:         logger.New(f.t.Output(), logLevel, logger.Fields{"node": name}),
+		Scope:       tally.NoopScope,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	started.stop = stop
+	go func() {
+		defer close(started.ended)
+		if err := started.server.Run(ctx); err != nil {
+			f.t.Logf("%s ended: %v", name, err)
+		}
+	}()
+	f.nodes[name] = started
+	f.stops = append(f.stops, func() {
+		stop()
+		<-started.ended
+	})
+	return started
+}
+
+// kill ends a node's process at once. What still runs of it reaches nobody.
+func (f *fleet) kill(name string) {
+	f.network.Kill(f.nodes[name].host)
+	f.nodes[name].stop()
+}
+
+// waitReady waits until every node has a configuration and sees all others.
+func (f *fleet) waitReady() {
+	f.waitFor("nodes ready", func() bool {
+		for _, n := range f.nodes {
+			if n.server.Configuration() == 0 || alive(n.server.View()) < len(f.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func alive(view *assigner.View) int {
+	count := 0
+	for _, member := range view.Members {
+		if member.State == assigner.Alive {
+			count++
+		}
+	}
+	return count
+}
+
+// waitFor waits in virtual time until a condition holds.
+func (f *fleet) waitFor(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(2 * time.Minute)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited in vain for: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// close ends everything; a bubble has to be left without goroutines.
+func (f *fleet) close() {
+	f.network.Heal()
+	f.network.Close()
+	f.caller.CloseIdleConnections()
+	for i := len(f.stops) - 1; i >= 0; i-- {
+		f.stops[i]()
+	}
+	f.network.Close()
+}
+
+func address(n *node) string {
+	return net.JoinHostPort(n.host, "8080")
+}
--- /dev/null
+++ b/prover/log_test.go
@@ -0,0 +1,6 @@
+package prover
+
+import "github.com/sirupsen/logrus"
+
+// logLevel of the nodes' logs in failing tests.
+const logLevel = logrus.DebugLevel
--- /dev/null
+++ b/prover/matrix_test.go
@@ -0,0 +1,56 @@
+package prover
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+)
+
+// cell is one fault at one step, and the promise that has to hold there.
+type cell struct {
+	// promise is the letter of the promise in docs/FAULTS.md.
+	promise string
+	fault   string
+	step    string
+	size    shape
+	prove   func(t *testing.T, f *fleet)
+}
+
+func (c cell) name() string {
+	return fmt.Sprintf("%s/%s@%s", c.promise, c.fault, c.step)
+}
+
+// cells collects the rows of all files.
+var cells []cell
+
+func add(promise, fault, step string, prove func(t *testing.T, f *fleet)) {
+	addSized(smallShape, promise, fault, step, prove)
+}
+
+func addSized(size shape, promise, fault, step string, prove func(t *testing.T, f *fleet)) {
+	cells = append(cells, cell{promise: promise, fault: fault, step: step, size: size, prove: prove})
+}
+
+// TestMatrix proves every cell and prints a row for each. MATRIX_ONLY, if set,
+// runs the cells whose names contain it.
+func TestMatrix(t *testing.T) {
+	held, broken, skipped := 0, 0, 0
+	sort.SliceStable(cells, func(i, j int) bool { return cells[i].name() < cells[j].name() })
+	for _, c := range cells {
+		if !strings.Contains(c.name(), os.Getenv("MATRIX_ONLY")) {
+			skipped++
+			continue
+		}
+		verdict := "held"
+		if !t.Run(c.name(), func(t *testing.T) { run(t, c.size, c.prove) }) {
+			verdict = "broken"
+			broken++
+		} else {
+			held++
+		}
+		fmt.Printf("%-20s %-28s %-20s %s\n", c.promise, c.fault, c.step, verdict)
+	}
+	fmt.Printf("%d held, %d broken, %d not run\n", held, broken, skipped)
+}
--- a/receiver/call.go
+++ b/receiver/call.go
@@ -27,9 +27,6 @@
 		return router.Call{}, err
 	}
 	key := request.Header.Get(keyHeader)
-	if key != "" && !validID(key) {
-		return router.Call{}, malformed("%s must be 1 to %d letters, digits, '-' or '_'", keyHeader, maximumIDBytes)
-	}
 	issued, err := issuedAt(request.Header)
 	if err != nil {
 		return router.Call{}, err
@@ -46,6 +43,7 @@
 			Key:    identifier.Key(key),
 		},
 		Issued:      issued,
+		First:       request.Header.Get(firstHeader) == "true",
 		Fingerprint: fingerprint(request.Method+" "+target, body),
 	}, nil
 }
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -25,9 +25,10 @@
 	lastEventHeader = "Last-Event-ID"
 	keyHeader       = "Idempotency-Key"
 	issuedHeader    = "Idempotency-Key-Issued"
+	firstHeader     = "Idempotency-Key-First"
 )
 
-// maximumIDBytes bounds request ids and idempotency keys.
+// maximumIDBytes bounds request ids.
 const maximumIDBytes = 128
 
 type wireMessage struct {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -13,24 +13,12 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
-// Entry is one address that callers may use.
-type Entry struct {
-	Address    identifier.Address
-	DataCentre identifier.DataCentre
-}
-
-// Entries is the answer to which addresses to use, best first.
-type Entries struct {
-	Entries []Entry
-	// Keep is how long the answer may be used.
-	Keep time.Duration
-}
-
 // Router answers requests.
 type Router interface {
 	Complete(ctx context.Context, request router.Completion) (*router.Reply, *router.Refusal)
@@ -39,7 +27,7 @@
 
 // Addresser answers which addresses callers should use.
 type Addresser interface {
-	Entries() Entries
+	Answer(near identifier.DataCentre) addresser.Answer
 }
 
 // Options sets up a receiver.
@@ -77,7 +65,7 @@
 	complete := handle(r, "complete", r.decodeCompletion, r.complete, encodeCompletion)
 	r.mux.Handle("POST /v1/completions", complete)
 	r.mux.Handle("POST /v1/chat/completions", complete)
-	r.mux.Handle("GET /v1/entries", handle(r, "entries", decodeNothing, r.entries, encodeEntries))
+	r.mux.Handle("GET /v1/entries", handle(r, "entries", decodeEntries, r.entries, encodeEntries))
 	r.mux.Handle("/", handle(r, "call", r.decodeCall, r.call, encodeCall))
 	return r
 }
@@ -144,12 +132,13 @@
 	writeRefusal(w, "", &router.Refusal{Outcome: router.Unknown, Reason: "fault", Message: err.Error()})
 }
 
-func decodeNothing(context.Context, *http.Request) (struct{}, error) {
-	return struct{}{}, nil
+// decodeEntries reads where the caller stands, if it says so.
+func decodeEntries(_ context.Context, request *http.Request) (identifier.DataCentre, error) {
+	return identifier.DataCentre(request.URL.Query().Get("data-centre")), nil
 }
 
-func (r *Receiver) entries(context.Context, struct{}) (Entries, error) {
-	return r.options.Addresser.Entries(), nil
+func (r *Receiver) entries(_ context.Context, near identifier.DataCentre) (addresser.Answer, error) {
+	return r.options.Addresser.Answer(near), nil
 }
 
 type wireEntry struct {
@@ -162,11 +151,11 @@
 	KeepSeconds int         `json:"keep-seconds"`
 }
 
-func encodeEntries(_ context.Context, w http.ResponseWriter, entries Entries) error {
-	answer := wireEntries{Entries: []wireEntry{}, KeepSeconds: int(entries.Keep / time.Second)}
-	for _, entry := range entries.Entries {
-		answer.Entries = append(answer.Entries, wireEntry(entry))
+func encodeEntries(_ context.Context, w http.ResponseWriter, answer addresser.Answer) error {
+	wire := wireEntries{Entries: []wireEntry{}, KeepSeconds: int(answer.Keep / time.Second)}
+	for _, entry := range answer.Entries {
+		wire.Entries = append(wire.Entries, wireEntry(entry))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(w).Encode(answer)
+	return json.NewEncoder(w).Encode(wire)
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -42,6 +42,9 @@
 		return p.lost(Exhausted, "%d attempts failed", p.attempts)
 	}
 	if p.attempts > 0 {
+		if !p.router.options.Budgets.Pool(p.pool.Name).Retry() {
+			return p.lost(RetryBudget, "the pool's retry budget is used up")
+		}
 		p.router.retries.Inc(1)
 	}
 	p.attempts++
@@ -111,7 +114,7 @@
 		Wait:       time.Duration(p.route.FirstToken),
 		Between:    time.Duration(p.route.BetweenTokens),
 		Prefixes:   prefixes(p.request.Prompt),
-		Suspect:    p.suspect,
+		Suspect:    p.router.options.Isolator.Suspect(p.request.Fingerprint),
 		Avoid:      p.avoid,
 	}
 }
--- a/router/completion.go
+++ b/router/completion.go
@@ -54,7 +54,6 @@
 	// attempt is the one under way, or nil between two attempts.
 	attempt  *attempt
 	attempts int
-	suspect  bool
 	avoid    []identifier.Member
 	// ran is set once an engine may have worked for the request.
 	ran bool
@@ -100,6 +99,7 @@
 	}
 	reply.stop = func(cause error) { stop(cause); release() }
 	reply.flight = r.flights.begin(request.Request, stop)
+	r.options.Budgets.Pool(pool.Name).Sent()
 	token, refusal := reply.Next()
 	if refusal != nil {
 		reply.Close()
@@ -164,6 +164,7 @@
 func (p *Reply) finish() {
 	p.finished = true
 	p.countStrays()
+	p.router.options.Isolator.Finished(p.request.Fingerprint)
 	p.attempt.stream.Close()
 	p.router.options.Placer.Release(p.attempt.placement.Grant, placer.Result{
 		Output:    p.offset,
@@ -260,7 +261,6 @@
 	if !crashed {
 		return nil
 	}
-	p.suspect = true
 	p.router.options.Isolator.Crashed(member.Name, []uint64{p.request.Fingerprint})
 	if p.router.options.Isolator.Held(p.request.Fingerprint) {
 		return unknown(Quarantined, "this request crashed several engines and is held")
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -32,6 +32,7 @@
 	Quarantined     Reason = "quarantined"
 	Superseded      Reason = "superseded"
 	Exhausted       Reason = "attempts-exhausted"
+	RetryBudget     Reason = "retry-budget-exhausted"
 	BackendDown     Reason = "backend-server-unavailable"
 	AnswerLost      Reason = "answer-lost"
 	TimedOut        Reason = "timeout"
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/recorder"
@@ -52,6 +53,10 @@
 type Isolator interface {
 	// Held tells whether requests of a fingerprint are refused.
 	Held(fingerprint uint64) bool
+	// Suspect tells whether a request was in flight at a crash.
+	Suspect(fingerprint uint64) bool
+	// Finished clears a request that was answered in full.
+	Finished(fingerprint uint64)
 	// Crashed reports the requests in flight at a crash of an engine.
 	Crashed(member identifier.Member, fingerprints []uint64)
 }
@@ -90,9 +95,11 @@
 	Services Services
 	Ledger   Ledger
 	Isolator Isolator
-	Limits   Limits
-	Log      *logger.Logger
-	Scope    tally.Scope
+	// Budgets bounds retries and hedges for each pool.
+	Budgets *limiter.Limiter
+	Limits  Limits
+	Log     *logger.Logger
+	Scope   tally.Scope
 }
 
 // Router routes requests.
--- a/router/service.go
+++ b/router/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -10,6 +12,7 @@
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/recorder"
 	"github.com/foxtailspool/foxtailspool/tabulator"
@@ -23,6 +26,8 @@
 	Wire invoker.Call
 	// Issued is when the caller made the key, or zero where only the key tells.
 	Issued time.Time
+	// First tells that the caller never sent the key before.
+	First bool
 	// Fingerprint is a hash of method, target and body, equal for resends.
 	Fingerprint uint64
 }
@@ -50,23 +55,46 @@
 	return r.callOnce(ctx, pool, call)
 }
 
-// callRepeatable tries the members in turn until one answers.
+// callRepeatable looks up at one member, and at the next on a new connection
+// where the first fails or is slow and the pool's retry budget allows.
 func (r *Router) callRepeatable(ctx context.Context, pool tabulator.Pool, call Call) (*invoker.Reply, *Refusal) {
-	ran := false
-	for _, member := range r.servingOrder(pool) {
-		reply, err := r.options.Services.Call(ctx, member, call.Wire)
-		if err == nil && reply.Status < http.StatusInternalServerError {
-			return &reply, nil
-		}
-		ran = ran || !errorx.IsOfType(err, invoker.Unreached)
-		if ctx.Err() != nil {
-			break
-		}
+	members := r.servingOrder(pool)
+	if len(members) == 0 {
+		return nil, notRun(BackendDown, r.options.Limits.RetryAfter, "pool %q has no member that takes work", pool.Name)
 	}
-	if ran {
+	var reached atomic.Bool
+	reply, release, err := limiter.Hedge(ctx, r.options.Budgets.Pool(pool.Name), limiter.HedgeOptions[*invoker.Reply]{
+		Send: func(ctx context.Context, try int) (*invoker.Reply, error) {
+			wire := call.Wire
+			wire.Fresh = try > 0
+			reply, err := r.options.Services.Call(ctx, members[try%len(members)], wire)
+			if !errorx.IsOfType(err, invoker.Unreached) {
+				reached.Store(true)
+			}
+			return serverAnswer(reply, err)
+		},
+	})
+	release()
+	switch {
+	case err == nil:
+		return reply, nil
+	case reached.Load():
 		return nil, unknown(BackendDown, "no member of pool %q answered", pool.Name)
+	default:
+		return nil, notRun(BackendDown, r.options.Limits.RetryAfter, "no member of pool %q can be reached", pool.Name)
 	}
-	return nil, notRun(BackendDown, r.options.Limits.RetryAfter, "no member of pool %q can be reached", pool.Name)
+}
+
+// errServerFault marks an answer with a server's fault, for which another
+// member may have a better one.
+var errServerFault = errors.New("the backend server reports a fault of its own")
+
+// serverAnswer passes an answer on unless another member should be asked.
+func serverAnswer(reply invoker.Reply, err error) (*invoker.Reply, error) {
+	if err == nil && reply.Status >= http.StatusInternalServerError {
+		return nil, errServerFault
+	}
+	return &reply, err
 }
 
 // callOnce claims the key in the ledger before the first byte leaves.
@@ -78,6 +106,7 @@
 		Node:        r.options.Node,
 		Incarnation: r.options.Incarnation,
 		Issued:      call.Issued,
+		First:       call.First,
 	}
 	answer := r.options.Ledger.Claim(ctx, claim)
 	if answer.Verdict == recorder.Running {
@@ -128,10 +157,18 @@
 		return &invoker.Reply{Status: claim.Answer.Status, Header: header, Body: claim.Answer.Body}, nil
 	case recorder.Mismatch:
 		return nil, notRun(KeyReused, 0, "the key was used for another call")
+	case recorder.Malformed:
+		return nil, notRun(Malformed, 0, "the key is not a UUIDv7 and has no time of issue")
 	case recorder.TooOld:
 		return nil, unknown(KeyTooOld, "the key is older than the ledger's window")
 	case recorder.Closed:
 		return nil, notRun(LedgerClosed, r.options.Limits.RetryAfter, "the ledger cannot be reached")
+	case recorder.Unknown:
+		refusal := unknown(LedgerClosed, "the ledger cannot be reached, and the key may have been sent before")
+		refusal.RetryAfter = r.options.Limits.RetryAfter
+		return nil, refusal
+	case recorder.Unkept:
+		return nil, unknown(AnswerLost, "the call ran; its answer was too large to keep")
 	case recorder.Running:
 		return nil, unknown(AnswerLost, "an earlier attempt has not ended")
 	default:
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,195 @@
+// Package server assembles a node from its services and runs them until the
+// node is told to stop, without cutting a request.
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/addresser"
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/configurator"
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/prober"
+	"github.com/foxtailspool/foxtailspool/publisher"
+	"github.com/foxtailspool/foxtailspool/receiver"
+	"github.com/foxtailspool/foxtailspool/recorder"
+	"github.com/foxtailspool/foxtailspool/router"
+	"github.com/foxtailspool/foxtailspool/storer"
+	"github.com/foxtailspool/foxtailspool/supervisor"
+)
+
+// Options sets up a node.
+type Options struct {
+	// Settings are the node's checked settings.
+	Settings configurator.Settings
+	// Incarnation is larger at each start of a node of this name.
+	Incarnation identifier.Incarnation
+	// Network carries all connections.
+	Network connector.Network
+	// Before runs before each caller's operation on its request's context.
+	Before []kithttp.RequestFunc
+	Log    *logger.Logger
+	Scope  tally.Scope
+}
+
+// Server is one node.
+type Server struct {
+	options    Options
+	supervisor *supervisor.Supervisor
+
+	store      *storer.Client
+	prober     *prober.Prober
+	publisher  *publisher.Publisher
+	dispatcher *dispatcher.Dispatcher
+	recorder   *recorder.Recorder
+	isolator   *isolator.Isolator
+	invoker    *invoker.Invoker
+	router     *router.Router
+	addresser  *addresser.Addresser
+}
+
+// Names of the services that others look up.
+const (
+	nameProber     = "prober"
+	namePublisher  = "publisher"
+	nameDispatcher = "dispatcher"
+	nameRecorder   = "recorder"
+	nameIsolator   = "isolator"
+	nameRouter     = "router"
+	namePeers      = "peers-listener"
+	nameCallers    = "callers-listener"
+	nameOperators  = "operators-listener"
+)
+
+// New assembles a node that does not run yet.
+func New(options Options) *Server {
+	s := &Server{options: options, supervisor: supervisor.New()}
+	s.newStore()
+	s.newMembership()
+	s.newConfiguration()
+	s.newPlacement()
+	s.newLedger()
+	s.newRouter()
+	s.register()
+	return s
+}
+
+// Run runs the node until ctx ends. Then it leaves the address answer, takes
+// requests for as long as callers keep that answer, finishes its streams, and
+// returns.
+func (s *Server) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- s.supervisor.Run(running) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	s.leave(running)
+	stop()
+	return <-ended
+}
+
+// leave tells the fleet and waits until no caller holds this node's address.
+func (s *Server) leave(ctx context.Context) {
+	s.options.Log.Log(eventLeaving, nil)
+	if err := s.prober.Leave(ctx); err != nil {
+		s.options.Log.Log(eventLeaveUnheard, logger.Fields{"error": err.Error()})
+	}
+	keep := time.NewTimer(s.options.Settings.Drain.EntryKeepTime)
+	defer keep.Stop()
+	select {
+	case <-keep.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) self() assigner.Member {
+	settings := s.options.Settings
+	return assigner.Member{
+		Node:        settings.Node.Name,
+		Incarnation: s.options.Incarnation,
+		DataCentre:  settings.Node.DataCentre,
+		Peers:       settings.Peers.Advertise,
+		Callers:     settings.Callers.Advertise,
+		State:       assigner.Alive,
+	}
+}
+
+// register names the services in the order in which they start. Listeners come
+// last, the callers' after the peers', so that a stopping node first finishes
+// its callers' streams while everything below still works.
+func (s *Server) register() {
+	settings := s.options.Settings
+	peers := http.NewServeMux()
+	for _, handler := range []interface {
+		Handler() (string, http.Handler)
+	}{s.prober, s.publisher, s.dispatcher, s.recorder} {
+		path, serve := handler.Handler()
+		peers.Handle(path, serve)
+	}
+	callers := receiver.New(receiver.Options{
+		Router:     s.router,
+		Addresser:  s.addresser,
+		BodyBytes:  int64(settings.Callers.MaxBodySize),
+		Requests:   settings.Requests.MaxInFlight,
+		RetryAfter: retryAfter,
+		Before:     s.options.Before,
+		Scope:      s.options.Scope,
+	})
+	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, peers))
+	s.supervisor.Register(nameProber, s.prober)
+	s.supervisor.Register(namePublisher, s.publisher)
+	s.supervisor.Register(nameIsolator, s.isolator)
+	s.supervisor.Register(nameDispatcher, s.dispatcher)
+	s.supervisor.Register(nameRecorder, s.recorder)
+	s.supervisor.Register(nameRouter, s.router)
+	s.supervisor.Register(nameOperators, s.listener(nameOperators, settings.Operators, http.NotFoundHandler()))
+	s.supervisor.Register(nameCallers, s.listener(nameCallers, settings.Callers, callers))
+}
+
+func (s *Server) listener(name string, l configurator.Listener, handler http.Handler) *connector.Server {
+	return connector.NewServer(connector.ServerOptions{
+		Name:    name,
+		Address: l.Listen,
+		Network: s.options.Network,
+		Handler: handler,
+		Log:     s.options.Log,
+		Limits: connector.ServerLimits{
+			ReadHeader:  l.ReadHeaderTimeout,
+			Read:        l.ReadTimeout,
+			Write:       l.WriteTimeout,
+			Idle:        l.IdleTimeout,
+			Finish:      s.options.Settings.Drain.FinishTimeout,
+			Connections: l.MaxConnections,
+			Streams:     l.MaxStreams,
+			Header:      int(l.MaxHeaderSize),
+			Body:        int64(l.MaxBodySize),
+		},
+	})
+}
+
+// Configuration returns the number of the configuration in force, or zero.
+func (s *Server) Configuration() identifier.Configuration {
+	if snapshot := s.publisher.Snapshot(); snapshot != nil {
+		return snapshot.Number
+	}
+	return 0
+}
+
+// View returns the membership as this node sees it.
+func (s *Server) View() *assigner.View {
+	return s.prober.View()
+}
--- /dev/null
+++ b/server/services.go
@@ -0,0 +1,196 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/addresser"
+	"github.com/foxtailspool/foxtailspool/configurator"
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/prober"
+	"github.com/foxtailspool/foxtailspool/publisher"
+	"github.com/foxtailspool/foxtailspool/recorder"
+	"github.com/foxtailspool/foxtailspool/router"
+	"github.com/foxtailspool/foxtailspool/storer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+const (
+	// retryAfter is what callers are told where nothing better is known.
+	retryAfter = time.Second
+	// linger is how long a stream waits for its caller to come back.
+	linger = 3 * time.Second
+	// streamResumes is how many new connections are tried for a broken stream.
+	streamResumes = 2
+	// defaultTokens limits the output of requests that set no limit.
+	defaultTokens = 512
+	// cancelRetry and cancelGiveUp bound the tries to cancel an attempt.
+	cancelRetry  = 100 * time.Millisecond
+	cancelGiveUp = 30 * time.Second
+	// retryFloor and retryBurst let a node repeat what a crashed engine ran:
+	// about twenty requests, at once, and as many again some seconds later.
+	retryFloor = 5.0
+	retryBurst = 80.0
+	// engineCall bounds a cancel, a load report or an order.
+	engineCall = 2 * time.Second
+)
+
+func (s *Server) newStore() {
+	settings := s.options.Settings.Platform
+	s.store = storer.NewClient(storer.ClientOptions{
+		URL: settings.URL,
+		Transport: s.options.Network.Transport(connector.Limits{
+			Dial:    settings.CallTimeout,
+			Idle:    settings.WatchSilence,
+			PerHost: settings.MaxConnections,
+		}),
+		CallTimeout:  settings.CallTimeout,
+		WatchSilence: settings.WatchSilence,
+	})
+}
+
+// transport returns a transport for the node's own calls.
+func (s *Server) transport(client configurator.Client) *http.Transport {
+	return s.options.Network.Transport(connector.Limits{
+		Dial:    client.DialTimeout,
+		Idle:    client.IdleTimeout,
+		PerHost: client.MaxConnectionsPerHost,
+	})
+}
+
+// fresh returns a transport that opens a connection for each call.
+func (s *Server) fresh(client configurator.Client) *http.Transport {
+	transport := s.transport(client)
+	transport.DisableKeepAlives = true
+	return transport
+}
+
+func (s *Server) newMembership() {
+	settings := s.options.Settings
+	s.prober = prober.New(prober.Options{
+		Self:         s.self(),
+		Seeds:        settings.Membership.Seeds,
+		Peers:        s.transport(settings.PeerCalls),
+		NewPeers:     func() http.RoundTripper { return s.fresh(settings.PeerCalls) },
+		Interval:     settings.Membership.ProbeInterval,
+		Timeout:      settings.Membership.ProbeTimeout,
+		SuspectAfter: settings.Membership.SuspicionTime,
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
+	})
+	s.addresser = addresser.New(addresser.Options{
+		View:       s.prober.View,
+		DataCentre: settings.Node.DataCentre,
+		Keep:       settings.Drain.EntryKeepTime,
+	})
+}
+
+func (s *Server) newConfiguration() {
+	settings := s.options.Settings
+	s.publisher = publisher.New(publisher.Options{
+		Self:       settings.Node.Name,
+		DataCentre: settings.Node.DataCentre,
+		Store:      s.store,
+		View:       s.prober.View,
+		Peers:      s.transport(settings.PeerCalls),
+		Broadcast:  s.prober.Broadcast,
+		InForce: func(snapshot *tabulator.Snapshot) {
+			s.prober.Announce(snapshot.Number)
+		},
+		Log:   s.options.Log,
+		Scope: s.options.Scope,
+	})
+}
+
+func (s *Server) newPlacement() {
+	settings := s.options.Settings
+	s.invoker = invoker.New(invoker.Options{
+		Transport:   s.transport(settings.Backends),
+		Fresh:       s.fresh(settings.Backends),
+		Call:        engineCall,
+		Prefill:     settings.Backends.HeaderTimeout,
+		Import:      settings.Backends.HeaderTimeout,
+		Progress:    settings.Backends.ProgressTimeout,
+		AnswerBytes: int64(settings.Callers.MaxBodySize),
+	})
+	s.dispatcher = dispatcher.New(dispatcher.Options{
+		Self:     settings.Node.Name,
+		View:     s.prober.View,
+		Snapshot: s.publisher.Snapshot,
+		Peers:    s.transport(settings.PeerCalls),
+		Engines:  engines{s.invoker},
+		Log:      s.options.Log,
+		Scope:    s.options.Scope,
+	})
+}
+
+func (s *Server) newLedger() {
+	settings := s.options.Settings
+	s.recorder = recorder.New(recorder.Options{
+		Self:        settings.Node.Name,
+		Incarnation: s.options.Incarnation,
+		Store:       s.store,
+		View:        s.prober.View,
+		Peers:       s.transport(settings.PeerCalls),
+		Window:      settings.Requests.KeyWindow,
+		Log:         s.options.Log,
+		Scope:       s.options.Scope,
+	})
+	s.isolator = isolator.New(isolator.Options{
+		Broadcast: s.prober.Broadcast,
+		Log:       s.options.Log,
+		Scope:     s.options.Scope,
+	})
+	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
+}
+
+func (s *Server) newRouter() {
+	settings := s.options.Settings
+	s.router = router.New(router.Options{
+		Node:        settings.Node.Name,
+		Incarnation: s.options.Incarnation,
+		DataCentre:  settings.Node.DataCentre,
+		Snapshot:    s.publisher.Snapshot,
+		Placer:      s.dispatcher,
+		Engines:     s.invoker,
+		Services:    s.invoker,
+		Ledger:      s.recorder,
+		Isolator:    s.isolator,
+		Budgets:     limiter.New(limiter.Options{Floor: retryFloor, Burst: retryBurst, Scope: s.options.Scope}),
+		Limits: router.Limits{
+			Attempts:      settings.Requests.MaxAttempts,
+			Resumes:       streamResumes,
+			Linger:        linger,
+			DefaultTokens: defaultTokens,
+			CancelRetry:   cancelRetry,
+			CancelGiveUp:  cancelGiveUp,
+			Timeout:       settings.Requests.MaxTimeout,
+			RetryAfter:    retryAfter,
+		},
+		Log:   s.options.Log,
+		Scope: s.options.Scope,
+	})
+}
+
+// engines adapts the invoker to what the dispatcher asks of engines.
+type engines struct {
+	invoker *invoker.Invoker
+}
+
+// Load asks an engine for its report.
+func (e engines) Load(ctx context.Context, _ identifier.Pool, member tabulator.Member) (placer.Load, error) {
+	load, err := e.invoker.Load(ctx, member)
+	return placer.Load{Free: load.Free, Running: load.Running}, err
+}
+
+// Cancel ends the stream of an attempt unless a later reader went on with it.
+func (e engines) Cancel(ctx context.Context, _ identifier.Pool, member tabulator.Member, request identifier.Request, stream, reader uint64) error {
+	return e.invoker.Cancel(ctx, member, invoker.AttemptID(request, stream), reader)
+}
