--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -270,6 +270,8 @@
 		f.stops[i]()
 	}
 	f.network.Close()
+	// Dials under way end with their timeouts.
+	time.Sleep(time.Minute)
 }
 
 func address(n *node) string {
