Measure placement in virtual time against three baselines

An engine's report may list the requests that it holds memory for; those that no node claims are cancelled.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,7 @@
 	for f in $$(git ls-files '*.proto'); do \
 	  protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. $$f || exit 1; \
 	done
+
+# Compares the placement policy with its baselines in virtual time; needs only Go.
+measure:
+	$(GO) run ./measurer/foxtailspool-measure
--- /dev/null
+++ b/measurer/measurer.go
@@ -0,0 +1,90 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"sort"
+)
+
+// Strategy is a named way to place requests.
+type Strategy struct {
+	// Name is shown in the report.
+	Name string
+	make func(*run) strategy
+}
+
+// Baselines are what the dispatcher is compared with.
+var Baselines = []Strategy{
+	{"least-loaded", func(r *run) strategy { return newAlone(r, leastLoaded) }},
+	{"power-of-two", func(r *run) strategy { return newAlone(r, powerOfTwo) }},
+	{"static-slices", func(r *run) strategy { return newAlone(r, staticSlices) }},
+}
+
+// Dispatched is the dispatcher in a variant.
+func Dispatched(variant Variant) Strategy {
+	return Strategy{variant.Name, func(r *run) strategy { return newDispatched(r, variant) }}
+}
+
+// Measure runs one strategy once for each seed.
+func Measure(setting *Setting, scenario Scenario, how Strategy, seeds int) []Result {
+	results := make([]Result, seeds)
+	ends := make(chan struct{})
+	for i := range results {
+		go func() {
+			r := newRun(setting, scenario, uint64(i+1))
+			r.strategy = how.make(r)
+			r.execute()
+			results[i] = r.result()
+			ends <- struct{}{}
+		}()
+	}
+	for range results {
+		<-ends
+	}
+	return results
+}
+
+// Report runs all settings, scenarios and strategies and writes the tables,
+// and at the end the goodput ratio: the dispatcher's goodput over that of the
+// best baseline with the same seed, the median over the loads from 0.95 up.
+func Report(output io.Writer, seeds int) {
+	dispatcher := Dispatched(Variant{Name: "dispatcher"})
+	var ratios []float64
+	for i := range Settings {
+		setting := &Settings[i]
+		_, _ = fmt.Fprintf(output, "\n%s: %d prefill and %d decode engines, %d nodes, capacity %.1f requests/s\n",
+			setting.Name, setting.prefill, setting.decode, setting.nodes, setting.capacity())
+		for _, scenario := range Scenarios {
+			writeHeader(output, scenario.Name)
+			var best []float64
+			for _, baseline := range Baselines {
+				results := Measure(setting, scenario, baseline, seeds)
+				writeRow(output, baseline.Name, results)
+				best = better(best, results)
+			}
+			results := Measure(setting, scenario, dispatcher, seeds)
+			writeRow(output, dispatcher.Name, results)
+			if scenario.load >= ratioLoad {
+				for seed, result := range results {
+					ratios = append(ratios, result.Goodput/best[seed])
+				}
+			}
+		}
+	}
+	sort.Float64s(ratios)
+	_, _ = fmt.Fprintf(output, "\ngoodput ratio %.2f\n", ratios[len(ratios)/2])
+}
+
+// ratioLoad is the load from which scenarios count for the goodput ratio.
+const ratioLoad = 0.95
+
+// better keeps the best goodput of each seed.
+func better(best []float64, results []Result) []float64 {
+	if best == nil {
+		best = make([]float64, len(results))
+	}
+	for seed, result := range results {
+		best[seed] = max(best[seed], result.Goodput)
+	}
+	return best
+}
--- /dev/null
+++ b/measurer/report.go
@@ -0,0 +1,144 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// Result is what one run measured. Shares are from 0 to 1.
+type Result struct {
+	// Goodput is the requests a second answered within both targets.
+	Goodput float64
+	// Good is the share of arrivals of a rank answered within both targets,
+	// Answered the share answered at all.
+	Good     [len(identifier.Ranks)]float64
+	Answered [len(identifier.Ranks)]float64
+	// GoodShort and GoodLong split Goodput's share by prompt length.
+	GoodShort float64
+	GoodLong  float64
+	// Wasted is the share of prefill work whose result was not used.
+	Wasted float64
+	// LesserKept is the share of decode memory that lesser work held while
+	// the flood lasted.
+	LesserKept float64
+	// Idle is the share of decode memory that was free while requests waited.
+	Idle float64
+	// Decide is the 99th percentile of the time from arrival to an answer.
+	Decide time.Duration
+}
+
+// longPrompt is the length from which a prompt counts as long.
+const longPrompt identifier.Tokens = 4000
+
+// share counts a part of a whole.
+type share struct{ part, whole float64 }
+
+func (s *share) count(in bool) {
+	s.whole++
+	if in {
+		s.part++
+	}
+}
+
+func (s *share) value() float64 {
+	if s.whole == 0 {
+		return 0
+	}
+	return s.part / s.whole
+}
+
+// result sums up a run after its warm-up.
+func (r *run) result() Result {
+	var good, answers [len(identifier.Ranks)]share
+	var short, long share
+	total := 0.0
+	for _, q := range r.requests {
+		if q.arrived < warmUp || q.arrived > runLength {
+			continue
+		}
+		good[q.rank].count(q.good())
+		answers[q.rank].count(q.state == answered)
+		if q.prompt >= longPrompt {
+			long.count(q.good())
+		} else {
+			short.count(q.good())
+		}
+		if q.good() {
+			total++
+		}
+	}
+	result := Result{
+		Goodput:    total / (runLength - warmUp).Seconds(),
+		GoodShort:  short.value(),
+		GoodLong:   long.value(),
+		Wasted:     r.counts.wasted / max(1, r.counts.prefilled),
+		LesserKept: r.memory.flooded / float64(r.capacity) / (floodUntil - floodFrom).Seconds(),
+		Idle:       r.memory.idle / max(1, r.memory.waited),
+	}
+	for _, rank := range identifier.Ranks {
+		result.Good[rank] = good[rank].value()
+		result.Answered[rank] = answers[rank].value()
+	}
+	slices.Sort(r.decided)
+	if len(r.decided) > 0 {
+		result.Decide = r.decided[len(r.decided)*99/100]
+	}
+	return result
+}
+
+// spread is the median, the least and the largest of several seeds.
+type spread struct{ median, least, most float64 }
+
+func spreadOf(results []Result, value func(Result) float64) spread {
+	values := make([]float64, 0, len(results))
+	for _, result := range results {
+		values = append(values, value(result))
+	}
+	sort.Float64s(values)
+	return spread{values[len(values)/2], values[0], values[len(values)-1]}
+}
+
+func (s spread) String() string {
+	return fmt.Sprintf("%5.2f [%4.2f-%4.2f]", s.median, s.least, s.most)
+}
+
+// column is one metric of the table.
+type column struct {
+	name  string
+	value func(Result) float64
+}
+
+var columns = []column{
+	{"goodput/s", func(r Result) float64 { return r.Goodput }},
+	{"urgent-good", func(r Result) float64 { return r.Good[identifier.Urgent] }},
+	{"lesser-good", func(r Result) float64 { return r.Good[identifier.Lesser] }},
+	{"short-good", func(r Result) float64 { return r.GoodShort }},
+	{"long-good", func(r Result) float64 { return r.GoodLong }},
+	{"wasted", func(r Result) float64 { return r.Wasted }},
+	{"lesser-kept", func(r Result) float64 { return r.LesserKept }},
+	{"idle", func(r Result) float64 { return r.Idle }},
+	{"decide-p99-s", func(r Result) float64 { return r.Decide.Seconds() }},
+}
+
+// writeHeader writes the names of the columns.
+func writeHeader(output io.Writer, first string) {
+	_, _ = fmt.Fprintf(output, "%-22s", first)
+	for _, c := range columns {
+		_, _ = fmt.Fprintf(output, " %17s", c.name)
+	}
+	_, _ = fmt.Fprintln(output)
+}
+
+// writeRow writes the metrics of one strategy over its seeds.
+func writeRow(output io.Writer, name string, results []Result) {
+	_, _ = fmt.Fprintf(output, "%-22s", name)
+	for _, c := range columns {
+		_, _ = fmt.Fprintf(output, " %17s", spreadOf(results, c.value))
+	}
+	_, _ = fmt.Fprintln(output)
+}
--- a/placer/events.go
+++ b/placer/events.go
@@ -312,12 +312,49 @@
 	p.countForeign(now, e)
 }
 
-// countForeign finds memory held by requests that have no grant here.
-func (p *Placer) countForeign(_ time.Time, e *engine) {
+// stranger is an attempt that an engine holds memory for without a grant here.
+type stranger struct {
+	member  identifier.Member
+	request identifier.Request
+	attempt uint32
+}
+
+// countForeign finds memory held by requests that have no grant here. Those
+// that no node claims for long enough are cancelled.
+func (p *Placer) countForeign(now time.Time, e *engine) {
 	e.foreign = 0
+	seen := map[stranger]bool{}
 	for _, h := range e.load.Holding {
-		if g := p.latest[h.Request]; g == nil || g.decode != e {
-			e.foreign += h.Pieces
+		if g := p.latest[h.Request]; g != nil && g.decode == e && g.Demand.Attempt >= h.Attempt {
+			continue
 		}
+		e.foreign += h.Pieces
+		s := stranger{e.Member, h.Request, h.Attempt}
+		seen[s] = true
+		p.meet(now, s)
+	}
+	for s := range p.strangers {
+		if s.member == e.Member && !seen[s] {
+			delete(p.strangers, s)
+		}
+	}
+}
+
+// meet orders a stranger's cancel once it has stayed unclaimed for a lease and
+// a grace, in which a living node would have renewed or taken over its grant.
+func (p *Placer) meet(now time.Time, s stranger) {
+	due, known := p.strangers[s]
+	if !known {
+		p.strangers[s] = now.Add(p.settings.Lease + p.settings.OrphanGrace)
+		return
+	}
+	if now.Before(due) {
+		return
 	}
+	p.strangers[s] = now.Add(p.settings.CancelRetry)
+	p.orders = append(p.orders, Order{
+		Request: s.request,
+		Attempt: s.attempt,
+		Members: []identifier.Member{s.member},
+	})
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -93,10 +93,13 @@
 	// accounts holds the accounts that hold or wait for memory.
 	accounts   map[accountKey]*accountUse
 	estimators map[identifier.Route]*estimator
-	drain      drain
-	issued     uint64
-	decisions  []Decision
-	orders     []Order
+	// strangers are the unclaimed attempts that engines hold, with the time of
+	// their next cancel.
+	strangers map[stranger]time.Time
+	drain     drain
+	issued    uint64
+	decisions []Decision
+	orders    []Order
 	// blocked is scratch space of place.
 	blocked []*waiting
 	// lapse is when the earliest grant expires, at the latest.
@@ -114,6 +117,7 @@
 		queued:     map[identifier.Request]*waiting{},
 		accounts:   map[accountKey]*accountUse{},
 		estimators: map[identifier.Route]*estimator{"": newEstimator()},
+		strangers:  map[stranger]time.Time{},
 	}
 }
 
