--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -32,8 +32,9 @@
 	// Load asks an engine for its report. At is set by the dispatcher.
 	Load(ctx context.Context, pool identifier.Pool, member tabulator.Member) (placer.Load, error)
 	// Cancel returns nil once the engine says that it holds nothing of the
-	// attempt any more, also when it never did.
-	Cancel(ctx context.Context, pool identifier.Pool, member tabulator.Member, request identifier.Request, attempt uint32) error
+	// stream any more, also when it never did, or that an attempt later than
+	// the given one goes on with it.
+	Cancel(ctx context.Context, pool identifier.Pool, member tabulator.Member, request identifier.Request, stream, attempt uint64) error
 }
 
 // Options configures a dispatcher. Zero durations and limits take the defaults
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -59,14 +59,14 @@
 	return load, nil
 }
 
-func (f *fabric) Cancel(_ context.Context, _ identifier.Pool, member tabulator.Member, request identifier.Request, attempt uint32) error {
+func (f *fabric) Cancel(_ context.Context, _ identifier.Pool, member tabulator.Member, request identifier.Request, stream, _ uint64) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.stubborn > 0 {
 		f.stubborn--
 		return errors.New("engine busy")
 	}
-	name := fmt.Sprintf("%s/%d", request, attempt)
+	name := fmt.Sprintf("%s/%d", request, stream)
 	delete(f.memory[member.Name], name)
 	f.cancelled = append(f.cancelled, string(member.Name)+" "+name)
 	return nil
@@ -79,7 +79,7 @@
 	if f.memory[placed.Decode] == nil {
 		f.memory[placed.Decode] = map[string]identifier.Pieces{}
 	}
-	f.memory[placed.Decode][fmt.Sprintf("%s/%d", demand.Request, demand.Attempt)] = placed.Pieces
+	f.memory[placed.Decode][fmt.Sprintf("%s/%d", demand.Request, placed.Stream)] = placed.Pieces
 }
 
 // holds counts the requests that an engine holds memory for.
@@ -187,7 +187,7 @@
 	<-n.done
 }
 
-func demand(request string, attempt uint32) placer.Demand {
+func demand(request string, attempt uint64) placer.Demand {
 	return placer.Demand{
 		Request: identifier.Request(request), Attempt: attempt, Pool: testPool, Account: "dealer",
 		DataCentre: "plovdiv", Prompt: 1000, Limit: 900, Wait: 2 * time.Second, Between: 100 * time.Millisecond,
--- a/dispatcher/engines.go
+++ b/dispatcher/engines.go
@@ -109,7 +109,7 @@
 }
 
 func (s *shard) cancelOn(ctx context.Context, order placer.Order, member tabulator.Member) error {
-	err := s.options.Engines.Cancel(ctx, s.id.pool, member, order.Request, order.Attempt)
+	err := s.options.Engines.Cancel(ctx, s.id.pool, member, order.Request, order.Stream, order.Attempt)
 	fields := logger.Fields{"request": order.Request, "attempt": order.Attempt, "member": member.Name}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	decode := l.fallback.better(decodes, nodes)
-	return l.fallback.book(l, prefills[rand.IntN(len(prefills))].Name, decode.Name, pieces)
+	return l.fallback.book(l, w.demand.Attempt, prefills[rand.IntN(len(prefills))].Name, decode.Name, pieces)
 }
 
 func avoids(d *placer.Demand, name identifier.Member) bool {
@@ -138,7 +138,7 @@
 	return first
 }
 
-func (f *fallback) book(l *link, prefill, decode identifier.Member, pieces identifier.Pieces) *placer.Placement {
+func (f *fallback) book(l *link, attempt uint64, prefill, decode identifier.Member, pieces identifier.Pieces) *placer.Placement {
 	f.issued++
 	incarnation := l.options.View().Self.Incarnation
 	grant := identifier.Grant(fmt.Sprintf("%s.%d.%s.%d.alone-%d", l.options.Self, incarnation, l.id.pool, l.id.index, f.issued))
@@ -147,5 +147,13 @@
 	if free, known := f.free[decode]; known {
 		f.free[decode] = free - pieces
 	}
-	return &placer.Placement{Grant: grant, Prefill: prefill, Decode: decode, Pieces: pieces, Lease: l.options.Lease}
+	return &placer.Placement{
+		Grant:   grant,
+		Prefill: prefill,
+		Decode:  decode,
+		Pieces:  pieces,
+		Attempt: attempt,
+		Stream:  attempt,
+		Lease:   l.options.Lease,
+	}
 }
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -86,6 +86,9 @@
 		f.state(others[0].name, assigner.Dead)
 		time.Sleep(time.Second)
 		second := others[1].placed(t, demand("r1", 2))
+		if second.Stream != first.Stream || second.Attempt != 2 {
+			t.Errorf("second attempt got stream %d as %d, want %d as 2", second.Stream, second.Attempt, first.Stream)
+		}
 		if second.Decode != first.Decode || second.Prefill != first.Prefill {
 			t.Errorf("second attempt got %+v, want the engines of %+v", second, first)
 		}
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -384,6 +384,7 @@
 				Prefill: placed.Prefill,
 				Decode:  placed.Decode,
 				Pieces:  placed.Pieces,
+				Stream:  placed.Stream,
 			},
 			known: known,
 		}
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -21,6 +21,7 @@
 		WaitNanoseconds:    int64(wait),
 		BetweenNanoseconds: int64(d.Between),
 		Prefixes:           d.Prefixes,
+		Suspect:            d.Suspect,
 	}
 	for _, member := range d.Avoid {
 		message.Avoid = append(message.Avoid, string(member))
@@ -44,6 +45,7 @@
 		Wait:       time.Duration(message.GetWaitNanoseconds()),
 		Between:    time.Duration(message.GetBetweenNanoseconds()),
 		Prefixes:   message.GetPrefixes(),
+		Suspect:    message.GetSuspect(),
 	}
 	for _, member := range message.GetAvoid() {
 		d.Avoid = append(d.Avoid, identifier.Member(member))
@@ -59,6 +61,7 @@
 		Pieces:       int64(h.Pieces),
 		OutputTokens: int64(h.Output),
 		Decoding:     h.Decoding,
+		Stream:       h.Stream,
 	}
 	if withDemand {
 		message.Demand = encodeDemand(&h.Demand, h.Demand.Wait)
@@ -76,6 +79,7 @@
 		Pieces:   identifier.Pieces(message.GetPieces()),
 		Output:   identifier.Tokens(message.GetOutputTokens()),
 		Decoding: message.GetDecoding(),
+		Stream:   message.GetStream(),
 	}, ok
 }
 
@@ -106,6 +110,7 @@
 		message.Decode = string(placed.Decode)
 		message.Pieces = int64(placed.Pieces)
 		message.LeaseNanoseconds = int64(placed.Lease)
+		message.Stream = placed.Stream
 		return message
 	}
 	message.Reason = string(d.Outcome.Refusal.Reason)
@@ -127,6 +132,8 @@
 		Prefill: identifier.Member(message.GetPrefill()),
 		Decode:  identifier.Member(message.GetDecode()),
 		Pieces:  identifier.Pieces(message.GetPieces()),
+		Attempt: message.GetAttempt(),
+		Stream:  message.GetStream(),
 		Lease:   time.Duration(message.GetLeaseNanoseconds()),
 	}
 	return decision
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -51,7 +51,7 @@
 // Holding is one request that an engine says it holds memory for.
 type Holding struct {
 	Request identifier.Request
-	Attempt uint32
+	Attempt uint64
 	Pieces  identifier.Pieces
 }
 
--- a/placer/events.go
+++ b/placer/events.go
@@ -141,7 +141,7 @@
 }
 
 // Withdraw forgets a demand whose caller is gone, or cancels its grant.
-func (p *Placer) Withdraw(now time.Time, request identifier.Request, attempt uint32) {
+func (p *Placer) Withdraw(now time.Time, request identifier.Request, attempt uint64) {
 	if w := p.queued[request]; w != nil && w.demand.Attempt <= attempt {
 		p.dequeue(w)
 	}
@@ -261,7 +261,7 @@
 	g.phase = cancelling
 	g.expires = now.Add(p.settings.CancelRetry)
 	p.expireBy(g.expires)
-	order := Order{Grant: g.Grant, Request: g.Demand.Request, Attempt: g.Demand.Attempt}
+	order := Order{Grant: g.Grant, Request: g.Demand.Request, Stream: g.Stream, Attempt: g.Demand.Attempt}
 	if !g.Decoding && g.prefill != nil {
 		order.Members = append(order.Members, g.prefill.Member)
 	}
--- a/placer/place.go
+++ b/placer/place.go
@@ -184,6 +184,7 @@
 			Prefill: start.engine.Member,
 			Decode:  decode.Member,
 			Pieces:  w.pieces,
+			Stream:  w.demand.Attempt,
 		},
 		prefill: start.engine,
 		decode:  decode,
@@ -200,6 +201,8 @@
 		Prefill: g.Prefill,
 		Decode:  g.Decode,
 		Pieces:  g.Pieces,
+		Attempt: g.Demand.Attempt,
+		Stream:  g.Stream,
 		Lease:   p.settings.Lease,
 	}
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -11,7 +11,7 @@
 // Decision answers one waiting demand.
 type Decision struct {
 	Request identifier.Request
-	Attempt uint32
+	Attempt uint64
 	Node    identifier.Node
 	Outcome Outcome
 }
@@ -21,7 +21,9 @@
 type Order struct {
 	Grant   identifier.Grant
 	Request identifier.Request
-	Attempt uint32
+	// Stream names the attempt on the engines, Attempt fences the cancel.
+	Stream  uint64
+	Attempt uint64
 	Members []identifier.Member
 }
 
@@ -32,6 +34,8 @@
 	Prefill identifier.Member
 	Decode  identifier.Member
 	Pieces  identifier.Pieces
+	// Stream names the engines' stream: the attempt that first got the memory.
+	Stream uint64
 	// Output is how many tokens were generated so far.
 	Output identifier.Tokens
 	// Decoding tells that the KV cache has reached the decode engine.
