Raise the attempt of a take-over, keep suspects apart, explain memory

Cause: the contract now numbers attempts by time, so a caller that comes back through a node whose clock is behind was refused as superseded; and engines that list no requests hid memory that no grant explains. Change: an orphaned grant goes to whoever asks, with the attempt raised; suspect demands share no engine; memory that a report shows in use beyond all grants since it was asked for is not granted. Ruled out: raising the attempt of a demand while the holder is alive, which would let a late retransmission end a running answer.

--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -377,10 +377,12 @@
 func (l *link) settle(w *submission, outcome placer.Outcome, known bool) {
 	delete(l.waiting, w.demand.Request)
 	if placed := outcome.Placement; placed != nil {
+		demand := w.demand
+		demand.Attempt = placed.Attempt
 		l.held[placed.Grant] = &heldGrant{
 			Held: placer.Held{
 				Grant:   placed.Grant,
-				Demand:  w.demand,
+				Demand:  demand,
 				Prefill: placed.Prefill,
 				Decode:  placed.Decode,
 				Pieces:  placed.Pieces,
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -111,6 +111,7 @@
 		message.Pieces = int64(placed.Pieces)
 		message.LeaseNanoseconds = int64(placed.Lease)
 		message.Stream = placed.Stream
+		message.GrantedAttempt = placed.Attempt
 		return message
 	}
 	message.Reason = string(d.Outcome.Refusal.Reason)
@@ -132,7 +133,7 @@
 		Prefill: identifier.Member(message.GetPrefill()),
 		Decode:  identifier.Member(message.GetDecode()),
 		Pieces:  identifier.Pieces(message.GetPieces()),
-		Attempt: message.GetAttempt(),
+		Attempt: message.GetGrantedAttempt(),
 		Stream:  message.GetStream(),
 		Lease:   time.Duration(message.GetLeaseNanoseconds()),
 	}
--- a/measurer/decode.go
+++ b/measurer/decode.go
@@ -229,7 +229,7 @@
 func (e *decodeEngine) holding() []placer.Holding {
 	list := make([]placer.Holding, 0, len(e.jobs))
 	for j := range e.jobs {
-		list = append(list, placer.Holding{Request: requestID(j.request), Attempt: j.attempt, Pieces: j.pieces})
+		list = append(list, placer.Holding{Request: requestID(j.request), Stream: j.attempt, Pieces: j.pieces})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Request < list[j].Request })
 	return list
--- a/measurer/dispatched.go
+++ b/measurer/dispatched.go
@@ -194,6 +194,7 @@
 	s.latest[demand.Request] = j
 	s.jobs[placed.Grant] = &granted{job: j, held: placer.Held{
 		Grant: placed.Grant, Demand: demand, Prefill: placed.Prefill, Decode: placed.Decode, Pieces: placed.Pieces,
+		Stream: j.attempt,
 	}}
 }
 
@@ -244,7 +245,7 @@
 
 // cancel drops a job at its engines and confirms it.
 func (s *dispatched) cancel(order placer.Order) {
-	if j := s.latest[order.Request]; j != nil && j.attempt == order.Attempt {
+	if j := s.latest[order.Request]; j != nil && j.attempt == order.Stream {
 		j.decode.cancel(j)
 	}
 	s.run.after(hop, func() {
--- a/measurer/prefill.go
+++ b/measurer/prefill.go
@@ -14,7 +14,7 @@
 // job is one placement of a request on its way through two engines.
 type job struct {
 	request *request
-	attempt uint32
+	attempt uint64
 	prefill *prefillEngine
 	decode  *decodeEngine
 	// tokens is the prompt with what earlier attempts generated; computed is
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -132,7 +132,7 @@
 	traffic  *traffic
 	arrived  time.Duration
 	// attempt counts the placements; generated is the output of earlier ones.
-	attempt   uint32
+	attempt   uint64
 	generated identifier.Tokens
 	// first and ended are when the first and the last token came.
 	first   time.Duration
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -51,8 +51,9 @@
 // Holding is one request that an engine says it holds memory for.
 type Holding struct {
 	Request identifier.Request
-	Attempt uint64
-	Pieces  identifier.Pieces
+	// Stream is the attempt that the engine's stream is named by.
+	Stream uint64
+	Pieces identifier.Pieces
 }
 
 // engine is an engine with what the placer knows about it.
@@ -73,21 +74,26 @@
 	linkUntil    time.Time
 	// avoidUntil keeps an engine that failed out of new grants for a while.
 	avoidUntil time.Time
+	// freed lists what was released since the last report, oldest first.
+	freed []freed
+	// suspects counts the grants of suspect demands here, as either engine.
+	suspects int
 	// removed engines left the table but still carry grants.
 	removed bool
 }
 
+// freed is memory that a release gave back.
+type freed struct {
+	at     time.Time
+	pieces identifier.Pieces
+}
+
 // takes tells whether the engine may get new work at all.
 func (e *engine) takes(now time.Time, d *Demand) bool {
-	if e.Leaving || e.removed || now.Before(e.avoidUntil) {
+	if e.Leaving || e.removed || now.Before(e.avoidUntil) || d.Suspect && e.suspects > 0 {
 		return false
 	}
-	for _, avoided := range d.Avoid {
-		if avoided == e.Member {
-			return false
-		}
-	}
-	return true
+	return !avoids(d, e)
 }
 
 // free is the memory that may be granted now. While the placer rebuilds its
--- a/placer/events.go
+++ b/placer/events.go
@@ -26,13 +26,11 @@
 // submitAgain handles a demand whose request holds a grant already.
 func (p *Placer) submitAgain(now time.Time, d Demand, g *grant) {
 	switch {
-	case d.Attempt < g.Demand.Attempt:
-		p.refuse(&d, Superseded, 0)
-	case d.Attempt == g.Demand.Attempt && g.phase == held:
+	case d.Attempt == g.asked && d.Node == g.Demand.Node && g.phase == held:
 		p.renew(now, g)
 		p.answer(&d, Outcome{Placement: p.placement(g)})
-	case d.Attempt == g.Demand.Attempt:
-		p.refuse(&d, Gone, 0)
+	case d.Attempt <= g.Demand.Attempt && g.phase == held:
+		p.refuse(&d, Superseded, 0)
 	case g.phase == cancelling:
 		p.enqueue(now, d)
 	default:
@@ -41,7 +39,9 @@
 }
 
 // takeOver gives the memory of an earlier attempt to a later one, on the same
-// engines, so that the stream there can go on.
+// engines, so that the stream there can go on. Whoever asks for an orphan comes
+// later than its dead node, so its attempt number is raised if that node's clock
+// ran ahead.
 func (p *Placer) takeOver(now time.Time, d Demand, old *grant) {
 	if old.decode.Leaving || old.decode.removed || avoids(&d, old.decode) {
 		p.cancel(now, old)
@@ -52,6 +52,8 @@
 	successor := *old
 	successor.Grant = p.nextGrant()
 	successor.Demand = d
+	successor.Demand.Attempt = max(d.Attempt, old.Demand.Attempt+1)
+	successor.asked = d.Attempt
 	successor.phase = held
 	successor.expires = now.Add(p.settings.Lease)
 	p.hold(&successor)
@@ -224,7 +226,7 @@
 	if decode == nil || decode.Role != identifier.Decode || h.Pieces <= 0 {
 		return Renewed
 	}
-	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now}
+	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now, asked: h.Demand.Attempt}
 	p.renew(now, g)
 	p.hold(g)
 	return Renewed
@@ -316,20 +318,24 @@
 type stranger struct {
 	member  identifier.Member
 	request identifier.Request
-	attempt uint32
+	stream  uint64
 }
 
 // countForeign finds memory held by requests that have no grant here. Those
 // that no node claims for long enough are cancelled.
 func (p *Placer) countForeign(now time.Time, e *engine) {
 	e.foreign = 0
+	if e.load.Holding == nil {
+		e.foreign = e.unexplained()
+		return
+	}
 	seen := map[stranger]bool{}
 	for _, h := range e.load.Holding {
-		if g := p.latest[h.Request]; g != nil && g.decode == e && g.Demand.Attempt >= h.Attempt {
+		if g := p.latest[h.Request]; g != nil && g.decode == e && g.Stream == h.Stream {
 			continue
 		}
 		e.foreign += h.Pieces
-		s := stranger{e.Member, h.Request, h.Attempt}
+		s := stranger{e.Member, h.Request, h.Stream}
 		seen[s] = true
 		p.meet(now, s)
 	}
@@ -354,7 +360,21 @@
 	p.strangers[s] = now.Add(p.settings.CancelRetry)
 	p.orders = append(p.orders, Order{
 		Request: s.request,
-		Attempt: s.attempt,
+		Stream:  s.stream,
+		Attempt: s.stream,
 		Members: []identifier.Member{s.member},
 	})
 }
+
+// unexplained is the memory that the last report showed in use beyond all grants
+// that stand now or stood when the engine was asked.
+func (e *engine) unexplained() identifier.Pieces {
+	known := e.used
+	for len(e.freed) > 0 && e.freed[0].at.Before(e.load.At) {
+		e.freed = e.freed[1:]
+	}
+	for _, f := range e.freed {
+		known += f.pieces
+	}
+	return max(0, e.Pieces-e.load.Free-known)
+}
--- a/placer/place.go
+++ b/placer/place.go
@@ -189,6 +189,7 @@
 		prefill: start.engine,
 		decode:  decode,
 		granted: now,
+		asked:   w.demand.Attempt,
 		expires: now.Add(p.settings.Lease),
 	}
 	p.hold(g)
--- a/placer/state.go
+++ b/placer/state.go
@@ -60,6 +60,8 @@
 	decode  *engine
 	phase   phase
 	granted time.Time
+	// asked is the attempt that the demand named; the grant's may be larger.
+	asked uint64
 	// expires is the end of the lease of a held grant, of the grace of an
 	// orphaned one, and the next order of a cancelling one.
 	expires time.Time
@@ -220,9 +222,21 @@
 	g.decode.running++
 	p.used[g.Demand.Rank] += g.Pieces
 	p.account(&g.Demand, g.Pieces, 0)
+	g.countSuspect(1)
 	p.expireBy(g.expires)
 }
 
+// countSuspect keeps suspect demands apart.
+func (g *grant) countSuspect(change int) {
+	if !g.Demand.Suspect {
+		return
+	}
+	g.decode.suspects += change
+	if g.prefill != nil {
+		g.prefill.suspects += change
+	}
+}
+
 // free returns the memory of a grant.
 func (p *Placer) free(now time.Time, g *grant) {
 	delete(p.grants, g.Grant)
@@ -233,12 +247,24 @@
 	g.decode.running--
 	p.used[g.Demand.Rank] -= g.Pieces
 	p.account(&g.Demand, -g.Pieces, 0)
+	g.countSuspect(-1)
+	g.decode.remember(now, g.Pieces)
 	p.drain.add(now, g.Pieces)
 	if g.decode.removed && g.decode.used == 0 {
 		p.sortEngines()
 	}
 }
 
+// freedLimit bounds the releases that an engine's report is explained by.
+const freedLimit = 1000
+
+func (e *engine) remember(now time.Time, pieces identifier.Pieces) {
+	if len(e.freed) >= freedLimit {
+		e.freed = e.freed[1:]
+	}
+	e.freed = append(e.freed, freed{now, pieces})
+}
+
 // resize changes the memory of a grant whose output outgrew its reservation.
 func (p *Placer) resize(g *grant, pieces identifier.Pieces) {
 	grown := pieces - g.Pieces
