Add fairness, pauses, affinity, link budget and early refusal to the policy

Change: accounts beyond their share queue behind the others; lesser streams of one engine are stopped for an urgent demand about to be late; prefix hits shorten the planned prefill; transfers are planned on both links; demands whose queue will not drain in three times their time left, and next demands past their last moment to start, are refused at once.

--- a/measurer/decode.go
+++ b/measurer/decode.go
@@ -152,6 +152,14 @@
 	return min(j.endAt, max(grow, j.startAt))
 }
 
+// progress is how many tokens a job has generated as of its engine's last event.
+func (j *job) progress() identifier.Tokens {
+	if j.endAt == 0 {
+		return 0
+	}
+	return identifier.Tokens(max(0, j.decode.steps-j.startAt))
+}
+
 // settle ends and grows the streams that are due.
 func (e *decodeEngine) settle() {
 	e.advance()
--- a/measurer/dispatched.go
+++ b/measurer/dispatched.go
@@ -290,6 +290,7 @@
 			continue
 		}
 		g.held.Decoding = g.job.claimed
+		g.held.Output = g.job.progress()
 		s.placer.Renew(s.run.clock(), g.held, true)
 	}
 	s.advance()
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -21,6 +21,9 @@
 	// GoodShort and GoodLong split Goodput's share by prompt length.
 	GoodShort float64
 	GoodLong  float64
+	// Others is the share of lesser arrivals answered within both targets,
+	// but for those of an account that floods alone.
+	Others float64
 	// Wasted is the share of prefill work whose result was not used.
 	Wasted float64
 	// LesserKept is the share of decode memory that lesser work held while
@@ -55,7 +58,7 @@
 // result sums up a run after its warm-up.
 func (r *run) result() Result {
 	var good, answers [len(identifier.Ranks)]share
-	var short, long share
+	var short, long, others share
 	total := 0.0
 	for _, q := range r.requests {
 		if q.arrived < warmUp || q.arrived > runLength {
@@ -63,6 +66,9 @@
 		}
 		good[q.rank].count(q.good())
 		answers[q.rank].count(q.state == answered)
+		if q.rank == identifier.Lesser && q.account != accounts {
+			others.count(q.good())
+		}
 		if q.prompt >= longPrompt {
 			long.count(q.good())
 		} else {
@@ -76,6 +82,7 @@
 		Goodput:    total / (runLength - warmUp).Seconds(),
 		GoodShort:  short.value(),
 		GoodLong:   long.value(),
+		Others:     others.value(),
 		Wasted:     r.counts.wasted / max(1, r.counts.prefilled),
 		LesserKept: r.memory.flooded / float64(r.capacity) / (floodUntil - floodFrom).Seconds(),
 		Idle:       r.memory.idle / max(1, r.memory.waited),
@@ -117,6 +124,7 @@
 	{"goodput/s", func(r Result) float64 { return r.Goodput }},
 	{"urgent-good", func(r Result) float64 { return r.Good[identifier.Urgent] }},
 	{"lesser-good", func(r Result) float64 { return r.Good[identifier.Lesser] }},
+	{"others-good", func(r Result) float64 { return r.Others }},
 	{"short-good", func(r Result) float64 { return r.GoodShort }},
 	{"long-good", func(r Result) float64 { return r.GoodLong }},
 	{"wasted", func(r Result) float64 { return r.Wasted }},
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -29,7 +29,7 @@
 type memory struct {
 	updated time.Duration
 	held    [len(identifier.Ranks)]identifier.Pieces
-	// waiting is how many requests wait for their placement.
+	// waiting is how many requests have waited long for their placement.
 	waiting int
 	// idle and waited are piece-seconds while requests wait: the free ones,
 	// and all.
@@ -172,14 +172,34 @@
 	r.strategy.arrive(q)
 }
 
+// longWait is from when on a request counts as waiting.
+const longWait = 100 * time.Millisecond
+
 func (r *run) setWaiting(q *request, waiting bool) {
 	if q.waiting == waiting {
 		return
 	}
-	r.memory.update(r)
 	q.waiting = waiting
-	if waiting {
-		q.asked = r.now
+	if !waiting {
+		r.countWaiting(q, false)
+		return
+	}
+	q.asked = r.now
+	asked := r.now
+	r.after(longWait, func() {
+		if q.waiting && q.asked == asked {
+			r.countWaiting(q, true)
+		}
+	})
+}
+
+func (r *run) countWaiting(q *request, counted bool) {
+	if q.counted == counted {
+		return
+	}
+	r.memory.update(r)
+	q.counted = counted
+	if counted {
 		r.memory.waiting++
 	} else {
 		r.memory.waiting--
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -42,6 +42,7 @@
 	{Name: "load-1.2", load: 1.2},
 	{Name: "lesser-flood", load: 0.8, lesser: 5},
 	{Name: "urgent-flood", load: 0.8, urgent: 5},
+	{Name: "one-account-flood", load: 0.8, lesser: 5, oneAccount: true},
 	{Name: "owner-killed", load: 0.8, kill: 60 * time.Second},
 	{Name: "lag-2s", load: 0.8, lag: 2 * time.Second},
 	{Name: "slow-engine", load: 0.8, slow: 3},
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/placer"
 )
 
 // lengths is a log-normal distribution of token counts.
@@ -109,7 +110,7 @@
 	templates    = 50
 	templated    = 0.3
 	templatePart = 0.4
-	prefixBlock  = 512
+	prefixBlock  = int(placer.PrefixBlock)
 	accounts     = 40
 	// addressKept is how long an account's callers keep the address of a node.
 	addressKept   = 30 * time.Second
@@ -135,10 +136,12 @@
 	attempt   uint64
 	generated identifier.Tokens
 	// first and ended are when the first and the last token came.
-	first   time.Duration
-	ended   time.Duration
-	state   state
+	first time.Duration
+	ended time.Duration
+	state state
+	// waiting requests were asked for at asked; counted ones have waited long.
 	waiting bool
+	counted bool
 	asked   time.Duration
 }
 
@@ -182,7 +185,7 @@
 	}
 	if random.Float64() < templated {
 		template := uint64(random.IntN(templates))
-		blocks := int(float64(r.prompt) * templatePart / prefixBlock)
+		blocks := int(float64(r.prompt)*templatePart) / prefixBlock
 		for block := range blocks {
 			r.prefixes = append(r.prefixes, template<<32|uint64(block+1))
 		}
--- a/placer/drain.go
+++ b/placer/drain.go
@@ -40,3 +40,19 @@
 	seen := 1 - math.Exp(-float64(now.Sub(d.first))/float64(drainWindow))
 	return d.amount / drainWindow.Seconds() / seen
 }
+
+// expectedWait is how long the demands before a new one take to get their
+// memory. Urgent work gets all that comes free, lesser work what it leaves or
+// its minimum share.
+func (p *Placer) expectedWait(now time.Time, w *waiting) time.Duration {
+	rank := w.demand.Rank
+	ahead := p.queues[rank].ahead(w.within)
+	rate := p.drain.rate(now)
+	if rank == identifier.Lesser {
+		rate = max(rate-p.served[identifier.Urgent].rate(now), rate*p.settings.LesserShare)
+	}
+	if ahead == 0 || rate <= 0 {
+		return 0
+	}
+	return seconds(float64(ahead), rate)
+}
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -61,8 +61,8 @@
 	Engine
 	// used is the sum of the pieces of all grants whose decode engine this is.
 	used identifier.Pieces
-	// running counts those grants.
-	running int
+	// held lists those grants.
+	held []*grant
 	// foreign is memory that the last report showed held by no grant known here.
 	foreign identifier.Pieces
 	load    Load
@@ -72,6 +72,9 @@
 	// linkUntil when the transfers are.
 	prefillUntil time.Time
 	linkUntil    time.Time
+	// hits is how many prefix blocks of the demand numbered stamp are cached.
+	hits  int
+	stamp uint64
 	// avoidUntil keeps an engine that failed out of new grants for a while.
 	avoidUntil time.Time
 	// freed lists what was released since the last report, oldest first.
--- a/placer/events.go
+++ b/placer/events.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -76,8 +77,13 @@
 		p.refuse(&d, reason, p.settings.Lease)
 		return
 	}
-	w := &waiting{demand: d, deadline: now.Add(d.Wait)}
-	w.within = p.withinShare(&d, need)
+	deadline := now.Add(d.Wait)
+	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d))}
+	w.within = !p.settings.has(Fairness) || p.withinShare(&d, need)
+	if p.settings.has(EarlyRefusal) && p.hopeless(now, w) {
+		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
+		return
+	}
 	queue := &p.queues[d.Rank]
 	if queue.length() >= p.settings.QueueLimit {
 		victim := queue.sacrifice()
@@ -90,11 +96,33 @@
 	}
 	w.pieces = need
 	queue.push(w)
-	queue.pieces += need
+	queue.count(w, need)
 	p.queued[d.Request] = w
 	p.account(&d, 0, need)
 }
 
+// leastTime is how long the fastest idle engines take to have a prompt ready.
+func (p *Placer) leastTime(now time.Time, d *Demand) time.Duration {
+	best := time.Duration(math.MaxInt64)
+	p.matchPrefixes(now, d)
+	for _, e := range p.prefills {
+		if e.removed || e.Leaving {
+			continue
+		}
+		prefill := seconds(float64(p.uncached(d, e)), float64(e.prefillRate()))
+		best = min(best, prefill+p.transfer(d, e))
+	}
+	if best == math.MaxInt64 {
+		return 0
+	}
+	return best
+}
+
+// hopeless tells whether a demand's queue will not drain in time.
+func (p *Placer) hopeless(now time.Time, w *waiting) bool {
+	return p.expectedWait(now, w).Seconds() > w.demand.Wait.Seconds()*p.settings.RefuseBeyond
+}
+
 // admissible tells whether any engine could ever take the demand.
 func (p *Placer) admissible(d *Demand, need identifier.Pieces) (Reason, bool) {
 	prefill, fits, decode := false, false, false
@@ -137,7 +165,7 @@
 
 // unqueue forgets a demand that has been taken out of its heap.
 func (p *Placer) unqueue(w *waiting) {
-	p.queues[w.demand.Rank].pieces -= w.pieces
+	p.queues[w.demand.Rank].count(w, -w.pieces)
 	delete(p.queued, w.demand.Request)
 	p.account(&w.demand, 0, -w.pieces)
 }
@@ -239,9 +267,11 @@
 
 // Gone lapses all grants of a dead node and forgets its waiting demands.
 func (p *Placer) Gone(now time.Time, node identifier.Node) {
-	for _, g := range p.grants {
-		if g.Demand.Node == node && g.phase == held {
-			p.orphan(now, g)
+	for _, e := range p.decodes {
+		for _, g := range e.held {
+			if g.Demand.Node == node && g.phase == held {
+				p.orphan(now, g)
+			}
 		}
 	}
 	for _, w := range p.queued {
@@ -286,18 +316,24 @@
 		return
 	}
 	p.lapse = time.Time{}
-	for _, g := range p.grants {
-		switch {
-		case now.Before(g.expires):
-			p.expireBy(g.expires)
-		case g.phase == held:
-			p.orphan(now, g)
-		default:
-			p.cancel(now, g)
+	for _, e := range p.decodes {
+		for _, g := range e.held {
+			p.expireGrant(now, g)
 		}
 	}
 }
 
+func (p *Placer) expireGrant(now time.Time, g *grant) {
+	switch {
+	case now.Before(g.expires):
+		p.expireBy(g.expires)
+	case g.phase == held:
+		p.orphan(now, g)
+	default:
+		p.cancel(now, g)
+	}
+}
+
 // Report takes in an engine's own report.
 func (p *Placer) Report(now time.Time, member identifier.Member, load Load) {
 	e := p.engines[member]
@@ -306,11 +342,16 @@
 	}
 	e.load = load
 	e.granted = 0
-	for _, g := range p.grants {
-		if g.decode == e && g.granted.After(load.At) {
+	for _, g := range e.held {
+		if g.granted.After(load.At) {
 			e.granted += g.Pieces
 		}
 	}
+	if load.Backlog > 0 {
+		backlog := seconds(float64(load.Backlog), float64(e.prefillRate()))
+		e.prefillUntil = later(e.prefillUntil, load.At.Add(backlog))
+	}
+	p.index.take(now, e, load)
 	p.countForeign(now, e)
 }
 
--- a/placer/place.go
+++ b/placer/place.go
@@ -10,9 +10,24 @@
 // after each batch of events and at least every lease.
 func (p *Placer) Advance(now time.Time) {
 	p.expire(now)
+	p.refuseLate(now)
 	p.place(now)
 }
 
+// refuseLate refuses the demands that can no longer meet their target.
+func (p *Placer) refuseLate(now time.Time) {
+	for _, rank := range identifier.Ranks {
+		for {
+			w := p.queues[rank].late(now)
+			if w == nil {
+				break
+			}
+			p.unqueue(w)
+			p.refuse(&w.demand, TooLate, p.retryAfter(now, rank))
+		}
+	}
+}
+
 // verdict says what became of one try to place a demand.
 type verdict uint8
 
@@ -52,7 +67,7 @@
 func (p *Placer) drainQueue(now time.Time, rank identifier.Rank, more func() bool) bool {
 	queue := &p.queues[rank]
 	blocked := p.blocked[:0]
-	for len(blocked) <= p.settings.Lookahead && more() {
+	for len(blocked) < p.settings.Lookahead && more() {
 		w := queue.pop()
 		if w == nil {
 			break
@@ -80,10 +95,6 @@
 	d := &w.demand
 	start := p.bestPrefill(now, d)
 	if start.engine == nil {
-		if now.After(w.deadline) {
-			p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
-			return refused
-		}
 		return noPrefill
 	}
 	if start.ready.After(w.deadline) {
@@ -95,6 +106,9 @@
 	}
 	decode := p.bestDecode(now, d, w.pieces, start)
 	if decode == nil {
+		if d.Rank == identifier.Urgent && p.settings.has(Pause) {
+			p.pauseFor(now, w, start)
+		}
 		return noMemory
 	}
 	p.grant(now, w, start, decode)
@@ -114,6 +128,7 @@
 // bestPrefill returns the run whose KV cache is ready first.
 func (p *Placer) bestPrefill(now time.Time, d *Demand) run {
 	var best run
+	p.matchPrefixes(now, d)
 	for _, e := range p.prefills {
 		if !e.takes(now, d) {
 			continue
@@ -129,8 +144,12 @@
 // plan tells when an engine would have computed and sent a prompt.
 func (p *Placer) plan(now time.Time, d *Demand, e *engine) run {
 	begin := later(now, e.prefillUntil)
-	end := begin.Add(seconds(float64(d.Prompt), float64(e.prefillRate())))
-	ready := later(end, e.linkUntil).Add(p.transfer(d, e))
+	end := begin.Add(seconds(float64(p.uncached(d, e)), float64(e.prefillRate())))
+	sent := end
+	if p.settings.has(LinkBudget) {
+		sent = later(end, e.linkUntil)
+	}
+	ready := sent.Add(p.transfer(d, e))
 	return run{engine: e, begin: begin, end: end, ready: ready}
 }
 
@@ -147,13 +166,16 @@
 	bestScore := 0.0
 	for _, e := range p.decodes {
 		free := e.free(rebuilding)
-		if free < need || !e.takes(now, d) {
+		if p.settings.has(JointGrant) && free < need || !e.takes(now, d) {
 			continue
 		}
 		score := float64(free) / float64(e.Pieces)
 		if e.DataCentre == start.engine.DataCentre {
 			score += sameDataCentreBonus
 		}
+		if p.settings.has(LinkBudget) && e.linkUntil.After(start.end) {
+			score -= e.linkUntil.Sub(start.end).Seconds() * linkMalus
+		}
 		if d.Between > 0 && e.load.Step > d.Between {
 			score -= tooSlowMalus
 		}
@@ -168,6 +190,9 @@
 	// sameDataCentreBonus is the share of free memory that a decode engine in
 	// the prefill engine's data centre is preferred by.
 	sameDataCentreBonus = 0.1
+	// linkMalus is the share of free memory that a second's wait for the decode
+	// engine's link costs.
+	linkMalus = 1
 	// tooSlowMalus puts engines that miss the target between tokens last.
 	tooSlowMalus = 10
 )
@@ -176,6 +201,11 @@
 func (p *Placer) grant(now time.Time, w *waiting, start run, decode *engine) {
 	start.engine.prefillUntil = start.end
 	start.engine.linkUntil = start.ready
+	decode.linkUntil = later(decode.linkUntil, start.ready)
+	p.served[w.demand.Rank].add(now, w.pieces)
+	for _, prefix := range w.demand.Prefixes {
+		p.index.add(now, start.engine, prefix)
+	}
 	decode.granted += w.pieces
 	g := &grant{
 		Held: Held{
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -10,17 +10,23 @@
 // waiting is a demand in a queue.
 type waiting struct {
 	demand Demand
-	// deadline is when the first token is due.
+	// deadline is when the first token is due, and latest the last moment to
+	// grant engines that are idle.
 	deadline time.Time
+	latest   time.Time
 	// pieces is the decode memory to reserve.
 	pieces identifier.Pieces
+	// pausing tells that lesser streams were stopped for the demand.
+	pausing bool
 	// within tells in which heap of its rank the demand stands; index is its
 	// place there.
 	within bool
 	index  int
 }
 
-// deadlineHeap orders demands by deadline, the earliest first.
+// deadlineHeap orders demands by deadline, the earliest first. Ordering them by
+// the last moment to start instead puts the longest prompts first in a flood,
+// which loses more than it saves.
 type deadlineHeap []*waiting
 
 func (h deadlineHeap) Len() int           { return len(h) }
@@ -51,8 +57,10 @@
 type queue struct {
 	within deadlineHeap
 	beyond deadlineHeap
-	// pieces is the memory that all waiting demands need together.
-	pieces identifier.Pieces
+	// withinPieces and pieces are the memory that the demands of within and
+	// that all waiting demands need together.
+	withinPieces identifier.Pieces
+	pieces       identifier.Pieces
 }
 
 func (q *queue) length() int {
@@ -66,6 +74,22 @@
 	return &q.beyond
 }
 
+// count adds a demand to the sums, or takes it off.
+func (q *queue) count(w *waiting, pieces identifier.Pieces) {
+	q.pieces += pieces
+	if w.within {
+		q.withinPieces += pieces
+	}
+}
+
+// ahead is the memory that goes to the demands before a new one.
+func (q *queue) ahead(within bool) identifier.Pieces {
+	if within {
+		return q.withinPieces
+	}
+	return q.pieces
+}
+
 func (q *queue) push(w *waiting) {
 	heap.Push(q.heapOf(w), w)
 }
@@ -76,7 +100,7 @@
 
 // pop removes and returns the demand that goes next, or nil.
 func (q *queue) pop() *waiting {
-	for _, h := range []*deadlineHeap{&q.within, &q.beyond} {
+	for _, h := range [...]*deadlineHeap{&q.within, &q.beyond} {
 		if len(*h) > 0 {
 			w, _ := heap.Pop(h).(*waiting)
 			return w
@@ -93,3 +117,14 @@
 	}
 	return q.beyond[len(q.beyond)-1]
 }
+
+// late removes and returns a next demand whose last moment has passed, or nil.
+func (q *queue) late(now time.Time) *waiting {
+	for _, h := range [...]*deadlineHeap{&q.within, &q.beyond} {
+		if len(*h) > 0 && (*h)[0].latest.Before(now) {
+			w, _ := heap.Pop(h).(*waiting)
+			return w
+		}
+	}
+	return nil
+}
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -6,6 +6,28 @@
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
+// Element is a part of the policy that can be left out, to measure its worth.
+type Element uint16
+
+// The elements of the policy.
+const (
+	// JointGrant reserves decode memory before the prefill starts.
+	JointGrant Element = 1 << iota
+	// Prediction promises decode memory that is expected to come free while
+	// the prefill runs.
+	Prediction
+	// EarlyRefusal refuses demands whose queue will not drain in time.
+	EarlyRefusal
+	// Pause stops lesser streams for urgent demands about to be late.
+	Pause
+	// Affinity prefers prefill engines that cache a prompt's beginning.
+	Affinity
+	// LinkBudget plans the transfers on both engines' links.
+	LinkBudget
+	// Fairness puts accounts beyond their share behind the others.
+	Fairness
+)
+
 // Settings are the limits of one shard. Zero fields take their defaults.
 type Settings struct {
 	// Issuer makes the ids of grants unique in the fleet.
@@ -35,12 +57,22 @@
 	PrefillAhead time.Duration
 	// CrossCost is added to a transfer between data centres.
 	CrossCost time.Duration
-	// Lookahead is how many demands in a row may be passed over because they
-	// fit nowhere, for a smaller one behind them.
+	// Lookahead is how many demands that fit nowhere are tried before smaller
+	// ones behind them have to wait; one lets nothing pass.
 	Lookahead int
 	// OutputQuantile is the quantile of finished outputs that memory is
 	// reserved for.
 	OutputQuantile float64
+	// PauseLead is how long before its last useful moment an urgent demand
+	// without memory stops lesser streams.
+	PauseLead time.Duration
+	// PauseTokens bounds the tokens to compute once more for one pause.
+	PauseTokens identifier.Tokens
+	// RefuseBeyond is how many times the time left a demand's expected wait
+	// must be for an early refusal.
+	RefuseBeyond float64
+	// Without leaves elements out.
+	Without Element
 }
 
 // withDefaults fills the zero fields.
@@ -54,11 +86,19 @@
 	orDefault(&s.FailureHold, 2*time.Second)
 	orDefault(&s.PrefillAhead, 100*time.Millisecond)
 	orDefault(&s.CrossCost, 2*time.Millisecond)
-	orDefault(&s.Lookahead, 4)
-	orDefault(&s.OutputQuantile, 0.9)
+	orDefault(&s.Lookahead, 16)
+	orDefault(&s.OutputQuantile, 0.75)
+	orDefault(&s.RefuseBeyond, 3)
+	orDefault(&s.PauseLead, 150*time.Millisecond)
+	orDefault(&s.PauseTokens, 12_000)
 	return s
 }
 
+// has tells whether an element is part of the policy.
+func (s *Settings) has(element Element) bool {
+	return s.Without&element == 0
+}
+
 func orDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/placer/state.go
+++ b/placer/state.go
@@ -58,6 +58,8 @@
 	Held
 	prefill *engine
 	decode  *engine
+	// place is the grant's index in the decode engine's held.
+	place   int
 	phase   phase
 	granted time.Time
 	// asked is the attempt that the demand named; the grant's may be larger.
@@ -102,7 +104,12 @@
 	// strangers are the unclaimed attempts that engines hold, with the time of
 	// their next cancel.
 	strangers map[stranger]time.Time
+	index     *prefixIndex
+	// stamp numbers the demands that were matched with the index.
+	stamp uint64
+	// drain is the memory that comes free, served what each rank is granted.
 	drain     drain
+	served    [len(identifier.Ranks)]drain
 	issued    uint64
 	decisions []Decision
 	orders    []Order
@@ -124,6 +131,7 @@
 		accounts:   map[accountKey]*accountUse{},
 		estimators: map[identifier.Route]*estimator{"": newEstimator()},
 		strangers:  map[stranger]time.Time{},
+		index:      newPrefixIndex(),
 	}
 }
 
@@ -219,7 +227,8 @@
 	p.grants[g.Grant] = g
 	p.latest[g.Demand.Request] = g
 	g.decode.used += g.Pieces
-	g.decode.running++
+	g.place = len(g.decode.held)
+	g.decode.held = append(g.decode.held, g)
 	p.used[g.Demand.Rank] += g.Pieces
 	p.account(&g.Demand, g.Pieces, 0)
 	g.countSuspect(1)
@@ -244,7 +253,7 @@
 		delete(p.latest, g.Demand.Request)
 	}
 	g.decode.used -= g.Pieces
-	g.decode.running--
+	g.decode.drop(g)
 	p.used[g.Demand.Rank] -= g.Pieces
 	p.account(&g.Demand, -g.Pieces, 0)
 	g.countSuspect(-1)
@@ -255,6 +264,15 @@
 	}
 }
 
+// drop takes a grant out of held by moving the last one to its place.
+func (e *engine) drop(g *grant) {
+	last := len(e.held) - 1
+	e.held[g.place] = e.held[last]
+	e.held[g.place].place = g.place
+	e.held[last] = nil
+	e.held = e.held[:last]
+}
+
 // freedLimit bounds the releases that an engine's report is explained by.
 const freedLimit = 1000
 
