--- a/recorder/bound.go
+++ b/recorder/bound.go
@@ -66,6 +66,9 @@
 // elsewhere its node is asked to seal it, which proves that it did not run;
 // without that node the ledger may know its answer.
 func (r *Recorder) claimBound(ctx context.Context, key issuedKey, call Call) Claim {
+	if age := time.Since(key.issued); age > r.options.Window || age < -r.options.ClockSkew {
+		return Claim{Verdict: TooOld}
+	}
 	if r.boundHere(key) {
 		return r.bound.decide(newOperation(opClaim, key, call, nil)).claim
 	}
--- a/recorder/committer.go
+++ b/recorder/committer.go
@@ -141,7 +141,7 @@
 // write was known to have taken effect: the page may have been deleted before
 // that, and with it an earlier claim.
 func (c *committer) stillInWindow(op *operation, decided result) result {
-	if decided.claim.Verdict == Run && !c.recorder.inWindow(op.key.issued) {
+	if decided.claim.Verdict == Run && !c.recorder.layout.Load().admits(op.key.issued) {
 		return verdictOf(TooOld)
 	}
 	return decided
--- a/recorder/events.go
+++ b/recorder/events.go
@@ -18,6 +18,13 @@
 		"Old pages stay in the platform until the next try.")
 )
 
+var (
+	eventNoLayout = logger.Define(3004, logrus.WarnLevel, "ledger layout not known",
+		"The platform has not told how the ledger is laid out; claims are refused until it does.")
+	eventOtherLayout = logger.Define(3005, logrus.WarnLevel, "ledger layout differs from the settings",
+		"The stored layout is used. To change it, stop all nodes for a window and delete the layout object.")
+)
+
 func fields(op *operation, err error) logger.Fields {
 	return logger.Fields{"operation": op.kind, "attempt": op.call.Attempt, "error": err.Error()}
 }
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
@@ -37,16 +39,15 @@
 	version int
 	// fault chooses what goes wrong with the next call; nil is nothing.
 	fault func(method, name string) fault
-	// latency is how long a call takes.
+	// latency is how long a call takes before it has its effect, slow what a
+	// call takes besides; nil is nothing.
 	latency time.Duration
+	slow    func(method, name string) time.Duration
 	// late holds writes that will take effect when released.
 	late   []func()
 	writes int
 	reads  int
 	bytes  int
-	// blind ignores the versions of updates and the names of creations: it
-	// shows that the conditional update is needed.
-	blind bool
 }
 
 func newFakeStore() *fakeStore {
@@ -61,7 +62,7 @@
 }
 
 func (s *fakeStore) Get(_ context.Context, _ storer.Kind, name string) (storer.Object, error) {
-	s.pause()
+	s.pause("get", name)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
@@ -79,14 +80,20 @@
 	return object, nil
 }
 
-func (s *fakeStore) pause() {
-	if s.latency > 0 {
-		time.Sleep(s.latency)
+func (s *fakeStore) pause(method, name string) {
+	took := s.latency
+	s.mutex.Lock()
+	if s.slow != nil {
+		took += s.slow(method, name)
+	}
+	s.mutex.Unlock()
+	if took > 0 {
+		time.Sleep(took)
 	}
 }
 
 func (s *fakeStore) write(method string, object storer.Object, do func() (storer.Object, error)) (storer.Object, error) {
-	s.pause()
+	s.pause(method, object.Name)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.writes++
@@ -126,7 +133,7 @@
 
 func (s *fakeStore) Create(_ context.Context, object storer.Object) (storer.Object, error) {
 	return s.write("create", object, func() (storer.Object, error) {
-		if _, taken := s.objects[object.Name]; taken && !s.blind {
+		if _, taken := s.objects[object.Name]; taken {
 			return storer.Object{}, storer.Conflict.New("%s", object.Name)
 		}
 		return s.put(object), nil
@@ -139,7 +146,7 @@
 		if !ok {
 			return storer.Object{}, storer.NotFound.New("%s", object.Name)
 		}
-		if stored.Version != object.Version && !s.blind {
+		if stored.Version != object.Version {
 			return storer.Object{}, storer.Conflict.New("%s", object.Name)
 		}
 		return s.put(object), nil
@@ -211,13 +218,14 @@
 	}
 }
 
-// newKey returns a UUIDv7 of the present, or of a time past.
-func newKey(age time.Duration) identifier.Key {
-	id := uuid.Must(uuid.NewV7())
-	milliseconds := time.Now().Add(-age).UnixMilli()
-	for i := range 6 {
-		id[i] = byte(milliseconds >> (8 * (5 - i)))
-	}
+// newKey returns the n-th UUIDv7 of a time past.
+func newKey(n int, age time.Duration) identifier.Key {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(time.Now().Add(-age).UnixMilli())<<16)
+	binary.BigEndian.PutUint64(id[8:], xxhash.Sum64String(strconv.Itoa(n)))
+	const version, variant = 0x70, 0x80
+	id[6] = version
+	id[8] = variant | id[8]&0x3f
 	return identifier.Key(id.String())
 }
 
--- a/recorder/forwarder.go
+++ b/recorder/forwarder.go
@@ -50,7 +50,7 @@
 		return nil, twirp.InvalidArgument.Error(err.Error())
 	}
 	switch op.kind {
-	case opClaim, opSettle, opWithdraw, opKeep, opLook:
+	case opClaim, opSettle, opWithdraw, opAbandon, opKeep, opLook:
 		return toOutcome(h.recorder.applyHere(ctx, op)), nil
 	default:
 		return nil, twirp.InvalidArgumentError("kind", "unknown")
--- a/recorder/key.go
+++ b/recorder/key.go
@@ -99,10 +99,10 @@
 	bucket int64
 }
 
-func (k issuedKey) place(shards int, width time.Duration) place {
+func (k issuedKey) place(l *layout) place {
 	return place{
-		shard:  int(xxhash.Sum64String(k.text) % uint64(shards)),
-		bucket: k.issued.UnixNano() / int64(width),
+		shard:  int(xxhash.Sum64String(k.text) % uint64(l.Shards)),
+		bucket: k.issued.UnixMilli() / l.BucketMilliseconds,
 	}
 }
 
--- /dev/null
+++ b/recorder/layout.go
@@ -0,0 +1,116 @@
+package recorder
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/storer"
+)
+
+// layout decides which object a key's entry is in and when that is deleted.
+// Two nodes with different layouts could both run a call, so the first node of
+// a fleet stores its own and all others take it over their settings.
+type layout struct {
+	Shards             int   `json:"shards"`
+	BucketMilliseconds int64 `json:"bucket-milliseconds"`
+	WindowMilliseconds int64 `json:"window-milliseconds"`
+	SkewMilliseconds   int64 `json:"skew-milliseconds"`
+}
+
+// layoutName is the object that holds the layout.
+const layoutName = "layout"
+
+func (o *Options) layout() layout {
+	return layout{
+		Shards:             o.Shards,
+		BucketMilliseconds: o.BucketWidth.Milliseconds(),
+		WindowMilliseconds: o.Window.Milliseconds(),
+		SkewMilliseconds:   o.ClockSkew.Milliseconds(),
+	}
+}
+
+func (l *layout) valid() bool {
+	return l.Shards > 0 && l.BucketMilliseconds > 0 && l.WindowMilliseconds > 0 && l.SkewMilliseconds >= 0
+}
+
+func (l *layout) width() time.Duration {
+	return time.Duration(l.BucketMilliseconds) * time.Millisecond
+}
+
+func (l *layout) window() time.Duration {
+	return time.Duration(l.WindowMilliseconds) * time.Millisecond
+}
+
+func (l *layout) skew() time.Duration {
+	return time.Duration(l.SkewMilliseconds) * time.Millisecond
+}
+
+// admits tells whether a key of a time of issue may be claimed by this node's
+// clock.
+func (l *layout) admits(issued time.Time) bool {
+	age := time.Since(issued)
+	return age <= l.window() && age >= -l.skew()
+}
+
+// prunable is the last bucket whose keys no node admits any more, whatever its
+// clock says within the skew.
+func (l *layout) prunable(now time.Time) int64 {
+	end := now.Add(-l.window() - l.skew())
+	// The bucket that holds end and the one that ends with it still count.
+	return end.UnixNano()/int64(l.width()) - 2
+}
+
+// knownLayout returns the fleet's layout, and false while the store has not
+// told it.
+func (r *Recorder) knownLayout(ctx context.Context) (*layout, bool) {
+	if known := r.layout.Load(); known != nil {
+		return known, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.options.CommitTimeout)
+	defer cancel()
+	stored, err := r.fetchLayout(ctx)
+	if err != nil {
+		r.options.Log.Log(eventNoLayout, logger.Fields{"error": err.Error()})
+		return nil, false
+	}
+	if *stored != r.options.layout() {
+		r.options.Log.Log(eventOtherLayout, logger.Fields{"stored": *stored, "settings": r.options.layout()})
+	}
+	r.layout.Store(stored)
+	return stored, true
+}
+
+func (r *Recorder) fetchLayout(ctx context.Context) (*layout, error) {
+	object, err := r.options.Store.Get(ctx, storer.KindLedger, layoutName)
+	if errorx.IsOfType(err, storer.NotFound) {
+		if err := r.createLayout(ctx); err != nil {
+			return nil, err
+		}
+		object, err = r.options.Store.Get(ctx, storer.KindLedger, layoutName)
+	}
+	if err != nil {
+		return nil, err
+	}
+	stored := &layout{}
+	if err := json.Unmarshal(object.Spec, stored); err != nil || !stored.valid() {
+		return nil, BadPage.New("object %s is no layout", layoutName)
+	}
+	return stored, nil
+}
+
+// createLayout stores this node's layout unless another node was first.
+func (r *Recorder) createLayout(ctx context.Context) error {
+	spec, err := json.Marshal(r.options.layout())
+	if err != nil {
+		return err
+	}
+	_, err = r.options.Store.Create(ctx, storer.Object{Kind: storer.KindLedger, Name: layoutName, Spec: spec})
+	if errorx.IsOfType(err, storer.Conflict) {
+		return nil
+	}
+	return err
+}
--- a/recorder/loop.go
+++ b/recorder/loop.go
@@ -100,7 +100,7 @@
 		op.results <- failure(false)
 		return
 	}
-	p := op.key.place(options.Shards, options.BucketWidth)
+	p := op.key.place(l.recorder.layout.Load())
 	b := l.places[p]
 	if b == nil {
 		b = &bucket{place: p}
--- a/recorder/operation.go
+++ b/recorder/operation.go
@@ -16,6 +16,8 @@
 	opSettle operationKind = "settle"
 	// opWithdraw marks the attempt's entry as not run.
 	opWithdraw operationKind = "withdraw"
+	// opAbandon marks the attempt's entry as never to be known.
+	opAbandon operationKind = "abandon"
 	// opKeep records the answer of a bound key, which has no started entry.
 	opKeep operationKind = "keep"
 	// opSeal forbids a bound key to run unless it has started.
@@ -72,7 +74,11 @@
 // apply carries out an operation at the owner of its shard, or here when the
 // owner cannot be reached: any node may write any page safely.
 func (r *Recorder) apply(ctx context.Context, op *operation) result {
-	place := op.key.place(r.options.Shards, r.options.BucketWidth)
+	layout, known := r.knownLayout(ctx)
+	if !known {
+		return failure(false)
+	}
+	place := op.key.place(layout)
 	owner := r.options.View().Owner(place.ownedAs())
 	if owner.Node == r.options.Self {
 		return r.applyHere(ctx, op)
@@ -91,6 +97,9 @@
 
 // applyHere carries out an operation in this node's loop.
 func (r *Recorder) applyHere(ctx context.Context, op *operation) result {
+	if _, known := r.knownLayout(ctx); !known {
+		return failure(false)
+	}
 	select {
 	case r.operations <- op:
 	case <-ctx.Done():
--- a/recorder/page.go
+++ b/recorder/page.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/storer"
@@ -15,10 +16,16 @@
 	started state = "started"
 	// withdrawn: the attempt proved not to have run; another may claim.
 	withdrawn state = "withdrawn"
+	// sealed: a bound key that was told not run, and never runs.
+	sealed state = "sealed"
+	// lost: the attempt was sent and its outcome will never be known.
+	lost state = "lost"
 	// answered: the attempt ran and its answer is known.
 	answered state = "answered"
 )
 
+var states = []state{started, withdrawn, sealed, lost, answered}
+
 // entry is what the ledger knows of a key. It is immutable; a change puts
 // another in its place.
 type entry struct {
@@ -51,7 +58,7 @@
 		return nil, BadPage.Wrap(err, "object %s", object.Name)
 	}
 	for key, e := range p.Entries {
-		if e == nil || e.State != started && e.State != withdrawn && e.State != answered {
+		if e == nil || !slices.Contains(states, e.State) {
 			return nil, BadPage.New("object %s: entry %q", object.Name, key)
 		}
 	}
@@ -88,7 +95,7 @@
 	switch op.kind {
 	case opClaim, opSeal, opLook:
 		return p.claimAgain(op, current)
-	case opSettle, opWithdraw, opKeep:
+	case opSettle, opWithdraw, opAbandon, opKeep:
 		return p.end(op, current)
 	}
 	return effect{}
@@ -107,13 +114,13 @@
 		p.put(op, op.answeredEntry(), capacity)
 		return effect{changed: true}
 	case opSeal:
-		p.put(op, &entry{State: withdrawn}, capacity)
+		p.put(op, &entry{State: sealed}, capacity)
 		return effect{result: verdictOf(Closed), changed: true}
 	case opWithdraw:
 		// The claim that this follows may still be on its way.
 		p.put(op, &entry{State: withdrawn}, capacity)
 		return effect{changed: true}
-	case opLook, opSettle:
+	case opLook, opSettle, opAbandon:
 	}
 	return effect{result: verdictOf(Lost)}
 }
@@ -134,17 +141,14 @@
 	switch {
 	case current.Fingerprint != op.call.Fingerprint:
 		return effect{result: verdictOf(Mismatch)}
+	case current.State == lost:
+		return effect{result: verdictOf(Lost)}
 	case current.State == answered:
 		return effect{result: result{claim: current.claim()}}
-	case current.State == withdrawn && (op.kind == opSeal || current.Attempt == op.call.Attempt):
-		// The same attempt was given up by its node and must not come back.
+	case current.State == sealed:
 		return effect{result: verdictOf(Closed)}
 	case current.State == withdrawn:
-		taken := *current
-		taken.State, taken.Attempt = started, op.call.Attempt
-		taken.Node, taken.Incarnation = op.call.Node, op.call.Incarnation
-		p.Entries[op.key.text] = &taken
-		return effect{result: verdictOf(Run), changed: true}
+		return p.takeOver(op, current)
 	case op.kind == opClaim && current.Attempt == op.call.Attempt:
 		// This very claim took effect although its answer was lost.
 		return effect{result: verdictOf(Run)}
@@ -153,15 +157,35 @@
 	}
 }
 
+// takeOver claims or seals a key whose last attempt proved not to have run.
+func (p *page) takeOver(op *operation, current *entry) effect {
+	if op.kind == opLook || op.kind == opClaim && current.Attempt == op.call.Attempt {
+		// The same attempt was given up by its node and must not come back.
+		return effect{result: verdictOf(Closed)}
+	}
+	taken := *current
+	taken.Attempt, taken.Node, taken.Incarnation = op.call.Attempt, op.call.Node, op.call.Incarnation
+	taken.State = started
+	decided := Run
+	if op.kind == opSeal {
+		taken.State, decided = sealed, Closed
+	}
+	p.Entries[op.key.text] = &taken
+	return effect{result: verdictOf(decided), changed: true}
+}
+
 // end records how an attempt ended. Only the attempt that holds the claim may.
 func (p *page) end(op *operation, current *entry) effect {
 	if current.Attempt != op.call.Attempt || current.State != started {
 		return effect{}
 	}
 	ended := *current
-	if op.kind == opWithdraw {
+	switch op.kind {
+	case opWithdraw:
 		ended.State = withdrawn
-	} else {
+	case opAbandon:
+		ended.State = lost
+	default:
 		kept := op.answeredEntry()
 		ended.State, ended.Answer, ended.Unkept = kept.State, kept.Answer, kept.Unkept
 	}
--- a/recorder/pruner.go
+++ b/recorder/pruner.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"errors"
+	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -12,19 +13,44 @@
 )
 
 // pruner deletes the pages of the shards that this node owns once their window
-// has passed. Page names follow from the time, so no listing is needed.
+// has passed. Page names follow from the time, so no listing is needed; a
+// cursor object for each shard tells the next owner where to go on.
 type pruner struct {
 	recorder *Recorder
-	// next is the first bucket of each owned shard that may still have pages.
-	next map[int]int64
+	layout   *layout
+	// cursors holds the owned shards.
+	cursors map[int]*cursor
 }
 
-// errFailedPrune tells that a page may be left.
-var errFailedPrune = errors.New("page not deleted")
+// cursor is how far a shard is pruned.
+type cursor struct {
+	// next is the first bucket that may still have pages.
+	next int64
+	// stored is next as the object has it, and version the object's.
+	stored  int64
+	version storer.Version
+}
+
+type wireCursor struct {
+	Next int64 `json:"next"`
+}
+
+const (
+	// prunedAtOnce bounds the buckets of one shard in one round, so that a new
+	// owner that is far behind does not use up the store.
+	prunedAtOnce = 16
+	// cursorStep is how many buckets are deleted between two writes of a cursor.
+	cursorStep = 64
+)
 
 func (r *Recorder) runPruner(ctx context.Context) error {
-	p := &pruner{recorder: r, next: map[int]int64{}}
+	p := &pruner{recorder: r, cursors: map[int]*cursor{}}
 	for sleep(ctx, r.options.BucketWidth) {
+		known, ok := r.knownLayout(ctx)
+		if !ok {
+			continue
+		}
+		p.layout = known
 		if err := p.round(ctx); err != nil {
 			r.options.Log.Log(eventPruneFailed, logger.Fields{"error": err.Error()})
 		}
@@ -32,43 +58,89 @@
 	return nil
 }
 
-// prunable is the last bucket whose keys no node admits any more, whatever
-// its clock says within ClockSkew.
-func (r *Recorder) prunable(now time.Time) int64 {
-	width := r.options.BucketWidth
-	end := now.Add(-r.options.Window - r.options.ClockSkew - width)
-	return end.UnixNano()/int64(width) - 1
-}
-
 func (p *pruner) round(ctx context.Context) error {
 	options := p.recorder.options
-	last := p.recorder.prunable(time.Now())
-	for shard := range options.Shards {
+	for shard := range p.layout.Shards {
 		at := place{shard: shard}
 		if options.View().Owner(at.ownedAs()).Node != options.Self {
-			delete(p.next, shard)
+			delete(p.cursors, shard)
 			continue
 		}
-		if err := p.shard(ctx, shard, last); err != nil {
+		if err := p.shard(ctx, shard); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// shard deletes the pages of one shard up to a bucket. A node that has just
-// become the owner starts a whole window earlier.
-func (p *pruner) shard(ctx context.Context, shard int, last int64) error {
-	options := p.recorder.options
-	if _, known := p.next[shard]; !known {
-		p.next[shard] = last - int64(options.Window/options.BucketWidth)
+// shard deletes the next pages of one shard.
+func (p *pruner) shard(ctx context.Context, shard int) error {
+	last := p.layout.prunable(time.Now())
+	c := p.cursors[shard]
+	if c == nil {
+		loaded, err := p.load(ctx, shard, last)
+		if err != nil {
+			return err
+		}
+		c = loaded
+		p.cursors[shard] = c
 	}
-	for bucket := p.next[shard]; bucket <= last; bucket++ {
-		if err := p.delete(ctx, place{shard: shard, bucket: bucket}); err != nil {
+	for range prunedAtOnce {
+		if c.next > last {
+			break
+		}
+		if err := p.delete(ctx, place{shard: shard, bucket: c.next}); err != nil {
 			return err
 		}
-		p.next[shard] = bucket + 1
+		c.next++
 	}
+	if c.next-c.stored < cursorStep {
+		return nil
+	}
+	return p.save(ctx, shard, c)
+}
+
+func cursorName(shard int) string {
+	return "cursor-" + strconv.Itoa(shard)
+}
+
+// load reads a shard's cursor. A shard without one has no page older than the
+// window.
+func (p *pruner) load(ctx context.Context, shard int, last int64) (*cursor, error) {
+	object, err := p.recorder.options.Store.Get(ctx, storer.KindLedger, cursorName(shard))
+	if errorx.IsOfType(err, storer.NotFound) {
+		return &cursor{next: last - p.layout.WindowMilliseconds/p.layout.BucketMilliseconds}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var wire wireCursor
+	if err := json.Unmarshal(object.Spec, &wire); err != nil {
+		return nil, BadPage.Wrap(err, "object %s", object.Name)
+	}
+	return &cursor{next: wire.Next, stored: wire.Next, version: object.Version}, nil
+}
+
+// save stores a cursor. When another owner did, the object is read again: what
+// both have deleted stays deleted.
+func (p *pruner) save(ctx context.Context, shard int, c *cursor) error {
+	spec, err := json.Marshal(wireCursor{Next: c.next})
+	if err != nil {
+		return err
+	}
+	object := storer.Object{Kind: storer.KindLedger, Name: cursorName(shard), Version: c.version, Spec: spec}
+	store := p.recorder.options.Store
+	var stored storer.Object
+	if c.version == "" {
+		stored, err = store.Create(ctx, object)
+	} else {
+		stored, err = store.Update(ctx, object)
+	}
+	if err != nil {
+		delete(p.cursors, shard)
+		return err
+	}
+	c.stored, c.version = c.next, stored.Version
 	return nil
 }
 
@@ -82,7 +154,7 @@
 	for i := len(objects) - 1; i >= 0; i-- {
 		err := p.recorder.options.Store.Delete(ctx, objects[i])
 		if err != nil && !errorx.IsOfType(err, storer.NotFound) {
-			return errors.Join(errFailedPrune, err)
+			return err
 		}
 	}
 	return nil
@@ -96,8 +168,11 @@
 			return objects, nil
 		}
 		if err != nil {
-			return nil, errors.Join(errFailedPrune, err)
+			return nil, err
 		}
 		objects = append(objects, object)
+		if page, err := decodePage(object); err == nil && !page.Full {
+			return objects, nil
+		}
 	}
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -113,24 +114,27 @@
 	// Log takes this package's events, Scope its metrics.
 	Log   *logger.Logger
 	Scope tally.Scope
-	// Shards is how many owners share the ledger. It decides where entries are
-	// kept: every node must have the same.
+	// Shards, BucketWidth, Window and ClockSkew are the fleet's layout: the
+	// first node that runs stores its own, and that goes before the settings of
+	// all later ones.
+	//
+	// Shards is how many owners share the ledger.
 	Shards int
 	// BucketWidth is how long a time of issue one page covers, a whole number
-	// of seconds. Every node must have the same.
+	// of milliseconds.
 	BucketWidth time.Duration
-	// GroupCommit is the shortest time between two writes of one page.
-	GroupCommit time.Duration
-	// SettleDelay is how long an answer may wait for company before its page
-	// is written.
-	SettleDelay time.Duration
 	// Window is how long after its issue a key may be claimed and its answer
-	// asked for. Every node must have the same.
+	// asked for.
 	Window time.Duration
 	// ClockSkew is the largest difference between any two clocks of nodes.
 	// Pages are deleted ClockSkew after their window has passed, and keys
 	// issued further ahead than it are refused.
 	ClockSkew time.Duration
+	// GroupCommit is the shortest time between two writes of one page.
+	GroupCommit time.Duration
+	// SettleDelay is how long an answer may wait for company before its page
+	// is written.
+	SettleDelay time.Duration
 	// CommitTimeout bounds the work on one batch, ForwardTimeout one call to
 	// another node.
 	CommitTimeout  time.Duration
@@ -205,8 +209,10 @@
 	// operations passes work to the loop of Run, which owns all pages.
 	operations chan *operation
 	settler    *settler
-	bound      *boundLedger
-	metrics    metrics
+	// layout is nil until the store has told it.
+	layout  atomic.Pointer[layout]
+	bound   *boundLedger
+	metrics metrics
 }
 
 // New returns a recorder. Claims wait until Run runs.
@@ -234,15 +240,19 @@
 	if err != nil {
 		return Claim{Verdict: Malformed}
 	}
-	if !r.inWindow(key.issued) {
+	if key.bound {
+		return r.claimBound(ctx, key, call)
+	}
+	layout, known := r.knownLayout(ctx)
+	if !known {
+		return r.refused(call)
+	}
+	if !layout.admits(key.issued) {
 		return Claim{Verdict: TooOld}
 	}
 	if answer, held := r.settler.held(call); held {
 		return Claim{Verdict: Answered, Answer: answer}
 	}
-	if key.bound {
-		return r.claimBound(ctx, key, call)
-	}
 	op := newOperation(opClaim, key, call, nil)
 	result := r.apply(ctx, op)
 	if result.claim.Verdict == Unknown {
@@ -284,27 +294,31 @@
 // nil where it is proven that it did not run. It returns at once; the record
 // is retried until it is kept or the key's window has passed.
 func (r *Recorder) Settle(_ context.Context, call Call, answer *Answer) {
+	if answer == nil {
+		r.end(opWithdraw, call, nil)
+		return
+	}
+	r.end(opSettle, call, answer)
+}
+
+// Abandon records that a call that Claim allowed to run was sent and that its
+// outcome will never be known, so that resends need not wait for it. Like
+// Settle it returns at once.
+func (r *Recorder) Abandon(_ context.Context, call Call) {
+	r.end(opAbandon, call, nil)
+}
+
+func (r *Recorder) end(kind operationKind, call Call, answer *Answer) {
 	key, err := parseKey(call.Key, call.Issued)
 	if err != nil {
 		return
 	}
-	kind := opSettle
-	if answer == nil {
-		kind = opWithdraw
-	}
 	if key.bound {
 		r.bound.end(kind, key, call, answer)
-		if answer == nil {
+		if kind != opSettle {
 			return
 		}
 		kind = opKeep
 	}
 	r.settler.add(newOperation(kind, key, call, answer))
 }
-
-// inWindow tells whether a key of a time of issue may be claimed by this
-// node's clock.
-func (r *Recorder) inWindow(issued time.Time) bool {
-	age := time.Since(issued)
-	return age <= r.options.Window && age >= -r.options.ClockSkew
-}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -21,7 +21,7 @@
 func TestAnswerIsKeptForResends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := run(t, optionsOf(newFakeStore()))
-		ctx, key := context.Background(), newKey(0)
+		ctx, key := context.Background(), newKey(1, 0)
 		expect(t, r.Claim(ctx, callOf(key, 1, "a")), Run)
 		expect(t, r.Claim(ctx, callOf(key, 2, "a")), Running)
 		r.Settle(ctx, callOf(key, 1, "a"), &Answer{Status: 201, Body: []byte("booked")})
@@ -40,7 +40,7 @@
 func TestWithdrawnCallMayRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := run(t, optionsOf(newFakeStore()))
-		ctx, key := context.Background(), newKey(0)
+		ctx, key := context.Background(), newKey(1, 0)
 		expect(t, r.Claim(ctx, callOf(key, 1, "a")), Run)
 		r.Settle(ctx, callOf(key, 1, "a"), nil)
 		expect(t, r.Await(ctx, callOf(key, 2, "a")), Run)
@@ -55,10 +55,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		r := run(t, optionsOf(store))
-		ctx, key := context.Background(), newKey(0)
+		ctx, key := context.Background(), newKey(1, 0)
 		store.setFault(always(refused))
 		expect(t, r.Claim(ctx, callOf(key, 1, "a")), Unknown)
-		first := callOf(newKey(0), 1, "a")
+		first := callOf(newKey(2, 0), 1, "a")
 		first.First = true
 		expect(t, r.Claim(ctx, first), Closed)
 		store.setFault(nil)
@@ -71,8 +71,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := run(t, optionsOf(newFakeStore()))
 		ctx := context.Background()
-		expect(t, r.Claim(ctx, callOf(newKey(11*time.Minute), 1, "a")), TooOld)
-		expect(t, r.Claim(ctx, callOf(newKey(-time.Minute), 1, "a")), TooOld)
+		expect(t, r.Claim(ctx, callOf(newKey(1, 11*time.Minute), 1, "a")), TooOld)
+		expect(t, r.Claim(ctx, callOf(newKey(1, -time.Minute), 1, "a")), TooOld)
 		expect(t, r.Claim(ctx, callOf("no-time", 1, "a")), Malformed)
 	})
 }
@@ -82,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		a, b := run(t, optionsOf(store)), run(t, optionsOf(store))
-		ctx, key := context.Background(), newKey(0)
+		ctx, key := context.Background(), newKey(1, 0)
 		failed := false
 		store.setFault(func(method, _ string) fault {
 			if method == "create" && !failed {
--- /dev/null
+++ b/recorder/service_test.go
@@ -0,0 +1,284 @@
+package recorder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// fleet is several nodes that reach each other over twirp, in memory.
+type fleet struct {
+	mutex    sync.Mutex
+	view     *assigner.View
+	handlers map[string]http.Handler
+	// cut loses the calls to a node, deaf the answers of one.
+	cut, deaf map[string]bool
+	calls     int
+}
+
+func newFleet(members ...assigner.Member) *fleet {
+	return &fleet{
+		view:     &assigner.View{Members: members},
+		handlers: map[string]http.Handler{},
+		cut:      map[string]bool{},
+		deaf:     map[string]bool{},
+	}
+}
+
+func memberOf(node identifier.Node, incarnation identifier.Incarnation, state assigner.State) assigner.Member {
+	return assigner.Member{Node: node, Incarnation: incarnation, Peers: identifier.Address(node), State: state}
+}
+
+func (f *fleet) RoundTrip(request *http.Request) (*http.Response, error) {
+	f.mutex.Lock()
+	handler, cut, deaf := f.handlers[request.URL.Host], f.cut[request.URL.Host], f.deaf[request.URL.Host]
+	f.calls++
+	f.mutex.Unlock()
+	if cut || handler == nil {
+		return nil, errors.New("cut")
+	}
+	response := httptest.NewRecorder()
+	handler.ServeHTTP(response, request)
+	if deaf {
+		return nil, errors.New("answer lost")
+	}
+	return response.Result(), nil
+}
+
+func (f *fleet) setView(members ...assigner.Member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.view = &assigner.View{Members: members}
+}
+
+// start runs a node; stop it with the returned function.
+func (f *fleet) start(t *testing.T, node identifier.Node, incarnation identifier.Incarnation, store *fakeStore) (*Recorder, func()) {
+	t.Helper()
+	r, stop := runUntil(t, Options{
+		Self: node, Incarnation: incarnation, Store: store, Peers: f, DrainTimeout: time.Second,
+		View: func() *assigner.View {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			return f.view
+		},
+	})
+	_, handler := r.Handler()
+	f.mutex.Lock()
+	f.handlers[string(node)] = handler
+	f.mutex.Unlock()
+	return r, stop
+}
+
+// pair starts node a, which owns nothing, and node b, which owns everything.
+func pair(t *testing.T, store *fakeStore) (*fleet, *Recorder, *Recorder) {
+	t.Helper()
+	f := newFleet(memberOf("a", 1, assigner.Leaving), memberOf("b", 1, assigner.Alive))
+	a, stopA := f.start(t, "a", 1, store)
+	b, stopB := f.start(t, "b", 1, store)
+	t.Cleanup(stopA)
+	t.Cleanup(stopB)
+	return f, a, b
+}
+
+func TestClaimsGoToTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f, a, b := pair(t, store)
+		ctx, key := context.Background(), newKey(1, 0)
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		if f.calls != 1 {
+			t.Fatalf("%d calls to the owner, want 1", f.calls)
+		}
+		waiting := make(chan Claim, 1)
+		go func() { waiting <- b.Await(ctx, callOf(key, 2, "b")) }()
+		a.Settle(ctx, callOf(key, 1, "a"), &Answer{Status: 200, Body: []byte("paid")})
+		claim := <-waiting
+		expect(t, claim, Answered)
+		if string(claim.Answer.Body) != "paid" {
+			t.Fatalf("answer %q", claim.Answer.Body)
+		}
+	})
+}
+
+// The owner records a claim and its reply is lost: the node reads it back.
+func TestLostReplyOfTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, a, b := pair(t, newFakeStore())
+		ctx, key := context.Background(), newKey(1, 0)
+		f.deaf["b"] = true
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		expect(t, b.Claim(ctx, callOf(key, 2, "b")), Running)
+	})
+}
+
+// The owner does not answer: the node writes the page itself.
+func TestUnreachableOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, a, b := pair(t, newFakeStore())
+		ctx, key := context.Background(), newKey(1, 0)
+		f.cut["b"] = true
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		expect(t, b.Claim(ctx, callOf(key, 2, "b")), Running)
+	})
+}
+
+func TestLossOfTheClaimingNode(t *testing.T) {
+	for name, after := range map[string]assigner.Member{
+		"dead":     memberOf("a", 1, assigner.Dead),
+		"replaced": memberOf("a", 2, assigner.Alive),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, a, b := pair(t, newFakeStore())
+				ctx, key := context.Background(), newKey(1, 0)
+				expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+				f.setView(after, memberOf("b", 1, assigner.Alive))
+				expect(t, b.Await(ctx, callOf(key, 2, "b")), Lost)
+				time.Sleep(time.Minute)
+				expect(t, b.Claim(ctx, callOf(key, 3, "b")), Lost)
+			})
+		})
+	}
+}
+
+// A call whose outcome will never be known makes no resend wait.
+func TestAbandonedCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, a, b := pair(t, newFakeStore())
+		ctx, key := context.Background(), newKey(1, 0)
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		a.Abandon(ctx, callOf(key, 1, "a"))
+		expect(t, b.Await(ctx, callOf(key, 2, "b")), Lost)
+	})
+}
+
+// A paused owner's write lands after the page was deleted with the entry of
+// the attempt that ran.
+func TestWriteAfterPruning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		a, b := run(t, optionsOf(store)), run(t, optionsOf(store))
+		ctx, key := context.Background(), newKey(1, 0)
+		expect(t, a.Claim(ctx, callOf(newKey(2, 0), 1, "a")), Run)
+		time.Sleep(10*time.Minute - time.Second)
+		store.mutex.Lock()
+		store.slow = func(method, _ string) time.Duration {
+			if method == "create" {
+				store.slow = nil
+				return 2 * time.Minute
+			}
+			return 0
+		}
+		store.mutex.Unlock()
+		paused := make(chan Claim, 1)
+		go func() { paused <- a.Claim(ctx, callOf(key, 1, "a")) }()
+		synctest.Wait()
+		expect(t, b.Claim(ctx, callOf(key, 2, "a")), Run)
+		b.Settle(ctx, callOf(key, 2, "a"), &Answer{Status: 200})
+		expect(t, <-paused, TooOld)
+	})
+}
+
+// Pages past the window are deleted, also by a node that starts later.
+func TestPruning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f := newFleet(memberOf("a", 1, assigner.Alive))
+		a, stop := f.start(t, "a", 1, store)
+		for i := range 700 {
+			expect(t, a.Claim(context.Background(), callOf(newKey(i, 0), 1, "a")), Run)
+		}
+		stop()
+		store.setFault(always(refused))
+		_, stop = f.start(t, "a", 2, store)
+		time.Sleep(time.Hour)
+		store.setFault(nil)
+		time.Sleep(10 * time.Minute)
+		stop()
+		for name := range store.objects {
+			if strings.HasPrefix(name, "page-") {
+				t.Errorf("%s was left", name)
+			}
+		}
+	})
+}
+
+// A full page sends new keys to the next part; a key is looked for in all.
+func TestFullPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		options := optionsOf(store)
+		options.Shards, options.PageEntries, options.BucketWidth = 1, 4, time.Minute
+		a, b := run(t, options), run(t, options)
+		ctx := context.Background()
+		var keys []identifier.Key
+		for i := range 18 {
+			keys = append(keys, newKey(i, 0))
+			expect(t, a.Claim(ctx, callOf(keys[i], 1, "a")), Run)
+		}
+		for _, key := range keys {
+			expect(t, b.Claim(ctx, callOf(key, 2, "a")), Running)
+		}
+		if len(store.objects) < 5 {
+			t.Fatalf("%d objects", len(store.objects))
+		}
+	})
+}
+
+// Two nodes with different settings use the layout that was stored first.
+func TestOneLayout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		options := optionsOf(store)
+		a := run(t, options)
+		ctx, key := context.Background(), newKey(1, 0)
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		options.Shards, options.BucketWidth = 7, 3*time.Second
+		b := run(t, options)
+		expect(t, b.Claim(ctx, callOf(key, 2, "a")), Running)
+	})
+}
+
+// boundKey returns a key that is bound to the first incarnation of node a.
+func boundKey(n int) identifier.Key {
+	return newKey(n, 0) + identifier.Key(Binding("a", 1))
+}
+
+func TestBoundKeyRunsWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.setFault(always(refused))
+		f, a, b := pair(t, store)
+		ctx, key := context.Background(), boundKey(1)
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		expect(t, b.Claim(ctx, callOf(key, 2, "b")), Running)
+		a.Settle(ctx, callOf(key, 1, "a"), &Answer{Status: 200})
+		expect(t, b.Claim(ctx, callOf(key, 3, "b")), Answered)
+		f.cut["a"] = true
+		expect(t, b.Claim(ctx, callOf(key, 4, "b")), Unknown)
+		store.setFault(nil)
+		time.Sleep(3 * time.Second)
+		expect(t, b.Claim(ctx, callOf(key, 5, "b")), Answered)
+	})
+}
+
+// A bound key that another node calls not run must not run afterwards.
+func TestBoundKeyIsSealed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, a, b := pair(t, newFakeStore())
+		ctx, key := context.Background(), boundKey(1)
+		expect(t, b.Claim(ctx, callOf(key, 1, "b")), Closed)
+		expect(t, a.Claim(ctx, callOf(key, 2, "a")), Closed)
+		f.setView(memberOf("a", 2, assigner.Alive), memberOf("b", 1, assigner.Alive))
+		expect(t, b.Claim(ctx, callOf(boundKey(2), 1, "b")), Lost)
+	})
+}
--- a/recorder/settler.go
+++ b/recorder/settler.go
@@ -119,7 +119,7 @@
 
 // settle tries one end once and forgets it when it is kept or past its window.
 func (s *settler) settle(ctx context.Context, op *operation) {
-	if time.Since(op.key.issued) <= s.recorder.options.Window {
+	if !s.expired(op) {
 		try := newOperation(op.kind, op.key, op.call, s.recorder.bounded(op.answer))
 		if s.recorder.apply(ctx, try).failed {
 			return
@@ -140,6 +140,12 @@
 	}
 }
 
+// expired tells whether an end is of no use to any resend.
+func (s *settler) expired(op *operation) bool {
+	known := s.recorder.layout.Load()
+	return known != nil && !known.admits(op.key.issued)
+}
+
 // bounded drops an answer that is too large for its page.
 func (r *Recorder) bounded(answer *Answer) *Answer {
 	if answer == nil || len(answer.Body) > r.options.InlineAnswer {
