--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,6 +17,8 @@
 	// caller who comes back through another node gets a larger one.
 	Attempt uint64
 	Pool    identifier.Pool
+	// Route groups requests whose outputs are alike in length; it may be empty.
+	Route   identifier.Route
 	Rank    identifier.Rank
 	Account identifier.Account
 	// Node asked and renews the grant; it stands in DataCentre.
@@ -51,6 +53,8 @@
 	// first given to. Where it is smaller than Attempt, a later attempt took the
 	// grant over and should resume that stream, with Attempt as reader number.
 	Stream uint64
+	// Pieces is the decode memory that the grant reserves.
+	Pieces identifier.Pieces
 	// Lease is how long the grant stands unless it is renewed.
 	Lease time.Duration
 }
