Count the attempts being freed without racing a stop

Cause: the race detector saw abandon add to a wait group that run waited on: a listener that gives up its open requests lets handlers end after the wait began. Change: a counter under a mutex, and a channel closed at zero.

--- a/router/cleaner.go
+++ b/router/cleaner.go
@@ -36,9 +36,14 @@
 	placer  Placer
 	limits  Limits
 	log     *logger.Logger
-	work    sync.WaitGroup
 	// stopping is closed when the node stops: callers cannot come back to it.
 	stopping chan struct{}
+
+	mutex sync.Mutex
+	// running counts the attempts being freed. idle, once set, is closed when
+	// that falls to zero.
+	running int
+	idle    chan struct{}
 }
 
 func newCleaner(options Options) *cleaner {
@@ -55,20 +60,39 @@
 func (c *cleaner) run(ctx context.Context) error {
 	<-ctx.Done()
 	close(c.stopping)
-	c.work.Wait()
+	c.mutex.Lock()
+	if c.running == 0 {
+		c.mutex.Unlock()
+		return nil
+	}
+	c.idle = make(chan struct{})
+	c.mutex.Unlock()
+	<-c.idle
 	return nil
 }
 
-// abandon frees an attempt's memory in the background. The wait group is its
-// owner: run returns after the last one.
+// abandon frees an attempt's memory in the background; run returns after the
+// last one has ended.
 func (c *cleaner) abandon(work abandoned) {
-	c.work.Add(1)
+	c.mutex.Lock()
+	c.running++
+	c.mutex.Unlock()
 	go func() {
-		defer c.work.Done()
+		defer c.end()
 		c.free(work)
 	}()
 }
 
+func (c *cleaner) end() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.running--
+	if c.running == 0 && c.idle != nil {
+		close(c.idle)
+		c.idle = nil
+	}
+}
+
 func (c *cleaner) free(work abandoned) {
 	if work.linger > 0 {
 		c.linger(work.linger)
