Repair the known configurations by digest and group them by number

Cause: with every node announcing a new configuration, not all nodes knew of all others' after 120 s at 64 and 350 nodes (BenchmarkFleet, configuration-known-s): news told three times misses some, and nothing repaired it. Ruled out: telling it more often, since 350 items each told 20 times would be the largest part of the traffic.

--- a/prober/contact.go
+++ b/prober/contact.go
@@ -32,9 +32,10 @@
 	told uint32
 	// repairs asks the other side for all that differs.
 	repairs bool
-	// records and rumours are told besides the news: what the other side lacks.
-	records []record
-	rumours []rumour
+	// records, progress and rumours are told besides the news: what the other side lacks.
+	records  []record
+	progress []progress
+	rumours  []rumour
 	// pending counts the helpers that have not answered, for the method through.
 	pending int
 	// disregarded: this process stood still meanwhile, so a failure means nothing.
@@ -197,6 +198,7 @@
 	c.told = m.self().revision
 	next.message = m.compose(now, c.target.member.Node, nil)
 	next.message.records = append(next.message.records, c.records...)
+	next.message.progress = append(next.message.progress, c.progress...)
 	next.message.rumours = append(next.message.rumours, c.rumours...)
 	if c.repairs {
 		next.message.repair = m.repair()
@@ -254,7 +256,7 @@
 		m.giveBack(now, held, *answer.repair)
 		return
 	}
-	if answer.digest == m.table.digest() && answer.rumourDigest == m.rumours.digest(now) {
+	if m.agrees(now, answer) {
 		delete(m.disagreements, peer)
 		return
 	}
@@ -267,18 +269,26 @@
 	m.reach(now, contact{target: held, repairs: true})
 }
 
+// agrees tells whether another node holds the same as this one.
+func (m *machine) agrees(now time.Time, answer message) bool {
+	return answer.digest == m.table.buckets.sum() &&
+		answer.progressDigest == m.table.progress.sum() &&
+		answer.rumourDigest == m.rumours.digest(now)
+}
+
 // giveBack sends a peer what it lacks after it answered a repair.
 func (m *machine) giveBack(now time.Time, peer record, asked repair) {
 	records := m.table.differing(asked.buckets, repairRecords)
 	lacking := m.rumours.missing(now, asked.rumours, repairRumours)
-	if len(records) == 0 && len(lacking) == 0 {
+	ahead := mapped(m.table.differingProgress(asked.progress), progressOf)
+	if len(records) == 0 && len(lacking) == 0 && len(ahead) == 0 {
 		return
 	}
-	m.reach(now, contact{target: peer, records: records, rumours: lacking})
+	m.reach(now, contact{target: peer, records: records, progress: ahead, rumours: lacking})
 }
 
 func (m *machine) repair() *repair {
-	return &repair{buckets: m.table.buckets, rumours: m.rumours.ids()}
+	return &repair{buckets: m.table.buckets, progress: m.table.progress, rumours: m.rumours.ids()}
 }
 
 // failed goes on to the next method, and suspects the target after the last.
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -10,10 +10,11 @@
 // nil unless it is answered: what it just told is not told back.
 func (m *machine) compose(now time.Time, to identifier.Node, answered *message) message {
 	composed := message{
-		sender:       m.self(),
-		to:           to,
-		digest:       m.table.digest(),
-		rumourDigest: m.rumours.digest(now),
+		sender:         m.self(),
+		to:             to,
+		digest:         m.table.buckets.sum(),
+		progressDigest: m.table.progress.sum(),
+		rumourDigest:   m.rumours.digest(now),
 	}
 	if held, known := m.table.records[to]; known && held.health != alive {
 		// The other must learn that it is suspected, to refute it.
@@ -33,8 +34,7 @@
 	for _, node := range m.newsProgress.next(messageProgress, progressTold) {
 		held, known := m.table.records[node]
 		if known && !told[node] {
-			composed.progress = append(composed.progress,
-				progress{node, held.member.Incarnation, held.member.Configuration})
+			composed.progress = append(composed.progress, progressOf(held))
 		}
 	}
 	for _, id := range m.newsRumours.next(messageRumours, m.transmissions()) {
@@ -59,6 +59,7 @@
 // answerRepair adds what the other side lacks, and what it needs to give back.
 func (m *machine) answerRepair(now time.Time, asked repair, answer *message) {
 	answer.records = append(answer.records, m.table.differing(asked.buckets, repairRecords)...)
+	answer.progress = append(answer.progress, mapped(m.table.differingProgress(asked.progress), progressOf)...)
 	answer.rumours = append(answer.rumours, m.rumours.missing(now, asked.rumours, repairRumours)...)
 	answer.repair = m.repair()
 }
@@ -70,9 +71,7 @@
 		m.accept(now, m.doubted(r))
 	}
 	for _, p := range received.progress {
-		if p.node != m.options.Self.Node {
-			m.advance(p)
-		}
+		m.advance(p)
 	}
 	for _, r := range received.rumours {
 		m.hear(now, r)
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -229,7 +229,7 @@
 		return
 	}
 	if !m.table.merge(r) {
-		m.advance(progress{node, r.member.Incarnation, r.member.Configuration})
+		m.advance(progressOf(r))
 		return
 	}
 	if !known {
@@ -307,8 +307,8 @@
 }
 
 func (m *machine) advance(p progress) {
-	if m.table.advance(p.node, p.incarnation, p.configuration) {
-		m.newsProgress.add(p.node)
+	if m.table.advance(p.run, p.configuration) {
+		m.newsProgress.add(m.table.runs[p.run])
 		m.out.viewChanged = true
 	}
 }
@@ -336,8 +336,7 @@
 
 // announce sets the configuration in force here.
 func (m *machine) announce(number identifier.Configuration) {
-	own := m.self()
-	m.advance(progress{own.member.Node, own.member.Incarnation, number})
+	m.advance(progress{m.self().run(), number})
 }
 
 // broadcast starts a rumour of this node.
--- /dev/null
+++ b/prober/measure_test.go
@@ -0,0 +1,134 @@
+package prober
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+)
+
+// BenchmarkFleet measures machines in virtual time: what it reports does not
+// depend on the computer, and ns/op means nothing.
+//
+//	go test -run '^$' -bench Fleet -benchtime 1x ./prober
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{8, 64, 350} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for range b.N {
+				f := newFleet(size, 7, 1, Options{})
+				// 1 ms inside and 40 ms between three regions.
+				f.latency = func(from, to *fakeNode) time.Duration {
+					if region(from) != region(to) {
+						return 40 * time.Millisecond
+					}
+					return time.Millisecond
+				}
+				took := f.until(time.Minute, f.whole)
+				b.ReportMetric(took.Seconds(), "start-s")
+				f.run(30 * time.Second)
+				measureIdle(b, f)
+				measureDetection(b, f)
+				measureRumour(b, f)
+				measureConfiguration(b, f)
+				measureLoss(b, f)
+				measureCut(b, f)
+			}
+		})
+	}
+}
+
+func region(n *fakeNode) int { return int(n.centre[2]-'0') % 3 }
+
+func measureIdle(b *testing.B, f *fleet) {
+	f.bytes, f.calls = 0, 0
+	f.run(time.Minute)
+	seconds := 60 * float64(len(f.nodes))
+	b.ReportMetric(float64(f.bytes)/seconds, "idle-B/node/s")
+	b.ReportMetric(float64(f.calls)/2/seconds, "idle-calls/node/s")
+}
+
+// measureDetection kills nodes one after another, the one at half the seeds by
+// connections that are refused, the other by silence.
+func measureDetection(b *testing.B, f *fleet) {
+	for _, kind := range []string{"killed", "hung"} {
+		var first, all []time.Duration
+		for i := range 6 {
+			victim := f.nodes[len(f.nodes)-1-i%4]
+			victim.killed = kind == "killed"
+			victim.paused = kind == "hung"
+			began := f.now
+			f.until(time.Minute, func() bool { return f.seen(victim.name, assigner.Dead) > 0 })
+			first = append(first, f.now.Sub(began))
+			f.until(time.Minute, func() bool { return f.seen(victim.name, assigner.Dead) == len(f.nodes)-1 })
+			all = append(all, f.now.Sub(began))
+			victim.killed = true
+			f.start(string(victim.name), string(victim.centre))
+			f.until(time.Minute, f.whole)
+			f.run(10 * time.Second)
+		}
+		slices.Sort(first)
+		slices.Sort(all)
+		b.ReportMetric(first[len(first)/2].Seconds(), kind+"-first-median-s")
+		b.ReportMetric(all[len(all)-1].Seconds(), kind+"-everywhere-max-s")
+	}
+}
+
+func measureRumour(b *testing.B, f *fleet) {
+	var worst time.Duration
+	for i := range 5 {
+		text := fmt.Sprint("rumour", i)
+		node := f.nodes[i]
+		f.at(node, func() { node.machine.broadcast(f.now, "topic", []byte(text)) })
+		worst = max(worst, f.until(time.Minute, func() bool { return f.heard[text] == len(f.nodes) }))
+		f.run(5 * time.Second)
+	}
+	b.ReportMetric(worst.Seconds(), "rumour-max-s")
+}
+
+// measureConfiguration has every node announce a configuration within a second.
+func measureConfiguration(b *testing.B, f *fleet) {
+	f.bytes = 0
+	for _, node := range f.nodes {
+		f.after(time.Duration(f.random.Int64N(int64(time.Second))), func() {
+			f.at(node, func() { node.machine.announce(9) })
+		})
+	}
+	took := f.until(2*time.Minute, func() bool {
+		for _, node := range f.nodes {
+			for _, held := range node.machine.table.records {
+				if held.member.Configuration != 9 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	b.ReportMetric(took.Seconds(), "configuration-known-s")
+	f.run(41*time.Second - took)
+	b.ReportMetric(float64(f.bytes)/41/float64(len(f.nodes)), "configuration-B/node/s")
+}
+
+// measureLoss loses one call in fifty for ten minutes and counts suspicions.
+func measureLoss(b *testing.B, f *fleet) {
+	clear(f.events)
+	f.blocked = func(_, _ *fakeNode) bool { return f.random.IntN(50) == 0 }
+	f.run(10 * time.Minute)
+	f.blocked = func(_, _ *fakeNode) bool { return false }
+	b.ReportMetric(float64(f.events[4004]), "loss-suspicions")
+	b.ReportMetric(float64(f.events[4005]), "loss-deaths")
+}
+
+// measureCut cuts a data centre off for five minutes.
+func measureCut(b *testing.B, f *fleet) {
+	f.blocked = func(from, to *fakeNode) bool { return (from.centre == "dc1") != (to.centre == "dc1") }
+	f.bytes = 0
+	f.run(5 * time.Minute)
+	b.ReportMetric(float64(f.bytes)/300/float64(len(f.nodes)), "cut-B/node/s")
+	f.blocked = func(_, _ *fakeNode) bool { return false }
+	f.bytes = 0
+	took := f.until(5*time.Minute, f.whole)
+	b.ReportMetric(took.Seconds(), "heal-s")
+	b.ReportMetric(float64(f.bytes)/1000/float64(len(f.nodes)), "heal-kB/node")
+}
--- a/prober/message.go
+++ b/prober/message.go
@@ -10,7 +10,7 @@
 // The bounds of one message.
 const (
 	messageRecords  = 16
-	messageProgress = 48
+	messageProgress = 128
 	messageRumours  = 8
 	// repairRecords bounds the answer to a repair; the next repair gets the rest.
 	repairRecords = 512
@@ -19,29 +19,35 @@
 	progressTold = 3
 )
 
-// progress tells the configuration in force on a node.
+// progress tells the configuration in force on a run of a node.
 type progress struct {
-	node          identifier.Node
-	incarnation   identifier.Incarnation
+	run           runID
 	configuration identifier.Configuration
 }
 
+func progressOf(r record) progress {
+	return progress{r.run(), r.member.Configuration}
+}
+
 // repair is what the other side needs to tell what its sender lacks.
 type repair struct {
-	buckets digests
-	rumours []uint64
+	buckets  digests
+	progress digests
+	rumours  []uint64
 }
 
 // message goes both ways in an exchange.
 type message struct {
 	sender record
 	// to is the node that is meant, or empty where only its address is known.
-	to           identifier.Node
-	digest       uint64
-	rumourDigest uint64
-	records      []record
-	progress     []progress
-	rumours      []rumour
+	to identifier.Node
+	// digest, progressDigest and rumourDigest cover what the sender holds.
+	digest         uint64
+	progressDigest uint64
+	rumourDigest   uint64
+	records        []record
+	progress       []progress
+	rumours        []rumour
 	// repair is nil unless the sender wants all that differs.
 	repair *repair
 }
--- a/prober/record.go
+++ b/prober/record.go
@@ -18,6 +18,9 @@
 	dead
 )
 
+// runID is a hash of a node's name and incarnation.
+type runID uint64
+
 // record is what is known of one node. Records of a node are totally ordered by
 // incarnation, revision and health, so that merging is taking the larger one:
 // it gives the same in any order and however often.
@@ -67,6 +70,17 @@
 	return mix(hashName(r.member.Node)^uint64(r.member.Incarnation)) ^ mix(uint64(r.revision)+1)
 }
 
+// run names this run of the node in as few bytes as will do. Two runs of the same
+// hash would only mix up the configurations shown for them.
+func (r record) run() runID {
+	return runID(mix(hashName(r.member.Node) ^ mix(uint64(r.member.Incarnation))))
+}
+
+// progressDigest covers the configuration in force on the node.
+func (r record) progressDigest() uint64 {
+	return mix(uint64(r.run()) + mix(uint64(r.member.Configuration)))
+}
+
 func hashName(node identifier.Node) uint64 {
 	return xxhash.Sum64String(string(node))
 }
--- a/prober/table.go
+++ b/prober/table.go
@@ -16,14 +16,18 @@
 // table holds the newest record of each node. It is a pure value without time.
 type table struct {
 	records map[identifier.Node]record
-	// buckets holds the digests of the live records, and is kept up to date.
-	buckets digests
+	// runs finds the node of a run; it holds just the runs of records.
+	runs map[runID]identifier.Node
+	// buckets holds the digests of the live records, progress those of the
+	// configurations in force on them. Both are kept up to date.
+	buckets  digests
+	progress digests
 	// generation changes whenever the set of live nodes does.
 	generation uint64
 }
 
 func newTable() *table {
-	return &table{records: map[identifier.Node]record{}}
+	return &table{records: map[identifier.Node]record{}, runs: map[runID]identifier.Node{}}
 }
 
 // merge takes a record in and tells whether it was news.
@@ -39,14 +43,14 @@
 	return true
 }
 
-// advance raises the configuration of a node and tells whether it was news.
-func (t *table) advance(node identifier.Node, run identifier.Incarnation, number identifier.Configuration) bool {
-	held, known := t.records[node]
-	if !known || held.member.Incarnation != run || number <= held.member.Configuration {
+// advance raises the configuration of a run and tells whether it was news.
+func (t *table) advance(run runID, number identifier.Configuration) bool {
+	held, known := t.records[t.runs[run]]
+	if !known || number <= held.member.Configuration {
 		return false
 	}
 	held.member.Configuration = number
-	t.records[node] = held
+	t.put(held)
 	return true
 }
 
@@ -71,16 +75,21 @@
 
 func (t *table) put(r record) {
 	held, known := t.records[r.member.Node]
+	bucket := bucketOf(r.member.Node)
 	wasLive := known && held.health != dead
 	if wasLive {
-		t.buckets[bucketOf(r.member.Node)] -= held.digest()
+		t.buckets[bucket] -= held.digest()
+		t.progress[bucket] -= held.progressDigest()
 	}
 	if r.health != dead {
-		t.buckets[bucketOf(r.member.Node)] += r.digest()
+		t.buckets[bucket] += r.digest()
+		t.progress[bucket] += r.progressDigest()
 	}
 	if wasLive != (r.health != dead) {
 		t.generation++
 	}
+	delete(t.runs, held.run())
+	t.runs[r.run()] = r.member.Node
 	t.records[r.member.Node] = r
 }
 
@@ -88,6 +97,7 @@
 func (t *table) forget(node identifier.Node) {
 	if held, known := t.records[node]; known && held.health == dead {
 		delete(t.records, node)
+		delete(t.runs, held.run())
 	}
 }
 
@@ -95,10 +105,10 @@
 	return int(mix(hashName(node)) % bucketCount)
 }
 
-// digest covers all live records.
-func (t *table) digest() uint64 {
+// sum covers all buckets.
+func (d digests) sum() uint64 {
 	var sum uint64
-	for _, bucket := range t.buckets {
+	for _, bucket := range d {
 		sum = mix(sum ^ bucket)
 	}
 	return sum
@@ -118,6 +128,19 @@
 	return found[:min(limit, len(found))]
 }
 
+// differingProgress returns the live records in the buckets in which the
+// configurations differ from another table's.
+func (t *table) differingProgress(from digests) []record {
+	var found []record
+	for _, held := range t.live("") {
+		bucket := bucketOf(held.member.Node)
+		if t.progress[bucket] != from[bucket] {
+			found = append(found, held)
+		}
+	}
+	return found
+}
+
 // live returns the nodes that are not dead, but for one, sorted by name.
 func (t *table) live(except identifier.Node) []record {
 	found := make([]record, 0, len(t.records))
--- a/prober/wire.go
+++ b/prober/wire.go
@@ -10,33 +10,38 @@
 
 func toWire(m message) *proberrpc.Message {
 	wire := &proberrpc.Message{
-		Sender:       recordToWire(m.sender),
-		To:           string(m.to),
-		Digest:       m.digest,
-		RumourDigest: m.rumourDigest,
-		Records:      mapped(m.records, recordToWire),
-		Progress:     mapped(m.progress, progressToWire),
-		Rumours:      mapped(m.rumours, rumourToWire),
+		Sender:         recordToWire(m.sender),
+		To:             string(m.to),
+		Digest:         m.digest,
+		ProgressDigest: m.progressDigest,
+		RumourDigest:   m.rumourDigest,
+		Records:        mapped(m.records, recordToWire),
+		Progress:       progressToWire(m.progress),
+		Rumours:        mapped(m.rumours, rumourToWire),
 	}
 	if m.repair != nil {
-		wire.Repair = &proberrpc.Repair{Buckets: m.repair.buckets[:], Rumours: m.repair.rumours}
+		wire.Repair = &proberrpc.Repair{
+			Buckets: m.repair.buckets[:], Progress: m.repair.progress[:], Rumours: m.repair.rumours,
+		}
 	}
 	return wire
 }
 
 func fromWire(wire *proberrpc.Message) message {
 	m := message{
-		sender:       recordFromWire(wire.GetSender()),
-		to:           identifier.Node(wire.GetTo()),
-		digest:       wire.GetDigest(),
-		rumourDigest: wire.GetRumourDigest(),
-		records:      mapped(wire.GetRecords(), recordFromWire),
-		progress:     mapped(wire.GetProgress(), progressFromWire),
-		rumours:      mapped(wire.GetRumours(), rumourFromWire),
+		sender:         recordFromWire(wire.GetSender()),
+		to:             identifier.Node(wire.GetTo()),
+		digest:         wire.GetDigest(),
+		progressDigest: wire.GetProgressDigest(),
+		rumourDigest:   wire.GetRumourDigest(),
+		records:        mapped(wire.GetRecords(), recordFromWire),
+		progress:       progressFromWire(wire.GetProgress()),
+		rumours:        mapped(wire.GetRumours(), rumourFromWire),
 	}
 	if asked := wire.GetRepair(); asked != nil {
 		m.repair = &repair{rumours: asked.GetRumours()}
 		copy(m.repair.buckets[:], asked.GetBuckets())
+		copy(m.repair.progress[:], asked.GetProgress())
 	}
 	return m
 }
@@ -82,20 +87,30 @@
 	}
 }
 
-func progressToWire(p progress) *proberrpc.Progress {
-	return &proberrpc.Progress{
-		Node:          string(p.node),
-		Incarnation:   uint64(p.incarnation),
-		Configuration: uint64(p.configuration),
+// progressToWire groups the runs by configuration: most have the same one.
+func progressToWire(all []progress) []*proberrpc.Progress {
+	groups := map[identifier.Configuration]*proberrpc.Progress{}
+	var wire []*proberrpc.Progress
+	for _, p := range all {
+		group, known := groups[p.configuration]
+		if !known {
+			group = &proberrpc.Progress{Configuration: uint64(p.configuration)}
+			groups[p.configuration] = group
+			wire = append(wire, group)
+		}
+		group.Runs = append(group.Runs, uint64(p.run))
 	}
+	return wire
 }
 
-func progressFromWire(wire *proberrpc.Progress) progress {
-	return progress{
-		node:          identifier.Node(wire.GetNode()),
-		incarnation:   identifier.Incarnation(wire.GetIncarnation()),
-		configuration: identifier.Configuration(wire.GetConfiguration()),
+func progressFromWire(wire []*proberrpc.Progress) []progress {
+	var all []progress
+	for _, group := range wire {
+		for _, run := range group.GetRuns() {
+			all = append(all, progress{runID(run), identifier.Configuration(group.GetConfiguration())})
+		}
 	}
+	return all
 }
 
 func rumourToWire(r rumour) *proberrpc.Rumour {
