Add the command line, and traces with a span for each hop

Cause: operators drive the system through one program: serve, check, tables and status. Traces must follow a request through every hop. Ruled out: exit code 1 for every failure, which leaves scripts to read text, so "nothing changed", "raced" and "cannot be told" have codes of their own; otelhttp, which is not among the project's libraries. Change: package cmd with a type a command, help with examples, table or JSON output and documented exit codes; package tracer with W3C propagation for net/http and go-kit and OTLP/HTTP export when an endpoint is set. A table's unknown keys are told by line. Tables are written as TOML without empty fields. serve has a seam in cmd/assemble.go until package server is there.

--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,99 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/foxtailspool/foxtailspool/configurator"
+	"github.com/foxtailspool/foxtailspool/logger"
+)
+
+// runner is an assembled node. Run drains it once ctx ends.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+type serveCommand struct {
+	// assemble makes the node that the settings describe.
+	assemble func(ctx context.Context, settings configurator.Settings, log *logger.Logger) (runner, error)
+	// exit ends the process without a drain.
+	exit func(code int)
+}
+
+func newServeCommand() *cobra.Command {
+	s := &serveCommand{assemble: assemble, exit: os.Exit}
+	return &cobra.Command{
+		Use:   "serve SETTINGS",
+		Short: "Run a node until it is told to stop",
+		Long: `Run a node. It logs numbered events as JSON lines to standard error.
+
+The first SIGTERM or SIGINT drains the node: it leaves the answer of /v1/entries,
+takes requests for as long as callers may keep that answer (drain.entry-keep-time),
+finishes open streams (drain.finish-timeout) and exits with code 0. A second
+signal ends it at once, with code 7.`,
+		Example: "  foxtailspool serve entry-1.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE:    func(command *cobra.Command, args []string) error { return s.run(command, args[0]) },
+	}
+}
+
+func (s *serveCommand) run(command *cobra.Command, path string) error {
+	settings, faults, err := readSettings(path)
+	if err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return Faulty.New("%s is refused:\n%s", path, faults.Error())
+	}
+	log := logger.New(command.ErrOrStderr(), settings.Log.Level, logger.Fields{
+		"node":        settings.Node.Name,
+		"data-centre": settings.Node.DataCentre,
+	})
+	log.Log(EventStarting, logger.Fields{"release": release, "settings": path})
+	node, err := s.assemble(command.Context(), settings, log)
+	if err != nil {
+		log.Log(EventBroke, logger.Fields{"error": err.Error()})
+		return Failed.Wrap(err, "start")
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	return s.serve(command.Context(), node, signals, log)
+}
+
+// serve runs the node until it ends or a signal has drained it.
+func (s *serveCommand) serve(ctx context.Context, node runner, signals <-chan os.Signal, log *logger.Logger) error {
+	ctx, drain := context.WithCancel(ctx)
+	defer drain()
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	draining := false
+	for {
+		select {
+		case err := <-ended:
+			return s.report(err, log)
+		case received := <-signals:
+			if draining {
+				log.Log(EventKilled, logger.Fields{"signal": received.String()})
+				s.exit(exitFailed)
+				return Failed.New("ended by a second signal")
+			}
+			log.Log(EventDraining, logger.Fields{"signal": received.String()})
+			draining = true
+			drain()
+		}
+	}
+}
+
+func (s *serveCommand) report(err error, log *logger.Logger) error {
+	if err != nil {
+		log.Log(EventBroke, logger.Fields{"error": err.Error()})
+		return Failed.Wrap(err, "node")
+	}
+	log.Log(EventStopped, nil)
+	return nil
+}
--- /dev/null
+++ b/cmd/tables.go
@@ -0,0 +1,106 @@
+package cmd
+
+import (
+	"errors"
+	"os"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+
+	"github.com/foxtailspool/foxtailspool/configurator"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+func newTablesCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "tables",
+		Short: "Read, compare and change the routes and the pools table",
+		Long: `Read, compare and change the two tables: the routes table says which requests go
+to which pool and at what rank, the pools table names the engines and services.`,
+		Args: cobra.NoArgs,
+	}
+	command.AddCommand(
+		newTablesGetCommand(),
+		newTablesDiffCommand(),
+		newTablesApplyCommand(),
+		newTablesStatusCommand(),
+	)
+	return command
+}
+
+// tableFiles names files that hold tables as operators edit them; one or both.
+type tableFiles struct {
+	routes string
+	pools  string
+}
+
+func (t *tableFiles) addTo(command *cobra.Command) {
+	command.Flags().StringVar(&t.routes, "routes", "", "TOML `file` with the routes table")
+	command.Flags().StringVar(&t.pools, "pools", "", "TOML `file` with the pools table")
+}
+
+// read parses the files; a table that is not named is nil.
+func (t *tableFiles) read() (*tabulator.Routes, *tabulator.Pools, error) {
+	if *t == (tableFiles{}) {
+		return nil, nil, errors.New("name a table: --routes, --pools or both")
+	}
+	routes, err := readTable[tabulator.Routes](t.routes)
+	if err != nil {
+		return nil, nil, err
+	}
+	pools, err := readTable[tabulator.Pools](t.pools)
+	return routes, pools, err
+}
+
+// readTable parses one file, or returns nil for an empty path.
+func readTable[T tabulator.Routes | tabulator.Pools](path string) (*T, error) {
+	if path == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return nil, Failed.Wrap(err, "table")
+	}
+	table, err := tabulator.ParseTOML[T](content)
+	if err != nil {
+		return nil, Faulty.Wrap(err, "%s", path)
+	}
+	return &table, nil
+}
+
+// check lists the faults of the files, also those between the two tables.
+func (t *tableFiles) check() []checked {
+	routes, routesErr := readTable[tabulator.Routes](t.routes)
+	pools, poolsErr := readTable[tabulator.Pools](t.pools)
+	var results []checked
+	if t.routes != "" {
+		results = append(results, checked{File: t.routes, Faults: faultsOf(routesErr)})
+	}
+	if t.pools != "" {
+		results = append(results, checked{File: t.pools, Faults: faultsOf(poolsErr)})
+	}
+	if routes == nil || pools == nil {
+		return results
+	}
+	if _, err := tabulator.Join(1, *routes, *pools); err != nil {
+		joined := checked{File: t.routes + " with " + t.pools, Faults: faultsOf(err)}
+		results = append(results, joined)
+	}
+	return results
+}
+
+// faultsOf splits a refusal into its faults, which hold their place as text.
+func faultsOf(err error) configurator.Faults {
+	if err == nil {
+		return nil
+	}
+	if typed := errorx.Cast(err); typed != nil && typed.Cause() != nil {
+		err = typed.Cause()
+	}
+	var faults configurator.Faults
+	for _, problem := range strings.Split(message(err), "; ") {
+		faults = append(faults, configurator.Fault{Problem: problem})
+	}
+	return faults
+}
--- /dev/null
+++ b/cmd/tables_diff.go
@@ -0,0 +1,81 @@
+package cmd
+
+import (
+	"io"
+
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/spf13/cobra"
+
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// diffContext is the number of equal lines around a difference.
+const diffContext = 3
+
+type tablesDiffCommand struct {
+	node  nodeFlags
+	files tableFiles
+}
+
+func newTablesDiffCommand() *cobra.Command {
+	d := &tablesDiffCommand{}
+	command := &cobra.Command{
+		Use:   "diff",
+		Short: "Compare the tables in force with files",
+		Long: `Print a unified diff from the tables in force to the files, and exit with code 1
+where they differ. Comments and the order of keys do not count.`,
+		Example: `  foxtailspool tables diff --routes routes.toml
+  foxtailspool tables diff --routes routes.toml --pools pools.toml`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return d.run(command) },
+	}
+	d.node.addTo(command)
+	d.files.addTo(command)
+	return command
+}
+
+func (d *tablesDiffCommand) run(command *cobra.Command) error {
+	routes, pools, err := d.files.read()
+	if err != nil {
+		return err
+	}
+	client, err := d.node.client()
+	if err != nil {
+		return err
+	}
+	tables, err := client.Tables(command.Context())
+	if err != nil {
+		return err
+	}
+	differ, err := diff(command.OutOrStdout(), tables.Routes, routes, d.files.routes)
+	if err != nil {
+		return err
+	}
+	poolsDiffer, err := diff(command.OutOrStdout(), tables.Pools, pools, d.files.pools)
+	if err != nil {
+		return err
+	}
+	if differ || poolsDiffer {
+		return Differs.New("the tables differ")
+	}
+	return nil
+}
+
+// diff prints how an edited table differs from the one in force.
+func diff[T tabulator.Routes | tabulator.Pools](out io.Writer, inForce T, edited *T, path string) (bool, error) {
+	if edited == nil {
+		return false, nil
+	}
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A:        difflib.SplitLines(string(tabulator.FormatTOML(inForce))),
+		B:        difflib.SplitLines(string(tabulator.FormatTOML(*edited))),
+		FromFile: "in force",
+		ToFile:   path,
+		Context:  diffContext,
+	})
+	if err != nil {
+		return false, Failed.Wrap(err, "compare")
+	}
+	_, err = io.WriteString(out, text)
+	return text != "", failure(err)
+}
--- a/main.go
+++ b/main.go
@@ -3,10 +3,12 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+
+	"github.com/foxtailspool/foxtailspool/cmd"
 )
 
 func main() {
-	_, _ = fmt.Fprintln(os.Stdout, "foxtailspool")
+	os.Exit(cmd.Execute(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/tabulator/parse.go
+++ b/tabulator/parse.go
@@ -27,7 +27,7 @@
 	}
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
-		return table, Invalid.New("unknown keys:\n%s", strict.String())
+		return table, Invalid.New("%s", unknownKeys(strict))
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
@@ -37,6 +37,16 @@
 	return table, Invalid.Wrap(err, "read table")
 }
 
+// unknownKeys names the line of each key that a table does not have.
+func unknownKeys(strict *toml.StrictMissingError) string {
+	var faults []string
+	for _, unknown := range strict.Errors {
+		line, _ := unknown.Position()
+		faults = append(faults, fmt.Sprintf("line %d: unknown key %s", line, strings.Join(unknown.Key(), ".")))
+	}
+	return strings.Join(faults, "; ")
+}
+
 // ParseJSON reads a table as the platform keeps it and refuses unknown keys.
 func ParseJSON[T Routes | Pools](text []byte) (T, error) {
 	var table T
--- a/tabulator/tabulator.go
+++ b/tabulator/tabulator.go
@@ -18,10 +18,10 @@
 type Route struct {
 	Name identifier.Route `json:"name" toml:"name"`
 	// Model, Path, Method and Account are matched together. Path is a prefix.
-	Model   identifier.Model   `json:"model,omitempty" toml:"model"`
-	Path    string             `json:"path,omitempty" toml:"path"`
-	Method  string             `json:"method,omitempty" toml:"method"`
-	Account identifier.Account `json:"account,omitempty" toml:"account"`
+	Model   identifier.Model   `json:"model,omitempty" toml:"model,omitempty"`
+	Path    string             `json:"path,omitempty" toml:"path,omitempty"`
+	Method  string             `json:"method,omitempty" toml:"method,omitempty"`
+	Account identifier.Account `json:"account,omitempty" toml:"account,omitempty"`
 	Pool    identifier.Pool    `json:"pool" toml:"pool"`
 	Rank    identifier.Rank    `json:"rank" toml:"rank"`
 	// Repeatable requests may run twice at a backend server. Model requests
@@ -29,10 +29,10 @@
 	Repeatable bool `json:"repeatable" toml:"repeatable"`
 	// FirstToken and BetweenTokens are the latency targets of model routes,
 	// positive on those.
-	FirstToken    Duration `json:"first-token,omitempty" toml:"first-token"`
-	BetweenTokens Duration `json:"between-tokens,omitempty" toml:"between-tokens"`
+	FirstToken    Duration `json:"first-token,omitempty" toml:"first-token,omitempty"`
+	BetweenTokens Duration `json:"between-tokens,omitempty" toml:"between-tokens,omitempty"`
 	// Timeout bounds one request as a whole, positive.
-	Timeout Duration `json:"timeout,omitempty" toml:"timeout"`
+	Timeout Duration `json:"timeout,omitempty" toml:"timeout,omitempty"`
 }
 
 // Kind says what a pool serves.
@@ -52,14 +52,14 @@
 	Kind Kind            `json:"kind" toml:"kind"`
 	// PieceTokens is how many tokens of KV cache a piece of memory holds,
 	// positive in model pools.
-	PieceTokens identifier.Tokens `json:"piece-tokens,omitempty" toml:"piece-tokens"`
+	PieceTokens identifier.Tokens `json:"piece-tokens,omitempty" toml:"piece-tokens,omitempty"`
 	// KVBytesPerToken sizes a transfer, positive in model pools.
-	KVBytesPerToken int64 `json:"kv-bytes-per-token,omitempty" toml:"kv-bytes-per-token"`
+	KVBytesPerToken int64 `json:"kv-bytes-per-token,omitempty" toml:"kv-bytes-per-token,omitempty"`
 	// LesserShare is the least share of memory, from 0 to 1, that lesser work
 	// keeps in an urgent flood.
-	LesserShare float64 `json:"lesser-share,omitempty" toml:"lesser-share"`
+	LesserShare float64 `json:"lesser-share,omitempty" toml:"lesser-share,omitempty"`
 	// QueueLimit bounds the requests that wait for memory, for each rank.
-	QueueLimit int `json:"queue-limit,omitempty" toml:"queue-limit"`
+	QueueLimit int `json:"queue-limit,omitempty" toml:"queue-limit,omitempty"`
 	// Members is not empty and holds each name once.
 	Members []Member `json:"members" toml:"members"`
 }
@@ -68,25 +68,25 @@
 type Member struct {
 	Name       identifier.Member     `json:"name" toml:"name"`
 	Address    identifier.Address    `json:"address" toml:"address"`
-	DataCentre identifier.DataCentre `json:"data-centre,omitempty" toml:"data-centre"`
+	DataCentre identifier.DataCentre `json:"data-centre,omitempty" toml:"data-centre,omitempty"`
 	Role       identifier.Role       `json:"role" toml:"role"`
 	// Pieces is the engine's memory, positive for engines.
-	Pieces identifier.Pieces `json:"pieces,omitempty" toml:"pieces"`
+	Pieces identifier.Pieces `json:"pieces,omitempty" toml:"pieces,omitempty"`
 	// Concurrency bounds the requests the member runs at once; zero is no bound.
-	Concurrency int `json:"concurrency,omitempty" toml:"concurrency"`
+	Concurrency int `json:"concurrency,omitempty" toml:"concurrency,omitempty"`
 	// PrefillRate is the prompt tokens a second that a prefill engine computes.
-	PrefillRate identifier.Tokens `json:"prefill-rate,omitempty" toml:"prefill-rate"`
+	PrefillRate identifier.Tokens `json:"prefill-rate,omitempty" toml:"prefill-rate,omitempty"`
 	// LinkRate bounds the KV transfers out of or into the engine.
-	LinkRate identifier.BytesPerSecond `json:"link-rate,omitempty" toml:"link-rate"`
+	LinkRate identifier.BytesPerSecond `json:"link-rate,omitempty" toml:"link-rate,omitempty"`
 	// ChecksFencing tells whether the member refuses orders with old fencing numbers.
-	ChecksFencing bool `json:"checks-fencing,omitempty" toml:"checks-fencing"`
+	ChecksFencing bool `json:"checks-fencing,omitempty" toml:"checks-fencing,omitempty"`
 	// Model, Adapter and Version are what the member should have loaded; orders
 	// bring it there.
-	Model   identifier.Model `json:"model,omitempty" toml:"model"`
-	Adapter string           `json:"adapter,omitempty" toml:"adapter"`
-	Version string           `json:"version,omitempty" toml:"version"`
+	Model   identifier.Model `json:"model,omitempty" toml:"model,omitempty"`
+	Adapter string           `json:"adapter,omitempty" toml:"adapter,omitempty"`
+	Version string           `json:"version,omitempty" toml:"version,omitempty"`
 	// Leaving members finish what they run and get no new work.
-	Leaving bool `json:"leaving,omitempty" toml:"leaving"`
+	Leaving bool `json:"leaving,omitempty" toml:"leaving,omitempty"`
 }
 
 // Routes is the routes table. Order matters: the first match wins.
