Generate the event catalogue from the code

Cause: operators search logs by event number, so the page must list every event that the code defines. Change: docs/EVENTS.md is written by go test ./cmd -rewrite and checked by every run; a second test holds the linked events against those in the source, and found the tracer's event missing from the first page.

--- /dev/null
+++ b/cmd/catalogue_test.go
@@ -0,0 +1,96 @@
+package cmd_test
+
+import (
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	// The packages below define events that the command line does not link yet.
+	_ "github.com/foxtailspool/foxtailspool/dispatcher"
+	_ "github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/logger"
+	_ "github.com/foxtailspool/foxtailspool/prober"
+	_ "github.com/foxtailspool/foxtailspool/publisher"
+	_ "github.com/foxtailspool/foxtailspool/recorder"
+	_ "github.com/foxtailspool/foxtailspool/router"
+	_ "github.com/foxtailspool/foxtailspool/tracer"
+)
+
+const eventsPage = "../docs/EVENTS.md"
+
+// TestEventsPage holds docs/EVENTS.md against the events that the code defines.
+func TestEventsPage(t *testing.T) {
+	want := renderEvents(logger.Catalogue())
+	if rewrite := flag.Lookup("rewrite"); rewrite != nil && rewrite.Value.String() == "true" {
+		if err := os.WriteFile(eventsPage, []byte(want), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(eventsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("docs/EVENTS.md differs from the code; run go test ./cmd -rewrite")
+	}
+}
+
+// TestCatalogueIsWhole holds the linked events against those in the source, so
+// that a package cannot be forgotten.
+func TestCatalogueIsWhole(t *testing.T) {
+	var linked []int
+	for _, event := range logger.Catalogue() {
+		linked = append(linked, event.Number)
+	}
+	if source := eventsInSource(t); !slices.Equal(linked, source) {
+		t.Errorf("linked %v, in the source %v", linked, source)
+	}
+}
+
+var definition = regexp.MustCompile(`logger\.Define\((\d+),`)
+
+func eventsInSource(t *testing.T) []int {
+	t.Helper()
+	var numbers []int
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && entry.Name() != "..":
+			return fs.SkipDir
+		case entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go"):
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range definition.FindAllSubmatch(source, -1) {
+			number, _ := strconv.Atoi(string(match[1]))
+			numbers = append(numbers, number)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+func renderEvents(events []logger.Event) string {
+	var text strings.Builder
+	text.WriteString("# Events\n\n" +
+		"Every event that a node logs, generated from the code. A node writes JSON lines\n" +
+		"to standard error; the field `event` holds the number, which never changes its\n" +
+		"meaning. `log.level` sets the least severe level that is written.\n\n" +
+		"| event | level | message | meaning |\n| --- | --- | --- | --- |\n")
+	for _, event := range events {
+		fmt.Fprintf(&text, "| %d | %s | %s | %s |\n", event.Number, event.Level, event.Message, event.Meaning)
+	}
+	return text.String()
+}
