Serve a node from its settings, for operators and with TLS and traces

Cause: the server was there, but no process ran it, operators had no view of it, and TLS files and traces of the settings were not used. Ruled out: https in the peers' addresses, which other packages build as "http://"; a transport turns them where the peers' listener has certificates. Change: serve assembles the node; the operators' listener answers status, tables and edits; the dispatcher tells which shards it places for; each request has spans for entry, placement, prefill, decode or service, and the context goes on to backend servers; calls that belong to no request make no spans.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -56,14 +56,30 @@
 type Pool struct {
 	Name identifier.Pool `json:"name"`
 	Kind tabulator.Kind  `json:"kind"`
-	// Owner places the pool's requests in this node's view; it is empty for
-	// pools of services.
-	Owner identifier.Node `json:"owner,omitempty"`
-	// Grants and Pieces are held now, by any node, and are known at the owner
-	// only.
+	// Grants are those that the asked node holds for its own requests, and
+	// Pieces the engine memory that they take.
 	Grants int               `json:"held-grants"`
 	Pieces identifier.Pieces `json:"held-pieces"`
-	// Waiting requests have no grant yet, by rank, known at the owner only.
+	// Shards are the parts of a pool of models, by index.
+	Shards []Shard `json:"shards,omitempty"`
+}
+
+// Shard is a part of a pool that one node places for.
+type Shard struct {
+	Index uint32 `json:"index"`
+	// Owner is the soft owner in the asked node's view.
+	Owner identifier.Node `json:"owner"`
+	// Placing is what the asked node knows where it places for the shard, and
+	// nil where it does not.
+	Placing *Placing `json:"placing,omitempty"`
+}
+
+// Placing is the state of a shard at a node that places for it.
+type Placing struct {
+	// Grants and Pieces are held by all nodes.
+	Grants int               `json:"held-grants"`
+	Pieces identifier.Pieces `json:"held-pieces"`
+	// WaitingUrgent and WaitingLesser count requests without a grant.
 	WaitingUrgent int `json:"waiting-urgent"`
 	WaitingLesser int `json:"waiting-lesser"`
 }
@@ -99,6 +115,9 @@
 	Nodes         []NodeConfiguration      `json:"nodes"`
 	// Refusal is why the latest edit was not accepted; empty when it was.
 	Refusal string `json:"refusal,omitempty"`
+	// StoreUnreachable tells that the platform did not answer, so that Refusal
+	// is not known.
+	StoreUnreachable bool `json:"store-unreachable,omitempty"`
 }
 
 // NodeConfiguration is the number in force at one node.
--- a/cmd/catalogue_test.go
+++ b/cmd/catalogue_test.go
@@ -12,15 +12,7 @@
 	"strings"
 	"testing"
 
-	// The packages below define events that the command line does not link yet.
-	_ "github.com/foxtailspool/foxtailspool/dispatcher"
-	_ "github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/logger"
-	_ "github.com/foxtailspool/foxtailspool/prober"
-	_ "github.com/foxtailspool/foxtailspool/publisher"
-	_ "github.com/foxtailspool/foxtailspool/recorder"
-	_ "github.com/foxtailspool/foxtailspool/router"
-	_ "github.com/foxtailspool/foxtailspool/tracer"
 )
 
 const eventsPage = "../docs/EVENTS.md"
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -42,7 +42,13 @@
 	return administrator.Status{
 		Node: "entry-1", DataCentre: "plovdiv", State: assigner.Alive, Configuration: n.tables.Configuration, InFlight: 3,
 		Members: []administrator.Member{{Node: "entry-1", DataCentre: "plovdiv", State: assigner.Alive, Incarnation: 5, Callers: "192.0.2.1:8080", Peers: "192.0.2.1:8081"}},
-		Pools:   []administrator.Pool{{Name: "desk", Kind: tabulator.Services}},
+		Pools: []administrator.Pool{
+			{Name: "desk", Kind: tabulator.Services},
+			{Name: "reader", Kind: tabulator.Models, Grants: 1, Pieces: 9, Shards: []administrator.Shard{
+				{Index: 0, Owner: "entry-1", Placing: &administrator.Placing{Grants: 2, Pieces: 30, WaitingLesser: 4}},
+				{Index: 1, Owner: "entry-2"},
+			}},
+		},
 	}
 }
 
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"fmt"
+
 	"github.com/spf13/cobra"
 
 	"github.com/foxtailspool/foxtailspool/administrator"
@@ -18,7 +20,8 @@
 		Short: "Show what a node sees: members, pools, held grants, configuration number",
 		Long: `Show what one node sees: the members of the fleet, the pools with their owners,
 held grants and waiting requests, and the number of the configuration in force.
-Grants and waiting requests are known at a pool's owner only.`,
+The grants of all nodes and the waiting requests of a pool's shard are known at
+its owner only: ask that node.`,
 		Example: `  foxtailspool status
   foxtailspool status --operators https://192.0.2.1:9090 --authority-file fleet.pem
   foxtailspool status --output json`,
@@ -54,8 +57,24 @@
 		r.add(m.Node, m.DataCentre, m.State, m.Incarnation, m.Callers, m.Peers)
 	}
 	r.gap()
-	r.add("POOL", "KIND", "OWNER", "HELD GRANTS", "HELD PIECES", "WAITING URGENT", "WAITING LESSER")
+	r.add("POOL", "KIND", "GRANTS HELD HERE", "PIECES HELD HERE")
+	for _, p := range status.Pools {
+		r.add(p.Name, p.Kind, p.Grants, p.Pieces)
+	}
+	r.gap()
+	r.add("SHARD", "OWNER", "HELD GRANTS", "HELD PIECES", "WAITING URGENT", "WAITING LESSER")
 	for _, p := range status.Pools {
-		r.add(p.Name, p.Kind, p.Owner, p.Grants, p.Pieces, p.WaitingUrgent, p.WaitingLesser)
+		for _, s := range p.Shards {
+			printShard(r, p, s)
+		}
+	}
+}
+
+func printShard(r *rows, pool administrator.Pool, shard administrator.Shard) {
+	name := fmt.Sprintf("%s/%d", pool.Name, shard.Index)
+	if placing := shard.Placing; placing != nil {
+		r.add(name, shard.Owner, placing.Grants, placing.Pieces, placing.WaitingUrgent, placing.WaitingLesser)
+		return
 	}
+	r.add(name, shard.Owner, "-", "-", "-", "-")
 }
--- a/cmd/tables_status.go
+++ b/cmd/tables_status.go
@@ -42,6 +42,9 @@
 	if spread.Refusal != "" {
 		r.add("latest edit refused", spread.Refusal)
 	}
+	if spread.StoreUnreachable {
+		r.add("platform", "unreachable")
+	}
 	r.gap()
 	r.add("NODE", "DATA CENTRE", "CONFIGURATION", "STATE")
 	for _, node := range spread.Nodes {
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -86,3 +86,19 @@
 	request.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
 	return t.next.RoundTrip(request)
 }
+
+// Secure returns a transport that makes https calls of http ones, for callers
+// that know addresses and not whether they are reached by TLS.
+func Secure(next http.RoundTripper) http.RoundTripper {
+	return secureTransport{next}
+}
+
+type secureTransport struct {
+	next http.RoundTripper
+}
+
+func (t secureTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	request = request.Clone(request.Context())
+	request.URL.Scheme = "https"
+	return t.next.RoundTrip(request)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/addresser"
+	"github.com/foxtailspool/foxtailspool/administrator"
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/configurator"
 	"github.com/foxtailspool/foxtailspool/connector"
@@ -26,6 +27,7 @@
 	"github.com/foxtailspool/foxtailspool/router"
 	"github.com/foxtailspool/foxtailspool/storer"
 	"github.com/foxtailspool/foxtailspool/supervisor"
+	"github.com/foxtailspool/foxtailspool/tracer"
 )
 
 // Options sets up a node.
@@ -38,8 +40,20 @@
 	Network connector.Network
 	// Before runs before each caller's operation on its request's context.
 	Before []kithttp.RequestFunc
-	Log    *logger.Logger
-	Scope  tally.Scope
+	// Certificates are those that the settings name.
+	Certificates Certificates
+	// Tracer makes the spans of requests; nil makes none.
+	Tracer *tracer.Tracer
+	// Metrics serves the exposition to operators; nil serves none.
+	Metrics http.Handler
+	Log     *logger.Logger
+	Scope   tally.Scope
+}
+
+// Certificates are the TLS certificates of a node; a nil one stands for no TLS
+// on a listener, and for the system's authorities towards the platform.
+type Certificates struct {
+	Callers, Peers, Operators, Platform *connector.TLS
 }
 
 // Server is one node.
@@ -58,6 +72,15 @@
 	addresser  *addresser.Addresser
 }
 
+// The hops whose spans the server makes. The dispatcher makes its own.
+const (
+	hopEntry         tracer.Hop = "entry"
+	hopPrefill       tracer.Hop = "prefill"
+	hopDecode        tracer.Hop = "decode"
+	hopService       tracer.Hop = "service"
+	hopBackendServer tracer.Hop = "backend-server"
+)
+
 // Names of the services that others look up.
 const (
 	nameProber     = "prober"
@@ -73,6 +96,12 @@
 
 // New assembles a node that does not run yet.
 func New(options Options) *Server {
+	if options.Tracer == nil {
+		options.Tracer = tracer.Discard()
+	}
+	if options.Metrics == nil {
+		options.Metrics = http.NotFoundHandler()
+	}
 	s := &Server{options: options, supervisor: supervisor.New()}
 	s.newStore()
 	s.newMembership()
@@ -149,22 +178,32 @@
 		Before:     s.options.Before,
 		Scope:      s.options.Scope,
 	})
-	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, peers))
+	operators := administrator.NewHandler(administrator.HandlerOptions{
+		Observer:  observer{s},
+		Publisher: editor{s},
+		Metrics:   s.options.Metrics,
+		Scope:     s.options.Scope,
+		Log:       s.options.Log,
+	})
+	traced := s.options.Tracer.Handler(hopEntry, callers)
+	certificates := s.options.Certificates
+	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, certificates.Peers, peers))
 	s.supervisor.Register(nameProber, s.prober)
 	s.supervisor.Register(namePublisher, s.publisher)
 	s.supervisor.Register(nameIsolator, s.isolator)
 	s.supervisor.Register(nameDispatcher, s.dispatcher)
 	s.supervisor.Register(nameRecorder, s.recorder)
 	s.supervisor.Register(nameRouter, s.router)
-	s.supervisor.Register(nameOperators, s.listener(nameOperators, settings.Operators, http.NotFoundHandler()))
-	s.supervisor.Register(nameCallers, s.listener(nameCallers, settings.Callers, callers))
+	s.supervisor.Register(nameOperators, s.listener(nameOperators, settings.Operators, certificates.Operators, operators))
+	s.supervisor.Register(nameCallers, s.listener(nameCallers, settings.Callers, certificates.Callers, traced))
 }
 
-func (s *Server) listener(name string, l configurator.Listener, handler http.Handler) *connector.Server {
+func (s *Server) listener(name string, l configurator.Listener, certificates *connector.TLS, handler http.Handler) *connector.Server {
 	return connector.NewServer(connector.ServerOptions{
 		Name:    name,
 		Address: l.Listen,
 		Network: s.options.Network,
+		TLS:     certificates,
 		Handler: handler,
 		Log:     s.options.Log,
 		Limits: connector.ServerLimits{
--- a/server/services.go
+++ b/server/services.go
@@ -44,41 +44,74 @@
 
 func (s *Server) newStore() {
 	settings := s.options.Settings.Platform
+	var transport http.RoundTripper = s.options.Network.Transport(connector.Limits{
+		Dial:    settings.CallTimeout,
+		Idle:    settings.WatchSilence,
+		PerHost: settings.MaxConnections,
+		TLS:     s.options.Certificates.Platform,
+	})
+	if settings.TokenFile != "" {
+		transport = connector.BearerFile(transport, settings.TokenFile)
+	}
 	s.store = storer.NewClient(storer.ClientOptions{
-		URL: settings.URL,
-		Transport: s.options.Network.Transport(connector.Limits{
-			Dial:    settings.CallTimeout,
-			Idle:    settings.WatchSilence,
-			PerHost: settings.MaxConnections,
-		}),
+		URL:          settings.URL,
+		Transport:    transport,
 		CallTimeout:  settings.CallTimeout,
 		WatchSilence: settings.WatchSilence,
 	})
 }
 
 // transport returns a transport for the node's own calls.
-func (s *Server) transport(client configurator.Client) *http.Transport {
+func (s *Server) transport(client configurator.Client, certificates *connector.TLS) *http.Transport {
 	return s.options.Network.Transport(connector.Limits{
 		Dial:    client.DialTimeout,
 		Idle:    client.IdleTimeout,
 		PerHost: client.MaxConnectionsPerHost,
+		TLS:     certificates,
 	})
 }
 
 // fresh returns a transport that opens a connection for each call.
-func (s *Server) fresh(client configurator.Client) *http.Transport {
-	transport := s.transport(client)
+func (s *Server) fresh(client configurator.Client, certificates *connector.TLS) *http.Transport {
+	transport := s.transport(client, certificates)
 	transport.DisableKeepAlives = true
 	return transport
 }
 
+// peers returns a transport of kept connections to other nodes, newPeers one
+// that opens a connection for each call.
+func (s *Server) peers() http.RoundTripper {
+	return s.secure(s.transport(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
+}
+
+func (s *Server) newPeers() http.RoundTripper {
+	return s.secure(s.fresh(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
+}
+
+// secure turns calls to other nodes, whose addresses come as "http://", into
+// https where the peers' listener has certificates.
+func (s *Server) secure(transport *http.Transport) http.RoundTripper {
+	if s.options.Certificates.Peers == nil {
+		return transport
+	}
+	return connector.Secure(transport)
+}
+
+// backends returns the transports of calls to backend servers, kept and fresh.
+func (s *Server) backends() (kept, fresh http.RoundTripper) {
+	settings := s.options.Settings.Backends
+	traces := s.options.Tracer
+	kept = traces.Transport(hopBackendServer, s.transport(settings, nil))
+	return kept, traces.Transport(hopBackendServer, s.fresh(settings, nil))
+}
+
 func (s *Server) newMembership() {
 	settings := s.options.Settings
 	s.prober = prober.New(prober.Options{
 		Self:         s.self(),
 		Seeds:        settings.Membership.Seeds,
-		Peers:        s.transport(settings.PeerCalls),
-		NewPeers:     func() http.RoundTripper { return s.fresh(settings.PeerCalls) },
+		Peers:        s.peers(),
+		NewPeers:     s.newPeers,
 		Interval:     settings.Membership.ProbeInterval,
 		Timeout:      settings.Membership.ProbeTimeout,
 		SuspectAfter: settings.Membership.SuspicionTime,
@@ -99,7 +132,7 @@
 		DataCentre: settings.Node.DataCentre,
 		Store:      s.store,
 		View:       s.prober.View,
-		Peers:      s.transport(settings.PeerCalls),
+		Peers:      s.peers(),
 		Broadcast:  s.prober.Broadcast,
 		InForce: func(snapshot *tabulator.Snapshot) {
 			s.prober.Announce(snapshot.Number)
@@ -111,9 +144,10 @@
 
 func (s *Server) newPlacement() {
 	settings := s.options.Settings
+	kept, fresh := s.backends()
 	s.invoker = invoker.New(invoker.Options{
-		Transport:   s.transport(settings.Backends),
-		Fresh:       s.fresh(settings.Backends),
+		Transport:   kept,
+		Fresh:       fresh,
 		Call:        engineCall,
 		Prefill:     settings.Backends.HeaderTimeout,
 		Import:      settings.Backends.HeaderTimeout,
@@ -124,7 +158,7 @@
 		Self:     settings.Node.Name,
 		View:     s.prober.View,
 		Snapshot: s.publisher.Snapshot,
-		Peers:    s.transport(settings.PeerCalls),
+		Peers:    s.peers(),
 		Engines:  engines{s.invoker},
 		Log:      s.options.Log,
 		Scope:    s.options.Scope,
@@ -138,7 +172,7 @@
 		Incarnation: s.options.Incarnation,
 		Store:       s.store,
 		View:        s.prober.View,
-		Peers:       s.transport(settings.PeerCalls),
+		Peers:       s.peers(),
 		Window:      settings.Requests.KeyWindow,
 		Log:         s.options.Log,
 		Scope:       s.options.Scope,
@@ -159,8 +193,8 @@
 		DataCentre:  settings.Node.DataCentre,
 		Snapshot:    s.publisher.Snapshot,
 		Placer:      s.dispatcher,
-		Engines:     s.invoker,
-		Services:    s.invoker,
+		Engines:     traced{s.invoker, s.options.Tracer},
+		Services:    traced{s.invoker, s.options.Tracer},
 		Ledger:      s.recorder,
 		Isolator:    s.isolator,
 		Budgets:     limiter.New(limiter.Options{Floor: retryFloor, Burst: retryBurst, Scope: s.options.Scope}),
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/kit/endpoint"
 	"github.com/joomcode/errorx"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -63,6 +64,7 @@
 // Tracer makes spans, a service of the micro-kernel.
 type Tracer struct {
 	tracer     api.Tracer
+	provider   api.TracerProvider
 	propagator propagation.TraceContext
 	// shutdown exports what is left; nil where nothing is exported.
 	shutdown func(context.Context) error
@@ -96,12 +98,20 @@
 			attribute.String("foxtailspool.data-centre", string(options.DataCentre)),
 		)),
 	)
-	return &Tracer{tracer: provider.Tracer(scopeName), shutdown: provider.Shutdown, log: options.Log}
+	return &Tracer{tracer: provider.Tracer(scopeName), provider: provider, shutdown: provider.Shutdown, log: options.Log}
+}
+
+// Install makes the tracer that of packages which use OpenTelemetry's global one.
+// A process calls it once, for its only tracer.
+func (t *Tracer) Install() {
+	otel.SetTracerProvider(t.provider)
+	otel.SetTextMapPropagator(t.propagator)
 }
 
 // Discard returns a tracer that makes no spans and still passes the context on.
 func Discard() *Tracer {
-	return &Tracer{tracer: noop.NewTracerProvider().Tracer(scopeName), log: logger.Discard()}
+	provider := noop.NewTracerProvider()
+	return &Tracer{tracer: provider.Tracer(scopeName), provider: provider, log: logger.Discard()}
 }
 
 // Run exports until ctx ends, and then what is left.
@@ -170,7 +180,8 @@
 }
 
 // Transport makes the hop of a call to another server: a span that lasts until
-// the answer's body is closed, and whose context is sent along.
+// the answer's body is closed, and whose context is sent along. Calls that belong
+// to no request, such as load reports, have no span.
 func (t *Tracer) Transport(hop Hop, next http.RoundTripper) http.RoundTripper {
 	return transport{t, hop, next}
 }
@@ -182,6 +193,9 @@
 }
 
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if !api.SpanContextFromContext(request.Context()).IsValid() {
+		return t.next.RoundTrip(request)
+	}
 	ctx, span := t.tracer.Start(
 		request.Context(), t.hop,
 		attribute.String("http.request.method", request.Method),
