Show the whole path with make demo

Cause: a newcomer should clone, run one command and see a streamed model request and a booking cross separate processes. Ruled out: a shell script, which cannot hold a stream open while it drains a node, nor end what it started by id on every way out.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,11 @@
 .PHONY: build test lint format demo matrix measure generate tools
 
 build:
-	$(GO) build -o bin/ . ./standin/foxtailspool-standin
+	$(GO) build -o bin/ . ./standin/foxtailspool-standin ./demonstrator/foxtailspool-demo
+
+# Shows the whole path on loopback, each part in a process of its own.
+demo: build
+	bin/foxtailspool-demo --bin bin
 
 test:
 	$(GO) test -race $(PACKAGES)
