Make every limit of a node a named setting

Cause: limits of requests, placement and the ledger stood as constants in the server, and some keys were read and never used. Ruled out: a bound on requests by account at the entry: callers without an account would share one bound, and the dispatcher is fair between accounts already. Change: sections requests, placement and ledger hold the limits with the values that were in force; the ledger's window is ten minutes again, as the ledger is sized for, and kept answers stay below what fills a page; calls between nodes and to backend servers use their header and progress timeouts. requests.max-in-flight-per-account is gone.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -37,6 +37,8 @@
 	PeerCalls  Client
 	Backends   Client
 	Requests   Requests
+	Placement  Placement
+	Ledger     Ledger
 	Drain      Drain
 	Log        Log
 	Traces     Traces
@@ -122,25 +124,70 @@
 	ProgressTimeout time.Duration
 	// IdleTimeout bounds how long an unused connection is kept.
 	IdleTimeout time.Duration
+	// CallTimeout bounds a short call as a whole, such as a cancel or a load
+	// report.
+	CallTimeout time.Duration
 	// MaxConnectionsPerHost bounds the connections to one server.
 	MaxConnectionsPerHost int
 }
 
-// Requests bounds what a node holds for its callers.
+// Requests bounds what a node does for its callers.
 type Requests struct {
 	// MaxInFlight bounds the requests that the node serves at once.
 	MaxInFlight int
-	// MaxInFlightPerAccount bounds those of one caller account.
-	MaxInFlightPerAccount int
-	// MaxTimeout bounds the timeout that a route may set, and is the timeout of
-	// routes that set none.
+	// MaxTimeout is the timeout of routes that set none.
 	MaxTimeout time.Duration
-	// MaxAttempts bounds the attempts of one repeatable request.
+	// DefaultOutput limits the output of model requests that set no limit.
+	DefaultOutput int
+	// MaxAttempts bounds the attempts of one model request.
 	MaxAttempts int
-	// MaxKeptAnswerSize bounds the answer that is kept for a resend.
-	MaxKeptAnswerSize Bytes
+	// MaxResumes bounds the new connections tried for a stream that broke.
+	MaxResumes int
+	// Linger is how long a stream whose caller was cut off is kept for the
+	// caller to come back.
+	Linger time.Duration
+	// CancelRetry is the first pause between two tries to cancel an attempt on
+	// an engine; CancelGiveUp is when an engine that cannot be reached is taken
+	// for gone.
+	CancelRetry  time.Duration
+	CancelGiveUp time.Duration
+	// RetryRate is how many repeats a second a pool may be sent whatever its
+	// load, and RetryBurst how many can be saved up.
+	RetryRate  int
+	RetryBurst int
+	// RetryAfter is what callers are told to wait where nothing better is known.
+	RetryAfter time.Duration
+}
+
+// Placement sets up the dispatcher. Every node should have the same.
+type Placement struct {
+	// Lease is how long a grant stands without renewal, and Grace how long a
+	// lapsed one may be taken over.
+	Lease time.Duration
+	Grace time.Duration
+	// LoadInterval is the time between two load reports of an engine.
+	LoadInterval time.Duration
+	// FallbackAfter is how long a request waits for an owner that cannot be
+	// reached before the node places it alone.
+	FallbackAfter time.Duration
+	// EnginesPerShard bounds the engines that one owner places for.
+	EnginesPerShard int
+	// MaxBacklog bounds the releases kept for an owner that cannot be reached.
+	MaxBacklog int
+}
+
+// Ledger sets up the record of executions. Every node must have the same.
+type Ledger struct {
 	// KeyWindow is how long an Idempotency-Key is remembered.
 	KeyWindow time.Duration
+	// ClockSkew is the largest difference between any two clocks of nodes.
+	ClockSkew time.Duration
+	// Shards is how many owners share the ledger.
+	Shards int
+	// CommitInterval is the shortest time between two writes of one page.
+	CommitInterval time.Duration
+	// MaxKeptAnswerSize bounds the answer that is kept for a resend.
+	MaxKeptAnswerSize Bytes
 }
 
 // Drain sets up the graceful shutdown.
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -22,6 +22,8 @@
 	keys = append(keys, clientKeys("peer-calls", "another node", "2s", "5s", &s.PeerCalls)...)
 	keys = append(keys, clientKeys("backends", "a backend server", "30s", "10s", &s.Backends)...)
 	keys = append(keys, requestKeys(&s.Requests)...)
+	keys = append(keys, placementKeys(&s.Placement)...)
+	keys = append(keys, ledgerKeys(&s.Ledger)...)
 	keys = append(keys, drainKeys(&s.Drain)...)
 	return append(keys, telemetryKeys(s)...)
 }
@@ -80,8 +82,8 @@
 	return []Key{
 		addresses("membership.seeds", &m.Seeds, "Peer addresses of nodes that a starting node asks first."),
 		duration("membership.probe-interval", &m.ProbeInterval, "1s", shortest, longest, "The time from one probe to the next."),
-		duration("membership.probe-timeout", &m.ProbeTimeout, "300ms", shortest, longest, "The wait for a probe's answer; below probe-interval."),
-		duration("membership.suspicion-time", &m.SuspicionTime, "4s", shortest, longest, "How long a silent node is suspected before it counts as dead."),
+		duration("membership.probe-timeout", &m.ProbeTimeout, "400ms", shortest, longest, "The wait for a probe's answer; below probe-interval."),
+		duration("membership.suspicion-time", &m.SuspicionTime, "3s", shortest, longest, "How long a silent node is suspected before it counts as dead."),
 	}
 }
 
@@ -92,6 +94,7 @@
 		duration(at("header-timeout"), &c.HeaderTimeout, header, shortest, longest, "The wait for an answer's header."),
 		duration(at("progress-timeout"), &c.ProgressTimeout, progress, shortest, longest, "An answer that sends nothing for so long is given up."),
 		duration(at("idle-timeout"), &c.IdleTimeout, "90s", shortest, longest, "How long an unused connection is kept."),
+		duration(at("call-timeout"), &c.CallTimeout, "2s", shortest, longest, "A short call as a whole, such as a cancel or a load report."),
 		count(at("max-connections-per-host"), &c.MaxConnectionsPerHost, "256", 1<<16, "Open connections to one server."),
 	}
 }
@@ -99,11 +102,37 @@
 func requestKeys(r *Requests) []Key {
 	return []Key{
 		count("requests.max-in-flight", &r.MaxInFlight, "1024", 1<<20, "Requests that the node serves at once."),
-		count("requests.max-in-flight-per-account", &r.MaxInFlightPerAccount, "256", 1<<20, "Requests of one caller account at once."),
-		duration("requests.max-timeout", &r.MaxTimeout, "5m", shortest, longest, "The longest timeout of a route, and that of routes without one."),
-		count("requests.max-attempts", &r.MaxAttempts, "3", 100, "Attempts of one repeatable request."),
-		size("requests.max-kept-answer-size", &r.MaxKeptAnswerSize, "16KiB", Byte, Mebibyte, "The largest answer that is kept for a resend."),
-		duration("requests.key-window", &r.KeyWindow, "24h", time.Minute, 30*longest, "How long an Idempotency-Key is remembered; older keys are never run."),
+		duration("requests.max-timeout", &r.MaxTimeout, "5m", shortest, longest, "The timeout of routes that set none."),
+		count("requests.default-output", &r.DefaultOutput, "512", 1<<20, "The output, in tokens, of model requests that set no limit."),
+		count("requests.max-attempts", &r.MaxAttempts, "3", 100, "Attempts of one model request."),
+		count("requests.max-resumes", &r.MaxResumes, "2", 100, "New connections tried for a stream whose connection broke."),
+		duration("requests.linger", &r.Linger, "3s", shortest, longest, "How long a stream whose caller was cut off is kept for the caller to come back."),
+		duration("requests.cancel-retry", &r.CancelRetry, "100ms", shortest, longest, "The first pause between two tries to cancel on an engine."),
+		duration("requests.cancel-give-up", &r.CancelGiveUp, "30s", shortest, longest, "When an engine that cannot be reached for a cancel is taken for gone."),
+		count("requests.retry-rate", &r.RetryRate, "5", 1<<20, "Repeats a second that a pool may be sent whatever its load."),
+		count("requests.retry-burst", &r.RetryBurst, "80", 1<<20, "Repeats that can be saved up for a pool."),
+		duration("requests.retry-after", &r.RetryAfter, "1s", shortest, longest, "What callers are told to wait where nothing better is known."),
+	}
+}
+
+func placementKeys(p *Placement) []Key {
+	return []Key{
+		duration("placement.lease", &p.Lease, "3s", shortest, longest, "How long a grant stands without renewal."),
+		duration("placement.grace", &p.Grace, "2s", shortest, longest, "How long a lapsed grant may be taken over before its request is cancelled."),
+		duration("placement.load-interval", &p.LoadInterval, "500ms", shortest, longest, "The time between two load reports of an engine."),
+		duration("placement.fallback-after", &p.FallbackAfter, "300ms", shortest, longest, "How long a request waits for an owner that cannot be reached before the node places it alone."),
+		count("placement.engines-per-shard", &p.EnginesPerShard, "48", 1<<10, "Engines that one owner places for. The same on every node."),
+		count("placement.max-backlog", &p.MaxBacklog, "10000", 1<<20, "Releases kept for an owner that cannot be reached."),
+	}
+}
+
+func ledgerKeys(l *Ledger) []Key {
+	return []Key{
+		duration("ledger.key-window", &l.KeyWindow, "10m", time.Minute, 30*longest, "How long an Idempotency-Key is remembered; older keys are never run. The same on every node."),
+		duration("ledger.clock-skew", &l.ClockSkew, "5s", shortest, longest, "The largest difference between any two clocks of nodes. The same on every node."),
+		count("ledger.shards", &l.Shards, "16", 1<<10, "Owners that share the ledger. The same on every node."),
+		duration("ledger.commit-interval", &l.CommitInterval, "150ms", shortest, longest, "The shortest time between two writes of one page."),
+		size("ledger.max-kept-answer-size", &l.MaxKeptAnswerSize, "1KiB", Byte, 2*Kibibyte, "The largest answer that is kept for a resend."),
 	}
 }
 
--- a/configurator/parse.go
+++ b/configurator/parse.go
@@ -239,8 +239,8 @@
 	if s.Membership.ProbeTimeout >= s.Membership.ProbeInterval {
 		fault("membership.probe-timeout", "must be below probe-interval")
 	}
-	if s.Requests.MaxInFlightPerAccount > s.Requests.MaxInFlight {
-		fault("requests.max-in-flight-per-account", "must not be above max-in-flight")
+	if s.Requests.CancelRetry > s.Requests.CancelGiveUp {
+		fault("requests.cancel-retry", "must not be above cancel-give-up")
 	}
 	return faults
 }
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -183,7 +183,7 @@
 url = "http://` + platformHost + `:6443"
 [membership]
 seeds = ["10.0.0.1:8081", "10.0.0.2:8081", "10.0.0.3:8081"]
-[requests]
+[ledger]
 key-window = "10m"
 [backends]
 progress-timeout = "3s"
--- a/server/server.go
+++ b/server/server.go
@@ -174,7 +174,7 @@
 		Addresser:  s.addresser,
 		BodyBytes:  int64(settings.Callers.MaxBodySize),
 		Requests:   settings.Requests.MaxInFlight,
-		RetryAfter: retryAfter,
+		RetryAfter: settings.Requests.RetryAfter,
 		Before:     s.options.Before,
 		Scope:      s.options.Scope,
 	})
--- a/server/services.go
+++ b/server/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/configurator"
@@ -22,26 +21,6 @@
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
 
-const (
-	// retryAfter is what callers are told where nothing better is known.
-	retryAfter = time.Second
-	// linger is how long a stream waits for its caller to come back.
-	linger = 3 * time.Second
-	// streamResumes is how many new connections are tried for a broken stream.
-	streamResumes = 2
-	// defaultTokens limits the output of requests that set no limit.
-	defaultTokens = 512
-	// cancelRetry and cancelGiveUp bound the tries to cancel an attempt.
-	cancelRetry  = 100 * time.Millisecond
-	cancelGiveUp = 30 * time.Second
-	// retryFloor and retryBurst let a node repeat what a crashed engine ran:
-	// about twenty requests, at once, and as many again some seconds later.
-	retryFloor = 5.0
-	retryBurst = 80.0
-	// engineCall bounds a cancel, a load report or an order.
-	engineCall = 2 * time.Second
-)
-
 func (s *Server) newStore() {
 	settings := s.options.Settings.Platform
 	var transport http.RoundTripper = s.options.Network.Transport(connector.Limits{
@@ -65,6 +44,7 @@
 func (s *Server) transport(client configurator.Client, certificates *connector.TLS) *http.Transport {
 	return s.options.Network.Transport(connector.Limits{
 		Dial:    client.DialTimeout,
+		Header:  client.HeaderTimeout,
 		Idle:    client.IdleTimeout,
 		PerHost: client.MaxConnectionsPerHost,
 		TLS:     certificates,
@@ -81,7 +61,9 @@
 // peers returns a transport of kept connections to other nodes, newPeers one
 // that opens a connection for each call.
 func (s *Server) peers() http.RoundTripper {
-	return s.secure(s.transport(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
+	settings := s.options.Settings.PeerCalls
+	kept := s.secure(s.transport(settings, s.options.Certificates.Peers))
+	return connector.LimitProgress(kept, settings.ProgressTimeout)
 }
 
 func (s *Server) newPeers() http.RoundTripper {
@@ -148,34 +130,45 @@
 	s.invoker = invoker.New(invoker.Options{
 		Transport:   kept,
 		Fresh:       fresh,
-		Call:        engineCall,
+		Call:        settings.Backends.CallTimeout,
 		Prefill:     settings.Backends.HeaderTimeout,
 		Import:      settings.Backends.HeaderTimeout,
 		Progress:    settings.Backends.ProgressTimeout,
 		AnswerBytes: int64(settings.Callers.MaxBodySize),
 	})
 	s.dispatcher = dispatcher.New(dispatcher.Options{
-		Self:     settings.Node.Name,
-		View:     s.prober.View,
-		Snapshot: s.publisher.Snapshot,
-		Peers:    s.peers(),
-		Engines:  engines{s.invoker},
-		Log:      s.options.Log,
-		Scope:    s.options.Scope,
+		Self:          settings.Node.Name,
+		View:          s.prober.View,
+		Snapshot:      s.publisher.Snapshot,
+		Peers:         s.peers(),
+		Engines:       engines{s.invoker},
+		Lease:         settings.Placement.Lease,
+		Grace:         settings.Placement.Grace,
+		Poll:          settings.Placement.LoadInterval,
+		EngineTimeout: settings.Backends.CallTimeout,
+		FallbackAfter: settings.Placement.FallbackAfter,
+		ShardEngines:  settings.Placement.EnginesPerShard,
+		BacklogLimit:  settings.Placement.MaxBacklog,
+		Log:           s.options.Log,
+		Scope:         s.options.Scope,
 	})
 }
 
 func (s *Server) newLedger() {
 	settings := s.options.Settings
 	s.recorder = recorder.New(recorder.Options{
-		Self:        settings.Node.Name,
-		Incarnation: s.options.Incarnation,
-		Store:       s.store,
-		View:        s.prober.View,
-		Peers:       s.peers(),
-		Window:      settings.Requests.KeyWindow,
-		Log:         s.options.Log,
-		Scope:       s.options.Scope,
+		Self:         settings.Node.Name,
+		Incarnation:  s.options.Incarnation,
+		Store:        s.store,
+		View:         s.prober.View,
+		Peers:        s.peers(),
+		Window:       settings.Ledger.KeyWindow,
+		ClockSkew:    settings.Ledger.ClockSkew,
+		Shards:       settings.Ledger.Shards,
+		GroupCommit:  settings.Ledger.CommitInterval,
+		InlineAnswer: int(settings.Ledger.MaxKeptAnswerSize),
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
 	})
 	s.isolator = isolator.New(isolator.Options{
 		Broadcast: s.prober.Broadcast,
@@ -197,16 +190,20 @@
 		Services:    traced{s.invoker, s.options.Tracer},
 		Ledger:      s.recorder,
 		Isolator:    s.isolator,
-		Budgets:     limiter.New(limiter.Options{Floor: retryFloor, Burst: retryBurst, Scope: s.options.Scope}),
+		Budgets: limiter.New(limiter.Options{
+			Floor: float64(settings.Requests.RetryRate),
+			Burst: float64(settings.Requests.RetryBurst),
+			Scope: s.options.Scope,
+		}),
 		Limits: router.Limits{
 			Attempts:      settings.Requests.MaxAttempts,
-			Resumes:       streamResumes,
-			Linger:        linger,
-			DefaultTokens: defaultTokens,
-			CancelRetry:   cancelRetry,
-			CancelGiveUp:  cancelGiveUp,
+			Resumes:       settings.Requests.MaxResumes,
+			Linger:        settings.Requests.Linger,
+			DefaultTokens: identifier.Tokens(settings.Requests.DefaultOutput),
+			CancelRetry:   settings.Requests.CancelRetry,
+			CancelGiveUp:  settings.Requests.CancelGiveUp,
 			Timeout:       settings.Requests.MaxTimeout,
-			RetryAfter:    retryAfter,
+			RetryAfter:    settings.Requests.RetryAfter,
 		},
 		Log:   s.options.Log,
 		Scope: s.options.Scope,
