--- a/server/services.go
+++ b/server/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/configurator"
@@ -22,63 +21,79 @@
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
 
-const (
-	// retryAfter is what callers are told where nothing better is known.
-	retryAfter = time.Second
-	// linger is how long a stream waits for its caller to come back.
-	linger = 3 * time.Second
-	// streamResumes is how many new connections are tried for a broken stream.
-	streamResumes = 2
-	// defaultTokens limits the output of requests that set no limit.
-	defaultTokens = 512
-	// cancelRetry and cancelGiveUp bound the tries to cancel an attempt.
-	cancelRetry  = 100 * time.Millisecond
-	cancelGiveUp = 30 * time.Second
-	// retryFloor and retryBurst let a node repeat what a crashed engine ran:
-	// about twenty requests, at once, and as many again some seconds later.
-	retryFloor = 5.0
-	retryBurst = 80.0
-	// engineCall bounds a cancel, a load report or an order.
-	engineCall = 2 * time.Second
-)
-
 func (s *Server) newStore() {
 	settings := s.options.Settings.Platform
+	var transport http.RoundTripper = s.options.Network.Transport(connector.Limits{
+		Dial:    settings.CallTimeout,
+		Idle:    settings.WatchSilence,
+		PerHost: settings.MaxConnections,
+		TLS:     s.options.Certificates.Platform,
+	})
+	if settings.TokenFile != "" {
+		transport = connector.BearerFile(transport, settings.TokenFile)
+	}
 	s.store = storer.NewClient(storer.ClientOptions{
-		URL: settings.URL,
-		Transport: s.options.Network.Transport(connector.Limits{
-			Dial:    settings.CallTimeout,
-			Idle:    settings.WatchSilence,
-			PerHost: settings.MaxConnections,
-		}),
+		URL:          settings.URL,
+		Transport:    transport,
 		CallTimeout:  settings.CallTimeout,
 		WatchSilence: settings.WatchSilence,
 	})
 }
 
 // transport returns a transport for the node's own calls.
-func (s *Server) transport(client configurator.Client) *http.Transport {
+func (s *Server) transport(client configurator.Client, certificates *connector.TLS) *http.Transport {
 	return s.options.Network.Transport(connector.Limits{
 		Dial:    client.DialTimeout,
+		Header:  client.HeaderTimeout,
 		Idle:    client.IdleTimeout,
 		PerHost: client.MaxConnectionsPerHost,
+		TLS:     certificates,
 	})
 }
 
 // fresh returns a transport that opens a connection for each call.
-func (s *Server) fresh(client configurator.Client) *http.Transport {
-	transport := s.transport(client)
+func (s *Server) fresh(client configurator.Client, certificates *connector.TLS) *http.Transport {
+	transport := s.transport(client, certificates)
 	transport.DisableKeepAlives = true
 	return transport
 }
 
+// peers returns a transport of kept connections to other nodes, newPeers one
+// that opens a connection for each call.
+func (s *Server) peers() http.RoundTripper {
+	settings := s.options.Settings.PeerCalls
+	kept := s.secure(s.transport(settings, s.options.Certificates.Peers))
+	return connector.LimitProgress(kept, settings.ProgressTimeout)
+}
+
+func (s *Server) newPeers() http.RoundTripper {
+	return s.secure(s.fresh(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
+}
+
+// secure turns calls to other nodes, whose addresses come as "http://", into
+// https where the peers' listener has certificates.
+func (s *Server) secure(transport *http.Transport) http.RoundTripper {
+	if s.options.Certificates.Peers == nil {
+		return transport
+	}
+	return connector.Secure(transport)
+}
+
+// backends returns the transports of calls to backend servers, kept and fresh.
+func (s *Server) backends() (kept, fresh http.RoundTripper) {
+	settings := s.options.Settings.Backends
+	traces := s.options.Tracer
+	kept = traces.Transport(hopBackendServer, s.transport(settings, nil))
+	return kept, traces.Transport(hopBackendServer, s.fresh(settings, nil))
+}
+
 func (s *Server) newMembership() {
 	settings := s.options.Settings
 	s.prober = prober.New(prober.Options{
 		Self:         s.self(),
 		Seeds:        settings.Membership.Seeds,
-		Peers:        s.transport(settings.PeerCalls),
-		NewPeers:     func() http.RoundTripper { return s.fresh(settings.PeerCalls) },
+		Peers:        s.peers(),
+		NewPeers:     s.newPeers,
 		Interval:     settings.Membership.ProbeInterval,
 		Timeout:      settings.Membership.ProbeTimeout,
 		SuspectAfter: settings.Membership.SuspicionTime,
@@ -99,7 +114,7 @@
 		DataCentre: settings.Node.DataCentre,
 		Store:      s.store,
 		View:       s.prober.View,
-		Peers:      s.transport(settings.PeerCalls),
+		Peers:      s.peers(),
 		Broadcast:  s.prober.Broadcast,
 		InForce: func(snapshot *tabulator.Snapshot) {
 			s.prober.Announce(snapshot.Number)
@@ -111,37 +126,49 @@
 
 func (s *Server) newPlacement() {
 	settings := s.options.Settings
+	kept, fresh := s.backends()
 	s.invoker = invoker.New(invoker.Options{
-		Transport:   s.transport(settings.Backends),
-		Fresh:       s.fresh(settings.Backends),
-		Call:        engineCall,
+		Transport:   kept,
+		Fresh:       fresh,
+		Call:        settings.Backends.CallTimeout,
 		Prefill:     settings.Backends.HeaderTimeout,
 		Import:      settings.Backends.HeaderTimeout,
 		Progress:    settings.Backends.ProgressTimeout,
 		AnswerBytes: int64(settings.Callers.MaxBodySize),
 	})
 	s.dispatcher = dispatcher.New(dispatcher.Options{
-		Self:     settings.Node.Name,
-		View:     s.prober.View,
-		Snapshot: s.publisher.Snapshot,
-		Peers:    s.transport(settings.PeerCalls),
-		Engines:  engines{s.invoker},
-		Log:      s.options.Log,
-		Scope:    s.options.Scope,
+		Self:          settings.Node.Name,
+		View:          s.prober.View,
+		Snapshot:      s.publisher.Snapshot,
+		Peers:         s.peers(),
+		Engines:       engines{s.invoker},
+		Lease:         settings.Placement.Lease,
+		Grace:         settings.Placement.Grace,
+		Poll:          settings.Placement.LoadInterval,
+		EngineTimeout: settings.Backends.CallTimeout,
+		FallbackAfter: settings.Placement.FallbackAfter,
+		ShardEngines:  settings.Placement.EnginesPerShard,
+		BacklogLimit:  settings.Placement.MaxBacklog,
+		Log:           s.options.Log,
+		Scope:         s.options.Scope,
 	})
 }
 
 func (s *Server) newLedger() {
 	settings := s.options.Settings
 	s.recorder = recorder.New(recorder.Options{
-		Self:        settings.Node.Name,
-		Incarnation: s.options.Incarnation,
-		Store:       s.store,
-		View:        s.prober.View,
-		Peers:       s.transport(settings.PeerCalls),
-		Window:      settings.Requests.KeyWindow,
-		Log:         s.options.Log,
-		Scope:       s.options.Scope,
+		Self:         settings.Node.Name,
+		Incarnation:  s.options.Incarnation,
+		Store:        s.store,
+		View:         s.prober.View,
+		Peers:        s.peers(),
+		Window:       settings.Ledger.KeyWindow,
+		ClockSkew:    settings.Ledger.ClockSkew,
+		Shards:       settings.Ledger.Shards,
+		GroupCommit:  settings.Ledger.CommitInterval,
+		InlineAnswer: int(settings.Ledger.MaxKeptAnswerSize),
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
 	})
 	s.isolator = isolator.New(isolator.Options{
 		Broadcast: s.prober.Broadcast,
@@ -159,20 +186,24 @@
 		DataCentre:  settings.Node.DataCentre,
 		Snapshot:    s.publisher.Snapshot,
 		Placer:      s.dispatcher,
-		Engines:     s.invoker,
-		Services:    s.invoker,
+		Engines:     traced{s.invoker, s.options.Tracer},
+		Services:    traced{s.invoker, s.options.Tracer},
 		Ledger:      s.recorder,
 		Isolator:    s.isolator,
-		Budgets:     limiter.New(limiter.Options{Floor: retryFloor, Burst: retryBurst, Scope: s.options.Scope}),
+		Budgets: limiter.New(limiter.Options{
+			Floor: float64(settings.Requests.RetryRate),
+			Burst: float64(settings.Requests.RetryBurst),
+			Scope: s.options.Scope,
+		}),
 		Limits: router.Limits{
 			Attempts:      settings.Requests.MaxAttempts,
-			Resumes:       streamResumes,
-			Linger:        linger,
-			DefaultTokens: defaultTokens,
-			CancelRetry:   cancelRetry,
-			CancelGiveUp:  cancelGiveUp,
+			Resumes:       settings.Requests.MaxResumes,
+			Linger:        settings.Requests.Linger,
+			DefaultTokens: identifier.Tokens(settings.Requests.DefaultOutput),
+			CancelRetry:   settings.Requests.CancelRetry,
+			CancelGiveUp:  settings.Requests.CancelGiveUp,
 			Timeout:       settings.Requests.MaxTimeout,
-			RetryAfter:    retryAfter,
+			RetryAfter:    settings.Requests.RetryAfter,
 		},
 		Log:   s.options.Log,
 		Scope: s.options.Scope,
