--- a/prover/matrix_test.go
+++ b/prover/matrix_test.go
@@ -36,21 +36,28 @@
 // TestMatrix proves every cell and prints a row for each. MATRIX_ONLY, if set,
 // runs the cells whose names contain it.
 func TestMatrix(t *testing.T) {
-	held, broken, skipped := 0, 0, 0
 	sort.SliceStable(cells, func(i, j int) bool { return cells[i].name() < cells[j].name() })
-	for _, c := range cells {
-		if !strings.Contains(c.name(), os.Getenv("MATRIX_ONLY")) {
-			skipped++
-			continue
+	verdicts := make([]string, len(cells))
+	t.Run("cells", func(t *testing.T) {
+		for i, c := range cells {
+			verdicts[i] = "not run"
+			if !strings.Contains(c.name(), os.Getenv("MATRIX_ONLY")) {
+				continue
+			}
+			t.Run(c.name(), func(t *testing.T) {
+				t.Parallel()
+				verdicts[i] = "broken"
+				run(t, c.size, c.prove)
+				if !t.Failed() {
+					verdicts[i] = "held"
+				}
+			})
 		}
-		verdict := "held"
-		if !t.Run(c.name(), func(t *testing.T) { run(t, c.size, c.prove) }) {
-			verdict = "broken"
-			broken++
-		} else {
-			held++
-		}
-		fmt.Printf("%-20s %-28s %-20s %s\n", c.promise, c.fault, c.step, verdict)
+	})
+	counts := map[string]int{}
+	for i, c := range cells {
+		counts[verdicts[i]]++
+		fmt.Printf("%-16s %-28s %-20s %s\n", c.promise, c.fault, c.step, verdicts[i])
 	}
-	fmt.Printf("%d held, %d broken, %d not run\n", held, broken, skipped)
+	fmt.Printf("%d held, %d broken, %d not run\n", counts["held"], counts["broken"], counts["not run"])
 }
