Take a stream for whole only when its engine gave a reason to finish

Ruled out: a fault in the router's own recovery; its trace shows EOF, not a broken stream. Change: the adapter takes the closing event for the end only after a reason to finish, the stand-in drops the connections of a crashed engine, and the slow cells add 100 ms. Conclusion: an engine that ends early no longer shortens an answer.

--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -211,7 +211,7 @@
 		text += token
 		s.change(func() { s.tokens = append(s.tokens, token) })
 	}
-	s.change(func() { s.done = true })
+	s.change(func() { s.done = s.ctx.Err() == nil })
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	defer close(s.ended)
--- a/invoker/stream.go
+++ b/invoker/stream.go
@@ -36,6 +36,8 @@
 	progress time.Duration
 	// offset is that of the last token returned.
 	offset identifier.Tokens
+	// finished tells that the last token was read.
+	finished bool
 	// Strays counts chunks that belonged to another attempt and were dropped.
 	Strays int
 }
@@ -59,7 +61,8 @@
 }
 
 // Next returns the next token, io.EOF after the last, Silent when nothing came
-// for too long, or Lost when the connection broke or skipped tokens.
+// for too long, or Lost when the connection broke, skipped tokens, or ended
+// without a reason to finish.
 func (s *Stream) Next() (Token, error) {
 	silent := time.AfterFunc(s.progress, func() { s.stop(errSilent) })
 	defer silent.Stop()
@@ -68,7 +71,7 @@
 		switch {
 		case errors.Is(err, errStray):
 			s.Strays++
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && s.finished:
 			return Token{}, io.EOF
 		case err != nil && errors.Is(context.Cause(s.ctx), errSilent):
 			return Token{}, Silent.Wrap(err, "stream of %s", s.attempt)
@@ -80,6 +83,7 @@
 			return Token{}, Lost.New("stream of %s: token %d follows %d", s.attempt, token.Offset, s.offset)
 		default:
 			s.offset = token.Offset
+			s.finished = token.Finish != ""
 			return token, nil
 		}
 	}
--- /dev/null
+++ b/invoker/stream_test.go
@@ -0,0 +1,56 @@
+package invoker_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// TestStream reads cases of an engine's raw stream and prints what is read.
+func TestStream(t *testing.T) {
+	datadriven.RunTest(t, "testdata/stream", func(t *testing.T, d *datadriven.TestData) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.ReplaceAll(d.Input, "|", "\n\n"))
+		}))
+		defer server.Close()
+		after := 0
+		if d.HasArg("after") {
+			d.ScanArgs(t, "after", &after)
+		}
+		return read(server, identifier.Tokens(after))
+	})
+}
+
+func read(server *httptest.Server, after identifier.Tokens) string {
+	calls := invoker.New(invoker.Options{
+		Transport: http.DefaultTransport, Fresh: http.DefaultTransport,
+		Call: time.Minute, Prefill: time.Minute, Import: time.Minute, Progress: time.Minute,
+	})
+	member := tabulator.Member{Name: "decode-1", Address: identifier.Address(strings.TrimPrefix(server.URL, "http://"))}
+	stream, err := calls.Resume(context.Background(), member, "r.1", after, 1)
+	if err != nil {
+		return err.Error()
+	}
+	defer stream.Close()
+	var out strings.Builder
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			fmt.Fprintf(&out, "%v; %s strays", err, strconv.Itoa(stream.Strays))
+			return out.String()
+		}
+		fmt.Fprintf(&out, "%d %q %s\n", token.Offset, token.Text, token.Finish)
+	}
+}
--- /dev/null
+++ b/prover/model_test.go
@@ -0,0 +1,191 @@
+package prover
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/emulator"
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+const (
+	// patience is how long a caller waits for the next token before it comes
+	// back through another node, and insistence for how long it keeps coming.
+	patience   = 8 * time.Second
+	insistence = 90 * time.Second
+	// placementShard is the only shard of the model pool in these fleets.
+	placementShard = "placement/summariser/0"
+)
+
+// trial is one model request under way, with the nodes that play a part.
+type trial struct {
+	f *fleet
+	// entry is the node that the caller asked first; owner places for the pool.
+	entry, owner *node
+	request      completion
+	// leave ends the caller's first connection.
+	leave context.CancelFunc
+	// away tells the caller not to come back.
+	away bool
+
+	mutex  sync.Mutex
+	offset int
+	ended  bool
+	result answer
+}
+
+// modelSteps wait until a request is at a step of its life.
+var modelSteps = []struct {
+	name    string
+	reached func(r *trial) bool
+}{
+	{"accept", func(*trial) bool { return true }},
+	{"acquire", func(r *trial) bool { return r.entry.server.Running() > 0 }},
+	{"prefill", func(r *trial) bool { return r.f.total().Prefills > 0 }},
+	{"transfer", func(r *trial) bool { return r.f.engine(identifier.Decode).Held > 0 }},
+	{"first-token", func(r *trial) bool { return r.f.total().Decodes > 0 }},
+	{"mid-stream", func(r *trial) bool { return r.received() >= 20 }},
+	{"finish", func(r *trial) bool { return r.received() >= r.request.tokens-1 }},
+}
+
+// modelFaults strike the path of a request.
+var modelFaults = []struct {
+	name   string
+	strike func(r *trial)
+}{
+	{"node-killed", func(r *trial) { r.f.kill(r.entry.name) }},
+	{"node-paused", func(r *trial) { r.f.freeze(r.entry, 12*time.Second) }},
+	{"owner-killed", func(r *trial) { r.f.kill(r.owner.name) }},
+	{"owner-paused", func(r *trial) { r.f.freeze(r.owner, 12*time.Second) }},
+	{"owner-cut-off", func(r *trial) { r.f.cutFor(r.entry.host, r.owner.host, 12*time.Second) }},
+	{"engines-cut-off", func(r *trial) {
+		for _, host := range r.f.engineHosts(identifier.Decode) {
+			r.f.cutFor(r.entry.host, host, 5*time.Second)
+		}
+	}},
+	{"connections-silent", func(r *trial) {
+		for _, host := range append(r.f.engineHosts(identifier.Decode), r.f.engineHosts(identifier.Prefill)...) {
+			r.f.network.Silence(r.entry.host, host)
+		}
+	}},
+	{"peer-connections-silent", func(r *trial) { r.f.network.Silence(r.entry.host, r.owner.host) }},
+	{"caller-connection-silent", func(r *trial) { r.f.network.Silence(callerHost, r.entry.host) }},
+	{"decode-crash", func(r *trial) { r.f.crashWhere(identifier.Decode) }},
+	{"prefill-crash", func(r *trial) { r.f.crashWhere(identifier.Prefill) }},
+	{"engines-slow", func(r *trial) {
+		// An import takes two round trips and has to end before the eviction.
+		for _, host := range r.f.engineHosts(identifier.Decode) {
+			r.f.network.Slow(host, 100*time.Millisecond)
+		}
+	}},
+	{"caller-cancels", func(r *trial) {
+		r.away = true
+		r.leave()
+	}},
+	{"caller-cut-off", func(r *trial) { r.leave() }},
+	{"store-down", func(r *trial) { r.f.platform.SetFaults(emulator.PlatformFaults{Down: emulator.DownHanging}) }},
+	{"store-slow", func(r *trial) { r.f.platform.SetFaults(emulator.PlatformFaults{Slow: seconds(1)}) }},
+}
+
+func init() {
+	for _, step := range modelSteps {
+		for _, fault := range modelFaults {
+			add("whole-answer", fault.name, step.name, func(t *testing.T, f *fleet) {
+				r := f.try(t, completion{id: "report-1", prompt: longPrompt, tokens: 60})
+				f.waitFor(step.name, func() bool { return r.over() || step.reached(r) })
+				fault.strike(r)
+				r.check(t)
+			})
+		}
+	}
+}
+
+// try sends a request and lets its caller insist on the whole answer.
+func (f *fleet) try(t *testing.T, request completion) *trial {
+	ctx, cancel := context.WithCancel(t.Context())
+	r := &trial{f: f, request: request, leave: cancel}
+	owner := f.nodes["node-1"].server.View().Owner(placementShard).Node
+	for _, name := range []string{"node-1", "node-2", "node-3"} {
+		if name == string(owner) {
+			r.owner = f.nodes[name]
+		} else if r.entry == nil {
+			r.entry = f.nodes[name]
+		}
+	}
+	go r.insist(ctx, t.Context())
+	return r
+}
+
+// insist comes back through one node after the other until the answer is whole.
+func (r *trial) insist(first, later context.Context) {
+	deadline := time.Now().Add(insistence)
+	order := []*node{r.entry, r.f.nodes["node-1"], r.f.nodes["node-2"], r.f.nodes["node-3"]}
+	got := answer{}
+	for turn := 0; !got.whole && time.Now().Before(deadline); turn++ {
+		request := r.request
+		request.after = len(got.tokens)
+		parent := later
+		if turn == 0 {
+			parent = first
+		}
+		part := r.listen(parent, order[turn%len(order)], request)
+		got.tokens = append(got.tokens, part.tokens...)
+		got.whole, got.reason, got.outcome, got.status = part.whole, part.reason, part.outcome, part.status
+		if r.isAway() {
+			break
+		}
+		if !got.whole {
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.ended = true
+	r.result = got
+}
+
+// listen makes one try and gives it up when no token comes for a while.
+func (r *trial) listen(parent context.Context, n *node, request completion) answer {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	silent := time.AfterFunc(patience, cancel)
+	defer silent.Stop()
+	return r.f.complete(ctx, n, request, func(offset int) {
+		silent.Reset(patience)
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.offset = offset
+	})
+}
+
+func (r *trial) received() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.offset
+}
+
+func (r *trial) over() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.ended
+}
+
+func (r *trial) isAway() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.away
+}
+
+// check waits for the end: the answer is whole, unless its caller went away,
+// and no engine memory stays held.
+func (r *trial) check(t *testing.T) {
+	t.Helper()
+	r.f.waitFor("the caller's end", r.over)
+	if got := r.result; !r.isAway() && (!got.whole || got.text() != expected(r.request)) {
+		t.Errorf("got %d tokens, whole %v, refusal %q %q, equal so far: %v", len(got.tokens), got.whole, got.outcome, got.reason,
+			len(got.text()) <= len(expected(r.request)) && got.text() == expected(r.request)[:len(got.text())])
+	}
+	r.f.freed(t)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -232,3 +232,8 @@
 func (s *Server) View() *assigner.View {
 	return s.prober.View()
 }
+
+// Running returns the number of model requests that this node is answering.
+func (s *Server) Running() int {
+	return s.router.Running()
+}
