Set large demands back in their queue and refuse exactly when late

Cause: in a flood all demands are served at their last moment, and large ones at the head hold up several small ones; late ones deep in the queue were refused only when they reached the head. Change: a demand is ordered by its deadline plus half a second for each piece of memory, and a second heap tells which are past their last moment. Pauses may repeat at most 4000 tokens of prefill.

--- a/placer/events.go
+++ b/placer/events.go
@@ -95,8 +95,8 @@
 		p.refuse(&victim.demand, QueueFull, p.retryAfter(now, d.Rank))
 	}
 	w.pieces = need
-	queue.push(w)
-	queue.count(w, need)
+	w.order = deadline.Add(time.Duration(need) * p.settings.SizeDelay)
+	queue.add(w)
 	p.queued[d.Request] = w
 	p.account(&d, 0, need)
 }
@@ -160,12 +160,11 @@
 // dequeue takes a waiting demand out of its queue.
 func (p *Placer) dequeue(w *waiting) {
 	p.queues[w.demand.Rank].remove(w)
-	p.unqueue(w)
+	p.forget(w)
 }
 
-// unqueue forgets a demand that has been taken out of its heap.
-func (p *Placer) unqueue(w *waiting) {
-	p.queues[w.demand.Rank].count(w, -w.pieces)
+// forget drops a demand that is in no queue any more.
+func (p *Placer) forget(w *waiting) {
 	delete(p.queued, w.demand.Request)
 	p.account(&w.demand, 0, -w.pieces)
 }
--- a/placer/place.go
+++ b/placer/place.go
@@ -17,12 +17,9 @@
 // refuseLate refuses the demands that can no longer meet their target.
 func (p *Placer) refuseLate(now time.Time) {
 	for _, rank := range identifier.Ranks {
-		for {
-			w := p.queues[rank].late(now)
-			if w == nil {
-				break
-			}
-			p.unqueue(w)
+		queue := &p.queues[rank]
+		for w := queue.expired(now); w != nil; w = queue.expired(now) {
+			p.dequeue(w)
 			p.refuse(&w.demand, TooLate, p.retryAfter(now, rank))
 		}
 	}
@@ -68,13 +65,14 @@
 	queue := &p.queues[rank]
 	blocked := p.blocked[:0]
 	for len(blocked) < p.settings.Lookahead && more() {
-		w := queue.pop()
+		w := queue.next()
 		if w == nil {
 			break
 		}
 		result := p.try(now, w)
 		if result == placed || result == refused {
-			p.unqueue(w)
+			queue.forget(w)
+			p.forget(w)
 			continue
 		}
 		blocked = append(blocked, w)
@@ -83,7 +81,7 @@
 		}
 	}
 	for _, w := range blocked {
-		queue.push(w)
+		queue.putBack(w)
 	}
 	clear(blocked)
 	p.blocked = blocked[:0]
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -68,6 +68,8 @@
 	PauseLead time.Duration
 	// PauseTokens bounds the tokens to compute once more for one pause.
 	PauseTokens identifier.Tokens
+	// SizeDelay sets a demand back in its queue for each piece that it needs.
+	SizeDelay time.Duration
 	// RefuseBeyond is how many times the time left a demand's expected wait
 	// must be for an early refusal.
 	RefuseBeyond float64
@@ -88,9 +90,10 @@
 	orDefault(&s.CrossCost, 2*time.Millisecond)
 	orDefault(&s.Lookahead, 16)
 	orDefault(&s.OutputQuantile, 0.75)
+	orDefault(&s.SizeDelay, 500*time.Millisecond)
 	orDefault(&s.RefuseBeyond, 3)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
-	orDefault(&s.PauseTokens, 12_000)
+	orDefault(&s.PauseTokens, 4000)
 	return s
 }
 
