--- a/recorder/bound.go
+++ b/recorder/bound.go
@@ -80,8 +80,12 @@
 		}
 	}
 	looked := r.apply(ctx, newOperation(opLook, key, call, nil))
-	if looked.failed {
-		return Claim{Verdict: Unknown}
+	switch {
+	case !looked.failed && looked.claim.Verdict != Lost:
+		return looked.claim
+	case looked.failed || call.First:
+		return r.refused(call)
+	default:
+		return looked.claim
 	}
-	return looked.claim
 }
--- a/recorder/key.go
+++ b/recorder/key.go
@@ -106,9 +106,19 @@
 	}
 }
 
-// ownedAs is the name by which the owner of the place's shard is chosen.
-func (p place) ownedAs() string {
-	return "ledger/" + strconv.Itoa(p.shard)
+// ownerTerm is how long one node owns a shard: all nodes take turns, so that
+// none carries much more of the ledger than the others over an hour.
+const ownerTerm = time.Minute
+
+// ownedAs is the name by which the owner of a place is chosen.
+func (p place) ownedAs(l *layout) string {
+	term := p.bucket * l.BucketMilliseconds / ownerTerm.Milliseconds()
+	return fmt.Sprintf("ledger/%d/%d", p.shard, term)
+}
+
+// prunedAs is the name by which the node that prunes a shard is chosen.
+func (p place) prunedAs() string {
+	return fmt.Sprintf("ledger/%d", p.shard)
 }
 
 // object is the name of the n-th object of a place.
--- a/recorder/layout.go
+++ b/recorder/layout.go
@@ -19,6 +19,9 @@
 	BucketMilliseconds int64 `json:"bucket-milliseconds"`
 	WindowMilliseconds int64 `json:"window-milliseconds"`
 	SkewMilliseconds   int64 `json:"skew-milliseconds"`
+	// SinceMilliseconds is when the ledger began, since the Unix epoch: there
+	// is no page for a time of issue that left the window before.
+	SinceMilliseconds int64 `json:"since-milliseconds"`
 }
 
 // layoutName is the object that holds the layout.
@@ -64,6 +67,12 @@
 	return end.UnixNano()/int64(l.width()) - 2
 }
 
+// oldest is the first bucket that ever had a page: a claim is admitted while
+// its key is in the window, and the first was made by a clock within the skew.
+func (l *layout) oldest() int64 {
+	return (l.SinceMilliseconds-l.WindowMilliseconds-l.SkewMilliseconds)/l.BucketMilliseconds - 1
+}
+
 // knownLayout returns the fleet's layout, and false while the store has not
 // told it.
 func (r *Recorder) knownLayout(ctx context.Context) (*layout, bool) {
@@ -77,8 +86,10 @@
 		r.options.Log.Log(eventNoLayout, logger.Fields{"error": err.Error()})
 		return nil, false
 	}
-	if *stored != r.options.layout() {
-		r.options.Log.Log(eventOtherLayout, logger.Fields{"stored": *stored, "settings": r.options.layout()})
+	own := r.options.layout()
+	own.SinceMilliseconds = stored.SinceMilliseconds
+	if *stored != own {
+		r.options.Log.Log(eventOtherLayout, logger.Fields{"stored": *stored, "settings": own})
 	}
 	r.layout.Store(stored)
 	return stored, true
@@ -104,7 +115,9 @@
 
 // createLayout stores this node's layout unless another node was first.
 func (r *Recorder) createLayout(ctx context.Context) error {
-	spec, err := json.Marshal(r.options.layout())
+	first := r.options.layout()
+	first.SinceMilliseconds = time.Now().UnixMilli()
+	spec, err := json.Marshal(first)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/recorder/measure_test.go
@@ -0,0 +1,132 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// load is a steady stream of calls through one node that owns every shard, so
+// that its store calls are those of a whole fleet.
+type load struct {
+	rate    int
+	options Options
+	// lasts is how long each call runs, body the size of its answer.
+	lasts time.Duration
+	body  int
+}
+
+type loadResult struct {
+	writes, reads, bytes float64
+	median, p99          time.Duration
+	// processor is the time of a claim and its end, with the stand-in's.
+	processor time.Duration
+	largest   int
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// measured is how long a load lasts.
+const measured = 60 * time.Second
+
+func (l load) run(t *testing.T) loadResult {
+	t.Helper()
+	store := newFakeStore()
+	store.latency = 5 * time.Millisecond
+	l.options.Self, l.options.Incarnation = "a", 1
+	l.options.Store, l.options.View = store, alone("a", 1)
+	r, stop := runUntil(t, l.options)
+	before := processorTime()
+	var mutex sync.Mutex
+	var took []time.Duration
+	var group sync.WaitGroup
+	count := l.rate * int(measured/time.Second)
+	for i := range count {
+		group.Go(func() {
+			call := callOf(newKey(i, 10*time.Millisecond), 1, "a")
+			call.Attempt = identifier.Attempt(newKey(i+count, 0))
+			start := time.Now()
+			claim := r.Claim(context.Background(), call)
+			mutex.Lock()
+			took = append(took, time.Since(start))
+			mutex.Unlock()
+			if claim.Verdict != Run {
+				return
+			}
+			time.Sleep(l.lasts)
+			r.Settle(context.Background(), call, &Answer{Status: 200, ContentType: "application/json", Body: make([]byte, l.body)})
+		})
+		time.Sleep(time.Second / time.Duration(l.rate))
+	}
+	group.Wait()
+	stop()
+	used := processorTime() - before
+	slices.Sort(took)
+	seconds := (measured + l.lasts).Seconds()
+	result := loadResult{
+		writes: float64(store.writes) / seconds,
+		reads:  float64(store.reads) / seconds,
+		bytes:  float64(store.bytes) / seconds,
+		median: took[len(took)/2],
+		p99:    took[len(took)*99/100],
+
+		processor: used / time.Duration(count),
+	}
+	for _, object := range store.objects {
+		result.largest = max(result.largest, len(object.Spec))
+	}
+	return result
+}
+
+// processorTime is what the process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// TestMeasureStoreLoad prints the store calls as a function of the claims:
+//
+//	MEASURE=1 go test -run TestMeasureStoreLoad -v ./recorder
+func TestMeasureStoreLoad(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("a measurement, run with MEASURE=1")
+	}
+	layouts := []Options{
+		{},
+		{SettleDelay: time.Second},
+		{BucketWidth: time.Second, SettleDelay: time.Second},
+		{BucketWidth: time.Second, SettleDelay: time.Second, GroupCommit: 250 * time.Millisecond},
+		{Shards: 8, BucketWidth: time.Second, SettleDelay: time.Second, GroupCommit: 100 * time.Millisecond},
+		{Shards: 24, BucketWidth: time.Second, SettleDelay: time.Second, GroupCommit: 250 * time.Millisecond},
+		{Shards: 1},
+		{GroupCommit: time.Millisecond},
+	}
+	fmt.Println("shards bucket group  settle claims/s writes/s reads/s kB/s  kB/write median   p99 largest µs/claim")
+	for _, options := range layouts {
+		for _, rate := range []int{1, 20, 100, 380, 1000} {
+			var result loadResult
+			synctest.Test(t, func(t *testing.T) {
+				result = load{rate: rate, options: options, lasts: time.Second, body: 200}.run(t)
+			})
+			filled := options
+			filled.fill()
+			fmt.Printf("%6d %6s %6s %6s %8d %8.1f %7.1f %5.0f %8.1f %6.0fms %6.0fms %7d %8d\n",
+				filled.Shards, filled.BucketWidth, filled.GroupCommit, filled.SettleDelay, rate, result.writes, result.reads,
+				result.bytes/1e3, result.bytes/result.writes/1e3, milliseconds(result.median),
+				milliseconds(result.p99), result.largest, result.processor.Microseconds())
+		}
+	}
+}
--- a/recorder/operation.go
+++ b/recorder/operation.go
@@ -79,7 +79,7 @@
 		return failure(false)
 	}
 	place := op.key.place(layout)
-	owner := r.options.View().Owner(place.ownedAs())
+	owner := r.options.View().Owner(place.ownedAs(layout))
 	if owner.Node == r.options.Self {
 		return r.applyHere(ctx, op)
 	}
--- a/recorder/pruner.go
+++ b/recorder/pruner.go
@@ -62,7 +62,7 @@
 	options := p.recorder.options
 	for shard := range p.layout.Shards {
 		at := place{shard: shard}
-		if options.View().Owner(at.ownedAs()).Node != options.Self {
+		if options.View().Owner(at.prunedAs()).Node != options.Self {
 			delete(p.cursors, shard)
 			continue
 		}
@@ -78,7 +78,7 @@
 	last := p.layout.prunable(time.Now())
 	c := p.cursors[shard]
 	if c == nil {
-		loaded, err := p.load(ctx, shard, last)
+		loaded, err := p.load(ctx, shard)
 		if err != nil {
 			return err
 		}
@@ -104,12 +104,11 @@
 	return "cursor-" + strconv.Itoa(shard)
 }
 
-// load reads a shard's cursor. A shard without one has no page older than the
-// window.
-func (p *pruner) load(ctx context.Context, shard int, last int64) (*cursor, error) {
+// load reads a shard's cursor. A shard without one was never pruned.
+func (p *pruner) load(ctx context.Context, shard int) (*cursor, error) {
 	object, err := p.recorder.options.Store.Get(ctx, storer.KindLedger, cursorName(shard))
 	if errorx.IsOfType(err, storer.NotFound) {
-		return &cursor{next: last - p.layout.WindowMilliseconds/p.layout.BucketMilliseconds}, nil
+		return &cursor{next: p.layout.oldest()}, nil
 	}
 	if err != nil {
 		return nil, err
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -158,9 +158,9 @@
 // The defaults of Options.
 const (
 	defaultShards         = 16
-	defaultBucketWidth    = 2 * time.Second
+	defaultBucketWidth    = time.Second
 	defaultGroupCommit    = 150 * time.Millisecond
-	defaultSettleDelay    = 500 * time.Millisecond
+	defaultSettleDelay    = time.Second
 	defaultWindow         = 10 * time.Minute
 	defaultClockSkew      = 5 * time.Second
 	defaultCommitTimeout  = 2 * time.Second
--- a/recorder/service_test.go
+++ b/recorder/service_test.go
@@ -283,5 +283,8 @@
 		expect(t, a.Claim(ctx, callOf(key, 2, "a")), Closed)
 		f.setView(memberOf("a", 2, assigner.Alive), memberOf("b", 1, assigner.Alive))
 		expect(t, b.Claim(ctx, callOf(boundKey(2), 1, "b")), Lost)
+		first := callOf(boundKey(3), 1, "b")
+		first.First = true
+		expect(t, b.Claim(ctx, first), Closed)
 	})
 }
