Let a test wait for the platform's calls whose client has gone

Cause: TestStoreFaultsDuringApply/too_slow ended now and then in a deadlock of its bubble, because a slow call of the stand-in outlived the test. Change: Platform.Wait; independent cells run in parallel.

--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -37,6 +37,8 @@
 	changed chan struct{}
 	faults  PlatformFaults
 	counts  PlatformCounts
+	// calls are under way, those of clients that have gone included.
+	calls sync.WaitGroup
 }
 
 // platformState is what a backup of the platform holds.
@@ -156,8 +158,14 @@
 	return platformState{revision: s.revision, objects: objects}
 }
 
+// Wait waits until no call is under way. Calls go on after their client has
+// gone, so a test waits for them after it has closed its server.
+func (p *Platform) Wait() { p.calls.Wait() }
+
 // ServeHTTP answers the object API, /faults and /counts.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.calls.Add(1)
+	defer p.calls.Done()
 	switch {
 	case r.URL.Path == "/faults":
 		p.serveFaults(w, r)
--- a/publisher/apply_test.go
+++ b/publisher/apply_test.go
@@ -149,6 +149,7 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 2, 2)
 				f.start()
--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -112,6 +112,7 @@
 		transport.CloseIdleConnections()
 		_ = server.Close()
 		<-served
+		f.platform.Wait()
 		synctest.Wait()
 	})
 	return f
--- a/publisher/outage_test.go
+++ b/publisher/outage_test.go
@@ -20,6 +20,7 @@
 				for _, killed := range []bool{false, true} {
 					name := fmt.Sprintf("after write %d, %s, %d answers lost, killed %v", step, mode, lost, killed)
 					t.Run(name, func(t *testing.T) {
+						t.Parallel()
 						synctest.Test(t, func(t *testing.T) { outageAtStep(t, step, mode, lost, killed) })
 					})
 				}
@@ -74,6 +75,7 @@
 // refused as not run meanwhile, edits after. The store is not stormed when it
 // comes back.
 func TestLongOutage(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, 4)
 		f.start()
@@ -108,6 +110,7 @@
 // TestStoreRestoredOlder: the store comes back with less than the nodes hold;
 // they keep what they have and write it back.
 func TestStoreRestoredOlder(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, 3)
 		f.start()
@@ -134,6 +137,7 @@
 
 // TestApplyAfterRestore: an edit is the first to see the older store.
 func TestApplyAfterRestore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, 2)
 		f.start()
@@ -164,6 +168,7 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 2, 4)
 				f.start()
@@ -193,6 +198,7 @@
 // TestPublisherKilledBeforePush: the snapshot is in the store and its publisher
 // dies before it could tell anyone.
 func TestPublisherKilledBeforePush(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, 4)
 		f.start()
@@ -211,14 +217,13 @@
 // TestDataCentreCutAndBack: a data centre without the others and the store gets
 // the configuration after the cut, and the operator is told it was not reached.
 func TestDataCentreCutAndBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3, 3)
 		f.start()
 		f.wantState(f.order[0].apply(routes("book", "desk"), pools("a")), publisher.ApplyAccepted)
 		time.Sleep(time.Minute)
-		f.cut = func(from, to *node) bool {
-			return from.member.DataCentre != to.member.DataCentre && (from.member.DataCentre == "dc2" || to.member.DataCentre == "dc2")
-		}
+		f.setCut(func(from, to *node) bool { return (from.member.DataCentre == "dc2") != (to.member.DataCentre == "dc2") })
 		outcome := f.wantState(f.order[0].apply(nil, pools("a", "b")), publisher.ApplyAccepted)
 		if len(outcome.Reach.Unreached) != 1 || outcome.Reach.Unreached[0] != "dc2" {
 			t.Errorf("reach %+v", outcome.Reach)
