Test the policy by text cases and at random, and time a decision

Cause: the grant protocol's invariants and the cost of a decision had no check of their own. Change: text cases for each part of the policy, a random state machine for the invariants (no engine over its memory, nothing held by a gone node, no two suspects on one engine, every demand answered once, all memory back at the end), benchmarks of a decision. The state machine found two faults, mended here: a take-over with a longer prompt booked more than the engine has, and one that had become suspect stayed beside another suspect. A text case found a third: an attempt sent again while the earlier one is being cancelled was queued twice.

--- /dev/null
+++ b/placer/bench_test.go
@@ -0,0 +1,119 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// bench is a shard with a third of its engines in prefill, under steady load.
+type bench struct {
+	placer *Placer
+	now    time.Time
+	random *rand.Rand
+	held   []identifier.Grant
+	issued int
+}
+
+func newBench(engines int, waiting int) *bench {
+	b := &bench{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2))}
+	settings := Settings{Issuer: "g", QueueLimit: 1 << 20, LesserShare: 0.1, Lease: time.Hour}
+	b.placer = New(b.now, settings)
+	list := make([]Engine, 0, engines)
+	for i := range engines {
+		e := Engine{Member: identifier.Member(fmt.Sprint("e", i)), Role: identifier.Decode, Pieces: 60}
+		if i%3 == 0 {
+			e.Role = identifier.Prefill
+		}
+		list = append(list, e)
+	}
+	b.placer.Configure(settings, list)
+	for len(b.held) < engines*2/3*18 {
+		b.submit()
+		b.step(engines)
+	}
+	for b.placer.Waiting(identifier.Lesser) < waiting {
+		b.issued++
+		d := b.demand()
+		d.Rank = identifier.Lesser
+		d.Wait = time.Hour
+		d.Prompt = 30_000
+		b.placer.Submit(b.now, d)
+	}
+	return b
+}
+
+func (b *bench) demand() Demand {
+	d := Demand{
+		Request: identifier.Request(strconv.Itoa(b.issued)), Attempt: 1, Node: "n1",
+		Account: identifier.Account(strconv.Itoa(b.random.IntN(100))),
+		Prompt:  identifier.Tokens(500 + b.random.IntN(5000)), Limit: 500, Wait: 5 * time.Second,
+	}
+	if b.issued%3 != 0 {
+		d.Rank = identifier.Lesser
+	}
+	for block := range 8 {
+		d.Prefixes = append(d.Prefixes, uint64(b.issued%200)<<8|uint64(block))
+	}
+	return d
+}
+
+func (b *bench) submit() {
+	b.issued++
+	b.placer.Submit(b.now, b.demand())
+}
+
+// step passes the time between two requests at 250 a second for 48 engines.
+func (b *bench) step(engines int) {
+	b.now = b.now.Add(4 * time.Millisecond * 48 / time.Duration(engines))
+	b.placer.Advance(b.now)
+	decisions, _ := b.placer.Take()
+	for _, d := range decisions {
+		if d.Outcome.Placement != nil {
+			b.held = append(b.held, d.Outcome.Placement.Grant)
+		}
+	}
+}
+
+// release gives one grant back.
+func (b *bench) release() {
+	if len(b.held) == 0 {
+		return
+	}
+	i := b.random.IntN(len(b.held))
+	b.placer.Release(b.now, b.held[i], Result{Output: 200, Prefilled: true, Decoded: true})
+	b.held[i] = b.held[len(b.held)-1]
+	b.held = b.held[:len(b.held)-1]
+}
+
+// BenchmarkDecision is one request from its demand to its release.
+func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{12, 48, 120, 500} {
+		b.Run(fmt.Sprint("engines-", engines), func(b *testing.B) {
+			cycle(b, newBench(engines, 0), engines)
+		})
+	}
+}
+
+// BenchmarkQueue is the same with many demands that fit nowhere in the queue.
+func BenchmarkQueue(b *testing.B) {
+	for _, waiting := range []int{0, 100, 10_000} {
+		b.Run(fmt.Sprint("waiting-", waiting), func(b *testing.B) {
+			cycle(b, newBench(48, waiting), 48)
+		})
+	}
+}
+
+func cycle(b *testing.B, load *bench, engines int) {
+	b.Helper()
+	b.ReportAllocs()
+	for b.Loop() {
+		load.release()
+		load.submit()
+		load.step(engines)
+	}
+}
--- a/placer/events.go
+++ b/placer/events.go
@@ -10,7 +10,7 @@
 // Submit takes in a demand. It is idempotent: the same attempt sent again gets
 // the answer it got before.
 func (p *Placer) Submit(now time.Time, d Demand) {
-	if g := p.latest[d.Request]; g != nil {
+	if g := p.latest[d.Request]; g != nil && (g.phase != cancelling || d.Attempt <= g.Demand.Attempt) {
 		p.submitAgain(now, d, g)
 		return
 	}
@@ -30,10 +30,8 @@
 	case d.Attempt == g.asked && d.Node == g.Demand.Node && g.phase == held:
 		p.renew(now, g)
 		p.answer(&d, Outcome{Placement: p.placement(g)})
-	case d.Attempt <= g.Demand.Attempt && g.phase == held:
+	case d.Attempt <= g.Demand.Attempt && g.phase != orphaned:
 		p.refuse(&d, Superseded, 0)
-	case g.phase == cancelling:
-		p.enqueue(now, d)
 	default:
 		p.takeOver(now, d, g)
 	}
@@ -42,9 +40,9 @@
 // takeOver gives the memory of an earlier attempt to a later one, on the same
 // engines, so that the stream there can go on. Whoever asks for an orphan comes
 // later than its dead node, so its attempt number is raised if that node's clock
-// ran ahead.
+// ran ahead. Its prompt stays that of the stream, whose output counts from there.
 func (p *Placer) takeOver(now time.Time, d Demand, old *grant) {
-	if old.decode.Leaving || old.decode.removed || avoids(&d, old.decode) {
+	if !old.mayGoOn(&d) {
 		p.cancel(now, old)
 		p.enqueue(now, d)
 		return
@@ -53,6 +51,7 @@
 	successor := *old
 	successor.Grant = p.nextGrant()
 	successor.Demand = d
+	successor.Demand.Prompt = old.Demand.Prompt
 	successor.Demand.Attempt = max(d.Attempt, old.Demand.Attempt+1)
 	successor.asked = d.Attempt
 	successor.phase = held
@@ -61,6 +60,15 @@
 	p.answer(&d, Outcome{Placement: p.placement(&successor)})
 }
 
+// mayGoOn tells whether a stream may stay where it is for a later attempt.
+func (g *grant) mayGoOn(d *Demand) bool {
+	if g.decode.Leaving || g.decode.removed || avoids(d, g.decode) {
+		return false
+	}
+	apart := !d.Suspect || g.Demand.Suspect
+	return apart || g.decode.suspects == 0 && (g.prefill == nil || g.prefill.suspects == 0)
+}
+
 func avoids(d *Demand, e *engine) bool {
 	for _, avoided := range d.Avoid {
 		if avoided == e.Member {
--- /dev/null
+++ b/placer/machine_test.go
@@ -0,0 +1,272 @@
+package placer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// TestMain fixes the seed, so that each run has the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// machine drives a placer at random. It plays the nodes and the engines.
+type machine struct {
+	now    time.Time
+	placer *Placer
+	// asked maps the attempts that wait for an answer to their nodes.
+	asked map[string]identifier.Node
+	// granted are the grants that nodes hold, orders those to be confirmed.
+	granted map[identifier.Grant]Held
+	orders  []Order
+	dead    map[identifier.Node]bool
+	issued  int
+}
+
+var machineNodes = []identifier.Node{"n1", "n2", "n3"}
+
+func newMachine() *machine {
+	m := &machine{
+		now:     time.Unix(1000, 0),
+		asked:   map[string]identifier.Node{},
+		granted: map[identifier.Grant]Held{},
+		dead:    map[identifier.Node]bool{},
+	}
+	settings := Settings{Issuer: "g", LesserShare: 0.2, QueueLimit: 5}
+	m.placer = New(m.now, settings)
+	m.placer.Configure(settings, []Engine{
+		{Member: "p1", Role: identifier.Prefill, Pieces: 1},
+		{Member: "p2", Role: identifier.Prefill, Pieces: 1},
+		{Member: "d1", Role: identifier.Decode, Pieces: 6},
+		{Member: "d2", Role: identifier.Decode, Pieces: 9},
+	})
+	return m
+}
+
+func attemptName(request identifier.Request, attempt uint64) string {
+	return fmt.Sprintf("%s/%d", request, attempt)
+}
+
+// settle advances the placer and carries out what it decided.
+func (m *machine) settle(t *rapid.T) {
+	m.placer.Advance(m.now)
+	decisions, orders := m.placer.Take()
+	for _, d := range decisions {
+		name := attemptName(d.Request, d.Attempt)
+		if m.asked[name] == "" {
+			t.Fatalf("%s was answered without being asked", name)
+		}
+		delete(m.asked, name)
+		if placed := d.Outcome.Placement; placed != nil {
+			m.granted[placed.Grant] = Held{
+				Grant: placed.Grant, Prefill: placed.Prefill, Decode: placed.Decode, Pieces: placed.Pieces,
+				Demand: Demand{Request: d.Request, Attempt: placed.Attempt, Node: d.Node}, Stream: placed.Stream,
+			}
+		}
+	}
+	for _, o := range orders {
+		delete(m.granted, o.Grant)
+	}
+	m.orders = append(m.orders, orders...)
+}
+
+func (m *machine) Submit(t *rapid.T) {
+	node := rapid.SampledFrom(machineNodes).Draw(t, "node")
+	if m.dead[node] {
+		t.Skip("the node is dead")
+	}
+	m.issued++
+	request := identifier.Request(fmt.Sprint("r", m.issued))
+	if m.issued > 1 && rapid.IntRange(0, 3).Draw(t, "again") == 0 {
+		request = identifier.Request(fmt.Sprint("r", rapid.IntRange(1, m.issued-1).Draw(t, "request")))
+	}
+	d := Demand{
+		Request: request,
+		Attempt: uint64(m.issued),
+		Rank:    rapid.SampledFrom(identifier.Ranks[:]).Draw(t, "rank"),
+		Account: rapid.SampledFrom([]identifier.Account{"a", "b", "c"}).Draw(t, "account"),
+		Node:    node,
+		Prompt:  identifier.Tokens(rapid.IntRange(1, 14_000).Draw(t, "prompt")),
+		Limit:   100,
+		Wait:    time.Duration(rapid.IntRange(100, 5000).Draw(t, "wait")) * time.Millisecond,
+		Suspect: rapid.IntRange(0, 9).Draw(t, "suspect") == 0,
+	}
+	m.asked[attemptName(d.Request, d.Attempt)] = node
+	m.placer.Submit(m.now, d)
+	m.settle(t)
+}
+
+// drawGrant picks a grant that a node holds.
+func (m *machine) drawGrant(t *rapid.T) Held {
+	ids := make([]identifier.Grant, 0, len(m.granted))
+	for id := range m.granted {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		t.Skip("no grant")
+	}
+	slices.Sort(ids)
+	return m.granted[rapid.SampledFrom(ids).Draw(t, "grant")]
+}
+
+func (m *machine) Release(t *rapid.T) {
+	h := m.drawGrant(t)
+	delete(m.granted, h.Grant)
+	m.placer.Release(m.now, h.Grant, Result{Output: 50, Prefilled: true, Decoded: true})
+	m.settle(t)
+}
+
+func (m *machine) Renew(t *rapid.T) {
+	h := m.drawGrant(t)
+	h.Decoding = true
+	if m.placer.Renew(m.now, h, false) != Renewed {
+		delete(m.granted, h.Grant)
+	}
+	m.settle(t)
+}
+
+func (m *machine) Pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "milliseconds")) * time.Millisecond)
+	m.settle(t)
+}
+
+func (m *machine) Die(t *rapid.T) {
+	node := rapid.SampledFrom(machineNodes[1:]).Draw(t, "node")
+	m.dead[node] = true
+	m.placer.Gone(m.now, node)
+	for id, h := range m.granted {
+		if h.Demand.Node == node {
+			delete(m.granted, id)
+		}
+	}
+	for name, asker := range m.asked {
+		if asker == node {
+			delete(m.asked, name)
+		}
+	}
+	m.settle(t)
+}
+
+func (m *machine) Return(t *rapid.T) {
+	delete(m.dead, rapid.SampledFrom(machineNodes[1:]).Draw(t, "node"))
+}
+
+func (m *machine) Confirm(t *rapid.T) {
+	if len(m.orders) == 0 {
+		t.Skip("no order")
+	}
+	order := m.orders[0]
+	m.orders = m.orders[1:]
+	m.placer.Confirm(m.now, order.Grant)
+	m.settle(t)
+}
+
+func (m *machine) Report(t *rapid.T) {
+	e := rapid.SampledFrom([]identifier.Member{"d1", "d2"}).Draw(t, "engine")
+	m.placer.Report(m.now, e, Load{At: m.now, Free: m.placer.engines[e].Pieces - m.placer.engines[e].used})
+	m.settle(t)
+}
+
+// Check holds after every step.
+func (m *machine) Check(t *rapid.T) {
+	used := map[identifier.Member]identifier.Pieces{}
+	suspects := map[identifier.Member]int{}
+	byRank := [len(identifier.Ranks)]identifier.Pieces{}
+	for _, g := range m.placer.grants {
+		used[g.Decode] += g.Pieces
+		byRank[g.Demand.Rank] += g.Pieces
+		if g.Demand.Suspect {
+			suspects[g.Decode]++
+		}
+		if m.dead[g.Demand.Node] && g.phase == held {
+			t.Fatalf("%s is held by %s, which is gone", g.Grant, g.Demand.Node)
+		}
+	}
+	for name, e := range m.placer.engines {
+		if used[name] > e.Pieces || used[name] != e.used {
+			t.Fatalf("%s: grants add up to %d, booked %d of %d", name, used[name], e.used, e.Pieces)
+		}
+		if suspects[name] > 1 {
+			t.Fatalf("%s runs %d suspects", name, suspects[name])
+		}
+	}
+	if byRank != m.placer.used {
+		t.Fatalf("ranks add up to %v, booked %v", byRank, m.placer.used)
+	}
+	for _, rank := range identifier.Ranks {
+		if waiting := m.placer.Waiting(rank); waiting > m.placer.settings.QueueLimit {
+			t.Fatalf("%d demands wait, over the limit", waiting)
+		}
+	}
+}
+
+// finish lets every lease end and confirms every cancel: all memory comes back
+// and every demand is answered.
+func (m *machine) finish(t *rapid.T) {
+	for range 20 {
+		m.now = m.now.Add(time.Second)
+		m.settle(t)
+		for _, order := range m.orders {
+			m.placer.Confirm(m.now, order.Grant)
+		}
+		m.orders = nil
+		m.settle(t)
+	}
+	if held := m.placer.Held(); len(held) != 0 {
+		t.Fatalf("still booked after all leases: %v", held)
+	}
+	if len(m.asked) != 0 {
+		t.Fatalf("not answered: %v", m.asked)
+	}
+	if len(m.placer.accounts) != 0 || len(m.placer.queued) != 0 {
+		t.Fatalf("left behind: accounts %v, queue %v", m.placer.accounts, m.placer.queued)
+	}
+}
+
+func TestGrantInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(rapid.StateMachineActions(m))
+		m.finish(t)
+	})
+}
+
+// TestLesserShare checks in an urgent flood that lesser work which waits is not
+// held below its share by urgent work.
+func TestLesserShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		for range 200 {
+			for _, rank := range identifier.Ranks {
+				m.issued++
+				d := Demand{
+					Request: identifier.Request(fmt.Sprint("r", m.issued)), Attempt: 1, Rank: rank, Account: "a",
+					Node: "n1", Prompt: 500, Limit: 100, Wait: 30 * time.Second,
+				}
+				m.asked[attemptName(d.Request, 1)] = d.Node
+				m.placer.Submit(m.now, d)
+			}
+			m.now = m.now.Add(100 * time.Millisecond)
+			m.settle(t)
+			if len(m.granted) > 10 {
+				m.Release(t)
+			}
+		}
+		if m.placer.used[identifier.Lesser] < 3 {
+			t.Fatalf("lesser work holds %d of 15 pieces, want its share of 3", m.placer.used[identifier.Lesser])
+		}
+	})
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,248 @@
+package placer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// script runs the text cases of testdata against one placer. Grants are named
+// by their numbers.
+type script struct {
+	t       *testing.T
+	now     time.Time
+	begin   time.Time
+	placer  *Placer
+	known   map[identifier.Grant]Held
+	demands map[string]Demand
+}
+
+func TestPolicy(t *testing.T) {
+	datadriven.Walk(t, "testdata/policy", func(t *testing.T, path string) {
+		s := &script{t: t, begin: time.Unix(1000, 0), known: map[identifier.Grant]Held{}, demands: map[string]Demand{}}
+		s.now = s.begin
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.run(d)
+		})
+	})
+}
+
+func (s *script) run(d *datadriven.TestData) string {
+	s.clock(d)
+	switch d.Cmd {
+	case "shard":
+		s.shard(d)
+	case "submit":
+		for _, name := range strings.Fields(d.CmdArgs[0].Key) {
+			s.submit(d, name)
+		}
+	case "withdraw":
+		s.placer.Withdraw(s.now, identifier.Request(d.CmdArgs[0].Key), 1)
+	case "release":
+		var result Result
+		s.scan(d, "output", &result.Output)
+		s.scan(d, "failed", &result.Failed)
+		result.Decoded = result.Output > 0
+		s.placer.Release(s.now, identifier.Grant(d.CmdArgs[0].Key), result)
+	case "renew":
+		return s.renew(d)
+	case "gone":
+		s.placer.Gone(s.now, identifier.Node(d.CmdArgs[0].Key))
+	case "confirm":
+		s.placer.Confirm(s.now, identifier.Grant(d.CmdArgs[0].Key))
+	case "report":
+		s.report(d)
+	case "advance":
+	case "held":
+		return s.held()
+	default:
+		d.Fatalf(s.t, "unknown command %s", d.Cmd)
+	}
+	s.placer.Advance(s.now)
+	return s.taken()
+}
+
+// clock moves to the time of an at argument, such as at=1.5s.
+func (s *script) clock(d *datadriven.TestData) {
+	var at string
+	d.MaybeScanArgs(s.t, "at", &at)
+	if at != "" {
+		s.now = s.begin.Add(s.duration(at))
+	}
+}
+
+func (s *script) duration(text string) time.Duration {
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return parsed
+}
+
+// scan reads an argument that may be missing.
+func (s *script) scan(d *datadriven.TestData, name string, into any) {
+	var text string
+	if !d.MaybeScanArgs(s.t, name, &text) {
+		return
+	}
+	switch field := into.(type) {
+	case *identifier.Tokens:
+		*field = identifier.Tokens(s.number(text))
+	case *identifier.Pieces:
+		*field = identifier.Pieces(s.number(text))
+	case *identifier.Member:
+		*field = identifier.Member(text)
+	case *identifier.Account:
+		*field = identifier.Account(text)
+	case *identifier.Node:
+		*field = identifier.Node(text)
+	case *identifier.DataCentre:
+		*field = identifier.DataCentre(text)
+	case *time.Duration:
+		*field = s.duration(text)
+	case *float64:
+		*field, _ = strconv.ParseFloat(text, 64)
+	case *uint64:
+		*field = uint64(s.number(text))
+	case *int:
+		*field = s.number(text)
+	case *bool:
+		*field = text == "yes"
+	default:
+		s.t.Fatalf("cannot scan %s into %T", name, into)
+	}
+}
+
+func (s *script) number(text string) int {
+	parsed, err := strconv.Atoi(text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return parsed
+}
+
+// shard makes a placer, or configures it anew. Each input line is an engine:
+// name, role, pieces and flags.
+func (s *script) shard(d *datadriven.TestData) {
+	settings := Settings{Issuer: "g"}
+	s.scan(d, "lesser-share", &settings.LesserShare)
+	s.scan(d, "queue-limit", &settings.QueueLimit)
+	s.scan(d, "rebuild", &settings.Rebuild)
+	s.scan(d, "lookahead", &settings.Lookahead)
+	var engines []Engine
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		fields := strings.Fields(line)
+		e := Engine{
+			Member: identifier.Member(fields[0]),
+			Role:   identifier.Role(fields[1]),
+			Pieces: identifier.Pieces(s.number(fields[2])),
+		}
+		for _, flag := range fields[3:] {
+			if flag == "leaving" {
+				e.Leaving = true
+			} else {
+				e.DataCentre = identifier.DataCentre(flag)
+			}
+		}
+		engines = append(engines, e)
+	}
+	if s.placer == nil || d.HasArg("new") {
+		if s.placer != nil {
+			settings.Issuer = "h"
+		}
+		s.placer = New(s.now, settings)
+	}
+	s.placer.Configure(settings, engines)
+}
+
+// submit hands in a demand of one piece unless the prompt is longer.
+func (s *script) submit(d *datadriven.TestData, name string) {
+	demand := Demand{
+		Request: identifier.Request(name), Attempt: 1, Account: "a", Node: "n1",
+		Prompt: 1000, Limit: 100, Wait: time.Second, Between: 100 * time.Millisecond,
+	}
+	if d.HasArg("lesser") {
+		demand.Rank = identifier.Lesser
+	}
+	demand.Suspect = d.HasArg("suspect")
+	s.scan(d, "attempt", &demand.Attempt)
+	s.scan(d, "account", &demand.Account)
+	s.scan(d, "node", &demand.Node)
+	s.scan(d, "prompt", &demand.Prompt)
+	s.scan(d, "wait", &demand.Wait)
+	s.scan(d, "between", &demand.Between)
+	var avoid identifier.Member
+	if s.scan(d, "avoid", &avoid); avoid != "" {
+		demand.Avoid = append(demand.Avoid, avoid)
+	}
+	var blocks int
+	s.scan(d, "blocks", &blocks)
+	for block := range blocks {
+		demand.Prefixes = append(demand.Prefixes, uint64(block+1))
+	}
+	s.demands[name] = demand
+	s.placer.Submit(s.now, demand)
+}
+
+func (s *script) renew(d *datadriven.TestData) string {
+	held, known := s.known[identifier.Grant(d.CmdArgs[0].Key)]
+	if !known {
+		d.Fatalf(s.t, "unknown grant")
+	}
+	held.Decoding = d.HasArg("decoding")
+	s.scan(d, "output", &held.Output)
+	names := [...]string{Renewed: "renewed", Unknown: "unknown", Revoked: "revoked"}
+	text := names[s.placer.Renew(s.now, held, d.HasArg("with-demand"))] + "\n"
+	s.placer.Advance(s.now)
+	return text + s.taken()
+}
+
+func (s *script) report(d *datadriven.TestData) {
+	load := Load{At: s.now}
+	s.scan(d, "free", &load.Free)
+	s.scan(d, "step", &load.Step)
+	for _, line := range strings.Fields(d.Input) {
+		name, stream, _ := strings.Cut(line, "/")
+		load.Holding = append(load.Holding, Holding{Request: identifier.Request(name), Stream: uint64(s.number(stream)), Pieces: 1})
+	}
+	s.placer.Report(s.now, identifier.Member(d.CmdArgs[0].Key), load)
+}
+
+func (s *script) held() string {
+	var text strings.Builder
+	for _, h := range s.placer.Held() {
+		fmt.Fprintf(&text, "%s %s/%d on %s pieces %d\n", h.Grant, h.Demand.Request, h.Demand.Attempt, h.Decode, h.Pieces)
+	}
+	return text.String()
+}
+
+// taken writes the decisions and orders of the last command.
+func (s *script) taken() string {
+	var text strings.Builder
+	decisions, orders := s.placer.Take()
+	for _, d := range decisions {
+		fmt.Fprintf(&text, "%s/%d ", d.Request, d.Attempt)
+		if refused := d.Outcome.Refusal; refused != nil {
+			fmt.Fprintf(&text, "refused %s, retry after %v\n", refused.Reason, refused.RetryAfter)
+			continue
+		}
+		placed := d.Outcome.Placement
+		s.known[placed.Grant] = Held{
+			Grant: placed.Grant, Demand: s.demands[string(d.Request)], Prefill: placed.Prefill,
+			Decode: placed.Decode, Pieces: placed.Pieces, Stream: placed.Stream,
+		}
+		fmt.Fprintf(&text, "granted %s: %s, %s, pieces %d, attempt %d of stream %d\n",
+			placed.Grant, placed.Prefill, placed.Decode, placed.Pieces, placed.Attempt, placed.Stream)
+	}
+	for _, o := range orders {
+		fmt.Fprintf(&text, "cancel %s/%d on %v\n", o.Request, o.Stream, o.Members)
+	}
+	return text.String()
+}
