--- a/recorder/key.go
+++ b/recorder/key.go
@@ -99,16 +99,26 @@
 	bucket int64
 }
 
-func (k issuedKey) place(shards int, width time.Duration) place {
+func (k issuedKey) place(l *layout) place {
 	return place{
-		shard:  int(xxhash.Sum64String(k.text) % uint64(shards)),
-		bucket: k.issued.UnixNano() / int64(width),
+		shard:  int(xxhash.Sum64String(k.text) % uint64(l.Shards)),
+		bucket: k.issued.UnixMilli() / l.BucketMilliseconds,
 	}
 }
 
-// ownedAs is the name by which the owner of the place's shard is chosen.
-func (p place) ownedAs() string {
-	return "ledger/" + strconv.Itoa(p.shard)
+// ownerTerm is how long one node owns a shard: all nodes take turns, so that
+// none carries much more of the ledger than the others over an hour.
+const ownerTerm = time.Minute
+
+// ownedAs is the name by which the owner of a place is chosen.
+func (p place) ownedAs(l *layout) string {
+	term := p.bucket * l.BucketMilliseconds / ownerTerm.Milliseconds()
+	return fmt.Sprintf("ledger/%d/%d", p.shard, term)
+}
+
+// prunedAs is the name by which the node that prunes a shard is chosen.
+func (p place) prunedAs() string {
+	return fmt.Sprintf("ledger/%d", p.shard)
 }
 
 // object is the name of the n-th object of a place.
--- /dev/null
+++ b/server/services.go
@@ -0,0 +1,227 @@
+package server
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/foxtailspool/foxtailspool/addresser"
+	"github.com/foxtailspool/foxtailspool/configurator"
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/prober"
+	"github.com/foxtailspool/foxtailspool/publisher"
+	"github.com/foxtailspool/foxtailspool/recorder"
+	"github.com/foxtailspool/foxtailspool/router"
+	"github.com/foxtailspool/foxtailspool/storer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+func (s *Server) newStore() {
+	settings := s.options.Settings.Platform
+	var transport http.RoundTripper = s.options.Network.Transport(connector.Limits{
+		Dial:    settings.CallTimeout,
+		Idle:    settings.WatchSilence,
+		PerHost: settings.MaxConnections,
+		TLS:     s.options.Certificates.Platform,
+	})
+	if settings.TokenFile != "" {
+		transport = connector.BearerFile(transport, settings.TokenFile)
+	}
+	s.store = storer.NewClient(storer.ClientOptions{
+		URL:          settings.URL,
+		Transport:    transport,
+		CallTimeout:  settings.CallTimeout,
+		WatchSilence: settings.WatchSilence,
+	})
+}
+
+// transport returns a transport for the node's own calls.
+func (s *Server) transport(client configurator.Client, certificates *connector.TLS) *http.Transport {
+	return s.options.Network.Transport(connector.Limits{
+		Dial:    client.DialTimeout,
+		Header:  client.HeaderTimeout,
+		Idle:    client.IdleTimeout,
+		PerHost: client.MaxConnectionsPerHost,
+		TLS:     certificates,
+	})
+}
+
+// fresh returns a transport that opens a connection for each call.
+func (s *Server) fresh(client configurator.Client, certificates *connector.TLS) *http.Transport {
+	transport := s.transport(client, certificates)
+	transport.DisableKeepAlives = true
+	return transport
+}
+
+// peers returns a transport of kept connections to other nodes, newPeers one
+// that opens a connection for each call.
+func (s *Server) peers() http.RoundTripper {
+	settings := s.options.Settings.PeerCalls
+	kept := s.secure(s.transport(settings, s.options.Certificates.Peers))
+	return connector.LimitProgress(kept, settings.ProgressTimeout)
+}
+
+func (s *Server) newPeers() http.RoundTripper {
+	return s.secure(s.fresh(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
+}
+
+// secure turns calls to other nodes, whose addresses come as "http://", into
+// https where the peers' listener has certificates.
+func (s *Server) secure(transport *http.Transport) http.RoundTripper {
+	if s.options.Certificates.Peers == nil {
+		return transport
+	}
+	return connector.Secure(transport)
+}
+
+// backends returns the transports of calls to backend servers, kept and fresh.
+func (s *Server) backends() (kept, fresh http.RoundTripper) {
+	settings := s.options.Settings.Backends
+	traces := s.options.Tracer
+	kept = traces.Transport(hopBackendServer, s.transport(settings, nil))
+	return kept, traces.Transport(hopBackendServer, s.fresh(settings, nil))
+}
+
+func (s *Server) newMembership() {
+	settings := s.options.Settings
+	s.prober = prober.New(prober.Options{
+		Self:         s.self(),
+		Seeds:        settings.Membership.Seeds,
+		Peers:        s.peers(),
+		NewPeers:     s.newPeers,
+		Interval:     settings.Membership.ProbeInterval,
+		Timeout:      settings.Membership.ProbeTimeout,
+		SuspectAfter: settings.Membership.SuspicionTime,
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
+	})
+	s.addresser = addresser.New(addresser.Options{
+		View:       s.prober.View,
+		DataCentre: settings.Node.DataCentre,
+		Keep:       settings.Drain.EntryKeepTime,
+	})
+}
+
+func (s *Server) newConfiguration() {
+	settings := s.options.Settings
+	s.publisher = publisher.New(publisher.Options{
+		Self:       settings.Node.Name,
+		DataCentre: settings.Node.DataCentre,
+		Store:      s.store,
+		View:       s.prober.View,
+		Peers:      s.peers(),
+		Broadcast:  s.prober.Broadcast,
+		InForce: func(snapshot *tabulator.Snapshot) {
+			s.prober.Announce(snapshot.Number)
+		},
+		Log:   s.options.Log,
+		Scope: s.options.Scope,
+	})
+}
+
+func (s *Server) newPlacement() {
+	settings := s.options.Settings
+	kept, fresh := s.backends()
+	s.invoker = invoker.New(invoker.Options{
+		Transport:   kept,
+		Fresh:       fresh,
+		Call:        settings.Backends.CallTimeout,
+		Prefill:     settings.Backends.HeaderTimeout,
+		Import:      settings.Backends.HeaderTimeout,
+		Progress:    settings.Backends.ProgressTimeout,
+		AnswerBytes: int64(settings.Callers.MaxBodySize),
+	})
+	s.dispatcher = dispatcher.New(dispatcher.Options{
+		Self:          settings.Node.Name,
+		View:          s.prober.View,
+		Snapshot:      s.publisher.Snapshot,
+		Peers:         s.peers(),
+		Engines:       engines{s.invoker},
+		Lease:         settings.Placement.Lease,
+		Grace:         settings.Placement.Grace,
+		Poll:          settings.Placement.LoadInterval,
+		EngineTimeout: settings.Backends.CallTimeout,
+		FallbackAfter: settings.Placement.FallbackAfter,
+		ShardEngines:  settings.Placement.EnginesPerShard,
+		BacklogLimit:  settings.Placement.MaxBacklog,
+		Log:           s.options.Log,
+		Scope:         s.options.Scope,
+	})
+}
+
+func (s *Server) newLedger() {
+	settings := s.options.Settings
+	s.recorder = recorder.New(recorder.Options{
+		Self:         settings.Node.Name,
+		Incarnation:  s.options.Incarnation,
+		Store:        s.store,
+		View:         s.prober.View,
+		Peers:        s.peers(),
+		Window:       settings.Ledger.KeyWindow,
+		ClockSkew:    settings.Ledger.ClockSkew,
+		Shards:       settings.Ledger.Shards,
+		GroupCommit:  settings.Ledger.CommitInterval,
+		InlineAnswer: int(settings.Ledger.MaxKeptAnswerSize),
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
+	})
+	s.isolator = isolator.New(isolator.Options{
+		Broadcast: s.prober.Broadcast,
+		Log:       s.options.Log,
+		Scope:     s.options.Scope,
+	})
+	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
+}
+
+func (s *Server) newRouter() {
+	settings := s.options.Settings
+	s.router = router.New(router.Options{
+		Node:        settings.Node.Name,
+		Incarnation: s.options.Incarnation,
+		DataCentre:  settings.Node.DataCentre,
+		Snapshot:    s.publisher.Snapshot,
+		Placer:      s.dispatcher,
+		Engines:     traced{s.invoker, s.options.Tracer},
+		Services:    traced{s.invoker, s.options.Tracer},
+		Ledger:      s.recorder,
+		Isolator:    s.isolator,
+		Budgets: limiter.New(limiter.Options{
+			Floor: float64(settings.Requests.RetryRate),
+			Burst: float64(settings.Requests.RetryBurst),
+			Scope: s.options.Scope,
+		}),
+		Limits: router.Limits{
+			Attempts:      settings.Requests.MaxAttempts,
+			Resumes:       settings.Requests.MaxResumes,
+			Linger:        settings.Requests.Linger,
+			DefaultTokens: identifier.Tokens(settings.Requests.DefaultOutput),
+			CancelRetry:   settings.Requests.CancelRetry,
+			CancelGiveUp:  settings.Requests.CancelGiveUp,
+			Timeout:       settings.Requests.MaxTimeout,
+			RetryAfter:    settings.Requests.RetryAfter,
+		},
+		Log:   s.options.Log,
+		Scope: s.options.Scope,
+	})
+}
+
+// engines adapts the invoker to what the dispatcher asks of engines.
+type engines struct {
+	invoker *invoker.Invoker
+}
+
+// Load asks an engine for its report.
+func (e engines) Load(ctx context.Context, _ identifier.Pool, member tabulator.Member) (placer.Load, error) {
+	load, err := e.invoker.Load(ctx, member)
+	return placer.Load{Free: load.Free, Running: load.Running}, err
+}
+
+// Cancel ends the stream of an attempt unless a later reader went on with it.
+func (e engines) Cancel(ctx context.Context, _ identifier.Pool, member tabulator.Member, request identifier.Request, stream, reader uint64) error {
+	return e.invoker.Cancel(ctx, member, invoker.AttemptID(request, stream), reader)
+}
