--- a/placer/events.go
+++ b/placer/events.go
@@ -197,7 +197,6 @@
 		p.fail(now, result.Failed)
 	} else if result.Decoded && result.Output > 0 {
 		p.outputs(&g.Demand).add(result.Output, p.settings.OutputQuantile)
-		p.estimators[""].add(result.Output, p.settings.OutputQuantile)
 	}
 	p.free(now, g)
 }
--- a/placer/place.go
+++ b/placer/place.go
@@ -163,7 +163,7 @@
 	var best *engine
 	bestScore := 0.0
 	for _, e := range p.decodes {
-		free := e.free(rebuilding) + p.promised(e, start.ready.Sub(now))
+		free := e.free(rebuilding)
 		if p.settings.has(JointGrant) && free < need || !e.takes(now, d) {
 			continue
 		}
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -68,9 +68,6 @@
 	PauseLead time.Duration
 	// PauseTokens bounds the tokens to compute once more for one pause.
 	PauseTokens identifier.Tokens
-	// PromiseMargin is how many standard deviations a promise of memory stays
-	// below what is expected to come free.
-	PromiseMargin float64
 	// SizeDelay sets a demand back in its queue for each piece that it needs.
 	SizeDelay time.Duration
 	// RefuseBeyond is how many times the time left a demand's expected wait
@@ -93,7 +90,6 @@
 	orDefault(&s.CrossCost, 2*time.Millisecond)
 	orDefault(&s.Lookahead, 16)
 	orDefault(&s.OutputQuantile, 0.75)
-	orDefault(&s.PromiseMargin, 1)
 	orDefault(&s.SizeDelay, 500*time.Millisecond)
 	orDefault(&s.RefuseBeyond, 3)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
