Keep large answers in objects of their own

Cause: an answer over a kilobyte was not kept, and its resend was told unknown.

Change: answers up to 2 KiB stay in their page, up to 256 KiB go into an object of their own before the entry says so, and of larger ones only the fact is kept. Answers that wait for the store are held up to 8 MiB a node. Both kinds are pruned with their page.

Not covered: the own object of a bound key's answer whose node dies between the two writes is never deleted.

--- a/recorder/bound.go
+++ b/recorder/bound.go
@@ -37,10 +37,15 @@
 	return b.page.apply(op, b.options.BoundEntries+1).result
 }
 
-func (b *boundLedger) end(kind operationKind, key issuedKey, call Call, answer *Answer) {
+// end records how a call ended. Its answer is whole, or in the ledger alone.
+func (b *boundLedger) end(kind operationKind, key issuedKey, call Call, answer *Answer, whole bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.page.apply(newOperation(kind, key, call, answer), b.options.BoundEntries+1)
+	op := newOperation(kind, key, call, answer)
+	if answer != nil && !whole {
+		op.answer, op.stored = answer.withoutBody(), true
+	}
+	b.page.apply(op, b.options.BoundEntries+1)
 }
 
 // sweep removes the keys that the window no longer admits.
@@ -70,19 +75,19 @@
 		return Claim{Verdict: TooOld}
 	}
 	if r.boundHere(key) {
-		return r.bound.decide(newOperation(opClaim, key, call, nil)).claim
+		return r.whole(ctx, key, r.bound.decide(newOperation(opClaim, key, call, nil)))
 	}
 	if r.lives(key.node, key.incarnation) {
 		member, _ := r.options.View().Find(key.node)
 		sealed, err := r.forward(ctx, member, newOperation(opSeal, key, call, nil))
 		if err == nil {
-			return sealed.claim
+			return r.whole(ctx, key, sealed)
 		}
 	}
 	looked := r.apply(ctx, newOperation(opLook, key, call, nil))
 	switch {
 	case !looked.failed && looked.claim.Verdict != Lost:
-		return looked.claim
+		return r.whole(ctx, key, looked)
 	case looked.failed || call.First:
 		return r.refused(call)
 	default:
--- a/recorder/forwarder.go
+++ b/recorder/forwarder.go
@@ -27,6 +27,7 @@
 	}
 	return result{
 		claim:     Claim{Verdict: Verdict(outcome.GetVerdict()), Answer: fromWireAnswer(outcome.GetAnswer())},
+		storedBy:  identifier.Attempt(outcome.GetStoredBy()),
 		failed:    outcome.GetFailed(),
 		uncertain: outcome.GetUncertain(),
 	}, nil
@@ -78,6 +79,7 @@
 		Node:        string(op.call.Node),
 		Incarnation: uint64(op.call.Incarnation),
 		Answer:      toWireAnswer(op.answer),
+		Stored:      op.stored,
 	}
 	if !op.call.Issued.IsZero() {
 		wire.IssuedMilliseconds = op.call.Issued.UnixMilli()
@@ -100,13 +102,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return newOperation(operationKind(wire.GetKind()), key, call, fromWireAnswer(wire.GetAnswer())), nil
+	op := newOperation(operationKind(wire.GetKind()), key, call, fromWireAnswer(wire.GetAnswer()))
+	op.stored = wire.GetStored()
+	return op, nil
 }
 
 func toOutcome(answer result) *recorderrpc.Outcome {
 	return &recorderrpc.Outcome{
 		Verdict:   string(answer.claim.Verdict),
 		Answer:    toWireAnswer(answer.claim.Answer),
+		StoredBy:  string(answer.storedBy),
 		Failed:    answer.failed,
 		Uncertain: answer.uncertain,
 	}
--- a/recorder/operation.go
+++ b/recorder/operation.go
@@ -32,6 +32,8 @@
 	key    issuedKey
 	call   Call
 	answer *Answer
+	// stored tells that the answer has its body in an object of its own.
+	stored bool
 	// results takes exactly one result and never blocks.
 	results chan result
 }
@@ -42,6 +44,9 @@
 	// node and incarnation run the call when the verdict is Running.
 	node        identifier.Node
 	incarnation identifier.Incarnation
+	// storedBy is the attempt whose answer is whole only in an object of its
+	// own, empty for all others.
+	storedBy identifier.Attempt
 	// failed tells that the store did not decide the operation; then uncertain
 	// tells that it may have taken effect all the same.
 	failed    bool
@@ -62,7 +67,7 @@
 
 // answeredEntry is the end of the operation's entry.
 func (o *operation) answeredEntry() *entry {
-	return &entry{State: answered, Answer: o.answer, Unkept: o.answer == nil}
+	return &entry{State: answered, Answer: o.answer, Unkept: o.answer == nil, Stored: o.stored}
 }
 
 // waits tells whether a caller waits for the operation, so that its batch
--- a/recorder/page.go
+++ b/recorder/page.go
@@ -34,8 +34,10 @@
 	Node        identifier.Node        `json:"node"`
 	Incarnation identifier.Incarnation `json:"incarnation"`
 	Fingerprint uint64                 `json:"fingerprint"`
-	// Answer is set in answered entries unless Unkept.
+	// Answer is set in answered entries unless Unkept. It has no body when
+	// Stored is set: then an object of its own has it whole.
 	Answer *Answer `json:"answer,omitempty"`
+	Stored bool    `json:"stored,omitempty"`
 	// Unkept tells that the answer was too large to keep.
 	Unkept bool `json:"unkept,omitempty"`
 }
@@ -144,7 +146,7 @@
 	case current.State == lost:
 		return effect{result: verdictOf(Lost)}
 	case current.State == answered:
-		return effect{result: result{claim: current.claim()}}
+		return effect{result: current.result()}
 	case current.State == sealed:
 		return effect{result: verdictOf(Closed)}
 	case current.State == withdrawn:
@@ -187,15 +189,20 @@
 		ended.State = lost
 	default:
 		kept := op.answeredEntry()
-		ended.State, ended.Answer, ended.Unkept = kept.State, kept.Answer, kept.Unkept
+		ended.State, ended.Answer, ended.Unkept, ended.Stored = kept.State, kept.Answer, kept.Unkept, kept.Stored
 	}
 	p.Entries[op.key.text] = &ended
 	return effect{changed: true}
 }
 
-func (e *entry) claim() Claim {
+// result answers a claim for a call that was answered.
+func (e *entry) result() result {
 	if e.Unkept {
-		return Claim{Verdict: Unkept}
+		return verdictOf(Unkept)
 	}
-	return Claim{Verdict: Answered, Answer: e.Answer}
+	answer := result{claim: Claim{Verdict: Answered, Answer: e.Answer}}
+	if e.Stored {
+		answer.storedBy = e.Attempt
+	}
+	return answer
 }
--- a/recorder/page_test.go
+++ b/recorder/page_test.go
@@ -61,6 +61,25 @@
 	return keys
 }
 
+// The largest page the defaults allow stays under the platform's megabyte.
+func TestFullPageFitsItsObject(t *testing.T) {
+	var options Options
+	options.fill()
+	p := newPage()
+	for i := range options.PageEntries {
+		text := fmt.Sprintf("%0*d", maximumKeyBytes+len("#1733300000000"), i)
+		call := Call{Attempt: identifier.Attempt(newKey(i, 0)), Node: identifier.Node(strings.Repeat("n", 64)), Incarnation: 1<<64 - 1, Fingerprint: 1<<64 - 1}
+		answer := &Answer{Status: 200, ContentType: strings.Repeat("t", maximumTypeBytes), Body: make([]byte, options.InlineAnswer)}
+		p.apply(newOperation(opClaim, issuedKey{text: text}, call, nil), options.PageEntries)
+		p.apply(newOperation(opSettle, issuedKey{text: text}, call, answer), options.PageEntries)
+	}
+	data, err := p.encode()
+	if err != nil || len(data) > 1_000_000 || !p.Full {
+		t.Fatalf("%d bytes, full %t, error %v", len(data), p.Full, err)
+	}
+	t.Logf("%d entries, %d bytes", len(p.Entries), len(data))
+}
+
 func FuzzKey(f *testing.F) {
 	f.Add("0193a5b8-7c00-7000-8000-000000000001", int64(0))
 	f.Add("0193a5b8-7c00-7000-8000-000000000001@plovdiv-1.7", int64(0))
--- a/recorder/pruner.go
+++ b/recorder/pruner.go
@@ -151,6 +151,11 @@
 		return err
 	}
 	for i := len(objects) - 1; i >= 0; i-- {
+		if page, err := decodePage(objects[i]); err == nil {
+			if err := p.recorder.deleteAnswers(ctx, page); err != nil {
+				return err
+			}
+		}
 		err := p.recorder.options.Store.Delete(ctx, objects[i])
 		if err != nil && !errorx.IsOfType(err, storer.NotFound) {
 			return err
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -151,6 +151,12 @@
 	// they keep an object under the platform's megabyte.
 	PageEntries  int
 	InlineAnswer int
+	// StoredAnswer is the largest answer body kept in an object of its own, in
+	// bytes; of larger ones only the fact is kept.
+	StoredAnswer int
+	// HeldBytes bounds the answer bodies that wait to be kept, in bytes. When
+	// the store is out for long, further ones are dropped.
+	HeldBytes int
 	// BoundEntries bounds the keys bound to this node that it remembers.
 	BoundEntries int
 }
@@ -168,8 +174,10 @@
 	defaultAwaitPoll      = 200 * time.Millisecond
 	defaultOutagePause    = 500 * time.Millisecond
 	defaultDrainTimeout   = 5 * time.Second
-	defaultPageEntries    = 300
-	defaultInlineAnswer   = 1 << 10
+	defaultPageEntries    = 200
+	defaultInlineAnswer   = 2 << 10
+	defaultStoredAnswer   = 256 << 10
+	defaultHeldBytes      = 8 << 20
 	defaultBoundEntries   = 8192
 )
 
@@ -193,6 +201,8 @@
 	orDefault(&o.DrainTimeout, defaultDrainTimeout)
 	orDefault(&o.PageEntries, defaultPageEntries)
 	orDefault(&o.InlineAnswer, defaultInlineAnswer)
+	orDefault(&o.StoredAnswer, defaultStoredAnswer)
+	orDefault(&o.HeldBytes, defaultHeldBytes)
 	orDefault(&o.BoundEntries, defaultBoundEntries)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
@@ -262,7 +272,7 @@
 		}
 		return r.refused(call)
 	}
-	return result.claim
+	return r.whole(ctx, key, result)
 }
 
 // refused answers a claim that was not decided by the ledger.
@@ -314,7 +324,7 @@
 		return
 	}
 	if key.bound {
-		r.bound.end(kind, key, call, answer)
+		r.bound.end(kind, key, call, answer, r.inline(answer))
 		if kind != opSettle {
 			return
 		}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -1,7 +1,9 @@
 package recorder
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,6 +127,39 @@
 	})
 }
 
+// A large answer is kept in an object of its own; of one beyond all bounds only
+// the fact is kept. Both are pruned.
+func TestLargeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		a, b := run(t, optionsOf(store)), run(t, optionsOf(store))
+		ctx, large, huge := context.Background(), newKey(1, 0), newKey(2, 0)
+		body := bytes.Repeat([]byte("receipt "), 8<<10)
+		expect(t, a.Claim(ctx, callOf(large, 1, "a")), Run)
+		expect(t, a.Claim(ctx, callOf(huge, 2, "a")), Run)
+		store.setFault(always(lostAfter))
+		a.Settle(ctx, callOf(large, 1, "a"), &Answer{Status: 200, Body: body})
+		a.Settle(ctx, callOf(huge, 2, "a"), &Answer{Status: 200, Body: make([]byte, 1<<20)})
+		time.Sleep(5 * time.Second)
+		store.setFault(nil)
+		time.Sleep(5 * time.Second)
+		claim := b.Claim(ctx, callOf(large, 3, "a"))
+		expect(t, claim, Answered)
+		if !bytes.Equal(claim.Answer.Body, body) {
+			t.Fatalf("another body of %d bytes", len(claim.Answer.Body))
+		}
+		expect(t, b.Claim(ctx, callOf(huge, 4, "a")), Unkept)
+		time.Sleep(15 * time.Minute)
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		for name := range store.objects {
+			if !strings.HasPrefix(name, "cursor-") && name != layoutName {
+				t.Errorf("%s was left", name)
+			}
+		}
+	})
+}
+
 func TestOldAndFutureKeysNeverRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := run(t, optionsOf(newFakeStore()))
--- a/recorder/settler.go
+++ b/recorder/settler.go
@@ -12,6 +12,8 @@
 	mutex    sync.Mutex
 	// waiting holds the ends that are not yet kept, by key; an attempt has one.
 	waiting map[string][]*operation
+	// heldBytes counts the answer bodies in waiting.
+	heldBytes int
 	// wake has room for one and tells that waiting grew.
 	wake chan struct{}
 }
@@ -29,6 +31,10 @@
 
 func (s *settler) add(op *operation) {
 	s.mutex.Lock()
+	if op.size() > s.recorder.options.StoredAnswer || s.heldBytes+op.size() > s.recorder.options.HeldBytes {
+		op.answer = nil
+	}
+	s.heldBytes += op.size()
 	s.waiting[op.key.text] = append(s.waiting[op.key.text], op)
 	s.mutex.Unlock()
 	select {
@@ -120,8 +126,8 @@
 // settle tries one end once and forgets it when it is kept or past its window.
 func (s *settler) settle(ctx context.Context, op *operation) {
 	if !s.expired(op) {
-		try := newOperation(op.kind, op.key, op.call, s.recorder.bounded(op.answer))
-		if s.recorder.apply(ctx, try).failed {
+		try, ready := s.recorder.prepared(ctx, op)
+		if !ready || s.recorder.apply(ctx, try).failed {
 			return
 		}
 	}
@@ -131,6 +137,7 @@
 	for i := range left {
 		if left[i] == op {
 			left = append(left[:i:i], left[i+1:]...)
+			s.heldBytes -= op.size()
 			break
 		}
 	}
@@ -145,11 +152,3 @@
 	known := s.recorder.layout.Load()
 	return known != nil && !known.admits(op.key.issued)
 }
-
-// bounded drops an answer that is too large for its page.
-func (r *Recorder) bounded(answer *Answer) *Answer {
-	if answer == nil || len(answer.Body) > r.options.InlineAnswer {
-		return nil
-	}
-	return answer
-}
