--- a/placer/events.go
+++ b/placer/events.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -26,13 +27,11 @@
 // submitAgain handles a demand whose request holds a grant already.
 func (p *Placer) submitAgain(now time.Time, d Demand, g *grant) {
 	switch {
-	case d.Attempt < g.Demand.Attempt:
-		p.refuse(&d, Superseded, 0)
-	case d.Attempt == g.Demand.Attempt && g.phase == held:
+	case d.Attempt == g.asked && d.Node == g.Demand.Node && g.phase == held:
 		p.renew(now, g)
 		p.answer(&d, Outcome{Placement: p.placement(g)})
-	case d.Attempt == g.Demand.Attempt:
-		p.refuse(&d, Gone, 0)
+	case d.Attempt <= g.Demand.Attempt && g.phase == held:
+		p.refuse(&d, Superseded, 0)
 	case g.phase == cancelling:
 		p.enqueue(now, d)
 	default:
@@ -41,7 +40,9 @@
 }
 
 // takeOver gives the memory of an earlier attempt to a later one, on the same
-// engines, so that the stream there can go on.
+// engines, so that the stream there can go on. Whoever asks for an orphan comes
+// later than its dead node, so its attempt number is raised if that node's clock
+// ran ahead.
 func (p *Placer) takeOver(now time.Time, d Demand, old *grant) {
 	if old.decode.Leaving || old.decode.removed || avoids(&d, old.decode) {
 		p.cancel(now, old)
@@ -52,6 +53,8 @@
 	successor := *old
 	successor.Grant = p.nextGrant()
 	successor.Demand = d
+	successor.Demand.Attempt = max(d.Attempt, old.Demand.Attempt+1)
+	successor.asked = d.Attempt
 	successor.phase = held
 	successor.expires = now.Add(p.settings.Lease)
 	p.hold(&successor)
@@ -74,8 +77,13 @@
 		p.refuse(&d, reason, p.settings.Lease)
 		return
 	}
-	w := &waiting{demand: d, deadline: now.Add(d.Wait)}
-	w.within = p.withinShare(&d, need)
+	deadline := now.Add(d.Wait)
+	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d))}
+	w.within = !p.settings.has(Fairness) || p.withinShare(&d, need)
+	if p.settings.has(EarlyRefusal) && p.hopeless(now, w) {
+		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
+		return
+	}
 	queue := &p.queues[d.Rank]
 	if queue.length() >= p.settings.QueueLimit {
 		victim := queue.sacrifice()
@@ -87,12 +95,34 @@
 		p.refuse(&victim.demand, QueueFull, p.retryAfter(now, d.Rank))
 	}
 	w.pieces = need
-	queue.push(w)
-	queue.pieces += need
+	w.order = deadline.Add(time.Duration(need) * p.settings.SizeDelay)
+	queue.add(w)
 	p.queued[d.Request] = w
 	p.account(&d, 0, need)
 }
 
+// leastTime is how long the fastest idle engines take to have a prompt ready.
+func (p *Placer) leastTime(now time.Time, d *Demand) time.Duration {
+	best := time.Duration(math.MaxInt64)
+	p.matchPrefixes(now, d)
+	for _, e := range p.prefills {
+		if e.removed || e.Leaving {
+			continue
+		}
+		prefill := seconds(float64(p.uncached(d, e)), float64(e.prefillRate()))
+		best = min(best, prefill+p.transfer(d, e))
+	}
+	if best == math.MaxInt64 {
+		return 0
+	}
+	return best
+}
+
+// hopeless tells whether a demand's queue will not drain in time.
+func (p *Placer) hopeless(now time.Time, w *waiting) bool {
+	return p.expectedWait(now, w).Seconds() > w.demand.Wait.Seconds()*p.settings.RefuseBeyond
+}
+
 // admissible tells whether any engine could ever take the demand.
 func (p *Placer) admissible(d *Demand, need identifier.Pieces) (Reason, bool) {
 	prefill, fits, decode := false, false, false
@@ -130,12 +160,11 @@
 // dequeue takes a waiting demand out of its queue.
 func (p *Placer) dequeue(w *waiting) {
 	p.queues[w.demand.Rank].remove(w)
-	p.unqueue(w)
+	p.forget(w)
 }
 
-// unqueue forgets a demand that has been taken out of its heap.
-func (p *Placer) unqueue(w *waiting) {
-	p.queues[w.demand.Rank].pieces -= w.pieces
+// forget drops a demand that is in no queue any more.
+func (p *Placer) forget(w *waiting) {
 	delete(p.queued, w.demand.Request)
 	p.account(&w.demand, 0, -w.pieces)
 }
@@ -224,7 +253,7 @@
 	if decode == nil || decode.Role != identifier.Decode || h.Pieces <= 0 {
 		return Renewed
 	}
-	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now}
+	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now, asked: h.Demand.Attempt}
 	p.renew(now, g)
 	p.hold(g)
 	return Renewed
@@ -237,9 +266,11 @@
 
 // Gone lapses all grants of a dead node and forgets its waiting demands.
 func (p *Placer) Gone(now time.Time, node identifier.Node) {
-	for _, g := range p.grants {
-		if g.Demand.Node == node && g.phase == held {
-			p.orphan(now, g)
+	for _, e := range p.decodes {
+		for _, g := range e.held {
+			if g.Demand.Node == node && g.phase == held {
+				p.orphan(now, g)
+			}
 		}
 	}
 	for _, w := range p.queued {
@@ -284,18 +315,24 @@
 		return
 	}
 	p.lapse = time.Time{}
-	for _, g := range p.grants {
-		switch {
-		case now.Before(g.expires):
-			p.expireBy(g.expires)
-		case g.phase == held:
-			p.orphan(now, g)
-		default:
-			p.cancel(now, g)
+	for _, e := range p.decodes {
+		for _, g := range e.held {
+			p.expireGrant(now, g)
 		}
 	}
 }
 
+func (p *Placer) expireGrant(now time.Time, g *grant) {
+	switch {
+	case now.Before(g.expires):
+		p.expireBy(g.expires)
+	case g.phase == held:
+		p.orphan(now, g)
+	default:
+		p.cancel(now, g)
+	}
+}
+
 // Report takes in an engine's own report.
 func (p *Placer) Report(now time.Time, member identifier.Member, load Load) {
 	e := p.engines[member]
@@ -304,20 +341,80 @@
 	}
 	e.load = load
 	e.granted = 0
-	for _, g := range p.grants {
-		if g.decode == e && g.granted.After(load.At) {
+	for _, g := range e.held {
+		if g.granted.After(load.At) {
 			e.granted += g.Pieces
 		}
 	}
+	if load.Backlog > 0 {
+		backlog := seconds(float64(load.Backlog), float64(e.prefillRate()))
+		e.prefillUntil = later(e.prefillUntil, load.At.Add(backlog))
+	}
+	p.index.take(now, e, load)
 	p.countForeign(now, e)
 }
 
-// countForeign finds memory held by requests that have no grant here.
-func (p *Placer) countForeign(_ time.Time, e *engine) {
+// stranger is an attempt that an engine holds memory for without a grant here.
+type stranger struct {
+	member  identifier.Member
+	request identifier.Request
+	stream  uint64
+}
+
+// countForeign finds memory held by requests that have no grant here. Those
+// that no node claims for long enough are cancelled.
+func (p *Placer) countForeign(now time.Time, e *engine) {
 	e.foreign = 0
+	if e.load.Holding == nil {
+		e.foreign = e.unexplained()
+		return
+	}
+	seen := map[stranger]bool{}
 	for _, h := range e.load.Holding {
-		if g := p.latest[h.Request]; g == nil || g.decode != e {
-			e.foreign += h.Pieces
+		if g := p.latest[h.Request]; g != nil && g.decode == e && g.Stream == h.Stream {
+			continue
 		}
+		e.foreign += h.Pieces
+		s := stranger{e.Member, h.Request, h.Stream}
+		seen[s] = true
+		p.meet(now, s)
+	}
+	for s := range p.strangers {
+		if s.member == e.Member && !seen[s] {
+			delete(p.strangers, s)
+		}
+	}
+}
+
+// meet orders a stranger's cancel once it has stayed unclaimed for a lease and
+// a grace, in which a living node would have renewed or taken over its grant.
+func (p *Placer) meet(now time.Time, s stranger) {
+	due, known := p.strangers[s]
+	if !known {
+		p.strangers[s] = now.Add(p.settings.Lease + p.settings.OrphanGrace)
+		return
+	}
+	if now.Before(due) {
+		return
+	}
+	p.strangers[s] = now.Add(p.settings.CancelRetry)
+	p.orders = append(p.orders, Order{
+		Request: s.request,
+		Stream:  s.stream,
+		Attempt: s.stream,
+		Members: []identifier.Member{s.member},
+	})
+}
+
+// unexplained is the memory that the last report showed in use beyond all grants
+// that stand now or stood when the engine was asked.
+func (e *engine) unexplained() identifier.Pieces {
+	known := e.used
+	for len(e.freed) > 0 && e.freed[0].at.Before(e.load.At) {
+		e.freed = e.freed[1:]
+	}
+	for _, f := range e.freed {
+		known += f.pieces
 	}
+	return max(0, e.Pieces-e.load.Free-known)
 }
