Test the isolator and the limiter

Cause: both had no tests.

Change: text cases for crashes seen by several nodes, cut-off and new nodes, suspects that finish, expiry and capacity; virtual-time cases for the retry budget, hedges and the gate.

--- /dev/null
+++ b/isolator/isolator_test.go
@@ -0,0 +1,109 @@
+package isolator
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// nodes is a fleet of isolators whose broadcasts reach all that are not cut.
+type nodes struct {
+	byName map[string]*Isolator
+	cut    map[string]bool
+	bytes  int
+}
+
+func (n *nodes) start(name string, options Options) {
+	options.Broadcast = func(_ string, payload []byte) {
+		n.bytes += len(payload)
+		for other, i := range n.byName {
+			if other != name && !n.cut[other] && !n.cut[name] {
+				i.Receive(payload)
+			}
+		}
+	}
+	n.byName[name] = New(options)
+}
+
+// TestIsolator runs text cases in virtual time. The commands are "start
+// node...", "crashed node member fingerprint...", "finished node fingerprint",
+// "wait duration", "cut node", "join node", "repeat node" and "show node
+// fingerprint...".
+func TestIsolator(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			n := &nodes{byName: map[string]*Isolator{}, cut: map[string]bool{}}
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				var out strings.Builder
+				for line := range strings.Lines(d.Input) {
+					n.command(t, &out, strings.Fields(line))
+				}
+				return out.String()
+			})
+		})
+	})
+}
+
+func (n *nodes) command(t *testing.T, out *strings.Builder, words []string) {
+	t.Helper()
+	switch words[0] {
+	case "start":
+		for _, name := range words[1:] {
+			n.start(name, Options{Capacity: 4})
+		}
+	case "crashed":
+		n.byName[words[1]].Crashed(identifier.Member(words[2]), fingerprints(t, words[3:]))
+	case "finished":
+		n.byName[words[1]].Finished(fingerprints(t, words[2:])[0])
+	case "wait":
+		pause, err := time.ParseDuration(words[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(pause)
+	case "cut", "join":
+		n.cut[words[1]] = words[0] == "cut"
+	case "repeat":
+		n.repeat(words[1])
+	case "garbage":
+		n.byName[words[1]].Receive([]byte("{"))
+	case "show":
+		for _, fingerprint := range fingerprints(t, words[2:]) {
+			i := n.byName[words[1]]
+			fmt.Fprintf(out, "%s: %d held=%t suspect=%t\n", words[1], fingerprint, i.Held(fingerprint), i.Suspect(fingerprint))
+		}
+	default:
+		t.Fatalf("unknown command %q", words[0])
+	}
+}
+
+// repeat runs a node until it has repeated its sightings once.
+func (n *nodes) repeat(name string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- n.byName[name].Run(ctx) }()
+	time.Sleep(defaultRepeat + time.Second)
+	cancel()
+	<-end
+}
+
+func fingerprints(t *testing.T, words []string) []uint64 {
+	t.Helper()
+	var numbers []uint64
+	for _, word := range words {
+		number, err := strconv.ParseUint(word, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		numbers = append(numbers, number)
+	}
+	return numbers
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,182 @@
+package limiter
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// A pool whose back ends are down for a minute sees its own load and a tenth.
+func TestNoRetryStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := New(Options{}).Pool("stock")
+		const calls = 6000
+		sent := 0
+		for range calls {
+			budget.Sent()
+			sent++
+			for range 3 {
+				if !budget.Retry() {
+					break
+				}
+				sent++
+			}
+			time.Sleep(time.Minute / calls)
+		}
+		t.Logf("%d calls, %d sent", calls, sent)
+		if sent > calls*115/100 || sent < calls*110/100 {
+			t.Fatalf("%d calls sent %d times", calls, sent)
+		}
+	})
+}
+
+// A quiet pool may retry, and pools do not share budgets.
+func TestBudgetsAreApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter := New(Options{})
+		for limiter.Pool("a").Retry() {
+			continue
+		}
+		if !limiter.Pool("b").Retry() {
+			t.Error("pool b pays for pool a")
+		}
+		time.Sleep(time.Second)
+		if !limiter.Pool("a").Retry() {
+			t.Error("a quiet pool may not retry")
+		}
+		limiter.Keep([]identifier.Pool{"a"})
+		if limiter.Pool("a").Retry() {
+			t.Error("a kept pool got a new budget")
+		}
+		if !limiter.Pool("b").Retry() {
+			t.Error("a dropped pool kept its budget")
+		}
+	})
+}
+
+// tries answers each try after its time, with its error.
+type tries struct {
+	after     []time.Duration
+	errs      []error
+	started   atomic.Int32
+	cancelled atomic.Int32
+	discarded atomic.Int32
+}
+
+func (s *tries) options() HedgeOptions[int] {
+	return HedgeOptions[int]{
+		Send: func(ctx context.Context, try int) (int, error) {
+			s.started.Add(1)
+			select {
+			case <-time.After(s.after[try]):
+				return try, s.errs[try]
+			case <-ctx.Done():
+				s.cancelled.Add(1)
+				return try, nil
+			}
+		},
+		Discard: func(int) { s.discarded.Add(1) },
+	}
+}
+
+var errDown = errors.New("down")
+
+func TestHedge(t *testing.T) {
+	const fast, slow, silent = time.Millisecond, time.Second, time.Hour
+	for name, c := range map[string]struct {
+		after []time.Duration
+		errs  []error
+		spent bool
+
+		started, cancelled int32
+		answer             int
+		took               time.Duration
+		failed             bool
+	}{
+		"fast":           {after: []time.Duration{fast, fast}, errs: []error{nil, nil}, started: 1, took: fast},
+		"silent":         {after: []time.Duration{silent, fast}, errs: []error{nil, nil}, started: 2, cancelled: 1, answer: 1, took: firstDelay + fast},
+		"first wins":     {after: []time.Duration{slow, silent}, errs: []error{nil, nil}, started: 2, cancelled: 1, took: slow},
+		"first fails":    {after: []time.Duration{fast, fast}, errs: []error{errDown, nil}, started: 2, answer: 1, took: 2 * fast},
+		"second fails":   {after: []time.Duration{slow, fast}, errs: []error{nil, errDown}, started: 2, took: slow},
+		"both fail":      {after: []time.Duration{fast, fast}, errs: []error{errDown, errDown}, started: 2, took: 2 * fast, failed: true},
+		"budget spent":   {after: []time.Duration{slow, fast}, errs: []error{nil, nil}, spent: true, started: 1, took: slow},
+		"fails, no more": {after: []time.Duration{fast, fast}, errs: []error{errDown, nil}, spent: true, started: 1, took: fast, failed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				budget := New(Options{Floor: 1e-9}).Pool("stock")
+				for c.spent && budget.Retry() {
+					continue
+				}
+				s := &tries{after: c.after, errs: c.errs}
+				start := time.Now()
+				answer, release, err := Hedge(context.Background(), budget, s.options())
+				took := time.Since(start)
+				release()
+				synctest.Wait()
+				if (err != nil) != c.failed || !c.failed && answer != c.answer || took != c.took {
+					t.Errorf("answer %d after %s, error %v", answer, took, err)
+				}
+				if s.started.Load() != c.started || s.cancelled.Load() != c.cancelled || s.discarded.Load() != c.cancelled {
+					t.Errorf("%d started, %d cancelled, %d discarded", s.started.Load(), s.cancelled.Load(), s.discarded.Load())
+				}
+			})
+		})
+	}
+}
+
+// The delay follows the pool's own 95th percentile.
+func TestHedgeDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := New(Options{}).Pool("stock")
+		for i := range delaySamples {
+			budget.delays.add(time.Duration(i) * time.Millisecond)
+		}
+		delay := budget.HedgeDelay()
+		if delay < 235*time.Millisecond || delay > 255*time.Millisecond {
+			t.Errorf("delay %s", delay)
+		}
+	})
+}
+
+func TestGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(1, 1)
+		leave, err := gate.Enter(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		entered := make(chan error, 1)
+		go func() {
+			leave, err := gate.Enter(context.Background())
+			entered <- err
+			leave()
+		}()
+		synctest.Wait()
+		if _, err := gate.Enter(context.Background()); !errorx.IsOfType(err, Full) {
+			t.Fatalf("a third entered: %v", err)
+		}
+		leave()
+		if err := <-entered; err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		leave, err = gate.Enter(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if _, err := gate.Enter(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("entered: %v", err)
+		}
+		leave()
+	})
+}
