Keep the isolator's messages small enough for gossip

Cause: gossip drops messages of more than 512 bytes without a word, and a report of more than some twenty fingerprints is larger.

Change: sixteen fingerprints a message, and at most 64 messages a repetition.

Run: TestMessagesAreSmall fails without the split ("message of 2193 bytes" and more) and passes with it.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -9,8 +9,10 @@
 package isolator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,14 @@
 	defaultCapacity = 4096
 )
 
+// Gossip carries small messages only, and few at once.
+const (
+	// messageFingerprints is the most fingerprints of one message.
+	messageFingerprints = 16
+	// repeatedMessages is the most messages of one repetition, newest crashes first.
+	repeatedMessages = 64
+)
+
 // poisonCrashes is how many different backend servers must have crashed with a
 // request in flight before it is held.
 const poisonCrashes = 2
@@ -154,9 +164,11 @@
 	}
 	i.crashes.Inc(1)
 	i.options.Log.Log(eventCrash, logger.Fields{"member": member, "in-flight": len(fingerprints)})
-	message := wireMessage{Member: member, Fingerprints: fingerprints}
-	i.take(message, true)
-	i.broadcast(message)
+	for part := range slices.Chunk(fingerprints, messageFingerprints) {
+		message := wireMessage{Member: member, Fingerprints: part}
+		i.take(message, true)
+		i.broadcast(message)
+	}
 }
 
 // Finished tells that a request was answered in full: it is innocent of the
@@ -279,7 +291,7 @@
 	return r.last.Before(other.last)
 }
 
-// sightings is what this node saw itself, a message for each member and time.
+// sightings is what this node saw itself, as messages.
 func (i *Isolator) sightings() []wireMessage {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -296,15 +308,15 @@
 			}
 		}
 	}
-	messages := make([]wireMessage, 0, len(grouped))
+	var messages []wireMessage
 	for crash, fingerprints := range grouped {
-		messages = append(messages, wireMessage{
-			Member:          crash.member,
-			Fingerprints:    fingerprints,
-			AgeMilliseconds: time.Since(crash.at).Milliseconds(),
-		})
+		age := time.Since(crash.at).Milliseconds()
+		for part := range slices.Chunk(fingerprints, messageFingerprints) {
+			messages = append(messages, wireMessage{Member: crash.member, Fingerprints: part, AgeMilliseconds: age})
+		}
 	}
-	return messages
+	slices.SortFunc(messages, func(a, b wireMessage) int { return cmp.Compare(a.AgeMilliseconds, b.AgeMilliseconds) })
+	return messages[:min(len(messages), repeatedMessages)]
 }
 
 func later(a, b time.Time) time.Time {
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +15,31 @@
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
+// Gossip drops messages of more than 512 bytes.
+func TestMessagesAreSmall(t *testing.T) {
+	const largest = 512
+	var sizes []int
+	i := New(Options{Broadcast: func(_ string, payload []byte) { sizes = append(sizes, len(payload)) }})
+	var many []uint64
+	for n := range uint64(100) {
+		many = append(many, math.MaxUint64-n)
+	}
+	i.Crashed(identifier.Member(strings.Repeat("m", 64)), many)
+	for _, size := range sizes {
+		if size > largest {
+			t.Errorf("message of %d bytes", size)
+		}
+	}
+	for _, message := range i.sightings() {
+		if len(message.Fingerprints) > messageFingerprints {
+			t.Errorf("repeated message of %d fingerprints", len(message.Fingerprints))
+		}
+	}
+	if !i.Suspect(many[0]) || !i.Suspect(many[99]) {
+		t.Error("a fingerprint was dropped")
+	}
+}
+
 // nodes is a fleet of isolators whose broadcasts reach all that are not cut.
 type nodes struct {
 	byName map[string]*Isolator
