Tell the ledger when a call's answer was lost

Cause: a call that was sent and whose answer was lost stayed "running" in the ledger, and each of its resends waited for the whole timeout.

--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,7 @@
 	Claim(ctx context.Context, call recorder.Call) recorder.Claim
 	Settle(ctx context.Context, call recorder.Call, answer *recorder.Answer)
 	Await(ctx context.Context, call recorder.Call) recorder.Claim
+	Abandon(ctx context.Context, call recorder.Call)
 }
 
 // Isolator holds requests that crash the engines that run them.
--- a/router/service.go
+++ b/router/service.go
@@ -133,6 +133,7 @@
 		}
 		if err != nil {
 			r.options.Log.Log(callUnknown, logger.Fields{"member": member.Name, "attempt": claim.Attempt, "error": err.Error()})
+			r.options.Ledger.Abandon(context.WithoutCancel(ctx), claim)
 			return nil, unknown(AnswerLost, "the answer of %q was lost", member.Name)
 		}
 		r.options.Ledger.Settle(context.WithoutCancel(ctx), claim, &recorder.Answer{
