--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,11 @@
 .PHONY: build test lint format demo matrix measure generate tools
 
 build:
-	$(GO) build -o bin/ . ./standin/foxtailspool-standin
+	$(GO) build -o bin/ . ./standin/foxtailspool-standin ./demonstrator/foxtailspool-demo
+
+# Shows the whole path on loopback, each part in a process of its own.
+demo: build
+	bin/foxtailspool-demo --bin bin
 
 test:
 	$(GO) test -race $(PACKAGES)
@@ -30,3 +34,7 @@
 	for f in $$(git ls-files '*.proto'); do \
 	  protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. $$f || exit 1; \
 	done
+
+# Compares the placement policy with its baselines in virtual time; needs only Go.
+measure:
+	$(GO) run ./measurer/foxtailspool-measure
--- a/placer/state.go
+++ b/placer/state.go
@@ -58,8 +58,12 @@
 	Held
 	prefill *engine
 	decode  *engine
+	// place is the grant's index in the decode engine's held.
+	place   int
 	phase   phase
 	granted time.Time
+	// asked is the attempt that the demand named; the grant's may be larger.
+	asked uint64
 	// expires is the end of the lease of a held grant, of the grace of an
 	// orphaned one, and the next order of a cancelling one.
 	expires time.Time
@@ -97,10 +101,18 @@
 	// accounts holds the accounts that hold or wait for memory.
 	accounts   map[accountKey]*accountUse
 	estimators map[identifier.Route]*estimator
-	drain      drain
-	issued     uint64
-	decisions  []Decision
-	orders     []Order
+	// strangers are the unclaimed attempts that engines hold, with the time of
+	// their next cancel.
+	strangers map[stranger]time.Time
+	index     *prefixIndex
+	// stamp numbers the demands that were matched with the index.
+	stamp uint64
+	// drain is the memory that comes free, served what each rank is granted.
+	drain     drain
+	served    [len(identifier.Ranks)]drain
+	issued    uint64
+	decisions []Decision
+	orders    []Order
 	// blocked is scratch space of place.
 	blocked []*waiting
 	// lapse is when the earliest grant expires, at the latest.
@@ -118,6 +130,8 @@
 		queued:     map[identifier.Request]*waiting{},
 		accounts:   map[accountKey]*accountUse{},
 		estimators: map[identifier.Route]*estimator{"": newEstimator()},
+		strangers:  map[stranger]time.Time{},
+		index:      newPrefixIndex(),
 	}
 }
 
@@ -213,12 +227,25 @@
 	p.grants[g.Grant] = g
 	p.latest[g.Demand.Request] = g
 	g.decode.used += g.Pieces
-	g.decode.running++
+	g.place = len(g.decode.held)
+	g.decode.held = append(g.decode.held, g)
 	p.used[g.Demand.Rank] += g.Pieces
 	p.account(&g.Demand, g.Pieces, 0)
+	g.countSuspect(1)
 	p.expireBy(g.expires)
 }
 
+// countSuspect keeps suspect demands apart.
+func (g *grant) countSuspect(change int) {
+	if !g.Demand.Suspect {
+		return
+	}
+	g.decode.suspects += change
+	if g.prefill != nil {
+		g.prefill.suspects += change
+	}
+}
+
 // free returns the memory of a grant.
 func (p *Placer) free(now time.Time, g *grant) {
 	delete(p.grants, g.Grant)
@@ -226,15 +253,36 @@
 		delete(p.latest, g.Demand.Request)
 	}
 	g.decode.used -= g.Pieces
-	g.decode.running--
+	g.decode.drop(g)
 	p.used[g.Demand.Rank] -= g.Pieces
 	p.account(&g.Demand, -g.Pieces, 0)
+	g.countSuspect(-1)
+	g.decode.remember(now, g.Pieces)
 	p.drain.add(now, g.Pieces)
 	if g.decode.removed && g.decode.used == 0 {
 		p.sortEngines()
 	}
 }
 
+// drop takes a grant out of held by moving the last one to its place.
+func (e *engine) drop(g *grant) {
+	last := len(e.held) - 1
+	e.held[g.place] = e.held[last]
+	e.held[g.place].place = g.place
+	e.held[last] = nil
+	e.held = e.held[:last]
+}
+
+// freedLimit bounds the releases that an engine's report is explained by.
+const freedLimit = 1000
+
+func (e *engine) remember(now time.Time, pieces identifier.Pieces) {
+	if len(e.freed) >= freedLimit {
+		e.freed = e.freed[1:]
+	}
+	e.freed = append(e.freed, freed{now, pieces})
+}
+
 // resize changes the memory of a grant whose output outgrew its reservation.
 func (p *Placer) resize(g *grant, pieces identifier.Pieces) {
 	grown := pieces - g.Pieces
