Keep new work from backend servers that the platform lists as leaving

Cause: a leaving backend server was known by an edit of the pools table only; the platform's list of VMs tells it too, late, and to the few nodes that watch. Orders to engines are wired into the node, and the platform's list seeds the membership.

--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -36,8 +36,11 @@
 	placer *placer.Placer
 	// configuration is the number of the snapshot that the placer has.
 	configuration identifier.Configuration
-	members       map[identifier.Member]tabulator.Member
-	outboxes      map[identifier.Node]*outbox
+	// configured is that snapshot; another of the same number differs in which
+	// members leave.
+	configured *tabulator.Snapshot
+	members    map[identifier.Member]tabulator.Member
+	outboxes   map[identifier.Node]*outbox
 	// orders are the cancels for run to send; sending holds those on their way.
 	orders  []placer.Order
 	sending map[identifier.Grant]bool
@@ -106,12 +109,14 @@
 	return idleAdvance, false
 }
 
-// configure takes over a newer configuration.
+// configure takes over a newer configuration, or the same one with other
+// members leaving.
 func (s *shard) configure() {
 	snapshot := s.options.Snapshot()
-	if snapshot == nil || s.members != nil && snapshot.Number <= s.configuration {
+	if snapshot == nil || snapshot == s.configured || s.members != nil && snapshot.Number < s.configuration {
 		return
 	}
+	s.configured = snapshot
 	pool, ok := snapshot.Pool(s.id.pool)
 	if !ok {
 		return
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -21,6 +21,7 @@
 	Adapter string `json:"adapter"`
 	Version string `json:"version"`
 	Role    string `json:"role"`
+	Loading bool   `json:"loading"`
 	Running int    `json:"running"`
 }
 
--- a/invoker/control.go
+++ b/invoker/control.go
@@ -31,6 +31,8 @@
 	Adapter string
 	Version string
 	Role    identifier.Role
+	// Loading tells that the engine is loading weights.
+	Loading bool
 	Running int
 }
 
@@ -52,6 +54,7 @@
 	Adapter string           `json:"adapter"`
 	Version string           `json:"version"`
 	Role    identifier.Role  `json:"role"`
+	Loading bool             `json:"loading"`
 	Running int              `json:"running"`
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -16,10 +16,12 @@
 	"github.com/foxtailspool/foxtailspool/configurator"
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/excluder"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/orderer"
 	"github.com/foxtailspool/foxtailspool/prober"
 	"github.com/foxtailspool/foxtailspool/publisher"
 	"github.com/foxtailspool/foxtailspool/receiver"
@@ -69,6 +71,8 @@
 	recorder   *recorder.Recorder
 	isolator   *isolator.Isolator
 	invoker    *invoker.Invoker
+	excluder   *excluder.Excluder
+	orderer    *orderer.Orderer
 	router     *router.Router
 	addresser  *addresser.Addresser
 }
@@ -89,6 +93,8 @@
 	nameDispatcher = "dispatcher"
 	nameRecorder   = "recorder"
 	nameIsolator   = "isolator"
+	nameExcluder   = "excluder"
+	nameOrderer    = "orderer"
 	nameRouter     = "router"
 	namePeers      = "peers-listener"
 	nameCallers    = "callers-listener"
@@ -108,6 +114,7 @@
 	s.newMembership()
 	s.newConfiguration()
 	s.newPlacement()
+	s.newOrders()
 	s.newLedger()
 	s.newRouter()
 	s.register()
@@ -192,6 +199,8 @@
 	s.supervisor.Register(nameProber, s.prober)
 	s.supervisor.Register(namePublisher, s.publisher)
 	s.supervisor.Register(nameIsolator, s.isolator)
+	s.supervisor.Register(nameExcluder, s.excluder)
+	s.supervisor.Register(nameOrderer, s.orderer)
 	s.supervisor.Register(nameDispatcher, s.dispatcher)
 	s.supervisor.Register(nameRecorder, s.recorder)
 	s.supervisor.Register(nameRouter, s.router)
--- a/server/services.go
+++ b/server/services.go
@@ -4,14 +4,18 @@
 	"context"
 	"net/http"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/configurator"
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/excluder"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/orderer"
 	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/prober"
 	"github.com/foxtailspool/foxtailspool/publisher"
@@ -94,6 +98,7 @@
 		Seeds:        settings.Membership.Seeds,
 		Peers:        s.peers(),
 		NewPeers:     s.newPeers,
+		Listed:       s.listedNodes,
 		Interval:     settings.Membership.ProbeInterval,
 		Timeout:      settings.Membership.ProbeTimeout,
 		SuspectAfter: settings.Membership.SuspicionTime,
@@ -109,6 +114,13 @@
 
 func (s *Server) newConfiguration() {
 	settings := s.options.Settings
+	s.excluder = excluder.New(excluder.Options{
+		Snapshot:  func() *tabulator.Snapshot { return s.publisher.Snapshot() },
+		Leaving:   s.leavingBackends,
+		Broadcast: s.prober.Broadcast,
+		Log:       s.options.Log,
+	})
+	s.prober.Subscribe(excluder.Topic, s.excluder.Receive)
 	s.publisher = publisher.New(publisher.Options{
 		Self:       settings.Node.Name,
 		DataCentre: settings.Node.DataCentre,
@@ -124,6 +136,29 @@
 	})
 }
 
+// listedNodes returns the peer addresses of the nodes in the platform's list.
+func (s *Server) listedNodes() []identifier.Address {
+	var addresses []identifier.Address
+	for _, vm := range s.publisher.Listed() {
+		if vm.Entry && !vm.Leaving {
+			addresses = append(addresses, vm.Address)
+		}
+	}
+	return addresses
+}
+
+// leavingBackends returns the addresses of the backend servers' VMs that the
+// platform lists as leaving.
+func (s *Server) leavingBackends() []identifier.Address {
+	var addresses []identifier.Address
+	for _, vm := range s.publisher.Listed() {
+		if !vm.Entry && vm.Leaving {
+			addresses = append(addresses, vm.Address)
+		}
+	}
+	return addresses
+}
+
 func (s *Server) newPlacement() {
 	settings := s.options.Settings
 	kept, fresh := s.backends()
@@ -139,7 +174,7 @@
 	s.dispatcher = dispatcher.New(dispatcher.Options{
 		Self:          settings.Node.Name,
 		View:          s.prober.View,
-		Snapshot:      s.publisher.Snapshot,
+		Snapshot:      s.excluder.Snapshot,
 		Peers:         s.peers(),
 		Engines:       engines{s.invoker},
 		Lease:         settings.Placement.Lease,
@@ -184,7 +219,7 @@
 		Node:        settings.Node.Name,
 		Incarnation: s.options.Incarnation,
 		DataCentre:  settings.Node.DataCentre,
-		Snapshot:    s.publisher.Snapshot,
+		Snapshot:    s.excluder.Snapshot,
 		Placer:      s.dispatcher,
 		Engines:     traced{s.invoker, s.options.Tracer},
 		Services:    traced{s.invoker, s.options.Tracer},
@@ -225,3 +260,35 @@
 func (e engines) Cancel(ctx context.Context, _ identifier.Pool, member tabulator.Member, request identifier.Request, stream, reader uint64) error {
 	return e.invoker.Cancel(ctx, member, invoker.AttemptID(request, stream), reader)
 }
+
+func (s *Server) newOrders() {
+	s.orderer = orderer.New(orderer.Options{
+		Self:     s.options.Settings.Node.Name,
+		Store:    s.store,
+		View:     s.prober.View,
+		Snapshot: s.publisher.Snapshot,
+		Engines:  ordered{s.invoker},
+		Log:      s.options.Log,
+		Scope:    s.options.Scope,
+	})
+}
+
+// ordered adapts the invoker to what the orderer asks of engines.
+type ordered struct {
+	invoker *invoker.Invoker
+}
+
+// Order sends an order; orderer.Fenced tells that its fencing number was old.
+func (o ordered) Order(ctx context.Context, member tabulator.Member, order orderer.Order) error {
+	err := o.invoker.Order(ctx, member, invoker.Order(order))
+	if errorx.IsOfType(err, invoker.Superseded) {
+		return orderer.Fenced.Wrap(err, "order to %s", member.Name)
+	}
+	return err
+}
+
+// State reads what an engine serves.
+func (o ordered) State(ctx context.Context, member tabulator.Member) (orderer.State, error) {
+	state, err := o.invoker.State(ctx, member)
+	return orderer.State(state), err
+}
