--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -68,6 +68,8 @@
 	// Prefills and Decodes count started work, Evicted the KV caches that
 	// nobody imported, Refused the requests for which there was no memory.
 	Prefills, Decodes, Evicted, Refused, Cancels int
+	// Crashes counts how often the engine crashed.
+	Crashes int
 	// Held is the pieces in use now, Running the streams that generate now.
 	Held, Running int
 	// Orders counts the orders carried out, StaleOrders those refused.
@@ -120,6 +122,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.down = true
+	e.counts.Crashes++
 	e.generation++
 	for attempt, s := range e.streams {
 		s.stop()
--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"testing"
 
 	"github.com/foxtailspool/foxtailspool/emulator"
 )
@@ -18,8 +19,10 @@
 	account string
 	prompt  string
 	tokens  int
-	// after is how many tokens the caller has already.
-	after int
+	// after is how many tokens the caller has already; resent tells that it sent
+	// the request before.
+	after  int
+	resent bool
 }
 
 // answer is what a caller got.
@@ -53,7 +56,7 @@
 	if c.id != "" {
 		request.Header.Set("X-Request-Id", c.id)
 	}
-	if c.after > 0 {
+	if c.resent || c.after > 0 {
 		request.Header.Set("Last-Event-ID", strconv.Itoa(c.after))
 	}
 	if c.account != "" {
@@ -174,3 +177,23 @@
 	}
 	return held
 }
+
+// entries asks a node which addresses to use.
+func (f *fleet) entries(t *testing.T, n *node) []string {
+	t.Helper()
+	request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address(n)+"/v1/entries", nil)
+	got := f.do(request)
+	var body struct {
+		Entries []struct {
+			Address string `json:"address"`
+		} `json:"entries"`
+	}
+	if err := json.Unmarshal([]byte(got.body), &body); err != nil {
+		t.Fatalf("address answer %+v: %v", got, err)
+	}
+	var addresses []string
+	for _, entry := range body.Entries {
+		addresses = append(addresses, entry.Address)
+	}
+	return addresses
+}
--- a/prover/model_test.go
+++ b/prover/model_test.go
@@ -34,6 +34,8 @@
 	offset int
 	ended  bool
 	result answer
+	// parts counts the connections that the answer took.
+	parts int
 }
 
 // modelSteps wait until a request is at a step of its life.
@@ -122,10 +124,12 @@
 func (r *trial) insist(first, later context.Context) {
 	deadline := time.Now().Add(insistence)
 	order := []*node{r.entry, r.f.nodes["node-1"], r.f.nodes["node-2"], r.f.nodes["node-3"]}
-	got := answer{}
+	got, turns := answer{}, 0
 	for turn := 0; !got.whole && time.Now().Before(deadline); turn++ {
+		turns++
 		request := r.request
 		request.after = len(got.tokens)
+		request.resent = turn > 0
 		parent := later
 		if turn == 0 {
 			parent = first
@@ -144,6 +148,7 @@
 	defer r.mutex.Unlock()
 	r.ended = true
 	r.result = got
+	r.parts = turns
 }
 
 // listen makes one try and gives it up when no token comes for a while.
@@ -188,4 +193,7 @@
 			len(got.text()) <= len(expected(r.request)) && got.text() == expected(r.request)[:len(got.text())])
 	}
 	r.f.freed(t)
+	if got := r.result; got.outcome == "not-run" && r.f.total().Prefills > 0 {
+		t.Errorf("told \"not run\" (%s), and an engine worked for it", got.reason)
+	}
 }
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -156,6 +156,7 @@
 		return malformed("%s needs the %s of the request to go on with", lastEventHeader, requestHeader)
 	}
 	completion.After = identifier.Tokens(offset)
+	completion.Resent = true
 	return nil
 }
 
--- a/router/completion.go
+++ b/router/completion.go
@@ -35,8 +35,10 @@
 	Prompt string
 	// Limit is the most tokens to generate, or zero.
 	Limit identifier.Tokens
-	// After is how many tokens the caller has already.
-	After identifier.Tokens
+	// After is how many tokens the caller has already, and Resent tells that it
+	// sent the request before.
+	After  identifier.Tokens
+	Resent bool
 	// Fingerprint is a hash of path and body, equal for resends.
 	Fingerprint uint64
 }
@@ -72,6 +74,15 @@
 
 // Complete starts a model request and returns when its first token is there.
 func (r *Router) Complete(ctx context.Context, request Completion) (*Reply, *Refusal) {
+	reply, refusal := r.start(ctx, request)
+	if refusal != nil && request.Resent {
+		// What is proven for this sending is not for the ones before it.
+		refusal.Outcome = Unknown
+	}
+	return reply, refusal
+}
+
+func (r *Router) start(ctx context.Context, request Completion) (*Reply, *Refusal) {
 	query := tabulator.Query{Model: request.Model, Path: request.Path, Method: request.Method, Account: request.Account}
 	route, pool, refusal := r.match(query)
 	if refusal != nil {
@@ -81,7 +92,8 @@
 		return nil, notRun(NoRoute, 0, "route %q does not lead to a model pool", route.Name)
 	}
 	if r.options.Isolator.Held(request.Fingerprint) {
-		return nil, notRun(Quarantined, 0, "this request crashed several engines and is held")
+		// The same request ran before, or it would not be held.
+		return nil, unknown(Quarantined, "this request crashed several engines and is held")
 	}
 	if request.Limit <= 0 {
 		request.Limit = r.options.Limits.DefaultTokens
@@ -94,7 +106,7 @@
 		route:   route,
 		pool:    pool,
 		ctx:     bounded,
-		ran:     request.After > 0,
+		ran:     request.Resent,
 		emitted: request.After,
 	}
 	reply.stop = func(cause error) { stop(cause); release() }
