Let two nodes of a data centre watch the list of VMs

Change: the two first-ranked nodes of a data centre watch the list of VMs. The other feeds keep one watcher: what they miss is repaired node to node.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -100,9 +100,18 @@
 // Ranked returns up to limit members in the order in which they would own a
 // shard: the owner first, then who follows when those before are gone.
 func (v *View) Ranked(shard string, limit int) []Member {
+	return v.rankedAmong(shard, limit, func(Member) bool { return true })
+}
+
+// RankedIn is Ranked among the members of one data centre.
+func (v *View) RankedIn(dataCentre identifier.DataCentre, shard string, limit int) []Member {
+	return v.rankedAmong(shard, limit, func(m Member) bool { return m.DataCentre == dataCentre })
+}
+
+func (v *View) rankedAmong(shard string, limit int, eligible func(Member) bool) []Member {
 	var ranked []Member
 	for _, member := range v.Members {
-		if v.owns(member) {
+		if v.owns(member) && eligible(member) {
 			ranked = append(ranked, member)
 		}
 	}
--- a/publisher/feed.go
+++ b/publisher/feed.go
@@ -97,6 +97,19 @@
 	return owner.Node == p.options.Self
 }
 
+// vmWatchers is how many nodes of a data centre watch the list of VMs, so that
+// the death of one does not keep the others from learning of a leaving VM.
+const vmWatchers = 2
+
+func (p *Publisher) watchesVMs() bool {
+	for _, watcher := range p.options.View().RankedIn(p.options.DataCentre, feedShard, vmWatchers) {
+		if watcher.Node == p.options.Self {
+			return true
+		}
+	}
+	return false
+}
+
 // runSnapshotFeed brings configurations that others published into the data
 // centre, in case the publisher died before it passed them on.
 func (p *Publisher) runSnapshotFeed(ctx context.Context) {
@@ -235,7 +248,7 @@
 	follower := &feed{
 		publisher: p,
 		kind:      storer.KindVM,
-		owns:      p.ownsFeed,
+		owns:      p.watchesVMs,
 		listed: func(all []storer.Object) {
 			clear(vms)
 			for _, object := range all {
