Prove orders to engines under faults, with and without fencing checks

Cause: which version an engine has loaded after races, losses and pauses of the sender was proved within the orderer only.

--- a/emulator/control.go
+++ b/emulator/control.go
@@ -63,12 +63,22 @@
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
+	if order.Fence < e.fence {
+		e.counts.Regressions++
+	}
 	e.fence = max(e.fence, order.Fence)
 	e.counts.Orders++
 	e.state = engineState{Model: order.Model, Adapter: order.Adapter, Version: order.Version, Role: order.Role}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// Loaded returns the version that the engine has loaded.
+func (e *Engine) Loaded() string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.state.Version
+}
+
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mutex.Lock()
 	state := e.state
@@ -80,3 +90,10 @@
 func contains(text, part string) bool {
 	return strings.Contains(text, part)
 }
+
+// SetChecksFencing makes the engine check fencing numbers or ignore them.
+func (e *Engine) SetChecksFencing(checks bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.options.ChecksFencing = checks
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -72,8 +72,9 @@
 	Crashes int
 	// Held is the pieces in use now, Running the streams that generate now.
 	Held, Running int
-	// Orders counts the orders carried out, StaleOrders those refused.
-	Orders, StaleOrders int
+	// Orders counts the orders carried out, StaleOrders those refused, and
+	// Regressions those carried out although a larger fencing number had come.
+	Orders, StaleOrders, Regressions int
 }
 
 // NewEngine returns an idle engine.
