Keep lesser transfers from filling the links, prefer the entry data centre

Change: no prefill is granted whose KV cache would wait over 100 ms for its link; among equal prefill engines the entry node's data centre is taken. The measurement gains two scenarios, few-prefills and slow-links, and its engines no longer report the running prompt as backlog, which had kept prefill engines idle.

--- a/measurer/ablation.go
+++ b/measurer/ablation.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/foxtailspool/foxtailspool/placer"
 )
@@ -16,13 +17,13 @@
 var Ablations = []Variant{
 	{Name: "dispatcher"},
 	without("no-joint-grant", placer.JointGrant),
-	without("no-prediction", placer.Prediction),
 	without("no-early-refusal", placer.EarlyRefusal),
 	without("no-pause", placer.Pause),
 	without("no-affinity", placer.Affinity),
 	without("no-link-budget", placer.LinkBudget),
 	without("no-fairness", placer.Fairness),
 	{Name: "no-lookahead", Change: func(s *placer.Settings) { s.Lookahead = 1 }},
+	{Name: "no-size-delay", Change: func(s *placer.Settings) { s.SizeDelay = time.Nanosecond }},
 	{Name: "no-lesser-share", Change: func(s *placer.Settings) { s.LesserShare = 0 }},
 }
 
--- a/measurer/dispatched.go
+++ b/measurer/dispatched.go
@@ -94,12 +94,12 @@
 	for _, e := range s.run.prefills {
 		engines = append(engines, placer.Engine{
 			Member: e.name, Role: identifier.Prefill, DataCentre: e.place,
-			Pieces: 1, PrefillRate: prefillRate, LinkRate: linkRate,
+			Pieces: 1, PrefillRate: prefillRate, LinkRate: s.run.linkRate,
 		})
 	}
 	for _, e := range s.run.decodes {
 		engines = append(engines, placer.Engine{
-			Member: e.name, Role: identifier.Decode, DataCentre: e.place, Pieces: e.pieces, LinkRate: linkRate,
+			Member: e.name, Role: identifier.Decode, DataCentre: e.place, Pieces: e.pieces, LinkRate: s.run.linkRate,
 		})
 	}
 	s.placer.Configure(settings, engines)
@@ -263,7 +263,7 @@
 		loads[e.name] = placer.Load{At: now, Free: e.free, Running: len(e.streams), Step: e.step(), Holding: e.holding()}
 	}
 	for _, e := range s.run.prefills {
-		loads[e.name] = placer.Load{At: now, Backlog: e.backlog, Cached: e.cached, Evicted: e.evicted}
+		loads[e.name] = placer.Load{At: now, Backlog: e.queued(), Cached: e.cached, Evicted: e.evicted}
 		e.cached, e.evicted = nil, nil
 	}
 	s.run.after(s.run.scenario.lag, func() {
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -64,7 +64,7 @@
 			}
 			results := Measure(setting, scenario, dispatcher, seeds)
 			writeRow(output, dispatcher.Name, results)
-			if scenario.load >= ratioLoad {
+			if scenario.load >= ratioLoad && scenario.prefill == 0 {
 				for seed, result := range results {
 					ratios = append(ratios, result.Goodput/best[seed])
 				}
@@ -75,7 +75,8 @@
 	_, _ = fmt.Fprintf(output, "\ngoodput ratio %.2f\n", ratios[len(ratios)/2])
 }
 
-// ratioLoad is the load from which scenarios count for the goodput ratio.
+// ratioLoad is the load from which scenarios with all engines count for the
+// goodput ratio.
 const ratioLoad = 0.95
 
 // better keeps the best goodput of each seed.
--- a/measurer/prefill.go
+++ b/measurer/prefill.go
@@ -80,6 +80,17 @@
 	e.next()
 }
 
+// queued is the tokens whose prefill has not begun.
+func (e *prefillEngine) queued() identifier.Tokens {
+	var tokens identifier.Tokens
+	for _, jobs := range e.queue {
+		for _, j := range jobs {
+			tokens += j.tokens
+		}
+	}
+	return tokens
+}
+
 // next starts the next prompt when the engine is free.
 func (e *prefillEngine) next() {
 	if e.busy {
@@ -141,7 +152,7 @@
 // send puts a KV cache on both links and returns when it has arrived.
 func (e *prefillEngine) send(j *job) time.Duration {
 	bytes := float64(j.tokens) * float64(kvBytesPerToken)
-	duration := time.Duration(bytes / float64(linkRate) * float64(time.Second))
+	duration := time.Duration(bytes / float64(e.run.linkRate) * float64(time.Second))
 	begin := max(e.run.now, e.linkFree, j.decode.linkFree)
 	e.linkFree = begin + duration
 	j.decode.linkFree = begin + duration
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -60,6 +60,7 @@
 	loop
 	setting  *Setting
 	scenario Scenario
+	linkRate identifier.BytesPerSecond
 	// arriving draws the requests, alike for all strategies of a seed; random
 	// is the strategy's own.
 	arriving *rand.Rand
@@ -79,9 +80,16 @@
 
 // newRun builds the engines of a setting.
 func newRun(setting *Setting, scenario Scenario, seed uint64) *run {
+	scenario = scenario.withDefaults()
+	if scenario.prefill > 0 {
+		fewer := *setting
+		fewer.prefill = scenario.prefill
+		setting = &fewer
+	}
 	r := &run{
 		setting:  setting,
-		scenario: scenario.withDefaults(),
+		scenario: scenario,
+		linkRate: linkRate / identifier.BytesPerSecond(scenario.links),
 		arriving: rand.New(rand.NewPCG(seed, 7)),
 		random:   rand.New(rand.NewPCG(seed, 11)),
 		dead:     map[int]bool{},
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -17,6 +17,10 @@
 	kill time.Duration
 	// slow multiplies the step time of one decode engine.
 	slow float64
+	// prefill replaces the number of prefill engines, zero keeps it.
+	prefill int
+	// links divides the rate of all links.
+	links int64
 	// oneAccount makes all of the flood come from one account.
 	oneAccount bool
 }
@@ -46,6 +50,8 @@
 	{Name: "owner-killed", load: 0.8, kill: 60 * time.Second},
 	{Name: "lag-2s", load: 0.8, lag: 2 * time.Second},
 	{Name: "slow-engine", load: 0.8, slow: 3},
+	{Name: "few-prefills", load: 0.95, prefill: 2},
+	{Name: "slow-links", load: 0.8, links: 3},
 }
 
 func (s Scenario) withDefaults() Scenario {
@@ -55,6 +61,9 @@
 	if s.lesser == 0 {
 		s.lesser = 1
 	}
+	if s.links == 0 {
+		s.links = 1
+	}
 	if s.lag == 0 {
 		s.lag = normalLag
 	}
--- a/placer/place.go
+++ b/placer/place.go
@@ -99,7 +99,7 @@
 		p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
 		return refused
 	}
-	if start.begin.Sub(now) > p.settings.PrefillAhead {
+	if start.begin.Sub(now) > p.settings.PrefillAhead || start.linkWait > p.settings.LinkAhead {
 		return noPrefill
 	}
 	decode := p.bestDecode(now, d, w.pieces, start)
@@ -116,24 +116,31 @@
 // run is a prefill as it is planned on one engine.
 type run struct {
 	engine *engine
-	// begin and end are when the prefill runs; ready is when its KV cache has
-	// been transferred.
-	begin time.Time
-	end   time.Time
-	ready time.Time
+	// begin and end are when the prefill runs; its KV cache waits linkWait for
+	// the link and has been transferred at ready.
+	begin    time.Time
+	end      time.Time
+	linkWait time.Duration
+	ready    time.Time
 }
 
-// bestPrefill returns the run whose KV cache is ready first.
+// bestPrefill returns the run whose KV cache is ready first. The entry node's
+// data centre is preferred by CrossCost.
 func (p *Placer) bestPrefill(now time.Time, d *Demand) run {
 	var best run
+	var bestAt time.Time
 	p.matchPrefixes(now, d)
 	for _, e := range p.prefills {
 		if !e.takes(now, d) {
 			continue
 		}
 		planned := p.plan(now, d, e)
-		if best.engine == nil || planned.ready.Before(best.ready) {
-			best = planned
+		at := planned.ready
+		if e.DataCentre != d.DataCentre {
+			at = at.Add(p.settings.CrossCost)
+		}
+		if best.engine == nil || at.Before(bestAt) {
+			best, bestAt = planned, at
 		}
 	}
 	return best
@@ -148,7 +155,7 @@
 		sent = later(end, e.linkUntil)
 	}
 	ready := sent.Add(p.transfer(d, e))
-	return run{engine: e, begin: begin, end: end, ready: ready}
+	return run{engine: e, begin: begin, end: end, linkWait: sent.Sub(end), ready: ready}
 }
 
 // transfer is the time that a prompt's KV cache takes over an engine's link.
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -13,9 +13,6 @@
 const (
 	// JointGrant reserves decode memory before the prefill starts.
 	JointGrant Element = 1 << iota
-	// Prediction promises decode memory that is expected to come free while
-	// the prefill runs.
-	Prediction
 	// EarlyRefusal refuses demands whose queue will not drain in time.
 	EarlyRefusal
 	// Pause stops lesser streams for urgent demands about to be late.
@@ -55,7 +52,10 @@
 	FailureHold time.Duration
 	// PrefillAhead bounds the prefill work granted ahead to one engine.
 	PrefillAhead time.Duration
-	// CrossCost is added to a transfer between data centres.
+	// LinkAhead bounds how long a KV cache may wait for its link.
+	LinkAhead time.Duration
+	// CrossCost is the delay for which another data centre than the entry
+	// node's is taken.
 	CrossCost time.Duration
 	// Lookahead is how many demands that fit nowhere are tried before smaller
 	// ones behind them have to wait; one lets nothing pass.
@@ -87,6 +87,7 @@
 	orDefault(&s.CancelRetry, time.Second)
 	orDefault(&s.FailureHold, 2*time.Second)
 	orDefault(&s.PrefillAhead, 100*time.Millisecond)
+	orDefault(&s.LinkAhead, 100*time.Millisecond)
 	orDefault(&s.CrossCost, 2*time.Millisecond)
 	orDefault(&s.Lookahead, 16)
 	orDefault(&s.OutputQuantile, 0.75)
