Spare bytes between nodes and owners, serve nodes the view lacks

Change: reports go to a node once a second; a release may wait 50 ms to share an exchange; shards have at most 24 engines, so that the owners' processor time spreads; only nodes known to be dead or replaced are given up, the others lapse by their leases. A collect call without an outbox is answered by an error, after which the node sends its demands again. Ruled out: a longer tick to save messages.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -59,6 +59,8 @@
 	Scope tally.Scope
 	// Tick is the least time between two exchanges with one owner: 10 ms.
 	Tick time.Duration
+	// ReleaseDelay is how long a release may wait to share an exchange: 50 ms.
+	ReleaseDelay time.Duration
 	// Lease is how long a grant stands without renewal: 3 s. Grants are
 	// renewed three times a lease.
 	Lease time.Duration
@@ -80,7 +82,7 @@
 	// FallbackAfter is how long a demand waits for an owner that cannot be
 	// reached before the node decides alone: 300 ms.
 	FallbackAfter time.Duration
-	// ShardEngines bounds the engines of one shard: 48.
+	// ShardEngines bounds the engines of one shard: 24.
 	ShardEngines int
 	// BacklogLimit bounds the releases and withdrawals kept for an owner that
 	// cannot be reached: 10,000. Beyond it grants lapse instead.
@@ -89,6 +91,7 @@
 
 func (o Options) withDefaults() Options {
 	orDefault(&o.Tick, 10*time.Millisecond)
+	orDefault(&o.ReleaseDelay, 50*time.Millisecond)
 	orDefault(&o.Lease, 3*time.Second)
 	orDefault(&o.Grace, 2*time.Second)
 	orDefault(&o.Rebuild, o.Lease)
@@ -97,7 +100,7 @@
 	orDefault(&o.CollectHold, 500*time.Millisecond)
 	orDefault(&o.EngineTimeout, time.Second)
 	orDefault(&o.FallbackAfter, 300*time.Millisecond)
-	orDefault(&o.ShardEngines, 48)
+	orDefault(&o.ShardEngines, 24)
 	orDefault(&o.BacklogLimit, 10_000)
 	if o.Log == nil {
 		o.Log = logger.Discard()
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -158,10 +158,16 @@
 }
 
 func (f *fabric) start(t *testing.T, name identifier.Node) *node {
+	t.Helper()
+	return f.restart(t, name, f.viewOf(name))
+}
+
+// restart starts a node with a view of its own.
+func (f *fabric) restart(t *testing.T, name identifier.Node, view func() *assigner.View) *node {
 	t.Helper()
 	d := New(Options{
 		Self:     name,
-		View:     f.viewOf(name),
+		View:     view,
 		Snapshot: func() *tabulator.Snapshot { return f.snapshot },
 		Peers:    f,
 		Engines:  f,
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -222,3 +222,46 @@
 		stop(append(others, owner)...)
 	})
 }
+
+func TestSlanderedNodeGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner, others := startThree(t)
+		d := demand("r1", 1)
+		place := others[0].placed(t, d)
+		f.run(d, place)
+		f.state(others[0].name, assigner.Dead)
+		time.Sleep(1500 * time.Millisecond)
+		second := others[0].placed(t, demand("r2", 1))
+		f.state(others[0].name, assigner.Alive)
+		time.Sleep(10 * time.Second)
+		if cancelled := f.cancels(); len(cancelled) != 0 {
+			t.Errorf("requests of a living node were cancelled: %v", cancelled)
+		}
+		held := booked(owner)
+		if len(held) != 2 || held[0].Grant != place.Grant || held[1].Grant != second.Grant {
+			t.Errorf("the owner books %v, want both grants", held)
+		}
+		stop(append(others, owner)...)
+	})
+}
+
+func TestUnknownNodeIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner, others := startThree(t)
+		stranger := others[0].name
+		all := f.viewOf(owner.name)
+		partial := func() *assigner.View {
+			view := *all()
+			view.Members = slices.DeleteFunc(slices.Clone(view.Members), func(m assigner.Member) bool { return m.Node == stranger })
+			return &view
+		}
+		stop(owner)
+		owner = f.restart(t, owner.name, partial)
+		others[0].placed(t, demand("r1", 1))
+		time.Sleep(10 * time.Second)
+		if held := booked(owner); len(held) != 1 || len(f.cancels()) != 0 {
+			t.Errorf("the owner books %v and cancelled %v, want one grant kept", held, f.cancels())
+		}
+		stop(append(others, owner)...)
+	})
+}
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -185,7 +185,9 @@
 	if len(l.releases) < l.options.BacklogLimit {
 		l.releases = append(l.releases, released{grant, result})
 	}
-	signal(l.wake)
+	if len(l.releases) == 1 {
+		time.AfterFunc(l.options.ReleaseDelay, func() { signal(l.wake) })
+	}
 }
 
 func (l *link) progress(grant identifier.Grant, output identifier.Tokens, decoding bool) bool {
@@ -309,7 +311,7 @@
 		idle.CloseIdleConnections()
 	}
 	l.placeAlone(time.Now())
-	if len(l.waiting) > 0 {
+	if len(l.waiting)+len(l.releases) > 0 {
 		signal(l.wake)
 	}
 }
@@ -341,6 +343,9 @@
 	if len(l.waiting) > 0 {
 		signal(l.collecting)
 	}
+	if len(l.releases) > 0 {
+		signal(l.wake)
+	}
 }
 
 // revoke drops a grant that the owner took back.
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -140,7 +140,10 @@
 	if err != nil {
 		return nil, err
 	}
-	decisions := sh.collect(ctx, identifier.Node(request.GetNode()))
+	decisions, err := sh.collect(ctx, identifier.Node(request.GetNode()))
+	if err != nil {
+		return nil, err
+	}
 	return &dispatcherrpc.CollectResponse{Decisions: decisions}, nil
 }
 
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -19,6 +19,8 @@
 type outbox struct {
 	incarnation identifier.Incarnation
 	decisions   []*dispatcherrpc.Decision
+	// reported is when the node was last sent the engines' reports.
+	reported time.Time
 	// filled is closed when decisions come in, and then replaced.
 	filled chan struct{}
 }
@@ -61,6 +63,9 @@
 // idleAdvance is the time between two advances of a shard without waiting demands.
 const idleAdvance = 250 * time.Millisecond
 
+// reportInterval is the time between two copies of the engines' reports for a node.
+const reportInterval = time.Second
+
 // run advances the placer, watches the fleet and polls the engines until ctx
 // ends or another node owns the shard and no order is open.
 func (s *shard) run(ctx context.Context) {
@@ -125,11 +130,12 @@
 	s.placer.Configure(s.server.placerSettings(s.issuer, pool), engines(members))
 }
 
-// lapseGone gives up the nodes that the view says are dead or replaced.
+// lapseGone gives up the nodes that the view says are dead or replaced. One that
+// the view does not know yet is given up by its leases alone.
 func (s *shard) lapseGone(now time.Time, view *assigner.View) {
 	for node, box := range s.outboxes {
 		member, known := view.Find(node)
-		if known && member.State != assigner.Dead && member.Incarnation <= box.incarnation {
+		if !known || member.State != assigner.Dead && member.Incarnation <= box.incarnation {
 			continue
 		}
 		s.gone(now, node)
@@ -201,8 +207,9 @@
 	s.placer.Advance(now)
 	s.distribute()
 	response.Decisions, box.decisions = box.decisions, nil
-	if len(request.GetRenewals()) > 0 || len(request.GetDemands()) > 0 {
+	if now.Sub(box.reported) >= reportInterval {
 		response.Reports = s.reports(now)
+		box.reported = now
 	}
 	s.signal()
 	return response, nil
@@ -254,18 +261,22 @@
 }
 
 // collect waits until there are decisions for a node, or the hold has passed.
-func (s *shard) collect(ctx context.Context, node identifier.Node) []*dispatcherrpc.Decision {
+// A node without an outbox has to send its demands again.
+func (s *shard) collect(ctx context.Context, node identifier.Node) ([]*dispatcherrpc.Decision, error) {
 	ctx, stop := context.WithTimeout(ctx, s.options.CollectHold)
 	defer stop()
 	for {
 		decisions, filled := s.takeDecisions(node)
-		if len(decisions) > 0 || filled == nil {
-			return decisions
+		if filled == nil {
+			return nil, twirp.NewError(twirp.FailedPrecondition, "the node's demands are not known")
+		}
+		if len(decisions) > 0 {
+			return decisions, nil
 		}
 		select {
 		case <-filled:
 		case <-ctx.Done():
-			return nil
+			return nil, nil
 		}
 	}
 }
--- a/measurer/dispatched.go
+++ b/measurer/dispatched.go
@@ -31,6 +31,8 @@
 	Name string
 	// Tick is the batch interval; zero takes the default.
 	Tick time.Duration
+	// ReleaseDelay is how long a release may wait for its batch; zero takes Tick.
+	ReleaseDelay time.Duration
 	// Change alters the placer's settings, and may be nil.
 	Change func(*placer.Settings)
 }
@@ -218,7 +220,7 @@
 
 // release gives a grant back with the next batch.
 func (s *dispatched) release(id identifier.Grant, result placer.Result) {
-	s.run.after(s.toOwner(), func() {
+	s.run.after(max(s.toOwner(), s.variant.ReleaseDelay), func() {
 		if s.down {
 			return
 		}
