--- a/measurer/dispatched.go
+++ b/measurer/dispatched.go
@@ -31,6 +31,8 @@
 	Name string
 	// Tick is the batch interval; zero takes the default.
 	Tick time.Duration
+	// ReleaseDelay is how long a release may wait for its batch; zero takes Tick.
+	ReleaseDelay time.Duration
 	// Change alters the placer's settings, and may be nil.
 	Change func(*placer.Settings)
 }
@@ -94,12 +96,12 @@
 	for _, e := range s.run.prefills {
 		engines = append(engines, placer.Engine{
 			Member: e.name, Role: identifier.Prefill, DataCentre: e.place,
-			Pieces: 1, PrefillRate: prefillRate, LinkRate: linkRate,
+			Pieces: 1, PrefillRate: prefillRate, LinkRate: s.run.linkRate,
 		})
 	}
 	for _, e := range s.run.decodes {
 		engines = append(engines, placer.Engine{
-			Member: e.name, Role: identifier.Decode, DataCentre: e.place, Pieces: e.pieces, LinkRate: linkRate,
+			Member: e.name, Role: identifier.Decode, DataCentre: e.place, Pieces: e.pieces, LinkRate: s.run.linkRate,
 		})
 	}
 	s.placer.Configure(settings, engines)
@@ -218,7 +220,7 @@
 
 // release gives a grant back with the next batch.
 func (s *dispatched) release(id identifier.Grant, result placer.Result) {
-	s.run.after(s.toOwner(), func() {
+	s.run.after(max(s.toOwner(), s.variant.ReleaseDelay), func() {
 		if s.down {
 			return
 		}
@@ -263,7 +265,7 @@
 		loads[e.name] = placer.Load{At: now, Free: e.free, Running: len(e.streams), Step: e.step(), Holding: e.holding()}
 	}
 	for _, e := range s.run.prefills {
-		loads[e.name] = placer.Load{At: now, Backlog: e.backlog, Cached: e.cached, Evicted: e.evicted}
+		loads[e.name] = placer.Load{At: now, Backlog: e.queued(), Cached: e.cached, Evicted: e.evicted}
 		e.cached, e.evicted = nil, nil
 	}
 	s.run.after(s.run.scenario.lag, func() {
