Settle answers as fast as calls end

Cause: the settler worked in rounds of 64 ends, each of which waits about a second for the company of its page, so that a node settled 64 calls a second and later answers were unknown to resends for longer and longer.

Change: up to 1024 ends are settled at once, without rounds; each that fails is tried again after its own pause.

Figures: TestSettlingKeepsUp (200 calls/s) failed before with "1126 of 2000 answers are not settled" and passes.

--- a/recorder/measure_test.go
+++ b/recorder/measure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -106,11 +107,11 @@
 	}
 	layouts := []Options{
 		{},
-		{SettleDelay: time.Second},
-		{BucketWidth: time.Second, SettleDelay: time.Second},
-		{BucketWidth: time.Second, SettleDelay: time.Second, GroupCommit: 250 * time.Millisecond},
+		{Window: 30 * time.Second},
+		{BucketWidth: 2 * time.Second},
+		{GroupCommit: 250 * time.Millisecond},
 		{Shards: 8, BucketWidth: time.Second, SettleDelay: time.Second, GroupCommit: 100 * time.Millisecond},
-		{Shards: 24, BucketWidth: time.Second, SettleDelay: time.Second, GroupCommit: 250 * time.Millisecond},
+		{Shards: 24, GroupCommit: 250 * time.Millisecond},
 		{Shards: 1},
 		{GroupCommit: time.Millisecond},
 	}
@@ -130,3 +131,46 @@
 		}
 	}
 }
+
+// BenchmarkBatch is the processor time of one batch of claims and the batch of
+// their answers, written to the stand-in:
+//
+//	go test -run '^$' -bench Batch ./recorder
+func BenchmarkBatch(b *testing.B) {
+	for _, size := range []int{1, 10, 100} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			r := New(Options{Self: "a", Incarnation: 1, Store: newFakeStore(), View: alone("a", 1)})
+			if _, known := r.knownLayout(context.Background()); !known {
+				b.Fatal("no layout")
+			}
+			number := 0
+			var stored int
+			for b.Loop() {
+				c := &committer{recorder: r, bucket: &bucket{place: place{bucket: int64(number)}}}
+				claims, ends := batchOf(size, &number)
+				if c.commit(context.Background(), claims) || c.commit(context.Background(), ends) {
+					b.Fatal("batch failed")
+				}
+				data, _ := c.bucket.parts[0].page.encode()
+				stored = len(data)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*size), "µs/claim")
+			b.ReportMetric(float64(stored)/float64(size), "B/entry")
+		})
+	}
+}
+
+func batchOf(size int, number *int) (claims, ends []*operation) {
+	for range size {
+		*number++
+		key := newKey(*number, 0)
+		call := callOf(key, 1, "plovdiv-1")
+		call.Attempt = identifier.Attempt(newKey(-*number, 0))
+		call.Incarnation = identifier.Incarnation(time.Now().UnixNano())
+		parsed := issuedKey{text: string(key), issued: time.Now()}
+		answer := &Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 200)}
+		claims = append(claims, newOperation(opClaim, parsed, call, nil))
+		ends = append(ends, newOperation(opSettle, parsed, call, answer))
+	}
+	return claims, ends
+}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -113,6 +113,28 @@
 	})
 }
 
+// A node that runs many calls settles them as fast as they end.
+func TestSettlingKeepsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := run(t, optionsOf(newFakeStore()))
+		ctx := context.Background()
+		const calls = 2000
+		for i := range calls {
+			go func() {
+				call := callOf(newKey(i, 0), i, "a")
+				if r.Claim(ctx, call).Verdict == Run {
+					r.Settle(ctx, call, &Answer{Status: 200})
+				}
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		if left := r.settler.count(); left > 0 {
+			t.Fatalf("%d of %d answers are not settled", left, calls)
+		}
+	})
+}
+
 // A node that stops settles its answers before it ends.
 func TestAnswersAreSettledAtShutdown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/recorder/settler.go
+++ b/recorder/settler.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/logger"
 )
 
 // settler keeps the ends of this node's attempts until the ledger has them.
@@ -18,12 +21,12 @@
 	wake chan struct{}
 }
 
-// settlePause is the time between two rounds of settling while the ledger
-// cannot be reached.
+// settlePause is the time between two tries of one end.
 const settlePause = time.Second
 
-// settleConcurrency bounds the ends that are settled at once.
-const settleConcurrency = 64
+// settleConcurrency bounds the ends that are being settled at once. Each waits
+// for the company of its page, about a second.
+const settleConcurrency = 1024
 
 func newSettler(r *Recorder) *settler {
 	return &settler{recorder: r, waiting: map[string][]*operation{}, wake: make(chan struct{}, 1)}
@@ -61,52 +64,77 @@
 
 // run settles until ctx ends, and then what is left for a bounded time.
 func (s *settler) run(ctx context.Context) error {
-	for {
-		left := s.round(ctx)
+	s.settleUntil(ctx, func() bool { return false })
+	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.recorder.options.DrainTimeout)
+	defer cancel()
+	s.settleUntil(own, func() bool { return s.count() == 0 })
+	if left := s.count(); left > 0 {
+		s.recorder.options.Log.Log(eventUnsettled, logger.Fields{"ends": left})
+	}
+	return nil
+}
+
+// settleUntil tries all waiting ends, each again after a pause, until ctx ends
+// or done tells so, and no try is under way.
+func (s *settler) settleUntil(ctx context.Context, done func() bool) {
+	ends := make(chan *operation, settleConcurrency)
+	// retries holds when an end that failed may be tried again, and the zero
+	// time while it is being tried.
+	retries := map[*operation]time.Time{}
+	trying := 0
+	for ctx.Err() == nil && !done() {
+		trying += s.start(ctx, retries, ends, settleConcurrency-trying)
 		pause := time.NewTimer(settlePause)
-		if left == 0 {
-			pause.Stop()
-		}
 		select {
 		case <-ctx.Done():
-			pause.Stop()
-			s.drain(ctx)
-			return nil
 		case <-s.wake:
-			pause.Stop()
 		case <-pause.C:
+		case op := <-ends:
+			trying--
+			s.ended(retries, op)
 		}
+		pause.Stop()
 	}
-}
-
-func (s *settler) drain(ctx context.Context) {
-	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.recorder.options.DrainTimeout)
-	defer cancel()
-	for s.round(own) > 0 {
-		if !sleep(own, settlePause) {
-			s.recorder.options.Log.Log(eventUnsettled, map[string]any{"ends": s.count()})
-			return
-		}
+	for ; trying > 0; trying-- {
+		<-ends
 	}
 }
 
-// round tries every waiting end once and returns how many are left.
-func (s *settler) round(ctx context.Context) int {
-	todo := s.todo()
-	slots := make(chan struct{}, settleConcurrency)
-	ends := make(chan struct{}, len(todo))
-	for _, op := range todo {
-		slots <- struct{}{}
+// start tries the ends that are due, at most a number of them, and returns how
+// many it started.
+func (s *settler) start(ctx context.Context, retries map[*operation]time.Time, ends chan<- *operation, most int) int {
+	started := 0
+	for _, op := range s.todo() {
+		if started == most {
+			break
+		}
+		retry, tried := retries[op]
+		if tried && (retry.IsZero() || time.Now().Before(retry)) {
+			continue
+		}
+		retries[op] = time.Time{}
+		started++
 		go func() {
 			s.settle(ctx, op)
-			<-slots
-			ends <- struct{}{}
+			ends <- op
 		}()
 	}
-	for range todo {
-		<-ends
+	return started
+}
+
+// ended schedules the next try of an end that is still waiting.
+func (s *settler) ended(retries map[*operation]time.Time, op *operation) {
+	if s.waits(op) {
+		retries[op] = time.Now().Add(settlePause)
+		return
 	}
-	return s.count()
+	delete(retries, op)
+}
+
+func (s *settler) waits(op *operation) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Contains(s.waiting[op.key.text], op)
 }
 
 func (s *settler) todo() []*operation {
