--- a/server/server.go
+++ b/server/server.go
@@ -16,10 +16,12 @@
 	"github.com/foxtailspool/foxtailspool/configurator"
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/excluder"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/orderer"
 	"github.com/foxtailspool/foxtailspool/prober"
 	"github.com/foxtailspool/foxtailspool/publisher"
 	"github.com/foxtailspool/foxtailspool/receiver"
@@ -27,6 +29,7 @@
 	"github.com/foxtailspool/foxtailspool/router"
 	"github.com/foxtailspool/foxtailspool/storer"
 	"github.com/foxtailspool/foxtailspool/supervisor"
+	"github.com/foxtailspool/foxtailspool/tabulator"
 	"github.com/foxtailspool/foxtailspool/tracer"
 )
 
@@ -68,6 +71,8 @@
 	recorder   *recorder.Recorder
 	isolator   *isolator.Isolator
 	invoker    *invoker.Invoker
+	excluder   *excluder.Excluder
+	orderer    *orderer.Orderer
 	router     *router.Router
 	addresser  *addresser.Addresser
 }
@@ -88,6 +93,8 @@
 	nameDispatcher = "dispatcher"
 	nameRecorder   = "recorder"
 	nameIsolator   = "isolator"
+	nameExcluder   = "excluder"
+	nameOrderer    = "orderer"
 	nameRouter     = "router"
 	namePeers      = "peers-listener"
 	nameCallers    = "callers-listener"
@@ -107,6 +114,7 @@
 	s.newMembership()
 	s.newConfiguration()
 	s.newPlacement()
+	s.newOrders()
 	s.newLedger()
 	s.newRouter()
 	s.register()
@@ -191,6 +199,8 @@
 	s.supervisor.Register(nameProber, s.prober)
 	s.supervisor.Register(namePublisher, s.publisher)
 	s.supervisor.Register(nameIsolator, s.isolator)
+	s.supervisor.Register(nameExcluder, s.excluder)
+	s.supervisor.Register(nameOrderer, s.orderer)
 	s.supervisor.Register(nameDispatcher, s.dispatcher)
 	s.supervisor.Register(nameRecorder, s.recorder)
 	s.supervisor.Register(nameRouter, s.router)
@@ -220,6 +230,11 @@
 	})
 }
 
+// Snapshot returns the configuration in force, or nil before the first.
+func (s *Server) Snapshot() *tabulator.Snapshot {
+	return s.publisher.Snapshot()
+}
+
 // Configuration returns the number of the configuration in force, or zero.
 func (s *Server) Configuration() identifier.Configuration {
 	if snapshot := s.publisher.Snapshot(); snapshot != nil {
