Answer callers in turn, with places for other data centres

Ruled out: weighing by reported load, which lags and sends all callers to the same node. Change: each node goes through the members in an order of its own, one further at each answer; two of eight places go to other data centres; suspects last.

--- a/addresser/addresser.go
+++ b/addresser/addresser.go
@@ -4,10 +4,13 @@
 package addresser
 
 import (
-	"math/rand/v2"
+	"cmp"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
@@ -31,19 +34,48 @@
 	defaultLimit = 8
 )
 
+// farEntries is how many addresses of an answer lie in other data centres, where
+// there are any, so that a kept answer outlives the near data centre.
+const farEntries = 2
+
 // Addresser makes the answers.
 type Addresser struct {
 	options Options
+	// answered counts the answers; each starts one member later than the last.
+	answered atomic.Uint64
+	// latest is the order of the last view that was answered from, or nil.
+	latest atomic.Pointer[order]
+}
+
+// order holds the members of a view in an order that each answering node has for
+// itself, so that the callers of a member that fails spread over all others. It
+// is immutable.
+type order struct {
+	view    *assigner.View
+	members []assigner.Member
+}
+
+func (a *Addresser) order() *order {
+	view := a.options.View()
+	if latest := a.latest.Load(); latest != nil && latest.view == view {
+		return latest
+	}
+	ordered := &order{view: view, members: slices.Clone(view.Members)}
+	slices.SortFunc(ordered.members, func(x, y assigner.Member) int {
+		return cmp.Compare(position(view.Self.Node, x.Node), position(view.Self.Node, y.Node))
+	})
+	a.latest.Store(ordered)
+	return ordered
+}
+
+func position(self, member identifier.Node) uint64 {
+	return xxhash.Sum64String(string(self) + "/" + string(member))
 }
 
 // New returns an addresser.
 func New(options Options) *Addresser {
-	if options.Keep == 0 {
-		options.Keep = defaultKeep
-	}
-	if options.Limit == 0 {
-		options.Limit = defaultLimit
-	}
+	options.Keep = cmp.Or(options.Keep, defaultKeep)
+	options.Limit = cmp.Or(options.Limit, defaultLimit)
 	return &Addresser{options: options}
 }
 
@@ -55,41 +87,50 @@
 
 // Answer lists addresses in the order in which a caller should try them.
 type Answer struct {
-	// Entries is not empty, since a node always knows itself, unless this node
-	// is leaving and alone.
+	// Entries holds no address of a leaving or dead member. It is empty only
+	// where all live members are leaving.
 	Entries []Entry
-	Keep    time.Duration
+	// Keep is how long the caller may use the answer.
+	Keep time.Duration
 }
 
 // Answer chooses addresses for a caller in or near a data centre; the empty
-// name stands for the node's own.
+// name stands for the node's own. Members of that data centre come first, then
+// others, then suspects.
 func (a *Addresser) Answer(near identifier.DataCentre) Answer {
-	if near == "" {
-		near = a.options.DataCentre
+	near = cmp.Or(near, a.options.DataCentre)
+	var local, far, suspects []assigner.Member
+	for _, member := range a.order().members {
+		switch {
+		case member.State == assigner.Suspect:
+			suspects = append(suspects, member)
+		case member.State != assigner.Alive:
+		case member.DataCentre == near:
+			local = append(local, member)
+		default:
+			far = append(far, member)
+		}
 	}
-	members := a.options.View().Live()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	slices.SortStableFunc(members, func(x, y assigner.Member) int {
-		return preference(x, near) - preference(y, near)
-	})
+	turn := a.answered.Add(1)
+	rotate(turn, local)
+	rotate(turn, far)
+	rotate(turn, suspects)
+	room := a.options.Limit - min(len(far), farEntries, a.options.Limit-1)
+	chosen := slices.Concat(local[:min(len(local), room)], far, suspects)
 	answer := Answer{Keep: a.options.Keep}
-	for _, member := range members {
-		if member.State == assigner.Leaving || len(answer.Entries) == a.options.Limit {
-			continue
-		}
+	for _, member := range chosen[:min(len(chosen), a.options.Limit)] {
 		answer.Entries = append(answer.Entries, Entry{member.Callers, member.DataCentre})
 	}
 	return answer
 }
 
-// preference is smaller for members that callers should try earlier.
-func preference(m assigner.Member, near identifier.DataCentre) int {
-	switch {
-	case m.State == assigner.Suspect:
-		return 2
-	case m.DataCentre != near:
-		return 1
-	default:
-		return 0
+// rotate starts members one later at each turn, so that callers spread evenly.
+func rotate(turn uint64, members []assigner.Member) {
+	if len(members) == 0 {
+		return
 	}
+	start := int(turn % uint64(len(members)))
+	slices.Reverse(members[:start])
+	slices.Reverse(members[start:])
+	slices.Reverse(members)
 }
--- /dev/null
+++ b/assigner/assigner_test.go
@@ -0,0 +1,65 @@
+package assigner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+func drawView(t *rapid.T) *assigner.View {
+	view := &assigner.View{Suspended: rapid.Bool().Draw(t, "suspended")}
+	states := []assigner.State{assigner.Alive, assigner.Suspect, assigner.Leaving, assigner.Dead}
+	for i := range rapid.IntRange(1, 9).Draw(t, "nodes") {
+		view.Members = append(view.Members, assigner.Member{
+			Node:       identifier.Node(fmt.Sprint("n", i)),
+			DataCentre: identifier.DataCentre(fmt.Sprint("dc", i%3)),
+			State:      rapid.SampledFrom(states).Draw(t, "state"),
+		})
+	}
+	view.Self = view.Members[0]
+	return view
+}
+
+// TestOwner checks that owners may own, that Ranked begins with the owner, and
+// that only the shards of a member that goes are moved.
+func TestOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := drawView(t)
+		shard := rapid.StringMatching("[a-z]{1,4}").Draw(t, "shard")
+		owner := view.Owner(shard)
+		ranked := view.Ranked(shard, len(view.Members))
+		if len(ranked) == 0 {
+			if owner.Node != view.Self.Node {
+				t.Fatalf("%s owns although none may", owner.Node)
+			}
+			return
+		}
+		if ranked[0].Node != owner.Node || view.Owns(shard) != (owner.Node == view.Self.Node) {
+			t.Fatalf("owner %s, ranked %v", owner.Node, ranked)
+		}
+		if view.Suspended && owner.Node == view.Self.Node {
+			t.Fatal("a suspended node owns")
+		}
+		without := &assigner.View{Self: view.Self, Suspended: view.Suspended}
+		gone := ranked[len(ranked)-1].Node
+		for _, member := range view.Members {
+			if member.Node != gone {
+				without.Members = append(without.Members, member)
+			}
+		}
+		if len(ranked) > 1 && without.Owner(shard).Node != owner.Node {
+			t.Fatalf("%s lost its shard because %s went", owner.Node, gone)
+		}
+		inside := view.OwnerIn("dc1", shard)
+		if inside.DataCentre != "dc1" && inside.Node != owner.Node {
+			t.Fatalf("%s of %s owns in dc1", inside.Node, inside.DataCentre)
+		}
+		if found, ok := view.Find(owner.Node); !ok || found != owner {
+			t.Fatalf("found %v, %v", found, ok)
+		}
+	})
+}
--- a/prober/service.go
+++ b/prober/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,7 +132,7 @@
 func (p *Prober) carryOut(out output) {
 	for _, n := range out.notes {
 		p.options.Log.Log(n.event, n.fields)
-		p.options.Scope.Tagged(map[string]string{"event": n.event.Message}).Counter("membership-events").Inc(1)
+		p.options.Scope.Tagged(map[string]string{"event": strconv.Itoa(n.event.Number)}).Counter("membership-events").Inc(1)
 	}
 	for _, r := range out.heard {
 		p.deliver(r)
