--- a/cmd/catalogue_test.go
+++ b/cmd/catalogue_test.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"github.com/foxtailspool/foxtailspool/logger"
+	// The server does not use orders to engines yet.
+	_ "github.com/foxtailspool/foxtailspool/orderer"
 )
 
 const eventsPage = "../docs/EVENTS.md"
