Prove freed memory by long answers, and a part of the matrix on real processes

Seven scenarios on real processes with SIGKILL, SIGSTOP and a long store outage in which every node is replaced.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,7 @@
 # Compares the placement policy with its baselines in virtual time; needs only Go.
 measure:
 	$(GO) run ./measurer/foxtailspool-measure
+
+# Proves every cell of the fault matrix and prints a row for each.
+matrix:
+	$(GO) test -count=1 -v -run 'TestMatrix|TestKeys|TestProcesses' ./prover | grep -vE '^ *(===|---) |"event":|^ *(fleet|\S+_test)\.go:.* ended: '
--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -48,11 +48,16 @@
 	} `json:"error"`
 }
 
-// complete streams a model request through a node. onToken, if set, runs after
-// each token.
+// complete streams a model request through a node.
 func (f *fleet) complete(ctx context.Context, n *node, c completion, onToken func(offset int)) answer {
+	return complete(ctx, f.caller, address(n), c, onToken)
+}
+
+// complete streams a model request through the node at an address. onToken, if
+// set, runs after each token.
+func complete(ctx context.Context, client *http.Client, to string, c completion, onToken func(offset int)) answer {
 	body, _ := json.Marshal(map[string]any{"model": "bitacoras", "prompt": c.prompt, "max_tokens": c.tokens, "stream": true})
-	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(n)+"/v1/completions", strings.NewReader(string(body)))
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/v1/completions", strings.NewReader(string(body)))
 	if c.id != "" {
 		request.Header.Set("X-Request-Id", c.id)
 	}
@@ -62,7 +67,7 @@
 	if c.account != "" {
 		request.Header.Set("X-Account", c.account)
 	}
-	response, err := f.caller.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err, first: c.after}
 	}
@@ -130,22 +135,26 @@
 
 // book sends a booking, which may not be repeated.
 func (f *fleet) book(ctx context.Context, n *node, key, body string, first bool) answer {
-	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(n)+"/bookings", strings.NewReader(body))
+	return book(ctx, f.caller, address(n), key, body, first)
+}
+
+func book(ctx context.Context, client *http.Client, to, key, body string, first bool) answer {
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/bookings", strings.NewReader(body))
 	request.Header.Set("Idempotency-Key", key)
 	if first {
 		request.Header.Set("Idempotency-Key-First", "true")
 	}
-	return f.do(request)
+	return do(client, request)
 }
 
 // lookUp sends an idempotent look-up.
 func (f *fleet) lookUp(ctx context.Context, n *node) answer {
 	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address(n)+"/history/17", nil)
-	return f.do(request)
+	return do(f.caller, request)
 }
 
-func (f *fleet) do(request *http.Request) answer {
-	response, err := f.caller.Do(request)
+func do(client *http.Client, request *http.Request) answer {
+	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -182,7 +191,7 @@
 func (f *fleet) entries(t *testing.T, n *node) []string {
 	t.Helper()
 	request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address(n)+"/v1/entries", nil)
-	got := f.do(request)
+	got := do(f.caller, request)
 	var body struct {
 		Entries []struct {
 			Address string `json:"address"`
--- a/prover/model_test.go
+++ b/prover/model_test.go
@@ -85,8 +85,7 @@
 		}
 	}},
 	{"caller-cancels", func(r *trial) {
-		r.away = true
-		r.leave()
+		r.goAway()
 	}},
 	{"caller-cut-off", func(r *trial) { r.leave() }},
 	{"store-down", func(r *trial) { r.f.platform.SetFaults(emulator.PlatformFaults{Down: emulator.DownHanging}) }},
@@ -102,10 +101,29 @@
 				fault.strike(r)
 				r.check(t)
 			})
+			if step.name == "finish" {
+				continue
+			}
+			// The answer would take minutes, so that only a cancel frees its memory.
+			add("memory-freed", fault.name, step.name, func(t *testing.T, f *fleet) {
+				r := f.try(t, completion{id: "report-1", prompt: longPrompt, tokens: 4000})
+				f.waitFor(step.name, func() bool { return r.over() || step.reached(r) })
+				fault.strike(r)
+				r.goAway()
+				r.check(t)
+			})
 		}
 	}
 }
 
+// goAway ends the caller's connection for good.
+func (r *trial) goAway() {
+	r.mutex.Lock()
+	r.away = true
+	r.mutex.Unlock()
+	r.leave()
+}
+
 // try sends a request and lets its caller insist on the whole answer.
 func (f *fleet) try(t *testing.T, request completion) *trial {
 	ctx, cancel := context.WithCancel(t.Context())
--- /dev/null
+++ b/prover/processes_test.go
@@ -0,0 +1,278 @@
+package prover
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/administrator"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// processWait bounds the wait for any condition on real processes. It is no
+// target: a loaded machine is slow.
+const processWait = 90 * time.Second
+
+// processFleet is a deployment of real processes on loopback.
+type processFleet struct {
+	t         *testing.T
+	directory string
+	client    *http.Client
+	// nodes, prefills and decodes are in the order of their names.
+	nodes             []*processNode
+	prefills, decodes []*processNode
+	platform, service *processNode
+	pools             tabulator.Pools
+	routes            tabulator.Routes
+}
+
+// processNode is one process, a node's or a stand-in's.
+type processNode struct {
+	name      string
+	arguments []string
+	program   string
+	// callers, peers and operators are a node's listeners; a stand-in has only
+	// the first.
+	callers, peers, operators string
+	command                   *exec.Cmd
+}
+
+func newProcessFleet(t *testing.T) *processFleet {
+	f := &processFleet{t: t, directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
+	f.build()
+	f.platform = f.standin("platform", "platform")
+	f.service = f.standin("desk-1", "service", "--delay", "300ms")
+	for i := range 2 {
+		f.prefills = append(f.prefills, f.engine(fmt.Sprintf("prefill-%d", i+1)))
+		f.decodes = append(f.decodes, f.engine(fmt.Sprintf("decode-%d", i+1)))
+	}
+	for i := range 3 {
+		f.nodes = append(f.nodes, &processNode{
+			name: fmt.Sprintf("node-%d", i+1), callers: freeAddress(t), peers: freeAddress(t), operators: freeAddress(t),
+		})
+	}
+	for _, n := range f.nodes {
+		f.configure(n)
+		f.start(n)
+	}
+	f.waitFor("nodes answer", func() bool { return f.allAnswer() })
+	f.setTables()
+	return f
+}
+
+// build builds the programs once for the fleet.
+func (f *processFleet) build() {
+	command := exec.CommandContext(f.t.Context(), "go", "build", "-o", f.directory, "..", "../standin/foxtailspool-standin")
+	if out, err := command.CombinedOutput(); err != nil {
+		f.t.Fatalf("build: %v\n%s", err, out)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	var listening net.ListenConfig
+	listener, err := listening.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (f *processFleet) standin(name string, arguments ...string) *processNode {
+	address := freeAddress(f.t)
+	n := &processNode{
+		name: name, callers: address, program: "foxtailspool-standin",
+		arguments: append(arguments, "--listen", address),
+	}
+	f.start(n)
+	return n
+}
+
+func (f *processFleet) engine(name string) *processNode {
+	return f.standin(name, "engine", "--name", name, "--pieces", "400", "--token-time", "40ms", "--prefill-rate", "8000", "--evict", "5s")
+}
+
+// configure writes a node's settings.
+func (f *processFleet) configure(n *processNode) {
+	var seeds []string
+	for _, other := range f.nodes {
+		seeds = append(seeds, fmt.Sprintf("%q", other.peers))
+	}
+	text := fmt.Sprintf("[node]\nname = %q\ndata-centre = \"south\"\n[callers]\nlisten = %q\n[peers]\nlisten = %q\n"+
+		"[operators]\nlisten = %q\n[platform]\nurl = \"http://%s\"\n[membership]\nseeds = [%s]\n[drain]\nentry-keep-time = \"1s\"\n"+
+		"[backends]\nprogress-timeout = \"3s\"\n",
+		n.name, n.callers, n.peers, n.operators, f.platform.callers, strings.Join(seeds, ", "))
+	path := filepath.Join(f.directory, n.name+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	n.program, n.arguments = "foxtailspool", []string{"serve", path}
+}
+
+// start starts a process and ends it with the test.
+func (f *processFleet) start(n *processNode) {
+	command := exec.CommandContext(context.Background(), filepath.Join(f.directory, n.program), n.arguments...)
+	log, err := os.OpenFile(filepath.Join(f.directory, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	n.command = command
+	f.t.Cleanup(func() {
+		f.end(command)
+		_ = log.Close()
+	})
+}
+
+// end kills a process of the fleet and waits for it.
+func (f *processFleet) end(command *exec.Cmd) {
+	_ = command.Process.Signal(syscall.SIGCONT)
+	if err := command.Process.Kill(); errors.Is(err, os.ErrProcessDone) {
+		return
+	}
+	_ = command.Wait()
+}
+
+// kill ends a process at once, restart starts it again.
+func (f *processFleet) kill(n *processNode) { f.end(n.command) }
+
+func (f *processFleet) restart(n *processNode) {
+	f.kill(n)
+	f.start(n)
+}
+
+// freeze stops a process, and lets it go on later.
+func (f *processFleet) freeze(n *processNode, span time.Duration) {
+	process := n.command.Process
+	_ = process.Signal(syscall.SIGSTOP)
+	timer := time.AfterFunc(span, func() { _ = process.Signal(syscall.SIGCONT) })
+	f.t.Cleanup(func() { timer.Stop() })
+}
+
+// waitFor asks until a condition holds.
+func (f *processFleet) waitFor(what string, holds func() bool) {
+	f.t.Helper()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	timeout := time.After(processWait)
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-timeout:
+			f.t.Fatalf("waited in vain for: %s", what)
+		}
+	}
+}
+
+// get reads a JSON answer and tells whether there was one.
+func get[T any](f *processFleet, url string) (T, bool) {
+	var answer T
+	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return answer, json.NewDecoder(response.Body).Decode(&answer) == nil && response.StatusCode == http.StatusOK
+}
+
+func (f *processFleet) status(n *processNode) administrator.Status {
+	status, _ := get[administrator.Status](f, "http://"+n.operators+"/v1/status")
+	return status
+}
+
+func (f *processFleet) allAnswer() bool {
+	for _, n := range f.nodes {
+		if f.status(n).Node == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// allHold tells whether every node has at least the given configuration.
+func (f *processFleet) allHold(number identifier.Configuration) bool {
+	for _, n := range f.nodes {
+		if f.status(n).Configuration < number {
+			return false
+		}
+	}
+	return true
+}
+
+// setTables brings the first tables into force.
+func (f *processFleet) setTables() {
+	models := tabulator.Pool{Name: "summariser", Kind: tabulator.Models, PieceTokens: 16, KVBytesPerToken: 1 << 10, LesserShare: 0.2, QueueLimit: 64}
+	add := func(role identifier.Role, engines []*processNode) {
+		for _, engine := range engines {
+			models.Members = append(models.Members, tabulator.Member{
+				Name: identifier.Member(engine.name), Address: identifier.Address(engine.callers), DataCentre: "south",
+				Role: role, Pieces: 400, PrefillRate: 8000, LinkRate: 1 << 30, ChecksFencing: true,
+			})
+		}
+	}
+	add(identifier.Prefill, f.prefills)
+	add(identifier.Decode, f.decodes)
+	f.pools = tabulator.Pools{Pools: []tabulator.Pool{models, {
+		Name: "desk", Kind: tabulator.Services,
+		Members: []tabulator.Member{{Name: "desk-1", Address: identifier.Address(f.service.callers), Role: identifier.Service}},
+	}}}
+	f.routes = tabulator.Routes{Routes: []tabulator.Route{
+		{Name: "weekly", Model: "bitacoras", Pool: "summariser", Rank: identifier.Lesser, FirstToken: seconds(20), BetweenTokens: seconds(2), Timeout: seconds(120)},
+		{Name: "booking", Path: "/bookings", Pool: "desk", Rank: identifier.Urgent, Timeout: seconds(10)},
+	}}
+	number := f.apply(f.nodes[0], administrator.Edit{Routes: &f.routes, Pools: &f.pools})
+	f.waitFor("the first tables in force", func() bool { return f.allHold(number) })
+}
+
+// apply edits the tables through a node until that is accepted.
+func (f *processFleet) apply(n *processNode, edit administrator.Edit) identifier.Configuration {
+	f.t.Helper()
+	client := administrator.NewClient(administrator.ClientOptions{URL: "http://" + n.operators, Transport: f.client.Transport, Timeout: 30 * time.Second})
+	var accepted administrator.Accepted
+	f.waitFor("an edit accepted", func() bool {
+		var err error
+		accepted, err = client.Apply(f.t.Context(), edit)
+		return err == nil
+	})
+	return accepted.Configuration
+}
+
+// faults sets the faults of the platform.
+func (f *processFleet) faults(body string) {
+	request, _ := http.NewRequestWithContext(f.t.Context(), http.MethodPut, "http://"+f.platform.callers+"/faults", strings.NewReader(body))
+	response, err := f.client.Do(request)
+	if err != nil || response.StatusCode >= http.StatusBadRequest {
+		f.t.Fatalf("faults: %v %v", response, err)
+	}
+	_ = response.Body.Close()
+}
+
+// allFree tells whether no engine reports memory in use.
+func (f *processFleet) allFree() bool {
+	for _, engine := range append(append([]*processNode(nil), f.prefills...), f.decodes...) {
+		load, ok := get[struct {
+			Free int `json:"pieces_free"`
+		}](f, "http://"+engine.callers+"/v1/load")
+		if !ok || load.Free != 400 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/prover/real_test.go
@@ -0,0 +1,157 @@
+package prover
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/foxtailspool/foxtailspool/administrator"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// TestProcesses proves a part of the matrix on real processes, with real kills
+// and pauses, on loopback. It waits on conditions only.
+func TestProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	strikes := []struct {
+		name   string
+		strike func(f *processFleet)
+	}{
+		{"entry-killed", func(f *processFleet) { f.kill(f.nodes[0]) }},
+		{"entry-paused", func(f *processFleet) { f.freeze(f.nodes[0], 12*time.Second) }},
+		{"other-paused", func(f *processFleet) { f.freeze(f.nodes[1], 12*time.Second) }},
+		{"decodes-crash", func(f *processFleet) { f.restart(f.decodes[0]) }},
+		{"store-killed", func(f *processFleet) { f.kill(f.platform) }},
+	}
+	for _, s := range strikes {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			f := newProcessFleet(t)
+			f.streamThrough(t, s.strike)
+		})
+	}
+	t.Run("booking-and-entry-killed", func(t *testing.T) {
+		t.Parallel()
+		bookThroughKill(t, newProcessFleet(t))
+	})
+	t.Run("long-store-outage", func(t *testing.T) {
+		t.Parallel()
+		longOutage(t, newProcessFleet(t))
+	})
+}
+
+// streamThrough strikes in mid-stream: the caller comes back through the other
+// nodes and has the whole answer in the end, and all engine memory is free.
+func (f *processFleet) streamThrough(t *testing.T, strike func(f *processFleet)) {
+	request := completion{id: "report-1", prompt: longPrompt, tokens: 150}
+	var tokens []string
+	struck, whole := false, false
+	for turn := 0; turn < 40 && !whole; turn++ {
+		ctx, cancel := context.WithCancel(t.Context())
+		silent := time.AfterFunc(patience, cancel)
+		request.after, request.resent = len(tokens), turn > 0
+		got := complete(ctx, f.client, f.nodes[turn%len(f.nodes)].callers, request, func(offset int) {
+			silent.Reset(patience)
+			if offset >= 30 && !struck {
+				struck = true
+				strike(f)
+			}
+		})
+		silent.Stop()
+		cancel()
+		tokens = append(tokens, got.tokens...)
+		whole = got.whole
+		if !whole {
+			f.waitFor("another try", oneSecondLater())
+		}
+	}
+	if text := (answer{tokens: tokens}).text(); !whole || text != expected(request) {
+		t.Errorf("got %d tokens, whole %v", len(tokens), whole)
+	}
+	f.waitFor("all engine memory free", f.allFree)
+}
+
+// oneSecondLater is a condition that holds a second from now: a caller's pause
+// between two tries, which proves nothing by itself.
+func oneSecondLater() func() bool {
+	then := time.Now().Add(time.Second)
+	return func() bool { return time.Now().After(then) }
+}
+
+// bookThroughKill kills the node under a booking while the service executes it:
+// resends through the others never execute it again.
+func bookThroughKill(t *testing.T, f *processFleet) {
+	key := uuid.Must(uuid.NewV7()).String()
+	first := make(chan answer, 1)
+	go func() { first <- book(t.Context(), f.client, f.nodes[0].callers, key, "visit", true) }()
+	executed := func() bool {
+		counts, ok := get[map[string]int](f, "http://"+f.service.callers+"/counts")
+		return ok && counts[key] > 0
+	}
+	f.waitFor("the execution", executed)
+	f.kill(f.nodes[0])
+	if got := <-first; got.outcome == "not-run" {
+		t.Errorf("the killed node's caller was told %+v", got)
+	}
+	for _, n := range []*processNode{f.nodes[1], f.nodes[2], f.nodes[1]} {
+		if got := book(t.Context(), f.client, n.callers, key, "visit", false); got.outcome == "not-run" {
+			t.Errorf("a resend was told %+v", got)
+		}
+	}
+	counts, _ := get[map[string]int](f, "http://"+f.service.callers+"/counts")
+	if counts[key] != 1 {
+		t.Errorf("executed %d times", counts[key])
+	}
+}
+
+// longOutage edits a table, takes the store away, replaces every node during
+// the outage, brings the store back and edits again: what was accepted before
+// is in force all the time, and nothing reverts.
+func longOutage(t *testing.T, f *processFleet) {
+	before := f.editTarget(21)
+	f.waitFor("the edit in force", func() bool { return f.allHold(before) })
+	f.faults(`{"down":"hanging"}`)
+	for _, n := range f.nodes {
+		f.restart(n)
+		f.waitFor(n.name+" holds the edit again", func() bool { return f.status(n).Configuration >= before })
+		if got := f.targetAt(n); got != seconds(21) {
+			t.Errorf("%s came back with a target of %v", n.name, time.Duration(got))
+		}
+	}
+	request := completion{prompt: "humidity log", tokens: 5}
+	f.waitFor("service during the outage", func() bool {
+		return complete(t.Context(), f.client, f.nodes[0].callers, request, nil).whole
+	})
+	f.faults(`{}`)
+	after := f.editTarget(22)
+	f.waitFor("the later edit in force", func() bool { return f.allHold(after) })
+	if after <= before {
+		t.Errorf("the later edit got number %d after %d", after, before)
+	}
+	for _, n := range f.nodes {
+		if got := f.targetAt(n); got != seconds(22) {
+			t.Errorf("%s holds a target of %v after the outage", n.name, time.Duration(got))
+		}
+	}
+}
+
+// editTarget changes the first route's target through the first node.
+func (f *processFleet) editTarget(target int) identifier.Configuration {
+	routes := tabulator.Routes{Routes: append([]tabulator.Route(nil), f.routes.Routes...)}
+	routes.Routes[0].FirstToken = seconds(target)
+	return f.apply(f.nodes[0], administrator.Edit{Routes: &routes})
+}
+
+// targetAt reads the first route's target in force at a node.
+func (f *processFleet) targetAt(n *processNode) tabulator.Duration {
+	tables, ok := get[administrator.Tables](f, "http://"+n.operators+"/v1/tables")
+	if !ok {
+		return 0
+	}
+	return tables.Routes.Routes[0].FirstToken
+}
