--- a/connector/transport.go
+++ b/connector/transport.go
@@ -102,3 +102,19 @@
 	request.URL.Scheme = "https"
 	return t.next.RoundTrip(request)
 }
+
+// CloseIdleConnections closes the kept connections of the transport below.
+func (t secureTransport) CloseIdleConnections() {
+	closeIdle(t.next)
+}
+
+// CloseIdleConnections closes the kept connections of the transport below.
+func (t progressTransport) CloseIdleConnections() {
+	closeIdle(t.next)
+}
+
+func closeIdle(transport http.RoundTripper) {
+	if closer, ok := transport.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
