--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -64,9 +64,11 @@
 			}
 			results := Measure(setting, scenario, dispatcher, seeds)
 			writeRow(output, dispatcher.Name, results)
+			over := overBest(results, best)
+			_, _ = fmt.Fprintf(output, "goodput over the best baseline %s\n", spreadOf(over, goodput))
 			if scenario.load >= ratioLoad && scenario.prefill == 0 {
-				for seed, result := range results {
-					ratios = append(ratios, result.Goodput/best[seed])
+				for _, ratio := range over {
+					ratios = append(ratios, ratio.Goodput)
 				}
 			}
 		}
@@ -79,6 +81,24 @@
 // goodput ratio.
 const ratioLoad = 0.95
 
+func goodput(r Result) float64 { return r.Goodput }
+
+// overBest divides the goodput of each seed by the best baseline's. Seeds in
+// which every baseline collapsed are left out.
+func overBest(results []Result, best []float64) []Result {
+	var ratios []Result
+	for seed, result := range results {
+		if best[seed] >= collapsed {
+			ratios = append(ratios, Result{Goodput: result.Goodput / best[seed]})
+		}
+	}
+	return ratios
+}
+
+// collapsed is the goodput a second below which a baseline serves nothing to
+// speak of.
+const collapsed = 0.5
+
 // better keeps the best goodput of each seed.
 func better(best []float64, results []Result) []float64 {
 	if best == nil {
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -99,18 +99,27 @@
 }
 
 // spread is the median, the least and the largest of several seeds.
-type spread struct{ median, least, most float64 }
+type spread struct {
+	seeds               int
+	median, least, most float64
+}
 
 func spreadOf(results []Result, value func(Result) float64) spread {
 	values := make([]float64, 0, len(results))
 	for _, result := range results {
 		values = append(values, value(result))
 	}
+	if len(values) == 0 {
+		return spread{}
+	}
 	sort.Float64s(values)
-	return spread{values[len(values)/2], values[0], values[len(values)-1]}
+	return spread{len(values), values[len(values)/2], values[0], values[len(values)-1]}
 }
 
 func (s spread) String() string {
+	if s.seeds == 0 {
+		return "    -"
+	}
 	return fmt.Sprintf("%5.2f [%4.2f-%4.2f]", s.median, s.least, s.most)
 }
 
@@ -121,7 +130,7 @@
 }
 
 var columns = []column{
-	{"goodput/s", func(r Result) float64 { return r.Goodput }},
+	{"goodput/s", goodput},
 	{"urgent-good", func(r Result) float64 { return r.Good[identifier.Urgent] }},
 	{"lesser-good", func(r Result) float64 { return r.Good[identifier.Lesser] }},
 	{"others-good", func(r Result) float64 { return r.Others }},
