Decide ends by the latest page

Cause: an owner that held a page from before a claim, which another node had written while the owner could not be reached, took the end of that call for one of an unknown key and dropped it: the answer was lost and resends waited for good.

Change: a batch that changes nothing on a page seen before it began reads the page again, but for what never changes and, for a second, for telling that a call runs. The memory of bound keys also waits out the skew before it forgets a key, in case its clock is set back.

Run: TestEndAtAnOwnerWithAnOldPage failed before with "verdict running, want answered" and passes; go test -race ./recorder passes.

--- a/recorder/bound.go
+++ b/recorder/bound.go
@@ -55,7 +55,8 @@
 	}
 	b.swept = time.Now()
 	for text, issued := range b.issued {
-		if time.Since(issued) > b.options.Window {
+		// The skew is waited out in case this clock is set back.
+		if time.Since(issued) > b.options.Window+b.options.ClockSkew {
 			delete(b.issued, text)
 			delete(b.page.Entries, text)
 		}
--- a/recorder/committer.go
+++ b/recorder/committer.go
@@ -15,6 +15,8 @@
 	recorder *Recorder
 	// bucket belongs to the committer until its commit returns.
 	bucket *bucket
+	// began is when the batch was taken.
+	began time.Time
 }
 
 // The pauses between the tries of one batch.
@@ -149,7 +151,7 @@
 
 // refresh reads the object unless what is known of it will do.
 func (c *committer) refresh(ctx context.Context, p *part, batch []*operation) error {
-	if p.page != nil && (time.Since(p.seen) < stalePage || !c.tellsRunning(p.page, batch)) {
+	if p.page != nil && !c.mustRead(p, batch) {
 		return nil
 	}
 	object, err := c.recorder.options.Store.Get(ctx, storer.KindLedger, p.name)
@@ -169,18 +171,42 @@
 	return nil
 }
 
-// tellsRunning tells whether an operation would be answered with a started
-// entry, which another owner may have ended since.
-func (c *committer) tellsRunning(seen *page, batch []*operation) bool {
-	for _, op := range batch {
-		current := seen.Entries[op.key.text]
-		if op.waits() && current != nil && current.State == started {
+// mustRead tells whether a page that was seen before the batch is too old for
+// it: another owner may have written since. A write of the batch itself proves
+// the page to be the latest. Without one an old page will do for what never
+// changes again and, for a time, for telling that a call runs.
+func (c *committer) mustRead(p *part, batch []*operation) bool {
+	if p.seen.After(c.began) {
+		return false
+	}
+	_, effects, changed := c.applyAll(p.page, batch)
+	if changed {
+		return false
+	}
+	for i, op := range batch {
+		if !effects[i].elsewhere && c.mayHaveChanged(p, op) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayHaveChanged tells whether an operation that changes nothing on an old page
+// might do so on the latest.
+func (c *committer) mayHaveChanged(p *part, op *operation) bool {
+	current := p.page.Entries[op.key.text]
+	switch {
+	case current == nil:
+		return true
+	case current.State == answered, current.State == lost, current.State == sealed:
+		return false
+	case op.waits() && current.State == started:
+		return time.Since(p.seen) >= stalePage
+	default:
+		return true
+	}
+}
+
 // write replaces the object on condition that it is as it was last seen.
 func (c *committer) write(ctx context.Context, p *part, next *page) error {
 	spec, err := next.encode()
--- a/recorder/loop.go
+++ b/recorder/loop.go
@@ -149,7 +149,7 @@
 	batch := b.pending
 	b.pending, b.busy = nil, true
 	l.busy++
-	c := &committer{recorder: l.recorder, bucket: b}
+	c := &committer{recorder: l.recorder, bucket: b, began: time.Now()}
 	go func() {
 		// A batch that has begun is finished also when the node stops.
 		own, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.recorder.options.CommitTimeout)
--- a/recorder/service_test.go
+++ b/recorder/service_test.go
@@ -131,6 +131,45 @@
 	})
 }
 
+// The owner's page is older than the claim, which another node wrote: the end
+// of the call must not be dropped because the page does not show the claim.
+func TestEndAtAnOwnerWithAnOldPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, a, b := pair(t, newFakeStore())
+		ctx := context.Background()
+		r1, r2 := samePlace(t, b)
+		expect(t, b.Claim(ctx, callOf(r1, 1, "b")), Run)
+		f.cut["b"] = true
+		expect(t, a.Claim(ctx, callOf(r2, 1, "a")), Run)
+		f.cut["b"] = false
+		a.Settle(ctx, callOf(r2, 1, "a"), &Answer{Status: 200})
+		time.Sleep(5 * time.Second)
+		expect(t, b.Claim(ctx, callOf(r2, 2, "b")), Answered)
+	})
+}
+
+// samePlace returns two keys of one page.
+func samePlace(t *testing.T, r *Recorder) (identifier.Key, identifier.Key) {
+	t.Helper()
+	known, ok := r.knownLayout(context.Background())
+	if !ok {
+		t.Fatal("no layout")
+	}
+	seen := map[place]identifier.Key{}
+	for n := 0; ; n++ {
+		key := newKey(n, 0)
+		parsed, err := parseKey(key, time.Time{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := parsed.place(known)
+		if other, taken := seen[at]; taken {
+			return other, key
+		}
+		seen[at] = key
+	}
+}
+
 func TestLossOfTheClaimingNode(t *testing.T) {
 	for name, after := range map[string]assigner.Member{
 		"dead":     memberOf("a", 1, assigner.Dead),
