Declare a member dead sooner when its address refuses connections

Ruled out: a shorter suspicion for all, since a hung or paused node would be declared dead before it could refute. It ranks between suspicion and death, so merging stays a maximum.

--- a/prober/contact.go
+++ b/prober/contact.go
@@ -40,6 +40,8 @@
 	stale bool
 	// pending counts the helpers that have not answered, for the method through.
 	pending int
+	// refused: every new connection so far was refused.
+	refused bool
 	// disregarded: this process stood still meanwhile, so a failure means nothing.
 	disregarded bool
 }
@@ -209,8 +211,9 @@
 	m.out.actions = append(m.out.actions, next)
 }
 
-// concluded takes the end of an exchange; the answer is nil when there was none.
-func (m *machine) concluded(now time.Time, id contactID, answer *message) {
+// concluded takes the end of an exchange.
+func (m *machine) concluded(now time.Time, id contactID, end ending) {
+	answer := end.answer
 	c, underWay := m.contacts[id]
 	if !underWay {
 		return
@@ -225,6 +228,7 @@
 		// answer of the one that was meant.
 		m.absorb(now, *answer)
 	}
+	c.refused = end.refused
 	m.failed(now, id)
 }
 
@@ -368,14 +372,15 @@
 }
 
 // probed takes a helper's finding about a target.
-func (m *machine) probed(now time.Time, id contactID, answered bool) {
+func (m *machine) probed(now time.Time, id contactID, found finding) {
 	c, underWay := m.contacts[id]
 	if !underWay {
 		return
 	}
 	c.pending--
+	c.refused = c.refused && found.refused
 	switch {
-	case answered:
+	case found.answered:
 		m.finish(id)
 	case c.pending == 0:
 		m.unreachable(now, id)
@@ -388,10 +393,13 @@
 	m.finish(id)
 	held := m.table.records[c.target.member.Node]
 	unchanged := held.compare(c.target) == 0
-	if c.disregarded || !unchanged || held.health != alive {
+	if c.disregarded || !unchanged || held.health == dead {
 		return
 	}
 	held.health = suspect
+	if c.refused {
+		held.health = refused
+	}
 	m.accept(now, held)
 	m.push(now)
 }
--- a/prober/events.go
+++ b/prober/events.go
@@ -18,6 +18,8 @@
 		"The node takes no new work and will end.")
 	eventSuspect = logger.Define(4004, logrus.WarnLevel, "member is suspected",
 		"Neither a kept nor a new connection nor other nodes reached it. It is dead unless it refutes this soon.")
+	eventRefusing = logger.Define(4012, logrus.WarnLevel, "member's address refuses connections",
+		"The process ended. It is dead unless a process at its address refutes this very soon.")
 	eventDead = logger.Define(4005, logrus.WarnLevel, "member is dead",
 		"The node ended or could not be reached for the suspicion time. Its shards have new owners.")
 	eventSilent = logger.Define(4006, logrus.WarnLevel, "kept connection went silent",
--- a/prober/fleet_test.go
+++ b/prober/fleet_test.go
@@ -148,37 +148,37 @@
 
 func (f *fleet) execute(node *fakeNode, a action) {
 	if a.method != through {
-		f.exchange(node, a.address, a.method, a.message, func(answer *message) {
-			f.at(node, func() { node.machine.concluded(f.now, a.contact, answer) })
+		f.exchange(node, a.address, a.method, a.message, func(end ending) {
+			f.at(node, func() { node.machine.concluded(f.now, a.contact, end) })
 		})
 		return
 	}
 	f.call(node, a.address, overKept, 2*f.options.Timeout, func(helper *fakeNode, answer func(func())) {
 		question := helper.machine.assist(f.now, a.target.member.Node)
-		f.exchange(helper, a.target.member.Peers, overKept, question, func(reply *message) {
-			answered := false
+		f.exchange(helper, a.target.member.Peers, overKept, question, func(end ending) {
+			found := finding{refused: end.refused}
 			f.at(helper, func() {
-				answered = reply != nil && helper.machine.assisted(f.now, a.target.member.Node, *reply)
+				found.answered = end.answer != nil && helper.machine.assisted(f.now, a.target.member.Node, *end.answer)
 			})
-			answer(func() { node.machine.probed(f.now, a.contact, answered) })
+			answer(func() { node.machine.probed(f.now, a.contact, found) })
 		})
-	}, func() { node.machine.probed(f.now, a.contact, false) })
+	}, func(bool) { node.machine.probed(f.now, a.contact, finding{}) })
 }
 
-func (f *fleet) exchange(from *fakeNode, to identifier.Address, how method, question message, end func(*message)) {
+func (f *fleet) exchange(from *fakeNode, to identifier.Address, how method, question message, end func(ending)) {
 	f.count(question)
 	f.call(from, to, how, f.options.Timeout, func(peer *fakeNode, answer func(func())) {
 		reply := peer.machine.receive(f.now, question)
 		f.count(reply)
-		answer(func() { end(&reply) })
-	}, func() { end(nil) })
+		answer(func() { end(ending{answer: &reply}) })
+	}, func(refused bool) { end(ending{refused: refused}) })
 }
 
 // call makes one call: serve runs at the callee, and its answer or failed once at
 // the caller.
 func (f *fleet) call(
 	from *fakeNode, address identifier.Address, how method, timeout time.Duration,
-	serve func(peer *fakeNode, answer func(func())), failed func(),
+	serve func(peer *fakeNode, answer func(func())), failed func(refused bool),
 ) {
 	peer := f.byAddr[address]
 	over := false
@@ -190,12 +190,12 @@
 			}
 		}
 	}
-	f.after(timeout, end(failed))
+	f.after(timeout, end(func() { failed(false) }))
 	switch {
 	case peer == nil || f.blocked(from, peer):
 	case how == overKept && f.silent[[2]identifier.Node{from.name, peer.name}]:
 	case peer.killed:
-		f.after(2*f.latency(from, peer), end(failed))
+		f.after(2*f.latency(from, peer), end(func() { failed(true) }))
 	default:
 		f.after(f.latency(from, peer), func() {
 			f.at(peer, func() {
--- a/prober/handler.go
+++ b/prober/handler.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -39,12 +41,12 @@
 	target := identifier.Node(wire.GetNode())
 	var question message
 	p.with(func(m *machine, now time.Time) { question = m.assist(now, target) })
-	answer := p.exchange(ctx, p.options.Peers, identifier.Address(wire.GetPeers()), question)
+	end := p.exchange(ctx, p.options.Peers, identifier.Address(wire.GetPeers()), question)
 	answered := false
-	if answer != nil {
-		p.with(func(m *machine, now time.Time) { answered = m.assisted(now, target, *answer) })
+	if end.answer != nil {
+		p.with(func(m *machine, now time.Time) { answered = m.assisted(now, target, *end.answer) })
 	}
-	return &proberrpc.ProbeResponse{Answered: answered}, nil
+	return &proberrpc.ProbeResponse{Answered: answered, Refused: end.refused}, nil
 }
 
 // execute makes one exchange, tells the machine its end, and reports on ended.
@@ -52,44 +54,46 @@
 	defer func() { ended <- struct{}{} }()
 	transport, done := p.transport(a.method)
 	defer done()
-	var answer *message
-	answered := false
+	var end ending
+	var found finding
 	if a.method == through {
-		answered = p.askHelper(ctx, transport, a)
+		found = p.askHelper(ctx, transport, a)
 	} else {
-		answer = p.exchange(ctx, transport, a.address, a.message)
+		end = p.exchange(ctx, transport, a.address, a.message)
 	}
 	if ctx.Err() != nil {
 		// This node ends: that the exchange failed tells nothing of the other.
 		return
 	}
-	p.conclude(a, answer, answered)
+	p.conclude(a, end, found)
 }
 
-// exchange sends a message and returns the answer, or nil when there was none in
-// time.
+// exchange sends a message and waits for the answer.
 func (p *Prober) exchange(
 	ctx context.Context, transport http.RoundTripper, to identifier.Address, question message,
-) *message {
+) ending {
 	ctx, cancel := context.WithTimeout(ctx, p.options.Timeout)
 	defer cancel()
 	wire, err := client(transport, to).Exchange(ctx, toWire(question))
 	if err != nil || wire.GetSender().GetNode() == "" {
-		return nil
+		return ending{refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	answer := fromWire(wire)
-	return &answer
+	return ending{answer: &answer}
 }
 
 // askHelper has another node probe the target. The helper has a timeout of its
 // own, so it gets twice as long.
-func (p *Prober) askHelper(ctx context.Context, transport http.RoundTripper, a action) bool {
+func (p *Prober) askHelper(ctx context.Context, transport http.RoundTripper, a action) finding {
 	ctx, cancel := context.WithTimeout(ctx, 2*p.options.Timeout)
 	defer cancel()
 	answer, err := client(transport, a.address).Probe(ctx, &proberrpc.ProbeRequest{
 		Node: string(a.target.member.Node), Peers: string(a.target.member.Peers),
 	})
-	return err == nil && answer.GetAnswered()
+	if err != nil {
+		return finding{}
+	}
+	return finding{answered: answer.GetAnswered(), refused: answer.GetRefused()}
 }
 
 func client(transport http.RoundTripper, to identifier.Address) proberrpc.Prober {
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -255,6 +255,9 @@
 	case after.health == suspect:
 		m.suspects[node] = now.Add(m.options.SuspectAfter)
 		m.out.note(eventSuspect, fields)
+	case after.health == refused:
+		m.suspects[node] = now.Add(m.options.RefusedAfter)
+		m.out.note(eventRefusing, fields)
 	case after.leaving && !before.leaving:
 		m.out.note(eventLeaving, fields)
 	case before.health == dead:
--- a/prober/message.go
+++ b/prober/message.go
@@ -79,6 +79,21 @@
 	target record
 }
 
+// ending is how an exchange ended.
+type ending struct {
+	// answer is nil when there was none in time.
+	answer *message
+	// refused: the address refused the connection.
+	refused bool
+}
+
+// finding is what a helper found of a target.
+type finding struct {
+	answered bool
+	// refused: the target's address refused the helper's connection.
+	refused bool
+}
+
 // note is an event to be logged.
 type note struct {
 	event  logger.Event
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -50,6 +50,9 @@
 	// SuspectAfter is how long a suspect has to refute before it is dead; 3 s by
 	// default.
 	SuspectAfter time.Duration
+	// RefusedAfter is the same for a suspect whose address refuses connections from
+	// all who tried; 1 s by default.
+	RefusedAfter time.Duration
 	// SuspendAfter is the gap in this node's own running after which it owns
 	// nothing until a peer has told it what happened; 2 s by default. It must be
 	// shorter than the time to detect a failure.
@@ -79,6 +82,7 @@
 	defaultInterval     = time.Second
 	defaultTimeout      = 400 * time.Millisecond
 	defaultSuspectAfter = 3 * time.Second
+	defaultRefusedAfter = time.Second
 	defaultSuspendAfter = 2 * time.Second
 	defaultReviveAfter  = 20 * time.Second
 	defaultForgetAfter  = time.Hour
@@ -92,6 +96,7 @@
 	o.Interval = cmp.Or(o.Interval, defaultInterval)
 	o.Timeout = cmp.Or(o.Timeout, defaultTimeout)
 	o.SuspectAfter = cmp.Or(o.SuspectAfter, defaultSuspectAfter)
+	o.RefusedAfter = cmp.Or(o.RefusedAfter, defaultRefusedAfter)
 	o.SuspendAfter = cmp.Or(o.SuspendAfter, defaultSuspendAfter)
 	o.ReviveAfter = cmp.Or(o.ReviveAfter, defaultReviveAfter)
 	o.ForgetAfter = cmp.Or(o.ForgetAfter, defaultForgetAfter)
--- a/prober/record.go
+++ b/prober/record.go
@@ -15,6 +15,9 @@
 const (
 	alive health = iota
 	suspect
+	// refused is a suspicion that all who tried had their connections refused: no
+	// process listens at the address.
+	refused
 	dead
 )
 
@@ -51,7 +54,7 @@
 		return assigner.Dead
 	case r.leaving:
 		return assigner.Leaving
-	case r.health == suspect:
+	case r.health == suspect, r.health == refused:
 		return assigner.Suspect
 	default:
 		return assigner.Alive
--- a/prober/service.go
+++ b/prober/service.go
@@ -157,13 +157,13 @@
 }
 
 // conclude tells the machine the end of an action.
-func (p *Prober) conclude(a action, answer *message, answered bool) {
+func (p *Prober) conclude(a action, end ending, found finding) {
 	p.with(func(m *machine, now time.Time) {
 		if a.method == through {
-			m.probed(now, a.contact, answered)
+			m.probed(now, a.contact, found)
 			return
 		}
-		m.concluded(now, a.contact, answer)
+		m.concluded(now, a.contact, end)
 	})
 }
 
