--- a/publisher/apply.go
+++ b/publisher/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -77,6 +78,9 @@
 	publisher *Publisher
 	request   ApplyRequest
 	by        publication
+	// replaced are the versions of the tables that this edit has overwritten. A
+	// read that shows one of them is out of date.
+	replaced []storer.Version
 }
 
 func (a *application) run(ctx context.Context) ApplyOutcome {
@@ -107,6 +111,9 @@
 	wait := p.newBackOff()
 	for {
 		tables, err := p.Tables(ctx)
+		if err == nil && a.outOfDate(tables) {
+			err = storer.Unavailable.New("the store answers with tables that were replaced")
+		}
 		if err == nil {
 			tables, err = p.settleOlderStore(ctx, tables)
 		}
@@ -120,6 +127,11 @@
 	}
 }
 
+func (a *application) outOfDate(tables Tables) bool {
+	replaced := func(version storer.Version) bool { return version != "" && slices.Contains(a.replaced, version) }
+	return replaced(tables.Routes.Version) || replaced(tables.Pools.Version)
+}
+
 // overtaken names the content that came before the edit, or is empty.
 func (a *application) overtaken(tables Tables) string {
 	if seen := a.request.SeenRoutes; seen != nil && *seen != tables.Routes.Content {
@@ -187,6 +199,7 @@
 		if result != written {
 			return a.unproposed(ctx, result, err), true
 		}
+		a.replaced = append(a.replaced, object.Version)
 	}
 	if a.request.Routes != nil {
 		object := tables.Routes.withContent(RoutesName, content.Routes, routesProposal)
@@ -195,6 +208,7 @@
 			a.withdraw(ctx, tables)
 			return a.unproposed(ctx, result, err), true
 		}
+		a.replaced = append(a.replaced, object.Version)
 	}
 	return ApplyOutcome{}, false
 }
--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -162,6 +162,9 @@
 		Self: n.member.Node, DataCentre: n.member.DataCentre, Store: n.fleet.store,
 		View: func() *assigner.View { return n.fleet.view(n) }, Peers: n,
 		InForce: func(s *tabulator.Snapshot) {
+			if ctx.Err() != nil {
+				return // A killed process takes a late push.
+			}
 			n.numbers = append(n.numbers, s.Number)
 			n.at[s.Number] = time.Now()
 		},
@@ -207,12 +210,18 @@
 	copied.Body = io.NopCloser(bytes.NewReader(body))
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, copied)
+	var wire bytes.Buffer
+	copied.Body = io.NopCloser(bytes.NewReader(body))
+	_ = copied.Write(&wire)
+	response := recorder.Result()
+	_ = response.Write(&wire)
+	response.Body = io.NopCloser(bytes.NewReader(recorder.Body.Bytes()))
 	f.mutex.Lock()
-	f.bytes += len(body) + recorder.Body.Len()
+	f.bytes += wire.Len()
 	f.calls++
 	f.mutex.Unlock()
 	time.Sleep(hop)
-	return recorder.Result(), nil
+	return response, nil
 }
 
 // everywhere tells whether all running nodes have a number or a larger one.
--- a/publisher/stored.go
+++ b/publisher/stored.go
@@ -154,10 +154,12 @@
 			return written, nil
 		case errorx.IsOfType(err, storer.Conflict), errorx.IsOfType(err, storer.NotFound):
 			found, readErr := p.options.Store.Get(ctx, object.Kind, object.Name)
-			if readErr == nil && isOwn(found) {
+			switch {
+			case readErr == nil && isOwn(found):
 				return written, nil
-			}
-			if readErr == nil || errorx.IsOfType(readErr, storer.NotFound) {
+			case readErr == nil && found.Version == object.Version:
+				// The store contradicts itself: this read is out of date.
+			case readErr == nil || errorx.IsOfType(readErr, storer.NotFound):
 				return overtaken, err
 			}
 		case errorx.IsOfType(err, storer.Invalid):
--- a/publisher/wire.go
+++ b/publisher/wire.go
@@ -69,14 +69,17 @@
 // updateFrom returns the steps that lead from a configuration to the one held,
 // or the whole where they are not kept or not shorter.
 func (p *Publisher) updateFrom(have stamp, held *edition) *rpc.Update {
-	whole := &rpc.Update{Stamp: toWireStamp(held.stamp), Archive: held.archive()}
 	steps := p.stepsFrom(have, held.stamp)
 	total := 0
 	for _, kept := range steps {
 		total += kept.bytes()
 	}
-	if len(steps) == 0 || total >= len(whole.GetArchive()) {
-		return whole
+	// An archive is at least a sixteenth of the text, so that short steps need
+	// no packing to compare with.
+	const leastPacking = 16
+	text := len(held.content.Routes) + len(held.content.Pools)
+	if len(steps) == 0 || total > text/leastPacking && total >= len(held.archive()) {
+		return &rpc.Update{Stamp: toWireStamp(held.stamp), Archive: held.archive()}
 	}
 	update := &rpc.Update{Stamp: toWireStamp(held.stamp)}
 	for _, kept := range steps {
@@ -174,7 +177,9 @@
 func (p *Publisher) lastStep(pushed *edition) *rpc.Update {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if last := len(p.steps) - 1; last >= 0 && p.steps[last].after == pushed.stamp {
+	// A step that replaces half of the text is no shorter than the archive.
+	half := (len(pushed.content.Routes) + len(pushed.content.Pools)) / 2
+	if last := len(p.steps) - 1; last >= 0 && p.steps[last].after == pushed.stamp && p.steps[last].bytes() < half {
 		return &rpc.Update{Stamp: toWireStamp(pushed.stamp), Steps: []*rpc.Step{toWireStep(p.steps[last])}}
 	}
 	return &rpc.Update{Stamp: toWireStamp(pushed.stamp), Archive: pushed.archive()}
