--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -68,10 +68,13 @@
 	// Prefills and Decodes count started work, Evicted the KV caches that
 	// nobody imported, Refused the requests for which there was no memory.
 	Prefills, Decodes, Evicted, Refused, Cancels int
+	// Crashes counts how often the engine crashed.
+	Crashes int
 	// Held is the pieces in use now, Running the streams that generate now.
 	Held, Running int
-	// Orders counts the orders carried out, StaleOrders those refused.
-	Orders, StaleOrders int
+	// Orders counts the orders carried out, StaleOrders those refused, and
+	// Regressions those carried out although a larger fencing number had come.
+	Orders, StaleOrders, Regressions int
 }
 
 // NewEngine returns an idle engine.
@@ -120,6 +123,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.down = true
+	e.counts.Crashes++
 	e.generation++
 	for attempt, s := range e.streams {
 		s.stop()
--- a/prober/service.go
+++ b/prober/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,7 +132,7 @@
 func (p *Prober) carryOut(out output) {
 	for _, n := range out.notes {
 		p.options.Log.Log(n.event, n.fields)
-		p.options.Scope.Tagged(map[string]string{"event": n.event.Message}).Counter("membership-events").Inc(1)
+		p.options.Scope.Tagged(map[string]string{"event": strconv.Itoa(n.event.Number)}).Counter("membership-events").Inc(1)
 	}
 	for _, r := range out.heard {
 		p.deliver(r)
@@ -156,13 +157,13 @@
 }
 
 // conclude tells the machine the end of an action.
-func (p *Prober) conclude(a action, answer *message, answered bool) {
+func (p *Prober) conclude(a action, end ending, found finding) {
 	p.with(func(m *machine, now time.Time) {
 		if a.method == through {
-			m.probed(now, a.contact, answered)
+			m.probed(now, a.contact, found)
 			return
 		}
-		m.concluded(now, a.contact, answer)
+		m.concluded(now, a.contact, end)
 	})
 }
 
