Guard the publisher's test records by the fleet's mutex

Cause: the race detector failed four publisher tests: the check read what a late push still wrote. Change: the records are written and read under the mutex.

--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -165,6 +165,8 @@
 			if ctx.Err() != nil {
 				return // A killed process takes a late push.
 			}
+			n.fleet.mutex.Lock()
+			defer n.fleet.mutex.Unlock()
 			n.numbers = append(n.numbers, s.Number)
 			n.at[s.Number] = time.Now()
 		},
@@ -248,6 +250,8 @@
 // checkMonotonic: on no process did a number fall.
 func (f *fleet) checkMonotonic() {
 	f.t.Helper()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	for _, node := range f.order {
 		for i := 1; i < len(node.numbers); i++ {
 			restarted := false
