Place a request elsewhere when its prefill engine crashed before the transfer

Cause: on real processes a prompt that crashed its prefill engine was answered with "3 attempts failed" although a second prefill engine was free. The grant of a failed attempt is held until its engines confirm the cancel, so the next attempt took it over with the same engines, looked for a stream that never began, and so did the third. Ruled out: releasing the grant before the cancel is confirmed, which would give memory away that the engine may still hold. Change: a grant whose KV cache has not reached its decode engine is not taken over by an attempt that avoids its prefill engine; the attempt queues anew.

--- a/placer/events.go
+++ b/placer/events.go
@@ -60,11 +60,15 @@
 	p.answer(&d, Outcome{Placement: p.placement(&successor)})
 }
 
-// mayGoOn tells whether a stream may stay where it is for a later attempt.
+// mayGoOn tells whether a stream may stay where it is for a later attempt. One
+// whose KV cache has not reached its decode engine is lost with its prefill engine.
 func (g *grant) mayGoOn(d *Demand) bool {
 	if g.decode.Leaving || g.decode.removed || avoids(d, g.decode) {
 		return false
 	}
+	if !g.Decoding && g.prefill != nil && avoids(d, g.prefill) {
+		return false
+	}
 	apart := !d.Suspect || g.Demand.Suspect
 	return apart || g.decode.suspects == 0 && (g.prefill == nil || g.prefill.suspects == 0)
 }
