Keep grants of engines that change role or shard, drop what a gone pool leaves

Cause: grants on an engine that changed its role never lapsed; a pool that shrank to fewer shards could make the owner of a gone shard slice out of range; releases for a removed pool were sent again for ever. Change: leases are checked on all engines, a gone shard has no members, and what was to be given back to a removed pool is dropped. Tests: the text case changes, TestLeavingMemberGetsNothingNew and TestPoolShrinksToFewerShards.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -124,6 +124,26 @@
 	}
 }
 
+func (f *fabric) current() *tabulator.Snapshot {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.snapshot
+}
+
+// leave marks a member as leaving in a snapshot of the same number.
+func (f *fabric) leave(name identifier.Member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	marked := *f.snapshot
+	pool := marked.Pools.Pools[0]
+	pool.Members = append([]tabulator.Member(nil), pool.Members...)
+	for i := range pool.Members {
+		pool.Members[i].Leaving = pool.Members[i].Leaving || pool.Members[i].Name == name
+	}
+	marked.Pools.Pools = []tabulator.Pool{pool}
+	f.snapshot = &marked
+}
+
 // node is one running dispatcher of a test.
 type node struct {
 	*Dispatcher
@@ -168,7 +188,7 @@
 	d := New(Options{
 		Self:     name,
 		View:     view,
-		Snapshot: func() *tabulator.Snapshot { return f.snapshot },
+		Snapshot: f.current,
 		Peers:    f,
 		Engines:  f,
 	})
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
 )
 
 // startThree starts three nodes and waits until the owner has its reports.
@@ -265,3 +267,38 @@
 		stop(append(others, owner)...)
 	})
 }
+
+func TestLeavingMemberGetsNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner, others := startThree(t)
+		f.leave("d1")
+		time.Sleep(time.Second)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			if place := others[0].placed(t, demand(name, 1)); place.Decode != "d2" {
+				t.Errorf("%s was placed on %s, which leaves", name, place.Decode)
+			}
+		}
+		stop(append(others, owner)...)
+	})
+}
+
+func TestPoolShrinksToFewerShards(t *testing.T) {
+	members := make([]tabulator.Member, 0, 60)
+	for i := range 60 {
+		members = append(members, tabulator.Member{Name: identifier.Member(fmt.Sprint("d", i)), Role: identifier.Decode})
+	}
+	pool := tabulator.Pool{Name: testPool, Members: members}
+	seen := map[identifier.Member]bool{}
+	for index := range uint32(3) {
+		for _, member := range shardMembers(pool, index, 24) {
+			seen[member.Name] = true
+		}
+	}
+	if len(seen) != 60 {
+		t.Errorf("three shards hold %d members, want all 60", len(seen))
+	}
+	pool.Members = members[:20]
+	if left := shardMembers(pool, 2, 24); len(left) != 0 {
+		t.Errorf("a shard that is gone holds %v", left)
+	}
+}
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/dispatcher/dispatcherrpc"
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -302,6 +305,11 @@
 		})
 	}
 	l.metrics.count("exchange-failed")
+	var answered twirp.Error
+	if errors.As(err, &answered) && answered.Code() == twirp.NotFound {
+		// The pool is gone, and with it what was to be given back.
+		l.releases, batch.Withdrawals = nil, nil
+	}
 	if len(l.withdrawals) < l.options.BacklogLimit {
 		l.withdrawals = append(batch.GetWithdrawals(), l.withdrawals...)
 	}
--- a/dispatcher/shards.go
+++ b/dispatcher/shards.go
@@ -27,10 +27,14 @@
 	return max(1, (engines+perShard-1)/perShard)
 }
 
-// shardMembers returns the members of one shard. Both roles are dealt out in
-// order of data centre, so that a shard's engines stand near one another.
+// shardMembers returns the members of one shard, none of a shard that a smaller
+// pool no longer has. Both roles are dealt out in order of data centre, so that
+// a shard's engines stand near one another.
 func shardMembers(pool tabulator.Pool, index uint32, perShard int) []tabulator.Member {
 	count := shardCount(len(pool.Members), perShard)
+	if int(index) >= count {
+		return nil
+	}
 	var list []tabulator.Member
 	for _, role := range []identifier.Role{identifier.Prefill, identifier.Decode} {
 		members := sortedByPlace(pool, role)
--- a/placer/events.go
+++ b/placer/events.go
@@ -274,7 +274,7 @@
 
 // Gone lapses all grants of a dead node and forgets its waiting demands.
 func (p *Placer) Gone(now time.Time, node identifier.Node) {
-	for _, e := range p.decodes {
+	for _, e := range p.all {
 		for _, g := range e.held {
 			if g.Demand.Node == node && g.phase == held {
 				p.orphan(now, g)
@@ -323,7 +323,7 @@
 		return
 	}
 	p.lapse = time.Time{}
-	for _, e := range p.decodes {
+	for _, e := range p.all {
 		for _, g := range e.held {
 			p.expireGrant(now, g)
 		}
--- a/placer/state.go
+++ b/placer/state.go
@@ -85,7 +85,8 @@
 	settings Settings
 	started  time.Time
 	engines  map[identifier.Member]*engine
-	// prefills and decodes are the engines of a role, sorted by name.
+	// all is every engine, prefills and decodes those of a role, sorted by name.
+	all      []*engine
 	prefills []*engine
 	decodes  []*engine
 	// capacity is the decode memory of all engines of the table.
@@ -159,20 +160,22 @@
 
 // sortEngines lists the engines by role and forgets removed ones without grants.
 func (p *Placer) sortEngines() {
-	p.prefills, p.decodes = nil, nil
+	p.all, p.prefills, p.decodes = nil, nil, nil
 	for name, e := range p.engines {
-		switch {
-		case e.removed && e.used == 0:
+		if e.removed && len(e.held) == 0 {
 			delete(p.engines, name)
-		case e.Role == identifier.Prefill:
+			continue
+		}
+		p.all = append(p.all, e)
+	}
+	sort.Slice(p.all, func(i, j int) bool { return p.all[i].Member < p.all[j].Member })
+	for _, e := range p.all {
+		if e.Role == identifier.Prefill {
 			p.prefills = append(p.prefills, e)
-		default:
+		} else {
 			p.decodes = append(p.decodes, e)
 		}
 	}
-	for _, list := range [][]*engine{p.prefills, p.decodes} {
-		sort.Slice(list, func(i, j int) bool { return list[i].Member < list[j].Member })
-	}
 }
 
 // Take returns the decisions and the orders since the last call.
@@ -259,7 +262,7 @@
 	g.countSuspect(-1)
 	g.decode.remember(now, g.Pieces)
 	p.drain.add(now, g.Pieces)
-	if g.decode.removed && g.decode.used == 0 {
+	if g.decode.removed && len(g.decode.held) == 0 {
 		p.sortEngines()
 	}
 }
