Let the ledger's state machine forward, lose calls and change owners

Cause: its two nodes never called each other, so that it could not meet a fault between a claiming node and its owner.

Change: the model's nodes agree on one owner or each takes itself for it, and calls between them are cut or lose their answers. A second case covers an owner whose page shows an attempt that was withdrawn.

--- a/recorder/machine_test.go
+++ b/recorder/machine_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync"
 	"testing"
@@ -27,7 +30,8 @@
 	os.Exit(m.Run())
 }
 
-// machine is the model of two nodes that both own every shard.
+// machine is the model of two nodes that both own every shard, or agree on one
+// owner that they may not reach.
 type machine struct {
 	t     *testing.T
 	store *fakeStore
@@ -39,6 +43,10 @@
 	mutex  sync.Mutex
 	faults []fault
 	out    bool
+	// owner is the node that both take for the owner, or empty.
+	owner identifier.Node
+	// cut loses calls between nodes, deaf their answers.
+	cut, deaf bool
 }
 
 type machineNode struct {
@@ -74,24 +82,29 @@
 	m.mutex.Lock()
 	n.incarnation++
 	m.mutex.Unlock()
-	n.recorder, n.stop = runUntil(m.t, Options{
-		Self: n.name, Incarnation: n.incarnation, Store: m.store, Peers: nil,
+	r, stop := runUntil(m.t, Options{
+		Self: n.name, Incarnation: n.incarnation, Store: m.store, Peers: m,
 		View:   func() *assigner.View { return m.view(n) },
 		Shards: 2, BucketWidth: time.Second, Window: machineWindow, ClockSkew: machineSkew,
 		PageEntries: 3, DrainTimeout: time.Second,
 	})
+	m.mutex.Lock()
+	n.recorder, n.stop = r, stop
+	m.mutex.Unlock()
 }
 
-// view shows both nodes, and the node itself as the owner of everything: the
-// other is leaving in its eyes.
+// view shows both nodes, one of them as the owner of everything: the other is
+// leaving.
 func (m *machine) view(self *machineNode) *assigner.View {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	view := &assigner.View{}
 	for _, n := range m.nodes {
-		member := assigner.Member{Node: n.name, Incarnation: n.incarnation, State: assigner.Leaving}
-		if n == self {
+		member := memberOf(n.name, n.incarnation, assigner.Leaving)
+		if n.name == m.owner || m.owner == "" && n == self {
 			member.State = assigner.Alive
+		}
+		if n == self {
 			view.Self = member
 		}
 		view.Members = append(view.Members, member)
@@ -99,6 +112,38 @@
 	return view
 }
 
+// RoundTrip carries a call between the nodes.
+func (m *machine) RoundTrip(request *http.Request) (*http.Response, error) {
+	m.mutex.Lock()
+	cut, deaf := m.cut, m.deaf
+	var to *Recorder
+	for _, n := range m.nodes {
+		if string(n.name) == request.URL.Host {
+			to = n.recorder
+		}
+	}
+	m.mutex.Unlock()
+	if cut || to == nil {
+		return nil, errors.New("cut")
+	}
+	_, handler := to.Handler()
+	response := httptest.NewRecorder()
+	handler.ServeHTTP(response, request)
+	if deaf {
+		return nil, errors.New("answer lost")
+	}
+	return response.Result(), nil
+}
+
+// network chooses the owner and what happens to calls between the nodes.
+func (m *machine) network(t *rapid.T) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.owner = rapid.SampledFrom([]identifier.Node{"", "a", "b"}).Draw(t, "owner")
+	m.cut = rapid.IntRange(0, 3).Draw(t, "cut") == 0
+	m.deaf = rapid.IntRange(0, 3).Draw(t, "deaf") == 0
+}
+
 func (m *machine) nextFault(string, string) fault {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -174,6 +219,7 @@
 		"advance": m.advance,
 		"fault":   m.breakStore,
 		"restart": m.restart,
+		"network": m.network,
 	}
 }
 
@@ -320,7 +366,7 @@
 // recovers ends all faults: every answer whose node lives on must then be told.
 func (m *machine) recovers(t *rapid.T) {
 	m.mutex.Lock()
-	m.out, m.faults = false, nil
+	m.out, m.faults, m.cut, m.deaf = false, nil, false, false
 	m.mutex.Unlock()
 	m.store.release()
 	time.Sleep(4 * time.Second)
--- a/recorder/service_test.go
+++ b/recorder/service_test.go
@@ -148,6 +148,23 @@
 	})
 }
 
+// The owner's page shows the attempt before, which was withdrawn.
+func TestEndAtAnOwnerWithAnOldAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, a, b := pair(t, newFakeStore())
+		ctx, key := context.Background(), newKey(1, 0)
+		expect(t, b.Claim(ctx, callOf(key, 1, "b")), Run)
+		b.Settle(ctx, callOf(key, 1, "b"), nil)
+		time.Sleep(5 * time.Second)
+		f.cut["b"] = true
+		expect(t, a.Claim(ctx, callOf(key, 1, "a")), Run)
+		f.cut["b"] = false
+		a.Settle(ctx, callOf(key, 1, "a"), &Answer{Status: 200})
+		time.Sleep(5 * time.Second)
+		expect(t, b.Claim(ctx, callOf(key, 2, "b")), Answered)
+	})
+}
+
 // samePlace returns two keys of one page.
 func samePlace(t *testing.T, r *Recorder) (identifier.Key, identifier.Key) {
 	t.Helper()
