--- a/prober/message.go
+++ b/prober/message.go
@@ -9,7 +9,7 @@
 
 // The bounds of one message.
 const (
-	messageRecords  = 16
+	messageRecords  = 48
 	messageProgress = 128
 	messageRumours  = 8
 	// repairRecords bounds the answer to a repair; the next repair gets the rest.
@@ -79,6 +79,21 @@
 	target record
 }
 
+// ending is how an exchange ended.
+type ending struct {
+	// answer is nil when there was none in time.
+	answer *message
+	// refused: the address refused the connection.
+	refused bool
+}
+
+// finding is what a helper found of a target.
+type finding struct {
+	answered bool
+	// refused: the target's address refused the helper's connection.
+	refused bool
+}
+
 // note is an event to be logged.
 type note struct {
 	event  logger.Event
