--- a/gauger/gauger.go
+++ b/gauger/gauger.go
@@ -180,10 +180,15 @@
 
 const rumourTopic = "gauge"
 
-// The limits of the nodes' transports and servers.
+// startPace is the time between the starts of two nodes.
+const startPace = 20 * time.Millisecond
+
+// The limits of the nodes' transports and servers. An idle connection is kept
+// longer than a round of probes and not much more, since all nodes share the open
+// files of one process.
 const (
 	dialTimeout       = time.Second
-	idleTimeout       = 2 * time.Minute
+	idleTimeout       = 10 * time.Second
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -197,6 +202,9 @@
 		if len(seeds) < 2 {
 			seeds = append(seeds, address)
 		}
+		if err := pause(ctx, startPace); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/prober/contact.go
+++ b/prober/contact.go
@@ -349,28 +349,44 @@
 	}
 }
 
+// helpers chooses who probes a target besides this node: from as many data
+// centres as can be, other than those of both, so that a cut between some of them
+// leaves one that reaches it. Those that keep a connection to the target, its
+// predecessors on the rings, come first.
 func (m *machine) helpers(target identifier.Node) []record {
-	var helpers []record
-	add := func(node identifier.Node) {
-		held := m.table.records[node]
-		taken := slices.ContainsFunc(helpers, func(r record) bool { return r.member.Node == node })
-		if held.health == alive && !taken && node != target && node != m.options.Self.Node {
-			helpers = append(helpers, held)
-		}
-	}
-	for _, node := range m.table.predecessors(target, m.options.Rings) {
-		add(node)
-	}
-	others := m.table.live(m.options.Self.Node)
-	for range len(others) {
-		if len(helpers) >= m.options.Helpers {
-			break
+	candidates := m.table.live(m.options.Self.Node)
+	m.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	keepers := m.table.predecessors(target, m.options.Rings)
+	slices.SortStableFunc(candidates, func(a, b record) int {
+		return place(keepers, a.member.Node) - place(keepers, b.member.Node)
+	})
+	seen := map[identifier.DataCentre]bool{
+		m.options.Self.DataCentre:                 true,
+		m.table.records[target].member.DataCentre: true,
+	}
+	var helpers, rest []record
+	for _, candidate := range candidates {
+		switch centre := candidate.member.DataCentre; {
+		case candidate.health != alive || candidate.member.Node == target:
+		case seen[centre]:
+			rest = append(rest, candidate)
+		default:
+			seen[centre] = true
+			helpers = append(helpers, candidate)
 		}
-		add(others[m.random.IntN(len(others))].member.Node)
 	}
+	helpers = append(helpers, rest...)
 	return helpers[:min(len(helpers), m.options.Helpers)]
 }
 
+// place is the index of a node, or the number of nodes if it is not among them.
+func place(nodes []identifier.Node, node identifier.Node) int {
+	if i := slices.Index(nodes, node); i >= 0 {
+		return i
+	}
+	return len(nodes)
+}
+
 // probed takes a helper's finding about a target.
 func (m *machine) probed(now time.Time, id contactID, found finding) {
 	c, underWay := m.contacts[id]
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -103,6 +103,13 @@
 	return d/2 + time.Duration(random.Int64N(int64(d)))
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *machine) self() record {
 	return m.table.records[m.options.Self.Node]
 }
@@ -138,7 +145,7 @@
 	m.resumeAlone(now)
 	m.expire(now)
 	if !now.Before(m.nextProbe) {
-		m.nextProbe = now.Add(m.options.Interval)
+		m.nextProbe = later(m.nextProbe.Add(m.options.Interval), now)
 		m.probeNext(now)
 	}
 	if !now.Before(m.nextRevive) {
--- a/prober/measure_test.go
+++ b/prober/measure_test.go
@@ -121,6 +121,20 @@
 	b.ReportMetric(float64(f.events[4005]), "loss-deaths")
 }
 
+// measurePartialCut cuts two regions off each other for two minutes; both reach
+// the third. Every node is well and can be reached by some.
+func measurePartialCut(b *testing.B, f *fleet) {
+	clear(f.events)
+	f.blocked = func(from, to *fakeNode) bool {
+		return region(from) != region(to) && region(from) < 2 && region(to) < 2
+	}
+	f.run(2 * time.Minute)
+	b.ReportMetric(float64(f.events[4007]), "partial-cut-refuted")
+	b.ReportMetric(float64(f.events[4005]), "partial-cut-deaths")
+	f.blocked = func(_, _ *fakeNode) bool { return false }
+	f.until(time.Minute, f.whole)
+}
+
 // measureCut cuts a data centre off for five minutes.
 func measureCut(b *testing.B, f *fleet) {
 	f.blocked = func(from, to *fakeNode) bool { return (from.centre == "dc1") != (to.centre == "dc1") }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -70,7 +70,7 @@
 	// Rings is the number of neighbours that the node probes; 4 by default.
 	Rings int
 	// Helpers is how many other nodes probe a peer that does not answer, before
-	// it is suspected; 3 by default.
+	// it is suspected; 4 by default.
 	Helpers int
 	// Log and Scope may be nil.
 	Log   *logger.Logger
@@ -89,7 +89,7 @@
 	defaultRepairAfter  = 3 * time.Second
 	defaultRumourKeep   = 5 * time.Minute
 	defaultRings        = 4
-	defaultHelpers      = 3
+	defaultHelpers      = 4
 )
 
 func (o Options) withDefaults() Options {
