--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -59,6 +59,10 @@
 	state   engineState
 	counts  EngineCounts
 	down    bool
+	// crossed puts a chunk of another attempt before each chunk, and stalls is
+	// how many of the next imports hang until their request is given up.
+	crossed bool
+	stalls  int
 	// generation grows with each crash; work of an older one is dropped.
 	generation int
 }
@@ -142,6 +146,32 @@
 	e.report = loadReport{}
 }
 
+// Cross puts a chunk of another attempt and a repeated one before each chunk
+// from now on.
+func (e *Engine) Cross() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.crossed = true
+}
+
+// StallImports makes the next imports of KV cache hang.
+func (e *Engine) StallImports(count int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.stalls = count
+}
+
+// takeStall tells whether an import has to hang.
+func (e *Engine) takeStall() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.stalls == 0 {
+		return false
+	}
+	e.stalls--
+	return true
+}
+
 // pieces returns the pieces that a number of tokens takes.
 func (e *Engine) pieces(tokens int) int {
 	return (tokens + e.options.PieceTokens - 1) / e.options.PieceTokens
--- a/emulator/export.go
+++ b/emulator/export.go
@@ -53,6 +53,10 @@
 
 // importKV fetches the KV cache of an attempt from the prefill engine.
 func (e *Engine) importKV(r *http.Request, kv *kvParameters) bool {
+	if e.takeStall() {
+		<-r.Context().Done()
+		return false
+	}
 	url := "http://" + kv.RemoteHost + ":" + kv.RemotePort + "/v1/kv/" + kv.RemoteRequestID + "/import"
 	request, err := http.NewRequestWithContext(r.Context(), http.MethodPost, url, nil)
 	if err != nil {
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -195,7 +195,7 @@
 	e.counts.Decodes++
 	e.mutex.Unlock()
 	go e.generate(s, request.RequestID, text, request.MaxTokens, generation)
-	s.send(w, r, request.RequestID, request.Offset, 0)
+	e.send(s, w, r, request.RequestID, request.Offset, 0)
 }
 
 // generate produces tokens until the limit or a cancel, then frees the memory.
@@ -235,7 +235,7 @@
 
 // send writes the tokens after an offset until the stream ends, the connection
 // closes or a later reader takes over.
-func (s *stream) send(w http.ResponseWriter, r *http.Request, attempt string, after int, reader uint64) {
+func (e *Engine) send(s *stream, w http.ResponseWriter, r *http.Request, attempt string, after int, reader uint64) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher, _ := w.(http.Flusher)
 	for {
@@ -247,6 +247,10 @@
 		}
 		for ; after < s.first+len(tokens); after++ {
 			last := done && after == s.first+len(tokens)-1
+			if e.crosses() {
+				writeChunk(w, "another-attempt", after+1, " crossed", false)
+				writeChunk(w, attempt, after, " late", false)
+			}
 			writeChunk(w, attempt, after+1, tokens[after-s.first], last)
 		}
 		if done {
@@ -262,6 +266,12 @@
 	}
 }
 
+func (e *Engine) crosses() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.crossed
+}
+
 // writeChunk writes one token as an event whose id is the offset after it.
 func writeChunk(w http.ResponseWriter, attempt string, offset int, token string, last bool) {
 	choice := completionChoice{Text: token}
@@ -294,7 +304,7 @@
 		http.Error(w, "a later reader took over", http.StatusConflict)
 		return
 	}
-	s.send(w, r, attempt, after, reader)
+	e.send(s, w, r, attempt, after, reader)
 }
 
 // serveCancel ends a stream and frees its memory before it answers.
--- a/prover/booking_test.go
+++ b/prover/booking_test.go
@@ -45,7 +45,7 @@
 	{"ledger-owners-killed", func(b *booking) { b.f.kill(b.f.otherThan(b.entry).name) }},
 	{"ledger-owners-paused", func(b *booking) { b.f.freeze(b.f.otherThan(b.entry), 12*time.Second) }},
 	{"nodes-cut-off", func(b *booking) {
-		for _, n := range b.f.nodes {
+		for _, n := range b.f.running() {
 			if n != b.entry {
 				b.f.cutFor(b.entry.host, n.host, 12*time.Second)
 			}
@@ -71,6 +71,8 @@
 		b.f.outage(emulator.PlatformFaults{LateAnswers: 3, Late: seconds(6)})
 	}},
 	{"store-stale", func(b *booking) { b.f.outage(emulator.PlatformFaults{Stale: true}) }},
+	{"node-joins", func(b *booking) { b.f.startNode("node-4") }},
+	{"other-node-leaves", func(b *booking) { b.f.otherThan(b.entry).stop() }},
 	{"sent-twice", func(b *booking) { go b.send(b.f.t.Context(), b.f.otherThan(b.entry), false) }},
 }
 
@@ -98,8 +100,8 @@
 // otherThan returns another node, the same one each time.
 func (f *fleet) otherThan(n *node) *node {
 	for _, name := range []string{"node-3", "node-2", "node-1"} {
-		if f.nodes[name] != n {
-			return f.nodes[name]
+		if f.node(name) != n {
+			return f.node(name)
 		}
 	}
 	return n
@@ -108,9 +110,9 @@
 func (f *fleet) startBooking(t *testing.T) *booking {
 	ctx, cancel := context.WithCancel(t.Context())
 	// A kept connection to the service is there for the booking to misuse.
-	f.lookUp(t.Context(), f.nodes["node-1"])
+	f.lookUp(t.Context(), f.node("node-1"))
 	f.writes = f.platform.Counts().Writes
-	b := &booking{f: f, key: uuid.Must(uuid.NewV7()).String(), entry: f.nodes["node-1"], leave: cancel}
+	b := &booking{f: f, key: uuid.Must(uuid.NewV7()).String(), entry: f.node("node-1"), leave: cancel}
 	go func() {
 		b.send(ctx, b.entry, true)
 		b.mutex.Lock()
@@ -145,7 +147,7 @@
 	b.f.notRunHolds(t, b)
 	for round := range 8 {
 		for _, name := range []string{"node-2", "node-3", "node-1"} {
-			b.send(t.Context(), b.f.nodes[name], false)
+			b.send(t.Context(), b.f.node(name), false)
 		}
 		time.Sleep(time.Duration(round) * time.Second)
 	}
@@ -190,17 +192,17 @@
 func TestKeys(t *testing.T) {
 	run(t, smallShape, func(t *testing.T, f *fleet) {
 		key := uuid.Must(uuid.NewV7()).String()
-		f.book(t.Context(), f.nodes["node-1"], key, "visit", true)
-		reused := f.book(t.Context(), f.nodes["node-2"], key, "another visit", false)
+		f.book(t.Context(), f.node("node-1"), key, "visit", true)
+		reused := f.book(t.Context(), f.node("node-2"), key, "another visit", false)
 		if reused.outcome != "not-run" || reused.reason != "idempotency-key-reused" {
 			t.Errorf("a key used for another call: %+v", reused)
 		}
-		plain := f.book(t.Context(), f.nodes["node-1"], "no-time-in-it", "visit", true)
+		plain := f.book(t.Context(), f.node("node-1"), "no-time-in-it", "visit", true)
 		if plain.outcome != "not-run" || plain.reason != "malformed" {
 			t.Errorf("a key without a time: %+v", plain)
 		}
 		time.Sleep(11 * time.Minute)
-		old := f.book(t.Context(), f.nodes["node-1"], key, "visit", false)
+		old := f.book(t.Context(), f.node("node-1"), key, "visit", false)
 		if old.outcome != "unknown" || f.executions(key) != 1 {
 			t.Errorf("a key older than the window: %+v, executed %d times", old, f.executions(key))
 		}
--- a/prover/configuration_test.go
+++ b/prover/configuration_test.go
@@ -65,8 +65,10 @@
 	{"watches-lapse", func(e *edit) { e.f.outage(emulator.PlatformFaults{Watches: emulator.WatchesLapse}) }},
 	{"changes-skipped", func(e *edit) { e.f.outage(emulator.PlatformFaults{SkipEvents: 5}) }},
 	{"operators-racing", func(e *edit) { go e.apply(e.f.otherThan(e.node), seconds(12)) }},
+	{"node-joins", func(e *edit) { e.f.startNode("node-4") }},
+	{"publisher-leaves", func(e *edit) { e.node.stop(); e.node.gone.Store(true) }},
 	{"nodes-cut-off", func(e *edit) {
-		for _, n := range e.f.nodes {
+		for _, n := range e.f.running() {
 			if n != e.node {
 				e.f.cutFor(e.node.host, n.host, 10*time.Second)
 			}
@@ -96,14 +98,14 @@
 func (f *fleet) startEdit(t *testing.T) *edit {
 	e := &edit{
 		f:       f,
-		node:    f.nodes["node-1"],
+		node:    f.node("node-1"),
 		told:    map[tabulator.Duration]identifier.Configuration{},
 		highest: map[*node]identifier.Configuration{},
 		content: map[identifier.Configuration]tabulator.Duration{},
 	}
 	f.writes = f.platform.Counts().Effects
 	ctx, stop := context.WithCancel(t.Context())
-	f.stops = append(f.stops, stop)
+	f.atEnd(stop)
 	go e.sample(ctx)
 	go func() {
 		e.apply(e.node, seconds(11))
--- a/prover/faults_test.go
+++ b/prover/faults_test.go
@@ -14,7 +14,7 @@
 // after runs something later, and before the fleet closes.
 func (f *fleet) after(span time.Duration, do func()) {
 	timer := time.AfterFunc(span, do)
-	f.stops = append(f.stops, func() { timer.Stop() })
+	f.atEnd(func() { timer.Stop() })
 }
 
 // freeze holds back all traffic of a node for a while, as when its process is
@@ -36,7 +36,7 @@
 // hosts lists every host of the fleet.
 func (f *fleet) hosts() []string {
 	hosts := []string{callerHost, platformHost}
-	for _, n := range f.nodes {
+	for _, n := range f.running() {
 		hosts = append(hosts, n.host)
 	}
 	for _, pool := range f.pools.Pools {
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,11 +41,13 @@
 	platform *emulator.Platform
 	engines  map[string]*emulator.Engine
 	services map[string]*emulator.Service
-	nodes    map[string]*node
 	routes   tabulator.Routes
 	pools    tabulator.Pools
-	stops    []func()
-	caller   *http.Client
+	// mutex guards nodes, each with its latest process, and stops.
+	mutex  sync.Mutex
+	nodes  map[string]*node
+	stops  []func()
+	caller *http.Client
 	// writes is the store's count of writes before the request of interest.
 	writes int
 }
@@ -54,8 +60,8 @@
 	// stop tells the node to leave; ended is closed when it has.
 	stop  context.CancelFunc
 	ended chan struct{}
-	// killed is set when the process has been ended by force.
-	killed bool
+	// gone is set when the process has been killed or told to leave.
+	gone atomic.Bool
 }
 
 // shape says how large a fleet is.
@@ -167,7 +173,7 @@
 		defer close(ended)
 		_ = standin.Serve(listener)
 	}()
-	f.stops = append(f.stops, func() {
+	f.atEnd(func() {
 		_ = standin.Close()
 		<-ended
 	})
@@ -217,8 +223,8 @@
 			f.t.Logf("%s ended: %v", name, err)
 		}
 	}()
-	f.nodes[name] = started
-	f.stops = append(f.stops, func() {
+	f.addNode(name, started)
+	f.atEnd(func() {
 		stop()
 		<-started.ended
 	})
@@ -227,27 +233,50 @@
 
 // kill ends a node's process at once. What still runs of it reaches nobody.
 func (f *fleet) kill(name string) {
-	f.nodes[name].killed = true
-	f.network.Kill(f.nodes[name].host)
-	f.nodes[name].stop()
+	f.node(name).gone.Store(true)
+	f.network.Kill(f.node(name).host)
+	f.node(name).stop()
 }
 
 // running lists the nodes whose processes run.
 func (f *fleet) running() []*node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	var running []*node
-	for _, name := range []string{"node-1", "node-2", "node-3"} {
-		if n := f.nodes[name]; n != nil && !n.killed {
+	for _, name := range slices.Sorted(maps.Keys(f.nodes)) {
+		if n := f.nodes[name]; !n.gone.Load() {
 			running = append(running, n)
 		}
 	}
 	return running
 }
 
+// node returns the latest process of a node.
+func (f *fleet) node(name string) *node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.nodes[name]
+}
+
+func (f *fleet) addNode(name string, n *node) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.nodes[name] = n
+}
+
+// atEnd runs something when the fleet closes, last added first.
+func (f *fleet) atEnd(do func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.stops = append(f.stops, do)
+}
+
 // waitReady waits until every node has a configuration and sees all others.
 func (f *fleet) waitReady() {
 	f.waitFor("nodes ready", func() bool {
-		for _, n := range f.nodes {
-			if n.server.Configuration() == 0 || alive(n.server.View()) < len(f.nodes) {
+		nodes := f.running()
+		for _, n := range nodes {
+			if n.server.Configuration() == 0 || alive(n.server.View()) < len(nodes) {
 				return false
 			}
 		}
@@ -282,8 +311,11 @@
 	f.network.Heal()
 	f.network.Close()
 	f.caller.CloseIdleConnections()
-	for i := len(f.stops) - 1; i >= 0; i-- {
-		f.stops[i]()
+	f.mutex.Lock()
+	stops := slices.Clone(f.stops)
+	f.mutex.Unlock()
+	for _, stop := range slices.Backward(stops) {
+		stop()
 	}
 	f.network.Close()
 	// Dials under way end with their timeouts.
--- a/prover/model_test.go
+++ b/prover/model_test.go
@@ -84,6 +84,18 @@
 			r.f.network.Slow(host, 100*time.Millisecond)
 		}
 	}},
+	{"answers-crossed", func(r *trial) {
+		for _, engine := range r.f.engines {
+			engine.Cross()
+		}
+	}},
+	{"transfers-stall", func(r *trial) {
+		for _, engine := range r.f.engines {
+			engine.StallImports(1)
+		}
+	}},
+	{"node-joins", func(r *trial) { r.f.startNode("node-4") }},
+	{"owner-leaves", func(r *trial) { r.owner.stop() }},
 	{"caller-cancels", func(r *trial) {
 		r.goAway()
 	}},
@@ -128,12 +140,12 @@
 func (f *fleet) try(t *testing.T, request completion) *trial {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &trial{f: f, request: request, leave: cancel}
-	owner := f.nodes["node-1"].server.View().Owner(placementShard).Node
+	owner := f.node("node-1").server.View().Owner(placementShard).Node
 	for _, name := range []string{"node-1", "node-2", "node-3"} {
 		if name == string(owner) {
-			r.owner = f.nodes[name]
+			r.owner = f.node(name)
 		} else if r.entry == nil {
-			r.entry = f.nodes[name]
+			r.entry = f.node(name)
 		}
 	}
 	go r.insist(ctx, t.Context())
@@ -143,7 +155,7 @@
 // insist comes back through one node after the other until the answer is whole.
 func (r *trial) insist(first, later context.Context) {
 	deadline := time.Now().Add(insistence)
-	order := []*node{r.entry, r.f.nodes["node-1"], r.f.nodes["node-2"], r.f.nodes["node-3"]}
+	order := []*node{r.entry, r.f.node("node-1"), r.f.node("node-2"), r.f.node("node-3")}
 	got, turns := answer{}, 0
 	for turn := 0; !got.whole && time.Now().Before(deadline); turn++ {
 		turns++
--- a/prover/orders_test.go
+++ b/prover/orders_test.go
@@ -86,8 +86,8 @@
 	}
 	f.setVersion("v1")
 	f.waitFor("the first version", func() bool { return f.loaded("v1") })
-	sender := f.nodes["node-1"].server.View().Owner("engine-orders").Node
-	o := &orders{f: f, sender: f.nodes[string(sender)], seen: f.orders()}
+	sender := f.node("node-1").server.View().Owner("engine-orders").Node
+	o := &orders{f: f, sender: f.node(string(sender)), seen: f.orders()}
 	f.setVersion("v2")
 	return o
 }
--- a/prover/pairs_test.go
+++ b/prover/pairs_test.go
@@ -76,9 +76,9 @@
 	desk := shape{nodes: 3, prefills: 1, decodes: 1, services: 3}
 	for _, fault := range lookUpFaults {
 		addSized(desk, "look-ups-quick", fault.name, "look-up", func(t *testing.T, f *fleet) {
-			f.lookUp(t.Context(), f.nodes["node-1"])
-			f.lookUp(t.Context(), f.nodes["node-1"])
-			f.lookUp(t.Context(), f.nodes["node-1"])
+			f.lookUp(t.Context(), f.node("node-1"))
+			f.lookUp(t.Context(), f.node("node-1"))
+			f.lookUp(t.Context(), f.node("node-1"))
 			fault.strike(f)
 			f.lookUpsQuick(t)
 		})
@@ -91,8 +91,8 @@
 	strike func(f *fleet)
 }{
 	{"service-killed", func(f *fleet) { f.network.Kill(serviceHost) }},
-	{"service-cut-off", func(f *fleet) { f.network.Cut(f.nodes["node-1"].host, serviceHost) }},
-	{"connections-silent", func(f *fleet) { f.network.Silence(f.nodes["node-1"].host, serviceHost) }},
+	{"service-cut-off", func(f *fleet) { f.network.Cut(f.node("node-1").host, serviceHost) }},
+	{"connections-silent", func(f *fleet) { f.network.Silence(f.node("node-1").host, serviceHost) }},
 	{"service-slow", func(f *fleet) { f.network.Slow(serviceHost, 2*time.Second) }},
 	{"store-down", func(f *fleet) { f.platform.SetFaults(emulator.PlatformFaults{Down: emulator.DownHanging}) }},
 }
@@ -103,7 +103,7 @@
 	t.Helper()
 	for i := range 9 {
 		start := time.Now()
-		got := f.lookUp(t.Context(), f.nodes["node-1"])
+		got := f.lookUp(t.Context(), f.node("node-1"))
 		if took := time.Since(start); got.status != 200 || took > 500*time.Millisecond {
 			t.Errorf("look-up %d: status %d, %s after %v", i, got.status, got.reason, took)
 		}
--- a/prover/poison_test.go
+++ b/prover/poison_test.go
@@ -88,7 +88,7 @@
 // reviveEngines brings each crashed engine back two seconds later.
 func (f *fleet) reviveEngines() {
 	stop := make(chan struct{})
-	f.stops = append(f.stops, func() { close(stop) })
+	f.atEnd(func() { close(stop) })
 	go func() {
 		for {
 			select {
--- a/prover/shutdown_test.go
+++ b/prover/shutdown_test.go
@@ -87,7 +87,7 @@
 		time.Sleep(time.Second)
 		f.outage(emulator.PlatformFaults{Down: emulator.DownHanging})
 	}},
-	{"owner-killed", func(f *fleet) { f.kill(string(f.nodes["node-1"].server.View().Owner(placementShard).Node)) }},
+	{"owner-killed", func(f *fleet) { f.kill(string(f.node("node-1").server.View().Owner(placementShard).Node)) }},
 	{"watches-silent", func(f *fleet) {
 		time.Sleep(time.Second)
 		f.platform.SetFaults(emulator.PlatformFaults{Watches: emulator.WatchesSilent})
@@ -138,20 +138,20 @@
 // staleList connects by an address answer from before a node left: the node
 // still takes requests for as long as the answer may be kept.
 func staleList(t *testing.T, f *fleet) {
-	entries := f.entries(t, f.nodes["node-2"])
+	entries := f.entries(t, f.node("node-2"))
 	if len(entries) != 3 {
 		t.Fatalf("got %v, want three addresses", entries)
 	}
-	f.nodes["node-1"].stop()
+	f.node("node-1").stop()
 	time.Sleep(time.Second)
-	for _, entry := range f.entries(t, f.nodes["node-2"]) {
-		if entry == address(f.nodes["node-1"]) {
+	for _, entry := range f.entries(t, f.node("node-2")) {
+		if entry == address(f.node("node-1")) {
 			t.Error("a leaving node is still in the address answer")
 		}
 	}
 	time.Sleep(3 * time.Second)
 	request := completion{prompt: "log", tokens: 60}
-	if got := f.complete(t.Context(), f.nodes["node-1"], request, nil); !got.whole {
+	if got := f.complete(t.Context(), f.node("node-1"), request, nil); !got.whole {
 		t.Errorf("a caller with an older answer got %+v", got)
 	}
 }
@@ -161,8 +161,8 @@
 func deadOutOfList(t *testing.T, f *fleet) {
 	f.kill("node-1")
 	time.Sleep(12 * time.Second)
-	for _, entry := range f.entries(t, f.nodes["node-2"]) {
-		if entry == address(f.nodes["node-1"]) {
+	for _, entry := range f.entries(t, f.node("node-2")) {
+		if entry == address(f.node("node-1")) {
 			t.Error("a dead node is still in the address answer")
 		}
 	}
--- a/prover/stream_test.go
+++ b/prover/stream_test.go
@@ -21,14 +21,14 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	first := f.complete(ctx, f.nodes["node-1"], longReport, func(offset int) {
+	first := f.complete(ctx, f.node("node-1"), longReport, func(offset int) {
 		if offset == 20 {
 			breakPath(f)
 		}
 	})
 	rest := longReport
 	rest.after = len(first.tokens)
-	second := f.comeBack(t, f.nodes["node-2"], rest)
+	second := f.comeBack(t, f.node("node-2"), rest)
 	if got := first.text() + second.text(); got != expected(longReport) || !second.whole {
 		t.Errorf("got %d and %d tokens (%+v), want the whole answer", len(first.tokens), len(second.tokens), second)
 	}
