Go on placing alone when the owner stays away

Cause: the fall-back counted down the last reports and never up, so a node whose last report showed full engines placed nothing for as long as no owner could be reached. Loss of the owner is to cost goodput only. Change: what a node gives back counts as free again, and reports older than 5 s no longer bound it, only its part of each engine does. A failing load report is logged once, not at every poll. Test: TestLongLossOfOwner.

--- a/dispatcher/engines.go
+++ b/dispatcher/engines.go
@@ -56,9 +56,13 @@
 	defer s.mutex.Unlock()
 	if err != nil {
 		s.placer.Unreachable(time.Now(), member.Name)
-		s.options.Log.Log(eventLoadFailed, logger.Fields{"member": member.Name, "error": err.Error()})
+		if !s.silent[member.Name] {
+			s.silent[member.Name] = true
+			s.options.Log.Log(eventLoadFailed, logger.Fields{"member": member.Name, "error": err.Error()})
+		}
 		return
 	}
+	delete(s.silent, member.Name)
 	s.loads[member.Name] = load
 	s.placer.Report(time.Now(), member.Name, load)
 }
--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -16,8 +16,10 @@
 // choices on the last reports, up to this node's part of each engine.
 type fallback struct {
 	issued uint64
-	// free is what each engine last reported, less what was placed since.
-	free map[identifier.Member]identifier.Pieces
+	// free is what each engine last reported, less what was placed and with
+	// what was given back since. Reports came at taken.
+	free  map[identifier.Member]identifier.Pieces
+	taken time.Time
 	// used is what this node placed alone on each engine; grants holds the same.
 	used   map[identifier.Member]identifier.Pieces
 	grants map[identifier.Grant]aloneGrant
@@ -37,17 +39,35 @@
 }
 
 // take remembers what the owner passed on.
-func (f *fallback) take(_ time.Time, reports []*dispatcherrpc.Report) {
+func (f *fallback) take(now time.Time, reports []*dispatcherrpc.Report) {
+	if len(reports) > 0 {
+		f.taken = now
+	}
 	for _, report := range reports {
 		f.free[identifier.Member(report.GetMember())] = identifier.Pieces(report.GetFreePieces())
 	}
 }
 
-// forget returns the memory of a grant that was placed alone.
-func (f *fallback) forget(grant identifier.Grant) {
-	if alone, ok := f.grants[grant]; ok {
+// reportLife is how long reports count without news. After it a node's part of
+// the engines is all that bounds it, or an engine that was full once would be
+// left idle for as long as no owner can be reached.
+const reportLife = 5 * time.Second
+
+// expire forgets reports that are too old.
+func (f *fallback) expire(now time.Time) {
+	if now.Sub(f.taken) > reportLife {
+		clear(f.free)
+	}
+}
+
+// forget returns the memory of a grant that this node held.
+func (f *fallback) forget(h *heldGrant) {
+	if free, known := f.free[h.Decode]; known {
+		f.free[h.Decode] = free + h.Pieces
+	}
+	if alone, ok := f.grants[h.Grant]; ok {
 		f.used[alone.decode] -= alone.pieces
-		delete(f.grants, grant)
+		delete(f.grants, h.Grant)
 	}
 }
 
@@ -61,6 +81,7 @@
 	if !ok {
 		return
 	}
+	l.fallback.expire(now)
 	members := shardMembers(pool, l.id.index, l.options.ShardEngines)
 	nodes := max(1, len(l.options.View().Members))
 	for _, w := range l.waiting {
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -302,3 +302,31 @@
 		t.Errorf("a shard that is gone holds %v", left)
 	}
 }
+
+// TestLongLossOfOwner serves far more requests alone, one after another, than
+// the last reports had memory for.
+func TestLongLossOfOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner, others := startThree(t)
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			d := demand(name, 1)
+			f.run(d, others[1].placed(t, d))
+		}
+		time.Sleep(2 * time.Second)
+		full := demand("full", 1)
+		full.Wait = 500 * time.Millisecond
+		if outcome := others[0].Acquire(t.Context(), full); outcome.Placement != nil {
+			t.Errorf("granted %+v on full engines", outcome.Placement)
+		}
+		f.set(f.refusing, string(owner.name), true)
+		for i := range 20 {
+			d := demand(fmt.Sprint("r", i), 1)
+			d.Wait = 10 * time.Second
+			place := others[0].placed(t, d)
+			time.Sleep(100 * time.Millisecond)
+			others[0].Release(place.Grant, placer.Result{Output: 10, Decoded: true})
+		}
+		f.set(f.refusing, string(owner.name), false)
+		stop(append(others, owner)...)
+	})
+}
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -183,8 +183,10 @@
 }
 
 func (l *link) giveBack(grant identifier.Grant, result placer.Result) {
-	delete(l.held, grant)
-	l.fallback.forget(grant)
+	if h := l.held[grant]; h != nil {
+		delete(l.held, grant)
+		l.fallback.forget(h)
+	}
 	if len(l.releases) < l.options.BacklogLimit {
 		l.releases = append(l.releases, released{grant, result})
 	}
@@ -358,11 +360,12 @@
 
 // revoke drops a grant that the owner took back.
 func (l *link) revoke(grant identifier.Grant) {
-	if l.held[grant] == nil {
+	h := l.held[grant]
+	if h == nil {
 		return
 	}
 	delete(l.held, grant)
-	l.fallback.forget(grant)
+	l.fallback.forget(h)
 	l.options.Log.Log(eventRevoked, logger.Fields{"grant": grant})
 	if l.options.Revoked != nil {
 		l.options.Revoked(grant)
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -47,6 +47,8 @@
 	orders  []placer.Order
 	sending map[identifier.Grant]bool
 	loads   map[identifier.Member]placer.Load
+	// silent are the engines whose last report failed.
+	silent map[identifier.Member]bool
 }
 
 func newShard(id shardID, issuer string, pool tabulator.Pool, s *server) *shard {
@@ -60,6 +62,7 @@
 		outboxes: map[identifier.Node]*outbox{},
 		sending:  map[identifier.Grant]bool{},
 		loads:    map[identifier.Member]placer.Load{},
+		silent:   map[identifier.Member]bool{},
 	}
 }
 
