--- a/prober/machine.go
+++ b/prober/machine.go
@@ -103,6 +103,13 @@
 	return d/2 + time.Duration(random.Int64N(int64(d)))
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *machine) self() record {
 	return m.table.records[m.options.Self.Node]
 }
@@ -138,7 +145,7 @@
 	m.resumeAlone(now)
 	m.expire(now)
 	if !now.Before(m.nextProbe) {
-		m.nextProbe = now.Add(m.options.Interval)
+		m.nextProbe = later(m.nextProbe.Add(m.options.Interval), now)
 		m.probeNext(now)
 	}
 	if !now.Before(m.nextRevive) {
@@ -255,6 +262,9 @@
 	case after.health == suspect:
 		m.suspects[node] = now.Add(m.options.SuspectAfter)
 		m.out.note(eventSuspect, fields)
+	case after.health == refused:
+		m.suspects[node] = now.Add(m.options.RefusedAfter)
+		m.out.note(eventRefusing, fields)
 	case after.leaving && !before.leaving:
 		m.out.note(eventLeaving, fields)
 	case before.health == dead:
