--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -330,3 +330,25 @@
 		stop(append(others, owner)...)
 	})
 }
+
+func TestSlanderedNodesQueuedDemandIsPlaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner, others := startThree(t)
+		var first *placer.Placement
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			first = others[1].placed(t, demand(name, 1))
+		}
+		go func() {
+			time.Sleep(time.Second)
+			f.state(others[0].name, assigner.Dead)
+			time.Sleep(time.Second)
+			f.state(others[0].name, assigner.Alive)
+			time.Sleep(3 * time.Second)
+			others[1].Release(first.Grant, placer.Result{})
+		}()
+		late := demand("late", 1)
+		late.Wait = 20 * time.Second
+		others[0].placed(t, late)
+		stop(append(others, owner)...)
+	})
+}
