--- /dev/null
+++ b/measurer/measurer_test.go
@@ -0,0 +1,49 @@
+package measurer
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestRunsEndClean checks for every strategy, with and without a killed owner,
+// that each request has an outcome and all memory is free at the end, and that
+// the same seed measures the same.
+func TestRunsEndClean(t *testing.T) {
+	strategies := append(slices.Clone(Baselines), Dispatched(Variant{Name: "dispatcher"}))
+	for _, name := range []string{"load-1.2", "owner-killed"} {
+		scenario := Scenarios[slices.IndexFunc(Scenarios, func(s Scenario) bool { return s.Name == name })]
+		for _, how := range strategies {
+			t.Run(name+"/"+how.Name, func(t *testing.T) {
+				var results []Result
+				for range 2 {
+					r := newRun(&Settings[0], scenario, 1)
+					r.strategy = how.make(r)
+					r.execute()
+					r.checkClean(t)
+					results = append(results, r.result())
+				}
+				if results[0] != results[1] {
+					t.Errorf("one seed measured %+v and %+v", results[0], results[1])
+				}
+			})
+		}
+	}
+}
+
+func (r *run) checkClean(t *testing.T) {
+	t.Helper()
+	undecided := 0
+	for _, q := range r.requests {
+		if q.state == open {
+			undecided++
+		}
+	}
+	if undecided > 0 {
+		t.Errorf("%d of %d requests have no outcome", undecided, len(r.requests))
+	}
+	for _, e := range r.decodes {
+		if e.free != e.pieces {
+			t.Errorf("%s still holds %d pieces", e.name, e.pieces-e.free)
+		}
+	}
+}
