--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -183,8 +183,10 @@
 }
 
 func (l *link) giveBack(grant identifier.Grant, result placer.Result) {
-	delete(l.held, grant)
-	l.fallback.forget(grant)
+	if h := l.held[grant]; h != nil {
+		delete(l.held, grant)
+		l.fallback.forget(h)
+	}
 	if len(l.releases) < l.options.BacklogLimit {
 		l.releases = append(l.releases, released{grant, result})
 	}
@@ -249,7 +251,9 @@
 	}
 	l.withdrawals = nil
 	for _, w := range l.waiting {
-		if !w.sent {
+		// With each renewal waiting demands are sent again, in case the owner
+		// dropped them because it thought this node dead.
+		if !w.sent || renew {
 			left := w.demand.Wait - now.Sub(w.submitted)
 			request.Demands = append(request.Demands, encodeDemand(&w.demand, left))
 			w.sent = true
@@ -358,11 +362,12 @@
 
 // revoke drops a grant that the owner took back.
 func (l *link) revoke(grant identifier.Grant) {
-	if l.held[grant] == nil {
+	h := l.held[grant]
+	if h == nil {
 		return
 	}
 	delete(l.held, grant)
-	l.fallback.forget(grant)
+	l.fallback.forget(h)
 	l.options.Log.Log(eventRevoked, logger.Fields{"grant": grant})
 	if l.options.Revoked != nil {
 		l.options.Revoked(grant)
