Pass redirections of backend servers on instead of following them

Cause: the clients that call backend servers followed redirections. A call that may not be repeated and was answered with 307 or 308 was sent again, to wherever the answer said.

Change: a redirection is the call's answer.

Run: TestRedirectIsNotFollowed failed before with "status 0, 10 executions, error backend-server.lost: m, cause: Post "/again": stopped after 10 redirects" and passes.

--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -71,12 +71,18 @@
 	fresh   *http.Client
 }
 
+// passRedirect passes a redirection on as the answer. Following it would send a
+// call again that may run once only.
+func passRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 // New returns an invoker.
 func New(options Options) *Invoker {
 	return &Invoker{
 		options: options,
-		kept:    &http.Client{Transport: options.Transport},
-		fresh:   &http.Client{Transport: options.Fresh},
+		kept:    &http.Client{Transport: options.Transport, CheckRedirect: passRedirect},
+		fresh:   &http.Client{Transport: options.Fresh, CheckRedirect: passRedirect},
 	}
 }
 
