Test taken-over addresses, shared names and the bounds of rumours

Cause: these rules had no test of their own. Change: cases in testdata/machine/names and a drawn test of the rumours. No fault was found.

--- a/prober/fleet_test.go
+++ b/prober/fleet_test.go
@@ -92,18 +92,23 @@
 }
 
 func (f *fleet) start(name, centre string) *fakeNode {
+	return f.startAt(name, centre, name)
+}
+
+// startAt starts a node at the address of another.
+func (f *fleet) startAt(name, centre, host string) *fakeNode {
 	options := f.options
 	options.Self = assigner.Member{
 		Node:        identifier.Node(name),
 		Incarnation: identifier.Incarnation(f.now.UnixNano()),
 		DataCentre:  identifier.DataCentre(centre),
-		Peers:       identifier.Address("10.0.0.1:7000/" + name),
+		Peers:       identifier.Address("10.0.0.1:7000/" + host),
 		Callers:     identifier.Address("10.0.0.1:8000/" + name),
 	}
 	options.Seeds = []identifier.Address{"10.0.0.1:7000/n000", "10.0.0.1:7000/n001"}
 	node := &fakeNode{name: options.Self.Node, centre: options.Self.DataCentre}
 	node.machine = newMachine(options, rand.New(rand.NewPCG(f.random.Uint64(), 2)), f.now)
-	if old := f.byAddr[options.Self.Peers]; old != nil {
+	if old := f.byAddr[options.Self.Peers]; old != nil && old.killed {
 		f.nodes = slices.DeleteFunc(f.nodes, func(n *fakeNode) bool { return n == old })
 	}
 	f.nodes = append(f.nodes, node)
--- a/prober/machine_test.go
+++ b/prober/machine_test.go
@@ -59,6 +59,10 @@
 		f.node(first).killed = true
 	case "start":
 		f.start(first, "dc0")
+	case "take-over":
+		f.startAt(d.CmdArgs[1].Key, "dc0", first)
+	case "twin":
+		f.startAt(first, "dc0", first+"-twin")
 	case "pause":
 		f.pause(f.node(first))
 	case "resume":
--- /dev/null
+++ b/prober/rumour_test.go
@@ -0,0 +1,54 @@
+package prober
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRumours checks the bounds: each rumour is heard once while its id is known,
+// none is passed on after its end, and neither number nor size grows without end.
+func TestRumours(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		held := newRumours()
+		now := time.Unix(1_000_000, 0)
+		ends := map[uint64]time.Time{}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if len(held.held) > maximumRumours {
+					t.Fatalf("%d rumours held", len(held.held))
+				}
+				for id, end := range ends {
+					if r, passing := held.passing(now, id); passing && r.remaining > end.Sub(now) {
+						t.Fatalf("rumour %d lives on for %v", id, r.remaining)
+					}
+				}
+			},
+			"add": func(t *rapid.T) {
+				r := rumour{
+					id:        rapid.Uint64Range(0, 400).Draw(t, "id"),
+					payload:   make([]byte, rapid.IntRange(0, 2*maximumRumourBytes).Draw(t, "size")),
+					remaining: time.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second,
+				}
+				_, known := held.held[r.id]
+				added := held.add(now, r)
+				if added && (known || len(r.payload) > maximumRumourBytes) {
+					t.Fatalf("rumour %d of %d bytes was heard; known before: %v", r.id, len(r.payload), known)
+				}
+				if added {
+					ends[r.id] = now.Add(r.remaining)
+				}
+			},
+			"pass time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+				held.expire(now)
+			},
+		})
+		now = now.Add(time.Minute + rumourAfterlife + time.Second)
+		held.expire(now)
+		if len(held.held) > 0 {
+			t.Fatalf("%d rumours are kept for good", len(held.held))
+		}
+	})
+}
