--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -293,8 +293,12 @@
 	return &tabulator.Routes{Routes: []tabulator.Route{{Name: identifier.Route(name), Pool: identifier.Pool(pool)}}}
 }
 
+func (f *fleet) request(r *tabulator.Routes, p *tabulator.Pools) publisher.ApplyRequest {
+	return publisher.ApplyRequest{Routes: r, Pools: p}
+}
+
 func (n *node) apply(r *tabulator.Routes, p *tabulator.Pools) publisher.ApplyOutcome {
-	return n.Apply(n.fleet.ctx, publisher.ApplyRequest{Routes: r, Pools: p})
+	return n.Apply(n.fleet.ctx, n.fleet.request(r, p))
 }
 
 func (f *fleet) wantState(got publisher.ApplyOutcome, want publisher.ApplyState) publisher.ApplyOutcome {
