--- a/cmd/assemble.go
+++ b/cmd/assemble.go
@@ -4,17 +4,19 @@
 	"context"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"github.com/foxtailspool/foxtailspool/configurator"
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/meter"
 	"github.com/foxtailspool/foxtailspool/server"
 	"github.com/foxtailspool/foxtailspool/supervisor"
 	"github.com/foxtailspool/foxtailspool/tracer"
 )
 
+// reportInterval is how often metrics reach their exposition.
+const reportInterval = time.Second
+
 // assemble makes a node from its settings: the server, and around it what must
 // outlive it.
 func assemble(ctx context.Context, settings configurator.Settings, log *logger.Logger) (runner, error) {
@@ -28,6 +30,12 @@
 		return nil, err
 	}
 	traces.Install()
+	metrics := meter.New(meter.Options{
+		Node:       settings.Node.Name,
+		DataCentre: settings.Node.DataCentre,
+		Interval:   reportInterval,
+		Log:        log,
+	})
 	node := server.New(server.Options{
 		Settings:     settings,
 		Incarnation:  identifier.Incarnation(time.Now().UnixNano()),
@@ -35,10 +43,12 @@
 		Certificates: certificates,
 		Tracer:       traces,
 		Log:          log,
-		Scope:        tally.NoopScope,
+		Metrics:      metrics.Handler,
+		Scope:        metrics.Scope,
 	})
 	process := supervisor.New()
 	process.Register("tracer", traces)
+	process.Register("meter", metrics)
 	process.Register("server", node)
 	return process, nil
 }
