Let paused streams go on, and wire what placement asked for

A lesser stream paused for urgent work ended at its engine before its node heard of it: the node took that for a crash, suspected the request, asked for memory with its first target, which had passed, and took its own cancelled stream over again until its attempts ran out. Ruled out: the engines' memory, once the stand-in's tokens counted the same in an answer and in a prompt; before, a stream that went on needed more than granted. Change: a cancelled stream is told from a lost one by the engine's answer, or by the owner's notice within a renewal; a pause costs no attempt, no retry budget and no suspicion; a request that has begun waits for what is left of its timeout; an attempt after the first does not take the one before over. Streams report their progress, demands name their route, load reports say who holds memory, the address answer hands out key bindings, and an owner places for 24 engines.

--- a/addresser/addresser.go
+++ b/addresser/addresser.go
@@ -83,6 +83,9 @@
 type Entry struct {
 	Address    identifier.Address
 	DataCentre identifier.DataCentre
+	// Node and Incarnation name the process that answers there.
+	Node        identifier.Node
+	Incarnation identifier.Incarnation
 }
 
 // Answer lists addresses in the order in which a caller should try them.
@@ -119,7 +122,7 @@
 	chosen := slices.Concat(local[:min(len(local), room)], far, suspects)
 	answer := Answer{Keep: a.options.Keep}
 	for _, member := range chosen[:min(len(chosen), a.options.Limit)] {
-		answer.Entries = append(answer.Entries, Entry{member.Callers, member.DataCentre})
+		answer.Entries = append(answer.Entries, Entry{member.Callers, member.DataCentre, member.Node, member.Incarnation})
 	}
 	return answer
 }
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -121,7 +121,7 @@
 		duration("placement.grace", &p.Grace, "2s", shortest, longest, "How long a lapsed grant may be taken over before its request is cancelled."),
 		duration("placement.load-interval", &p.LoadInterval, "500ms", shortest, longest, "The time between two load reports of an engine."),
 		duration("placement.fallback-after", &p.FallbackAfter, "300ms", shortest, longest, "How long a request waits for an owner that cannot be reached before the node places it alone."),
-		count("placement.engines-per-shard", &p.EnginesPerShard, "48", 1<<10, "Engines that one owner places for. The same on every node."),
+		count("placement.engines-per-shard", &p.EnginesPerShard, "24", 1<<10, "Engines that one owner places for. The same on every node."),
 		count("placement.max-backlog", &p.MaxBacklog, "10000", 1<<20, "Releases kept for an owner that cannot be reached."),
 	}
 }
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -22,6 +22,7 @@
 		BetweenNanoseconds: int64(d.Between),
 		Prefixes:           d.Prefixes,
 		Suspect:            d.Suspect,
+		Fresh:              d.Fresh,
 	}
 	for _, member := range d.Avoid {
 		message.Avoid = append(message.Avoid, string(member))
@@ -46,6 +47,7 @@
 		Between:    time.Duration(message.GetBetweenNanoseconds()),
 		Prefixes:   message.GetPrefixes(),
 		Suspect:    message.GetSuspect(),
+		Fresh:      message.GetFresh(),
 	}
 	for _, member := range message.GetAvoid() {
 		d.Avoid = append(d.Avoid, identifier.Member(member))
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -13,7 +13,27 @@
 type loadReport struct {
 	PiecesFree int `json:"pieces_free"`
 	Running    int `json:"running"`
-	taken      time.Time
+	// Holding lists the running streams.
+	Holding []loadHolding `json:"holding"`
+	taken   time.Time
+}
+
+type loadHolding struct {
+	RequestID string `json:"request_id"`
+	Pieces    int    `json:"pieces"`
+}
+
+// holding lists the streams that hold memory; the mutex is held.
+func (e *Engine) holding() []loadHolding {
+	var held []loadHolding
+	for attempt, s := range e.streams {
+		select {
+		case <-s.ended:
+		default:
+			held = append(held, loadHolding{RequestID: attempt, Pieces: s.pieces})
+		}
+	}
+	return held
 }
 
 type engineState struct {
@@ -40,7 +60,7 @@
 	now := time.Now()
 	report := e.report
 	if report.taken.IsZero() || now.Sub(report.taken) >= e.options.Lag {
-		e.report = loadReport{PiecesFree: e.options.Pieces - e.used, Running: e.running, taken: now}
+		e.report = loadReport{PiecesFree: e.options.Pieces - e.used, Running: e.running, Holding: e.holding(), taken: now}
 	}
 	if report.taken.IsZero() {
 		report = e.report
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -63,6 +63,8 @@
 	// how many of the next imports hang until their request is given up.
 	crossed bool
 	stalls  int
+	// cancelled holds the streams that were cancelled not long ago.
+	cancelled map[string]bool
 	// generation grows with each crash; work of an older one is dropped.
 	generation int
 }
@@ -89,6 +91,8 @@
 		client:  &http.Client{Transport: options.Transport},
 		streams: map[string]*stream{},
 		exports: map[string]*export{},
+
+		cancelled: map[string]bool{},
 	}
 	e.mux.HandleFunc("POST /v1/completions", e.serveCompletions)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.serveCompletions)
@@ -134,6 +138,7 @@
 		delete(e.streams, attempt)
 	}
 	e.exports = map[string]*export{}
+	e.cancelled = map[string]bool{}
 	e.used = 0
 	e.running = 0
 }
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -290,7 +290,12 @@
 	reader, _ := strconv.ParseUint(r.URL.Query().Get("reader"), 10, 64)
 	e.mutex.Lock()
 	s, ok := e.streams[attempt]
+	cancelled := e.cancelled[attempt]
 	e.mutex.Unlock()
+	if cancelled {
+		http.Error(w, "the stream was cancelled", http.StatusGone)
+		return
+	}
 	if !ok || after < s.first {
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
@@ -321,6 +326,12 @@
 	e.counts.Cancels++
 	e.dropExport(attempt)
 	delete(e.streams, attempt)
+	e.cancelled[attempt] = true
+	time.AfterFunc(e.options.Retain, func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		delete(e.cancelled, attempt)
+	})
 	e.mutex.Unlock()
 	if ok {
 		s.stop()
--- a/emulator/tokens.go
+++ b/emulator/tokens.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,16 +14,17 @@
 	return max(1, (len(text)+bytesPerToken-1)/bytesPerToken)
 }
 
-var vocabulary = strings.Fields(`relative humidity rose fell steady above below limit
-	case shelf north south cabinet seal gasket silica sensor night morning weekend
-	excursion percent hour within target after before opening closed restored drift`)
+// vocabulary holds words that make tokens of exactly bytesPerToken bytes with the
+// space before them, so that an answer counts the same as a part of a prompt.
+var vocabulary = strings.Fields(`air bag bay bed box cap cup dew dry dam end fan far few gap gas
+	hot ice ink jar key lid log low mid new now oak oil old one out pad pan per pot
+	raw red rim run sea set six sky sum sun tap ten tin top two use van vat wax web
+	wet wry zip arc ash bin day eve`)
 
 // nextToken is the stand-in's model. It depends on the text so far only, so that
 // generation that goes on elsewhere yields the same tokens.
 func nextToken(text string) string {
-	hash := xxhash.Sum64String(text)
-	word := vocabulary[hash%uint64(len(vocabulary))]
-	return " " + word + "-" + strconv.FormatUint(hash>>56, 10)
+	return " " + vocabulary[xxhash.Sum64String(text)%uint64(len(vocabulary))]
 }
 
 // Generate returns the whole answer of an engine to a prompt: tokens in order.
--- a/invoker/attempt.go
+++ b/invoker/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
@@ -10,3 +11,14 @@
 func AttemptID(request identifier.Request, number uint64) identifier.Attempt {
 	return identifier.Attempt(string(request) + "." + strconv.FormatUint(number, 36))
 }
+
+// ParseAttemptID reads what AttemptID wrote. It is false for names that other
+// users of an engine gave.
+func ParseAttemptID(attempt identifier.Attempt) (identifier.Request, uint64, bool) {
+	dot := strings.LastIndexByte(string(attempt), '.')
+	if dot <= 0 {
+		return "", 0, false
+	}
+	number, err := strconv.ParseUint(string(attempt[dot+1:]), 36, 64)
+	return identifier.Request(attempt[:dot]), number, err == nil
+}
--- a/invoker/control.go
+++ b/invoker/control.go
@@ -13,6 +13,14 @@
 type Load struct {
 	Free    identifier.Pieces
 	Running int
+	// Holding lists the attempts that hold memory; nil when the engine does not tell.
+	Holding []Holding
+}
+
+// Holding is the memory that an engine holds for one attempt.
+type Holding struct {
+	Attempt identifier.Attempt
+	Pieces  identifier.Pieces
 }
 
 // Order tells an engine what to serve and in which role.
@@ -39,6 +47,10 @@
 type wireLoad struct {
 	PiecesFree int `json:"pieces_free"`
 	Running    int `json:"running"`
+	Holding    []struct {
+		RequestID identifier.Attempt `json:"request_id"`
+		Pieces    identifier.Pieces  `json:"pieces"`
+	} `json:"holding"`
 }
 
 type wireOrder struct {
@@ -64,7 +76,11 @@
 	if err != nil {
 		return Load{}, err
 	}
-	return Load{Free: identifier.Pieces(wire.PiecesFree), Running: wire.Running}, nil
+	load := Load{Free: identifier.Pieces(wire.PiecesFree), Running: wire.Running}
+	for _, held := range wire.Holding {
+		load.Holding = append(load.Holding, Holding{Attempt: held.RequestID, Pieces: held.Pieces})
+	}
+	return load, nil
 }
 
 // State asks an engine what it serves.
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -39,6 +39,8 @@
 	Refused = Errors.NewType("refused")
 	// Gone: the stream or KV cache asked for does not exist there.
 	Gone = Errors.NewType("gone")
+	// Cancelled: the stream was ended by a cancel; the server is well.
+	Cancelled = Errors.NewType("cancelled")
 	// Superseded: a later reader of the same stream took over.
 	Superseded = Errors.NewType("superseded")
 	// Malformed: the answer does not follow the protocol.
@@ -292,6 +294,8 @@
 	switch status {
 	case http.StatusNotFound:
 		return Gone.New("%s: status %d", member, status)
+	case http.StatusGone:
+		return Cancelled.New("%s: status %d", member, status)
 	case http.StatusConflict:
 		return Superseded.New("%s: status %d", member, status)
 	default:
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -66,7 +66,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		Separator:              promreporter.DefaultSeparator,
-		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		Tags:                   map[string]string{"node": string(options.Node), "data_centre": string(options.DataCentre)},
 		CachedReporter:         reporter,
 		OmitCardinalityMetrics: true,
@@ -75,6 +75,14 @@
 	return &Meter{Scope: scope, Handler: handler, close: closer.Close}
 }
 
+// sanitizer allows in names what Prometheus does, and in values the hyphens of
+// nodes and data centres.
+func sanitizer() *tally.SanitizeOptions {
+	options := promreporter.DefaultSanitizerOpts
+	options.ValueCharacters.Characters = append([]rune{'-', '.', '/'}, options.ValueCharacters.Characters...)
+	return &options
+}
+
 // Run keeps the scope reporting until ctx ends.
 func (m *Meter) Run(ctx context.Context) error {
 	<-ctx.Done()
--- a/placer/events.go
+++ b/placer/events.go
@@ -63,7 +63,7 @@
 // mayGoOn tells whether a stream may stay where it is for a later attempt. One
 // whose KV cache has not reached its decode engine is lost with its prefill engine.
 func (g *grant) mayGoOn(d *Demand) bool {
-	if g.decode.Leaving || g.decode.removed || avoids(d, g.decode) {
+	if d.Fresh || g.decode.Leaving || g.decode.removed || avoids(d, g.decode) {
 		return false
 	}
 	if !g.Decoding && g.prefill != nil && avoids(d, g.prefill) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,9 @@
 	Between time.Duration
 	// Prefixes are hashes of the prompt's leading blocks, shortest first.
 	Prefixes []uint64
+	// Fresh demands do not go on with an earlier attempt's stream: the node that
+	// asks gave it up.
+	Fresh bool
 	// Suspect demands were in flight at a crash of an engine. No two of them
 	// share an engine, so that a second crash tells which one it was.
 	Suspect bool
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/recorder"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -144,6 +145,8 @@
 type wireEntry struct {
 	Address    identifier.Address    `json:"address"`
 	DataCentre identifier.DataCentre `json:"data-centre"`
+	// KeyBinding, put behind an Idempotency-Key, binds it to this process.
+	KeyBinding string `json:"key-binding"`
 }
 
 type wireEntries struct {
@@ -154,7 +157,11 @@
 func encodeEntries(_ context.Context, w http.ResponseWriter, answer addresser.Answer) error {
 	wire := wireEntries{Entries: []wireEntry{}, KeepSeconds: int(answer.Keep / time.Second)}
 	for _, entry := range answer.Entries {
-		wire.Entries = append(wire.Entries, wireEntry(entry))
+		wire.Entries = append(wire.Entries, wireEntry{
+			Address:    entry.Address,
+			DataCentre: entry.DataCentre,
+			KeyBinding: recorder.Binding(entry.Node, entry.Incarnation),
+		})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(w).Encode(wire)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -17,7 +17,7 @@
 	bytesPerToken = 4
 	// prefixBlockBytes is the length of the prompt blocks whose hashes are
 	// matched with the engines' prefix caches.
-	prefixBlockBytes = 1024
+	prefixBlockBytes = int(placer.PrefixBlock) * bytesPerToken
 	// maximumPrefixes bounds the hashes sent with a demand.
 	maximumPrefixes = 16
 )
@@ -41,13 +41,16 @@
 	if p.attempts >= p.router.options.Limits.Attempts {
 		return p.lost(Exhausted, "%d attempts failed", p.attempts)
 	}
-	if p.attempts > 0 {
+	if p.attempts > 0 && !p.paused {
 		if !p.router.options.Budgets.Pool(p.pool.Name).Retry() {
 			return p.lost(RetryBudget, "the pool's retry budget is used up")
 		}
 		p.router.retries.Inc(1)
 	}
-	p.attempts++
+	if !p.paused {
+		p.attempts++
+	}
+	p.paused = false
 	if p.from > 0 {
 		p.startAfresh()
 	}
@@ -104,21 +107,32 @@
 	return unknown(reason, format, a...)
 }
 
+// patience is how long the next token may wait: the route's target for a request
+// that has not begun, and what is left of its timeout for one that has.
+func (p *Reply) patience() time.Duration {
+	if deadline, bounded := p.ctx.Deadline(); bounded && p.ran {
+		return time.Until(deadline)
+	}
+	return time.Duration(p.route.FirstToken)
+}
+
 func (p *Reply) demand() placer.Demand {
 	limit := p.request.Limit - p.offset
 	return placer.Demand{
 		Request:    p.request.Request,
 		Attempt:    uint64(time.Now().UnixMilli()),
 		Pool:       p.pool.Name,
+		Route:      p.route.Name,
 		Rank:       p.route.Rank,
 		Account:    p.request.Account,
 		Node:       p.router.options.Node,
 		DataCentre: p.router.options.DataCentre,
 		Prompt:     estimateTokens(p.request.Prompt) + p.offset,
 		Limit:      limit,
-		Wait:       time.Duration(p.route.FirstToken),
+		Wait:       p.patience(),
 		Between:    time.Duration(p.route.BetweenTokens),
 		Prefixes:   prefixes(p.request.Prompt),
+		Fresh:      p.begun,
 		Suspect:    p.router.options.Isolator.Suspect(p.request.Fingerprint),
 		Avoid:      p.avoid,
 	}
@@ -175,6 +189,7 @@
 // run computes the prompt's KV cache and starts the answer's stream.
 func (p *Reply) run() *Refusal {
 	a := p.attempt
+	p.begun = true
 	work := p.work()
 	a.touched = append(a.touched, a.prefill)
 	kv, err := p.router.options.Engines.Prefill(p.ctx, a.prefill, work)
--- a/router/completion.go
+++ b/router/completion.go
@@ -21,6 +21,9 @@
 // errSuperseded ends the answer to an earlier connection of the same request.
 var errSuperseded = errors.New("a later attempt of the request took over")
 
+// progressTokens is how many tokens pass between two reports of progress.
+const progressTokens = 16
+
 // Completion is a model request as a caller sent it.
 type Completion struct {
 	Request identifier.Request
@@ -57,6 +60,10 @@
 	attempt  *attempt
 	attempts int
 	avoid    []identifier.Member
+	// paused tells that the next attempt goes on with a paused stream.
+	paused bool
+	// begun tells that this node has started an attempt of its own.
+	begun bool
 	// ran is set once an engine may have worked for the request.
 	ran bool
 	// generated is the answer's tokens after from and up to offset. Where from
@@ -148,6 +155,9 @@
 		}
 		p.generated.WriteString(token.Text)
 		p.offset = token.Offset
+		if p.offset%progressTokens == 0 {
+			p.router.options.Placer.Progress(p.attempt.placement.Grant, p.offset, true)
+		}
 		if token.Offset > p.emitted {
 			p.emitted = token.Offset
 			return &token, nil
@@ -262,6 +272,12 @@
 		p.abandon(0, "")
 		return unknown(Superseded, "a later attempt took the request over")
 	}
+	if p.pausedBy(err) {
+		// The stream was paused: the engine is well, and going on is no retry.
+		p.paused = true
+		p.abandon(0, "")
+		return nil
+	}
 	p.router.options.Log.Log(attemptFailed, logger.Fields{
 		"request": p.request.Request, "member": member.Name, "error": err.Error(),
 	})
@@ -280,6 +296,17 @@
 	return nil
 }
 
+// pausedBy tells whether an attempt failed because its grant was taken back. An
+// engine that has lost a stream may have been told to cancel it before this node
+// learned of that, so the news gets a moment to arrive.
+func (p *Reply) pausedBy(err error) bool {
+	grant := p.attempt.placement.Grant
+	if errorx.IsOfType(err, invoker.Cancelled) || p.router.revoked.take(grant) {
+		return true
+	}
+	return errorx.IsOfType(err, invoker.Gone) && p.router.revoked.await(p.ctx, grant)
+}
+
 // crashed tells whether an engine lost what it ran: it dropped the connection,
 // refuses new ones, or came back without the stream. A connection that fell
 // silent or an engine that is cut off is no sign of a crash.
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,8 @@
 type Placer interface {
 	// Acquire waits for a grant or a refusal. Ending ctx withdraws the demand.
 	Acquire(ctx context.Context, demand placer.Demand) placer.Outcome
+	// Progress tells how far the stream of a grant has come. It does not block.
+	Progress(grant identifier.Grant, output identifier.Tokens, decoding bool)
 	// Release gives a grant back. It does not block.
 	Release(grant identifier.Grant, result placer.Result)
 }
@@ -108,6 +110,7 @@
 	options Options
 	cleaner *cleaner
 	flights *flights
+	revoked *revocations
 	strays  tally.Counter
 	retries tally.Counter
 	// turn counts service calls, to begin with another member each time.
@@ -120,6 +123,7 @@
 		options: options,
 		cleaner: newCleaner(options),
 		flights: newFlights(),
+		revoked: newRevocations(),
 		strays:  options.Scope.Counter("stray_chunks"),
 		retries: options.Scope.Counter("attempts_repeated"),
 	}
@@ -136,6 +140,12 @@
 	return r.flights.count()
 }
 
+// Revoke tells that a grant was taken back, such as that of a lesser stream
+// paused for urgent work: its stream ends at the engine without a fault.
+func (r *Router) Revoke(grant identifier.Grant) {
+	r.revoked.add(grant)
+}
+
 // match finds the route of a query in the configuration in force.
 func (r *Router) match(query tabulator.Query) (tabulator.Route, tabulator.Pool, *Refusal) {
 	snapshot := r.options.Snapshot()
--- a/server/services.go
+++ b/server/services.go
@@ -177,6 +177,7 @@
 		Snapshot:      s.excluder.Snapshot,
 		Peers:         s.peers(),
 		Engines:       engines{s.invoker},
+		Revoked:       func(grant identifier.Grant) { s.router.Revoke(grant) },
 		Lease:         settings.Placement.Lease,
 		Grace:         settings.Placement.Grace,
 		Poll:          settings.Placement.LoadInterval,
@@ -253,7 +254,14 @@
 // Load asks an engine for its report.
 func (e engines) Load(ctx context.Context, _ identifier.Pool, member tabulator.Member) (placer.Load, error) {
 	load, err := e.invoker.Load(ctx, member)
-	return placer.Load{Free: load.Free, Running: load.Running}, err
+	report := placer.Load{Free: load.Free, Running: load.Running}
+	for _, held := range load.Holding {
+		request, stream, ok := invoker.ParseAttemptID(held.Attempt)
+		if ok {
+			report.Holding = append(report.Holding, placer.Holding{Request: request, Stream: stream, Pieces: held.Pieces})
+		}
+	}
+	return report, err
 }
 
 // Cancel ends the stream of an attempt unless a later reader went on with it.
