Measure whole nodes at rest, each a process of its own

Cause: the slopes so far are each of one part; the budget is of a whole node. Change: foxtailspool-gauge nodes starts nodes and stand-ins as processes and counts processor time, resident memory, bytes on loopback and store calls.

--- a/gauger/command.go
+++ b/gauger/command.go
@@ -30,6 +30,7 @@
 			return nil
 		},
 	}
+	command.AddCommand(newProcessesCommand())
 	flags := command.Flags()
 	flags.IntSliceVar(&sizes, "nodes", []int{8, 16, 32, 64}, "sizes of the fleet to measure")
 	flags.DurationVar(&options.Settle, "settle", 10*time.Second, "time before the measurement")
