--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # minutes of processor time, the cells of one step do, and all cells without it.
 test:
 	$(GO) test -race $$($(GO) list $(PACKAGES) | grep -v /prover$$)
-	$(GO) test -timeout 30m ./prover
+	$(GO) test -timeout 30m ./prover ./publisher
 	MATRIX_ONLY=@mid-stream $(GO) test -race -timeout 30m -run TestMatrix ./prover
 
 tools: $(TOOLS)/golangci-lint
--- a/publisher/apply_test.go
+++ b/publisher/apply_test.go
@@ -1,8 +1,10 @@
 package publisher_test
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/foxtailspool/foxtailspool/emulator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/publisher"
+	"github.com/foxtailspool/foxtailspool/storer"
 )
 
 // settled waits until both tables are accepted in the platform's own objects.
@@ -203,3 +206,54 @@
 	_ = json.Unmarshal(object.Spec, &spec)
 	return spec.Number
 }
+
+// interposer runs something between two reads of the store.
+type interposer struct {
+	storer.Store
+	// reads counts down to the read before which between runs once.
+	reads   atomic.Int32
+	between func()
+}
+
+func (i *interposer) Get(ctx context.Context, kind storer.Kind, name string) (storer.Object, error) {
+	i.step()
+	return i.Store.Get(ctx, kind, name)
+}
+
+func (i *interposer) List(ctx context.Context, kind storer.Kind) (storer.Listing, error) {
+	i.step()
+	return i.Store.List(ctx, kind)
+}
+
+func (i *interposer) step() {
+	if i.reads.Add(-1) == 0 {
+		i.between()
+	}
+}
+
+// TestEditBetweenReads: an edit of one table is accepted while an edit of the
+// other has read half of what it builds on. Both are in force in the end.
+func TestEditBetweenReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		store := &interposer{Store: f.store}
+		f.store = store
+		f.start()
+		f.wantState(f.order[0].apply(routes("book", "desk"), pools("a")), publisher.ApplyAccepted)
+		time.Sleep(10 * time.Second)
+		store.between = func() {
+			f.wantState(f.order[1].apply(nil, pools("a", "b")), publisher.ApplyAccepted)
+		}
+		store.reads.Store(2)
+		f.wantState(f.order[0].apply(routes("other", "desk"), nil), publisher.ApplyAccepted)
+		f.await("both edits everywhere", 12*time.Second, func() bool {
+			for _, node := range f.order {
+				s := node.Snapshot()
+				if s.Routes.Routes[0].Name != "other" || len(s.Pools.Pools[0].Members) != 2 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -59,7 +59,7 @@
 type fleet struct {
 	t        testing.TB
 	platform *emulator.Platform
-	store    *storer.Client
+	store    storer.Store
 	ctx      context.Context
 
 	mutex sync.Mutex
--- a/publisher/spread.go
+++ b/publisher/spread.go
@@ -14,8 +14,8 @@
 // gets pushes first.
 const feedShard = "configuration-feed"
 
-// rumourTopic names this package's rumours.
-const rumourTopic = "configuration"
+// Topic names this package's rumours.
+const Topic = "configuration"
 
 // forward is a configuration to pass on to nodes.
 type forward struct {
@@ -167,7 +167,7 @@
 // rumour tells the fleet of a number by the membership protocol.
 func (p *Publisher) rumour(told stamp) {
 	if p.options.Broadcast != nil {
-		p.options.Broadcast(rumourTopic, binary.BigEndian.AppendUint64(nil, uint64(told.number)))
+		p.options.Broadcast(Topic, binary.BigEndian.AppendUint64(nil, uint64(told.number)))
 	}
 }
 
--- a/publisher/tables.go
+++ b/publisher/tables.go
@@ -85,20 +85,23 @@
 	snapshot storedSnapshot
 }
 
-// Tables reads both tables with their versions and status.
+// Tables reads both tables with their versions and status. The snapshot is read
+// first: its edits are then in the tables read after it, so that a snapshot
+// joined from them on condition of its version takes no accepted edit back.
 func (p *Publisher) Tables(ctx context.Context) (Tables, error) {
+	snapshot, err := p.loadStored(ctx)
+	if err != nil && !isNotFound(err) {
+		return Tables{}, err
+	}
 	listing, err := p.options.Store.List(ctx, storer.KindTable)
 	if err != nil {
 		return Tables{}, err
 	}
 	tables := readTables(listing.Objects)
 	tables.InForce = p.held().number
-	tables.snapshot, err = p.loadStored(ctx)
-	if isNotFound(err) {
-		return tables, nil
-	}
-	tables.Accepted = tables.snapshot.number()
-	return tables, err
+	tables.Accepted = snapshot.number()
+	tables.snapshot = snapshot
+	return tables, nil
 }
 
 func readTables(objects []storer.Object) Tables {
--- a/server/server.go
+++ b/server/server.go
@@ -71,6 +71,7 @@
 	recorder   *recorder.Recorder
 	isolator   *isolator.Isolator
 	invoker    *invoker.Invoker
+	keptPeers  http.RoundTripper
 	excluder   *excluder.Excluder
 	orderer    *orderer.Orderer
 	router     *router.Router
--- a/server/services.go
+++ b/server/services.go
@@ -62,14 +62,18 @@
 	return transport
 }
 
-// peers returns a transport of kept connections to other nodes, newPeers one
-// that opens a connection for each call.
+// peers returns the transport of calls to other nodes. All services share its
+// kept connections.
 func (s *Server) peers() http.RoundTripper {
-	settings := s.options.Settings.PeerCalls
-	kept := s.secure(s.transport(settings, s.options.Certificates.Peers))
-	return connector.LimitProgress(kept, settings.ProgressTimeout)
+	if s.keptPeers == nil {
+		settings := s.options.Settings.PeerCalls
+		kept := s.secure(s.transport(settings, s.options.Certificates.Peers))
+		s.keptPeers = connector.LimitProgress(kept, settings.ProgressTimeout)
+	}
+	return s.keptPeers
 }
 
+// newPeers returns a transport that opens a connection for each call.
 func (s *Server) newPeers() http.RoundTripper {
 	return s.secure(s.fresh(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
 }
@@ -134,6 +138,7 @@
 		Log:   s.options.Log,
 		Scope: s.options.Scope,
 	})
+	s.prober.Subscribe(publisher.Topic, s.publisher.Heard)
 }
 
 // listedNodes returns the peer addresses of the nodes in the platform's list.
