--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sort"
@@ -90,18 +91,18 @@
 }
 
 func (o Options) withDefaults() Options {
-	orDefault(&o.Tick, 10*time.Millisecond)
-	orDefault(&o.ReleaseDelay, 50*time.Millisecond)
-	orDefault(&o.Lease, 3*time.Second)
-	orDefault(&o.Grace, 2*time.Second)
-	orDefault(&o.Rebuild, o.Lease)
-	orDefault(&o.Poll, 500*time.Millisecond)
-	orDefault(&o.ExchangeTimeout, 250*time.Millisecond)
-	orDefault(&o.CollectHold, 500*time.Millisecond)
-	orDefault(&o.EngineTimeout, time.Second)
-	orDefault(&o.FallbackAfter, 300*time.Millisecond)
-	orDefault(&o.ShardEngines, 24)
-	orDefault(&o.BacklogLimit, 10_000)
+	o.Tick = cmp.Or(o.Tick, 10*time.Millisecond)
+	o.ReleaseDelay = cmp.Or(o.ReleaseDelay, 50*time.Millisecond)
+	o.Lease = cmp.Or(o.Lease, 3*time.Second)
+	o.Grace = cmp.Or(o.Grace, 2*time.Second)
+	o.Rebuild = cmp.Or(o.Rebuild, o.Lease)
+	o.Poll = cmp.Or(o.Poll, 500*time.Millisecond)
+	o.ExchangeTimeout = cmp.Or(o.ExchangeTimeout, 250*time.Millisecond)
+	o.CollectHold = cmp.Or(o.CollectHold, 500*time.Millisecond)
+	o.EngineTimeout = cmp.Or(o.EngineTimeout, time.Second)
+	o.FallbackAfter = cmp.Or(o.FallbackAfter, 300*time.Millisecond)
+	o.ShardEngines = cmp.Or(o.ShardEngines, 24)
+	o.BacklogLimit = cmp.Or(o.BacklogLimit, 10_000)
 	if o.Log == nil {
 		o.Log = logger.Discard()
 	}
@@ -111,13 +112,6 @@
 	return o
 }
 
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Dispatcher is the placement service of one node.
 type Dispatcher struct {
 	options Options
--- a/excluder/excluder.go
+++ b/excluder/excluder.go
@@ -6,6 +6,7 @@
 package excluder
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -68,18 +69,12 @@
 
 // New returns an excluder that knows of no leaving VM.
 func New(options Options) *Excluder {
-	fill(&options.Look, defaultLook)
-	fill(&options.Repeat, defaultRepeat)
-	fill(&options.Expiry, defaultExpiry)
+	options.Look = cmp.Or(options.Look, defaultLook)
+	options.Repeat = cmp.Or(options.Repeat, defaultRepeat)
+	options.Expiry = cmp.Or(options.Expiry, defaultExpiry)
 	return &Excluder{options: options, until: map[string]time.Time{}}
 }
 
-func fill(value *time.Duration, standard time.Duration) {
-	if *value == 0 {
-		*value = standard
-	}
-}
-
 // Snapshot returns the configuration in force with the members on leaving VMs
 // marked as leaving.
 func (e *Excluder) Snapshot() *tabulator.Snapshot {
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -10,6 +10,7 @@
 package orderer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -106,16 +107,16 @@
 }
 
 func (o *Options) fillDefaults() {
-	fill(&o.LeaseDuration, 15*time.Second)
-	fill(&o.ClockMargin, time.Second)
-	fill(&o.SendMargin, 5*time.Second)
-	fill(&o.OrderTimeout, 3*time.Second)
-	fill(&o.StoreTimeout, 2*time.Second)
-	fill(&o.Interval, time.Second)
-	fill(&o.AuditInterval, time.Minute)
-	fill(&o.ReadBackInterval, 2*time.Second)
-	fill(&o.EffectTimeout, 30*time.Second)
-	fill(&o.Calls, 32)
+	o.LeaseDuration = cmp.Or(o.LeaseDuration, 15*time.Second)
+	o.ClockMargin = cmp.Or(o.ClockMargin, time.Second)
+	o.SendMargin = cmp.Or(o.SendMargin, 5*time.Second)
+	o.OrderTimeout = cmp.Or(o.OrderTimeout, 3*time.Second)
+	o.StoreTimeout = cmp.Or(o.StoreTimeout, 2*time.Second)
+	o.Interval = cmp.Or(o.Interval, time.Second)
+	o.AuditInterval = cmp.Or(o.AuditInterval, time.Minute)
+	o.ReadBackInterval = cmp.Or(o.ReadBackInterval, 2*time.Second)
+	o.EffectTimeout = cmp.Or(o.EffectTimeout, 30*time.Second)
+	o.Calls = cmp.Or(o.Calls, 32)
 	if o.Log == nil {
 		o.Log = logger.Discard()
 	}
@@ -124,13 +125,6 @@
 	}
 }
 
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // shard is the shard whose owner takes the lease.
 const shard = "engine-orders"
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -10,6 +10,7 @@
 package publisher
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -80,19 +81,19 @@
 }
 
 func (o *Options) fillDefaults() {
-	fill(&o.Degree, 4)
-	fill(&o.PeerTimeout, time.Second)
-	fill(&o.ReachTimeout, 3*time.Second)
-	fill(&o.ApplyTimeout, 15*time.Second)
-	fill(&o.StatusTimeout, 2*time.Second)
-	fill(&o.CompareInterval, 2*time.Second)
-	fill(&o.ListInterval, time.Minute)
-	fill(&o.VMInterval, 3*time.Second)
-	fill(&o.ProposalWait, 5*time.Second)
-	fill(&o.OwnershipWait, 3*time.Second)
-	fill(&o.BackOffMinimum, 500*time.Millisecond)
-	fill(&o.BackOffMaximum, 8*time.Second)
-	fill(&o.StepsKept, 32)
+	o.Degree = cmp.Or(o.Degree, 4)
+	o.PeerTimeout = cmp.Or(o.PeerTimeout, time.Second)
+	o.ReachTimeout = cmp.Or(o.ReachTimeout, 3*time.Second)
+	o.ApplyTimeout = cmp.Or(o.ApplyTimeout, 15*time.Second)
+	o.StatusTimeout = cmp.Or(o.StatusTimeout, 2*time.Second)
+	o.CompareInterval = cmp.Or(o.CompareInterval, 2*time.Second)
+	o.ListInterval = cmp.Or(o.ListInterval, time.Minute)
+	o.VMInterval = cmp.Or(o.VMInterval, 3*time.Second)
+	o.ProposalWait = cmp.Or(o.ProposalWait, 5*time.Second)
+	o.OwnershipWait = cmp.Or(o.OwnershipWait, 3*time.Second)
+	o.BackOffMinimum = cmp.Or(o.BackOffMinimum, 500*time.Millisecond)
+	o.BackOffMaximum = cmp.Or(o.BackOffMaximum, 8*time.Second)
+	o.StepsKept = cmp.Or(o.StepsKept, 32)
 	if o.Log == nil {
 		o.Log = logger.Discard()
 	}
@@ -101,13 +102,6 @@
 	}
 }
 
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Publisher accepts, holds and passes on configurations on one node.
 type Publisher struct {
 	options Options
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -9,6 +9,7 @@
 package recorder
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -181,29 +182,23 @@
 	defaultBoundEntries   = 8192
 )
 
-func orDefault[T int | time.Duration](value *T, standard T) {
-	if *value == 0 {
-		*value = standard
-	}
-}
-
 func (o *Options) fill() {
-	orDefault(&o.Shards, defaultShards)
-	orDefault(&o.BucketWidth, defaultBucketWidth)
-	orDefault(&o.GroupCommit, defaultGroupCommit)
-	orDefault(&o.SettleDelay, defaultSettleDelay)
-	orDefault(&o.Window, defaultWindow)
-	orDefault(&o.ClockSkew, defaultClockSkew)
-	orDefault(&o.CommitTimeout, defaultCommitTimeout)
-	orDefault(&o.ForwardTimeout, defaultForwardTimeout)
-	orDefault(&o.AwaitPoll, defaultAwaitPoll)
-	orDefault(&o.OutagePause, defaultOutagePause)
-	orDefault(&o.DrainTimeout, defaultDrainTimeout)
-	orDefault(&o.PageEntries, defaultPageEntries)
-	orDefault(&o.InlineAnswer, defaultInlineAnswer)
-	orDefault(&o.StoredAnswer, defaultStoredAnswer)
-	orDefault(&o.HeldBytes, defaultHeldBytes)
-	orDefault(&o.BoundEntries, defaultBoundEntries)
+	o.Shards = cmp.Or(o.Shards, defaultShards)
+	o.BucketWidth = cmp.Or(o.BucketWidth, defaultBucketWidth)
+	o.GroupCommit = cmp.Or(o.GroupCommit, defaultGroupCommit)
+	o.SettleDelay = cmp.Or(o.SettleDelay, defaultSettleDelay)
+	o.Window = cmp.Or(o.Window, defaultWindow)
+	o.ClockSkew = cmp.Or(o.ClockSkew, defaultClockSkew)
+	o.CommitTimeout = cmp.Or(o.CommitTimeout, defaultCommitTimeout)
+	o.ForwardTimeout = cmp.Or(o.ForwardTimeout, defaultForwardTimeout)
+	o.AwaitPoll = cmp.Or(o.AwaitPoll, defaultAwaitPoll)
+	o.OutagePause = cmp.Or(o.OutagePause, defaultOutagePause)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, defaultDrainTimeout)
+	o.PageEntries = cmp.Or(o.PageEntries, defaultPageEntries)
+	o.InlineAnswer = cmp.Or(o.InlineAnswer, defaultInlineAnswer)
+	o.StoredAnswer = cmp.Or(o.StoredAnswer, defaultStoredAnswer)
+	o.HeldBytes = cmp.Or(o.HeldBytes, defaultHeldBytes)
+	o.BoundEntries = cmp.Or(o.BoundEntries, defaultBoundEntries)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
