End the engines' streams with the fleet of a proof

Cause: with the dispatcher's cancels removed on a scratch copy, the proofs ended in a panic at the end of the bubble instead of broken cells. Change: the stand-in engines crash when a fleet closes, after the checks.

--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -150,6 +150,8 @@
 		Transport: f.network.Host(host).Transport(connector.Limits{Dial: time.Second, Idle: time.Second, PerHost: 1000}),
 	})
 	f.engines[name] = engine
+	// Streams that nobody cancelled end with the fleet.
+	f.atEnd(engine.Crash)
 	f.serve(host, engine)
 	return tabulator.Member{
 		Name: identifier.Member(name), Address: address, DataCentre: "south", Role: role,
