Keep callers' request ids apart, and take an answer for whole at its last token

Cause: two faults found on reading the request path. And a connection that broke between the last token and the closing event made the node resume a stream that had nothing left, take the engine for crashed and prefill again, until the request was held as poison. Change: the id in the fleet is made of the caller's id, its account and the request; callers see only their own. After a token with a reason to finish a broken connection is the end, and a resumed stream may consist of its end alone.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -63,6 +63,8 @@
 	// how many of the next imports hang until their request is given up.
 	crossed bool
 	stalls  int
+	// cutEnds is how many of the next streams lose their closing event.
+	cutEnds int
 	// cancelled holds the streams that were cancelled not long ago.
 	cancelled map[string]bool
 	// generation grows with each crash; work of an older one is dropped.
@@ -166,6 +168,24 @@
 	e.stalls = count
 }
 
+// CutEnds makes the next streams break off after the last token.
+func (e *Engine) CutEnds(count int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.cutEnds = count
+}
+
+// takeCut tells whether a stream has to break off at its end.
+func (e *Engine) takeCut() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.cutEnds == 0 {
+		return false
+	}
+	e.cutEnds--
+	return true
+}
+
 // takeStall tells whether an import has to hang.
 func (e *Engine) takeStall() bool {
 	e.mutex.Lock()
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -253,6 +253,10 @@
 			}
 			writeChunk(w, attempt, after+1, tokens[after-s.first], last)
 		}
+		if done && e.takeCut() {
+			flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		if done {
 			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 			return
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -204,9 +204,14 @@
 func (i *Invoker) Resume(ctx context.Context, member tabulator.Member, attempt identifier.Attempt, after identifier.Tokens, reader uint64) (*Stream, error) {
 	path := "/v1/streams/" + string(attempt) +
 		"?after=" + strconv.Itoa(int(after)) + "&reader=" + strconv.FormatUint(reader, 10)
-	return i.open(ctx, attempt, after, func(ctx context.Context) (*http.Response, error) {
+	stream, err := i.open(ctx, attempt, after, func(ctx context.Context) (*http.Response, error) {
 		return i.send(ctx, i.fresh, http.MethodGet, member, path, nil)
 	})
+	if err == nil {
+		// The last token may have been read before; then only the end comes.
+		stream.finished = after > 0
+	}
+	return stream, err
 }
 
 // open starts a stream and bounds the wait for its first byte.
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -46,7 +46,9 @@
 
 type completionRequest struct {
 	completion router.Completion
-	stream     bool
+	// name is the request's id as the caller knows it.
+	name   string
+	stream bool
 }
 
 type completionResponse struct {
@@ -103,10 +105,11 @@
 		Limit:       wire.MaxTokens,
 		Fingerprint: fingerprint(request.URL.Path, body),
 	}
-	if err := identify(&completion, request.Header); err != nil {
+	name, err := identify(&completion, request.Header)
+	if err != nil {
 		return completionRequest{}, err
 	}
-	return completionRequest{completion: completion, stream: wire.Stream}, nil
+	return completionRequest{completion: completion, name: name, stream: wire.Stream}, nil
 }
 
 // promptFor checks the fields that a path needs and returns the text in them.
@@ -133,31 +136,34 @@
 	return *w.Prompt, nil
 }
 
-// identify reads the request's id and where the caller's answer broke off.
-func identify(completion *router.Completion, header http.Header) error {
+// identify reads the request's name and where the caller's answer broke off. The
+// id in the fleet is made of the name, the account and the request itself, so that
+// callers who choose the same name never get each other's answers.
+func identify(completion *router.Completion, header http.Header) (string, error) {
 	id := header.Get(requestHeader)
 	completion.Named = id != ""
 	if !completion.Named {
 		id = uuid.NewString()
 	}
 	if !validID(id) {
-		return malformed("%s must be 1 to %d letters, digits, '-' or '_'", requestHeader, maximumIDBytes)
+		return "", malformed("%s must be 1 to %d letters, digits, '-' or '_'", requestHeader, maximumIDBytes)
 	}
-	completion.Request = identifier.Request(id)
+	own := fingerprint(string(completion.Account), strconv.AppendUint(nil, completion.Fingerprint, 36))
+	completion.Request = identifier.Request(id + "-" + strconv.FormatUint(own, 36))
 	last := header.Get(lastEventHeader)
 	if last == "" {
-		return nil
+		return id, nil
 	}
 	offset, err := strconv.Atoi(last)
 	if err != nil || offset < 0 {
-		return malformed("%s is not a token offset", lastEventHeader)
+		return "", malformed("%s is not a token offset", lastEventHeader)
 	}
 	if !completion.Named {
-		return malformed("%s needs the %s of the request to go on with", lastEventHeader, requestHeader)
+		return "", malformed("%s needs the %s of the request to go on with", lastEventHeader, requestHeader)
 	}
 	completion.After = identifier.Tokens(offset)
 	completion.Resent = true
-	return nil
+	return id, nil
 }
 
 // validID keeps ids safe in paths, logs and headers.
@@ -189,8 +195,8 @@
 }
 
 func encodeCompletion(_ context.Context, w http.ResponseWriter, response completionResponse) error {
-	id := response.request.completion.Request
-	w.Header().Set(requestHeader, string(id))
+	id := response.request.name
+	w.Header().Set(requestHeader, id)
 	if response.refusal != nil {
 		writeRefusal(w, id, response.refusal)
 		return nil
@@ -216,17 +222,16 @@
 }
 
 type wireAnswer struct {
-	ID      identifier.Request `json:"id"`
-	Object  string             `json:"object"`
-	Created int64              `json:"created"`
-	Model   identifier.Model   `json:"model"`
-	Choices []wireChoice       `json:"choices"`
+	ID      string           `json:"id"`
+	Object  string           `json:"object"`
+	Created int64            `json:"created"`
+	Model   identifier.Model `json:"model"`
+	Choices []wireChoice     `json:"choices"`
 }
 
 // answer returns the parts of an answer that stay the same in all its chunks.
 func (r completionResponse) answer(object string) wireAnswer {
-	completion := r.request.completion
-	return wireAnswer{ID: completion.Request, Object: object, Created: time.Now().Unix(), Model: completion.Model}
+	return wireAnswer{ID: r.request.name, Object: object, Created: time.Now().Unix(), Model: r.request.completion.Model}
 }
 
 func (r completionResponse) chat() bool {
@@ -295,7 +300,7 @@
 	for {
 		token, refusal := response.reply.Next()
 		if refusal != nil {
-			writeRefusal(w, response.request.completion.Request, refusal)
+			writeRefusal(w, response.request.name, refusal)
 			return nil
 		}
 		if token == nil {
--- a/receiver/refusal.go
+++ b/receiver/refusal.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/router"
 )
@@ -17,10 +16,10 @@
 }
 
 type wireRefusalBody struct {
-	Outcome router.Outcome     `json:"outcome"`
-	Reason  router.Reason      `json:"reason"`
-	Message string             `json:"message"`
-	Request identifier.Request `json:"request-id,omitempty"`
+	Outcome router.Outcome `json:"outcome"`
+	Reason  router.Reason  `json:"reason"`
+	Message string         `json:"message"`
+	Request string         `json:"request-id,omitempty"`
 	// RetryAfter is in seconds, as in the header.
 	RetryAfter int `json:"retry-after,omitempty"`
 }
@@ -48,7 +47,7 @@
 	return http.StatusServiceUnavailable
 }
 
-func refusalBody(request identifier.Request, refusal *router.Refusal) wireRefusal {
+func refusalBody(request string, refusal *router.Refusal) wireRefusal {
 	return wireRefusal{Error: wireRefusalBody{
 		Outcome:    refusal.Outcome,
 		Reason:     refusal.Reason,
@@ -59,7 +58,7 @@
 }
 
 // writeRefusal answers with a refusal before anything else was written.
-func writeRefusal(w http.ResponseWriter, request identifier.Request, refusal *router.Refusal) {
+func writeRefusal(w http.ResponseWriter, request string, refusal *router.Refusal) {
 	w.Header().Set("Content-Type", "application/json")
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(wholeSeconds(refusal.RetryAfter)))
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -87,7 +87,7 @@
 
 // refused turns placement's refusal into the caller's.
 func (p *Reply) refused(refusal *placer.Refusal) *Refusal {
-	if ended := p.ended(); ended != nil {
+	if ended := p.over(); ended != nil {
 		return ended
 	}
 	if refusal.Reason == placer.Superseded {
@@ -179,7 +179,7 @@
 	if errorx.IsOfType(err, invoker.Superseded) {
 		return p.fail(a.decode, err)
 	}
-	if refusal := p.ended(); refusal != nil {
+	if refusal := p.over(); refusal != nil {
 		return refusal
 	}
 	p.abandon(0, "")
--- a/router/completion.go
+++ b/router/completion.go
@@ -26,8 +26,10 @@
 
 // Completion is a model request as a caller sent it.
 type Completion struct {
+	// Request identifies the request in the fleet. Two callers' requests never
+	// share it, whatever names they chose.
 	Request identifier.Request
-	// Named tells that the caller chose Request and so may come back for it.
+	// Named tells that the caller chose a name and so may come back for it.
 	Named   bool
 	Account identifier.Account
 	Model   identifier.Model
@@ -75,6 +77,8 @@
 	// of offset while an answer is generated again.
 	emitted  identifier.Tokens
 	finished bool
+	// ended tells that the last token was read, with the reason to finish.
+	ended bool
 	// first is the token read ahead to know that the request runs.
 	first *invoker.Token
 }
@@ -147,12 +151,18 @@
 			p.finish()
 			return nil, nil
 		}
+		if err != nil && p.ended {
+			// Only the closing event was lost.
+			p.finish()
+			return nil, nil
+		}
 		if err != nil {
 			if refusal := p.recover(err); refusal != nil {
 				return nil, refusal
 			}
 			continue
 		}
+		p.ended = token.Finish != ""
 		p.generated.WriteString(token.Text)
 		p.offset = token.Offset
 		if p.offset%progressTokens == 0 {
@@ -228,7 +238,7 @@
 // engine, or else with a new attempt.
 func (p *Reply) recover(cause error) *Refusal {
 	p.countStrays()
-	if refusal := p.ended(); refusal != nil {
+	if refusal := p.over(); refusal != nil {
 		return refusal
 	}
 	p.attempt.stream.Close()
@@ -248,8 +258,8 @@
 	return p.fail(p.attempt.decode, err)
 }
 
-// ended tells why the request is over for its caller, if it is.
-func (p *Reply) ended() *Refusal {
+// over tells why the request is over for its caller, if it is.
+func (p *Reply) over() *Refusal {
 	if p.ctx.Err() == nil {
 		return nil
 	}
@@ -265,7 +275,7 @@
 
 // fail gives up the attempt under way and tells whether the request may go on.
 func (p *Reply) fail(member tabulator.Member, err error) *Refusal {
-	if refusal := p.ended(); refusal != nil {
+	if refusal := p.over(); refusal != nil {
 		return refusal
 	}
 	if errorx.IsOfType(err, invoker.Superseded) {
