Bound the resumes of a stream between two tokens

Cause: on reading recover: each broken stream had its resumes afresh, so that an engine which takes a resume and drops it before a token was resumed for ever. Change: resumes are counted since the last token.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -63,6 +63,8 @@
 	// how many of the next imports hang until their request is given up.
 	crossed bool
 	stalls  int
+	// broken drops the connection of each stream before its next token.
+	broken bool
 	// cutEnds is how many of the next streams lose their closing event.
 	cutEnds int
 	// cancelled holds the streams that were cancelled not long ago.
@@ -168,6 +170,20 @@
 	e.stalls = count
 }
 
+// BreakStreams drops the connection of each stream before its next token from now
+// on, also of resumed ones, while the streams themselves go on.
+func (e *Engine) BreakStreams() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.broken = true
+}
+
+func (e *Engine) breaks() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.broken
+}
+
 // CutEnds makes the next streams break off after the last token.
 func (e *Engine) CutEnds(count int) {
 	e.mutex.Lock()
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -242,6 +242,10 @@
 		s.mutex.Lock()
 		tokens, done, wake, latest := s.tokens, s.done, s.wake, s.reader
 		s.mutex.Unlock()
+		if e.breaks() {
+			flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		if latest > reader || s.ctx.Err() != nil && !done {
 			panic(http.ErrAbortHandler)
 		}
--- a/prover/faults_test.go
+++ b/prover/faults_test.go
@@ -92,6 +92,13 @@
 // crashWhere crashes the engine of a role that holds memory, or the first one,
 // and brings it back, empty, two seconds later.
 func (f *fleet) crashWhere(role identifier.Role) {
+	chosen := f.holding(role)
+	chosen.Crash()
+	f.after(2*time.Second, chosen.Restart)
+}
+
+// holding returns the engine of a role that holds most memory.
+func (f *fleet) holding(role identifier.Role) *emulator.Engine {
 	var chosen *emulator.Engine
 	for _, member := range f.pools.Pools[0].Members {
 		engine := f.engines[string(member.Name)]
@@ -99,6 +106,5 @@
 			chosen = engine
 		}
 	}
-	chosen.Crash()
-	f.after(2*time.Second, chosen.Restart)
+	return chosen
 }
--- a/prover/same_id_test.go
+++ b/prover/same_id_test.go
@@ -4,10 +4,21 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
 func init() {
 	add("whole-answer", "same-id-of-another", "mid-stream", sameID)
+	add("whole-answer", "streams-break", "mid-stream", func(t *testing.T, f *fleet) {
+		r := f.try(t, completion{id: "report-1", prompt: longPrompt, tokens: 60})
+		f.waitFor("mid-stream", func() bool { return r.received() >= 20 })
+		f.holding(identifier.Decode).BreakStreams()
+		r.check(t)
+		if r.parts != 1 {
+			t.Errorf("the answer took %d connections", r.parts)
+		}
+	})
 	add("whole-answer", "closing-event-lost", "finish", func(t *testing.T, f *fleet) {
 		for _, engine := range f.engines {
 			engine.CutEnds(5)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -32,6 +32,8 @@
 	// touched are the engines that may hold memory for the attempt.
 	touched   []tabulator.Member
 	prefilled bool
+	// resumes counts the new connections since the last token.
+	resumes int
 	// sent tells that a call may have reached an engine.
 	sent bool
 }
--- a/router/completion.go
+++ b/router/completion.go
@@ -162,20 +162,29 @@
 			}
 			continue
 		}
-		p.ended = token.Finish != ""
-		p.generated.WriteString(token.Text)
-		p.offset = token.Offset
-		if p.offset%progressTokens == 0 {
-			p.router.options.Placer.Progress(p.attempt.placement.Grant, p.offset, true)
-		}
-		if token.Offset > p.emitted {
-			p.emitted = token.Offset
+		if p.take(token) {
 			return &token, nil
 		}
 	}
 	return nil, nil
 }
 
+// take notes a token and tells whether the caller does not have it yet.
+func (p *Reply) take(token invoker.Token) bool {
+	p.attempt.resumes = 0
+	p.ended = token.Finish != ""
+	p.generated.WriteString(token.Text)
+	p.offset = token.Offset
+	if p.offset%progressTokens == 0 {
+		p.router.options.Placer.Progress(p.attempt.placement.Grant, p.offset, true)
+	}
+	if token.Offset <= p.emitted {
+		return false
+	}
+	p.emitted = token.Offset
+	return true
+}
+
 // Close ends the request. What still runs for it is cancelled, after a while
 // where the caller may come back for it.
 func (p *Reply) Close() {
@@ -243,7 +252,8 @@
 	}
 	p.attempt.stream.Close()
 	err := cause
-	for range p.router.options.Limits.Resumes {
+	for p.attempt.resumes < p.router.options.Limits.Resumes {
+		p.attempt.resumes++
 		var stream *invoker.Stream
 		stream, err = p.router.options.Engines.Resume(p.ctx, p.attempt.decode, p.attempt.id, p.offset, p.attempt.placement.Attempt)
 		if err == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -68,8 +68,8 @@
 type Limits struct {
 	// Attempts is the most attempts of a model request, at least one.
 	Attempts int
-	// Resumes is the most new connections tried for a stream whose connection
-	// broke, before the engine is given up.
+	// Resumes is the most new connections tried for a stream between two of its
+	// tokens, before the engine is given up.
 	Resumes int
 	// Linger is how long a stream whose caller was cut off is kept for the
 	// caller to come back, where the caller named the request.
