Give each fleet of real processes a loopback address of its own

Cause: TestProcesses failed once in this run of make matrix and once before with "waited in vain for: nodes answer". Its ports were found free and closed again before the processes listened there; seven fleets side by side open many outgoing connections, which are given ports of the same range. Ruled out: nothing was traced in the failing run itself; the cause is the likely one. Change: a loopback address for each fleet and ports below the range of outgoing connections, each used once.

--- a/prover/processes_test.go
+++ b/prover/processes_test.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,6 +29,9 @@
 	t         *testing.T
 	directory string
 	client    *http.Client
+	// number tells fleets apart, ports counts the addresses given out.
+	number int32
+	ports  int
 	// nodes, prefills and decodes are in the order of their names.
 	nodes             []*processNode
 	prefills, decodes []*processNode
@@ -49,7 +52,7 @@
 }
 
 func newProcessFleet(t *testing.T) *processFleet {
-	f := &processFleet{t: t, directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
+	f := &processFleet{t: t, number: fleets.Add(1), directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
 	f.build()
 	f.platform = f.standin("platform", "platform")
 	f.service = f.standin("desk-1", "service", "--delay", "300ms")
@@ -59,7 +62,7 @@
 	}
 	for i := range 3 {
 		f.nodes = append(f.nodes, &processNode{
-			name: fmt.Sprintf("node-%d", i+1), callers: freeAddress(t), peers: freeAddress(t), operators: freeAddress(t),
+			name: fmt.Sprintf("node-%d", i+1), callers: f.freeAddress(), peers: f.freeAddress(), operators: f.freeAddress(),
 		})
 	}
 	for _, n := range f.nodes {
@@ -79,18 +82,20 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	var listening net.ListenConfig
-	listener, err := listening.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// fleets counts the fleets of real processes of this test run.
+var fleets atomic.Int32
+
+// freeAddress returns the fleet's next address. Each fleet has a loopback address
+// of its own and ports below those that outgoing connections are given, so that
+// nothing else takes a port before its process listens there.
+func (f *processFleet) freeAddress() string {
+	const firstPort = 21000
+	f.ports++
+	return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()%250, f.number, firstPort+f.ports)
 }
 
 func (f *processFleet) standin(name string, arguments ...string) *processNode {
-	address := freeAddress(f.t)
+	address := f.freeAddress()
 	n := &processNode{
 		name: name, callers: address, program: "foxtailspool-standin",
 		arguments: append(arguments, "--listen", address),
