Give each checkout a linter cache of its own

Ruled out: a change in the code (the same commit is clean from an empty cache: 0 issues) and another version of the linter (same v2.12.2).

Seen: a second checkout linted, then removed: 65 findings in the first one, all under the removed path. With a cache under .tools: 0 issues in both, in the same order of steps.

Conclusion: the verdict of make lint now depends on the checkout alone.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 $(TOOLS)/golangci-lint:
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 
+# The linter's cache keeps the paths of the checkout that filled it, and a result
+# read from it for a checkout since removed loses the file's exclusions; so each
+# checkout has a cache of its own.
+lint: export GOLANGCI_LINT_CACHE := $(TOOLS)/lint-cache
 lint: tools
 	$(TOOLS)/golangci-lint fmt --diff
 	$(TOOLS)/golangci-lint run
