Never splice an answer out of two different generations

Cause: a node that takes a stream over read it after what the caller had, so it did not know the beginning. When the engine then failed, it generated the answer again and dropped as many tokens as the caller had. Engines that batch differently generate differently, so the caller got the beginning of one answer and the end of another. The stand-in engines all generate the same, which hid it.

Ruled out: a digest of the text in the event id (the id is the token offset), and going on from the caller's tokens (they do not come with Last-Event-ID).

Change: a take-over reads the stream from its first token; the text is known and another engine goes on after it. Where node and engine are both gone the request is refused as unknown, stream-lost, unless the pools table says repeatable-output. A take-over tries new connections as any broken stream does.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -188,7 +188,7 @@
 	const kvBytesPerToken, linkRate, prefillRate = 1 << 10, 1 << 30, 20_000
 	models := tabulator.Pool{
 		Name: modelName, Kind: tabulator.Models,
-		PieceTokens: pieceTokens, KVBytesPerToken: kvBytesPerToken, LesserShare: 0.2, QueueLimit: 64,
+		PieceTokens: pieceTokens, KVBytesPerToken: kvBytesPerToken, LesserShare: 0.2, QueueLimit: 64, RepeatableOutput: true,
 	}
 	engine := func(role identifier.Role, i int, address string) tabulator.Member {
 		return tabulator.Member{
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -34,6 +34,9 @@
 	// Crash ends the engine when it runs a prompt that contains Poison, if set.
 	Poison string
 	Crash  func()
+	// Variant, unless empty, makes the engine generate other tokens than engines
+	// of another variant do after the same text.
+	Variant string
 	// Transport fetches KV cache from other engines.
 	Transport http.RoundTripper
 }
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -207,7 +207,7 @@
 		if !pause(s.ctx, step) {
 			break
 		}
-		token := nextToken(text)
+		token := nextToken(e.options.Variant + text)
 		text += token
 		s.change(func() { s.tokens = append(s.tokens, token) })
 	}
--- a/emulator/tokens.go
+++ b/emulator/tokens.go
@@ -27,6 +27,11 @@
 	return " " + vocabulary[xxhash.Sum64String(text)%uint64(len(vocabulary))]
 }
 
+// Follows tells whether an engine of a variant generates a token after a text.
+func Follows(variant, text, token string) bool {
+	return nextToken(variant+text) == token
+}
+
 // Generate returns the whole answer of an engine to a prompt: tokens in order.
 func Generate(prompt string, tokens int) []string {
 	answer := make([]string, 0, tokens)
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -48,6 +48,8 @@
 	nodes  map[string]*node
 	stops  []func()
 	caller *http.Client
+	// differing tells that each engine generates answers of its own.
+	differing bool
 	// writes is the store's count of writes before the request of interest.
 	writes int
 }
@@ -67,6 +69,8 @@
 // shape says how large a fleet is.
 type shape struct {
 	nodes, prefills, decodes, services int
+	// differing makes no two engines generate the same after the same text.
+	differing bool
 }
 
 var smallShape = shape{nodes: 3, prefills: 2, decodes: 2, services: 1}
@@ -89,6 +93,8 @@
 		engines:  map[string]*emulator.Engine{},
 		services: map[string]*emulator.Service{},
 		nodes:    map[string]*node{},
+
+		differing: size.differing,
 	}
 	f.caller = &http.Client{Transport: f.network.Host(callerHost).Transport(connector.Limits{
 		Dial: time.Second, Idle: time.Second, PerHost: 1000,
@@ -96,6 +102,7 @@
 	f.serve(platformHost, f.platform)
 	models := tabulator.Pool{
 		Name: "summariser", Kind: tabulator.Models, PieceTokens: 16, KVBytesPerToken: 1 << 10, LesserShare: 0.2, QueueLimit: 64,
+		RepeatableOutput: !size.differing,
 	}
 	for i := range size.prefills {
 		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("prefill-%d", i+1), fmt.Sprintf("10.1.1.%d", i+1), identifier.Prefill))
@@ -141,8 +148,12 @@
 
 func (f *fleet) startEngine(name, host string, role identifier.Role) tabulator.Member {
 	address := identifier.Address(host + ":80")
+	variant := ""
+	if f.differing {
+		variant = name
+	}
 	engine := emulator.NewEngine(emulator.EngineOptions{
-		Name: identifier.Member(name), Address: address,
+		Name: identifier.Member(name), Address: address, Variant: variant,
 		Pieces: 400, PieceTokens: 16, PrefillRate: 4000,
 		TokenTime: 50 * time.Millisecond, Evict: 800 * time.Millisecond, Retain: 5 * time.Second,
 		Lag: 500 * time.Millisecond, TransferTime: 10 * time.Millisecond,
--- a/prover/processes_test.go
+++ b/prover/processes_test.go
@@ -223,7 +223,7 @@
 
 // setTables brings the first tables into force.
 func (f *processFleet) setTables() {
-	models := tabulator.Pool{Name: "summariser", Kind: tabulator.Models, PieceTokens: 16, KVBytesPerToken: 1 << 10, LesserShare: 0.2, QueueLimit: 64}
+	models := tabulator.Pool{Name: "summariser", Kind: tabulator.Models, PieceTokens: 16, KVBytesPerToken: 1 << 10, LesserShare: 0.2, QueueLimit: 64, RepeatableOutput: true}
 	add := func(role identifier.Role, engines []*processNode) {
 		for _, engine := range engines {
 			models.Members = append(models.Members, tabulator.Member{
--- a/receiver/refusal.go
+++ b/receiver/refusal.go
@@ -34,6 +34,7 @@
 	router.Quarantined:              http.StatusUnprocessableEntity,
 	router.Superseded:               http.StatusConflict,
 	router.AnswerLost:               http.StatusBadGateway,
+	router.StreamLost:               http.StatusGone,
 	router.Exhausted:                http.StatusBadGateway,
 	router.TimedOut:                 http.StatusGatewayTimeout,
 	router.Reason(placer.QueueFull): http.StatusTooManyRequests,
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -76,6 +76,10 @@
 	if p.attempt.placement.Stream < p.attempt.placement.Attempt {
 		return p.takeOver()
 	}
+	if p.spliced() {
+		p.abandon(0, "")
+		return unknown(StreamLost, "the engine that generated the first %d tokens is gone", p.emitted)
+	}
 	return p.run()
 }
 
@@ -169,12 +173,12 @@
 	a.touched = []tabulator.Member{a.prefill, a.decode}
 	a.sent = true
 	p.ran = true
-	stream, err := p.router.options.Engines.Resume(p.ctx, a.decode, a.id, p.emitted, a.placement.Attempt)
+	stream, from, err := p.resumeEarlier()
 	if err == nil {
 		a.stream = stream
 		a.prefilled = true
-		p.from = p.emitted
-		p.offset = p.emitted
+		p.from = from
+		p.offset = from
 		p.generated.Reset()
 		return nil
 	}
@@ -188,6 +192,34 @@
 	return nil
 }
 
+// resumeEarlier reads the stream of an earlier attempt from its first token on,
+// though the caller has some: with the whole text, another engine can go on should
+// this one fail. A stream that begins later is read after what the caller has.
+func (p *Reply) resumeEarlier() (*invoker.Stream, identifier.Tokens, error) {
+	stream, err := p.resume(0)
+	if p.emitted == 0 || !errorx.IsOfType(err, invoker.Gone) {
+		return stream, 0, err
+	}
+	stream, err = p.resume(p.emitted)
+	return stream, p.emitted, err
+}
+
+// resume reads the attempt's stream after an offset, again if the connection breaks.
+func (p *Reply) resume(after identifier.Tokens) (*invoker.Stream, error) {
+	a := p.attempt
+	stream, err := p.router.options.Engines.Resume(p.ctx, a.decode, a.id, after, a.placement.Attempt)
+	if err != nil {
+		return p.reopen(after, err)
+	}
+	return stream, nil
+}
+
+// spliced tells whether the caller has tokens whose text is not known here, and
+// the engines may generate others in their place.
+func (p *Reply) spliced() bool {
+	return p.emitted > p.offset && !p.pool.RepeatableOutput
+}
+
 // run computes the prompt's KV cache and starts the answer's stream.
 func (p *Reply) run() *Refusal {
 	a := p.attempt
--- a/router/completion.go
+++ b/router/completion.go
@@ -251,21 +251,35 @@
 		return refusal
 	}
 	p.attempt.stream.Close()
+	stream, err := p.reopen(p.offset, cause)
+	if err != nil {
+		return p.fail(p.attempt.decode, err)
+	}
+	p.router.options.Log.Log(streamResumed, logger.Fields{"request": p.request.Request, "member": p.attempt.decode.Name})
+	p.attempt.stream = stream
+	return nil
+}
+
+// reopen reads the stream of the attempt under way after an offset, on new
+// connections while they break and resumes are left. The cause is the failure
+// that ended the connection before.
+func (p *Reply) reopen(after identifier.Tokens, cause error) (*invoker.Stream, error) {
+	a := p.attempt
 	err := cause
-	for p.attempt.resumes < p.router.options.Limits.Resumes {
-		p.attempt.resumes++
+	for broken(err) && a.resumes < p.router.options.Limits.Resumes {
+		a.resumes++
 		var stream *invoker.Stream
-		stream, err = p.router.options.Engines.Resume(p.ctx, p.attempt.decode, p.attempt.id, p.offset, p.attempt.placement.Attempt)
+		stream, err = p.router.options.Engines.Resume(p.ctx, a.decode, a.id, after, a.placement.Attempt)
 		if err == nil {
-			p.router.options.Log.Log(streamResumed, logger.Fields{"request": p.request.Request, "member": p.attempt.decode.Name})
-			p.attempt.stream = stream
-			return nil
-		}
-		if !errorx.IsOfType(err, invoker.Lost) && !errorx.IsOfType(err, invoker.Silent) {
-			break
+			return stream, nil
 		}
 	}
-	return p.fail(p.attempt.decode, err)
+	return nil, err
+}
+
+// broken tells whether a connection failed while its engine may still be well.
+func broken(err error) bool {
+	return errorx.IsOfType(err, invoker.Lost) || errorx.IsOfType(err, invoker.Silent)
 }
 
 // over tells why the request is over for its caller, if it is.
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -35,6 +35,7 @@
 	RetryBudget     Reason = "retry-budget-exhausted"
 	BackendDown     Reason = "backend-server-unavailable"
 	AnswerLost      Reason = "answer-lost"
+	StreamLost      Reason = "stream-lost"
 	TimedOut        Reason = "timeout"
 	Cancelled       Reason = "cancelled"
 	Overloaded      Reason = "overloaded"
