Pass an engine's rejection on, and read all forms of a request

Written down as text cases, it showed: an engine's 400 was tried at three engines, took from the pool's retry budget and ended as attempts-exhausted; min_tokens and stream_options made every prefill fail so, since a prefill asks for one token without a stream; chat content in parts was refused; max_completion_tokens was not kept to; n was passed over in silence. Read beside it: a 404 for new work, as an engine that has not loaded the model answers, counted as a crash, and two of them as poison.

Ruled out: passing such fields on for the engine to judge; it cannot, as it sees one part of the work at a time.

Change: 400, 413 and 422 are errors of their own, told to the caller as malformed with the engine's reason; 404 is 'gone' only for streams asked for by name; the fields are split between prefill and decode; the stand-in engine checks what real ones do.

Conclusion: a caller's fault costs one call and no retry.

--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -21,8 +21,8 @@
 }
 
 type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string      `json:"role"`
+	Content chatContent `json:"content"`
 }
 
 type completionRequest struct {
@@ -36,6 +36,10 @@
 	Continue bool          `json:"continue_final_message"`
 	Offset   int           `json:"token_offset"`
 	KV       *kvParameters `json:"kv_transfer_params"`
+
+	MinTokens     int             `json:"min_tokens"`
+	Temperature   float64         `json:"temperature"`
+	StreamOptions json.RawMessage `json:"stream_options"`
 }
 
 // text returns the text that the model goes on from.
@@ -50,7 +54,7 @@
 func ChatText(messages []chatMessage, goOn bool) string {
 	text := ""
 	for i, message := range messages {
-		text += message.Role + ": " + message.Content
+		text += message.Role + ": " + string(message.Content)
 		if last := i == len(messages)-1; !last || !goOn {
 			text += "\n"
 		}
@@ -111,6 +115,11 @@
 		http.Error(w, "malformed body", http.StatusBadRequest)
 		return
 	}
+	if fault := request.fault(); fault != "" {
+		w.WriteHeader(http.StatusBadRequest)
+		_ = json.NewEncoder(w).Encode(wireError{wireErrorBody{Message: fault, Type: "BadRequestError"}})
+		return
+	}
 	if e.options.Poison != "" && contains(request.text(), e.options.Poison) {
 		e.crash()
 	}
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,6 +38,9 @@
 	Silent = Errors.NewType("silent")
 	// Refused: the server answered that it did not take the request.
 	Refused = Errors.NewType("refused")
+	// Rejected: the server found a fault in the request itself, which no other
+	// server would take either; the message says which.
+	Rejected = Errors.NewType("rejected")
 	// Gone: the stream or KV cache asked for does not exist there.
 	Gone = Errors.NewType("gone")
 	// Cancelled: the stream was ended by a cancel; the server is well.
@@ -127,6 +131,12 @@
 	fields["request_id"] = w.Attempt
 	fields["stream"] = stream
 	fields["max_tokens"] = limit
+	delete(fields, "max_completion_tokens")
+	// The closing event of usage belongs to no token.
+	delete(fields, "stream_options")
+	if err := w.leastTokens(fields, stream); err != nil {
+		return nil, err
+	}
 	fields["priority"] = priority(w.Rank)
 	fields["kv_transfer_params"] = kv
 	if _, given := w.Body["seed"]; !given {
@@ -141,6 +151,24 @@
 	return json.Marshal(fields)
 }
 
+// leastTokens lowers the caller's least number of tokens by those generated. A
+// prefill generates one token only.
+func (w Work) leastTokens(fields map[string]any, stream bool) error {
+	raw, given := w.Body["min_tokens"]
+	if !given {
+		return nil
+	}
+	var least identifier.Tokens
+	if err := json.Unmarshal(raw, &least); err != nil {
+		return Rejected.New("min_tokens is not a number")
+	}
+	delete(fields, "min_tokens")
+	if left := least - w.Offset; stream && left > 0 {
+		fields["min_tokens"] = left
+	}
+	return nil
+}
+
 // goOn appends what was generated to the prompt or to the conversation.
 func (w Work) goOn(fields map[string]any) error {
 	if raw, ok := w.Body["prompt"]; ok {
@@ -279,8 +307,8 @@
 	if response.StatusCode < http.StatusBadRequest {
 		return response, nil
 	}
-	_ = response.Body.Close()
-	return nil, statusError(response.StatusCode, member.Name)
+	defer func() { _ = response.Body.Close() }()
+	return nil, statusError(method, response, member.Name)
 }
 
 // callError tells a call that never left from one whose effect is unknown.
@@ -295,15 +323,51 @@
 	return Lost.Wrap(err, "%s", member)
 }
 
-func statusError(status int, member identifier.Member) error {
-	switch status {
-	case http.StatusNotFound:
+// statusError turns the status of an answer into an error. Only a stream that is
+// asked for by its name can be gone; a server that does not know the path or the
+// model of new work refuses it.
+func statusError(method string, response *http.Response, member identifier.Member) error {
+	status := response.StatusCode
+	switch {
+	case status == http.StatusNotFound && method != http.MethodPost:
 		return Gone.New("%s: status %d", member, status)
-	case http.StatusGone:
+	case status == http.StatusGone:
 		return Cancelled.New("%s: status %d", member, status)
-	case http.StatusConflict:
+	case status == http.StatusConflict:
 		return Superseded.New("%s: status %d", member, status)
+	case rejects(status):
+		return Rejected.New("%s", faultIn(response.Body))
 	default:
 		return Refused.New("%s: status %d", member, status)
 	}
 }
+
+// rejects tells whether a status blames the request and not the server.
+func rejects(status int) bool {
+	return status == http.StatusBadRequest ||
+		status == http.StatusRequestEntityTooLarge ||
+		status == http.StatusUnprocessableEntity
+}
+
+// faultBytes bounds what is read of an answer that rejects a request.
+const faultBytes = 4 << 10
+
+// faultIn reads what is wrong with a request from the answer that rejects it, in
+// either form that engines use.
+func faultIn(body io.Reader) string {
+	var fault struct {
+		Message string `json:"message"`
+		Error   struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	text, err := io.ReadAll(io.LimitReader(body, faultBytes))
+	if err == nil {
+		err = json.Unmarshal(text, &fault)
+	}
+	message := cmp.Or(fault.Error.Message, fault.Message)
+	if err != nil || message == "" {
+		return "the engine gives no reason"
+	}
+	return message
+}
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -32,16 +33,49 @@
 const maximumIDBytes = 128
 
 type wireMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string       `json:"role"`
+	Content wireContents `json:"content"`
+}
+
+// wireContents is a message's text, which the API allows as one string, in parts,
+// or as null.
+type wireContents string
+
+// UnmarshalJSON reads any of the forms; parts that are not text count as empty.
+func (w *wireContents) UnmarshalJSON(data []byte) error {
+	var whole string
+	if err := json.Unmarshal(data, &whole); err == nil {
+		*w = wireContents(whole)
+		return nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errContents
+	}
+	var text strings.Builder
+	for _, part := range parts {
+		text.WriteString(part.Text)
+	}
+	*w = wireContents(text.String())
+	return nil
 }
 
+var errContents = errors.New("content is neither text nor a list of parts")
+
 type wireCompletion struct {
 	Model     identifier.Model  `json:"model"`
 	Prompt    *string           `json:"prompt"`
 	Messages  []wireMessage     `json:"messages"`
 	MaxTokens identifier.Tokens `json:"max_tokens"`
-	Stream    bool              `json:"stream"`
+	// MaxCompletionTokens is the newer name of MaxTokens, and goes before it.
+	MaxCompletionTokens identifier.Tokens `json:"max_completion_tokens"`
+	Stream              bool              `json:"stream"`
+	// Choices and BestOf ask for several answers, which a stream of tokens that
+	// can be gone on with cannot hold.
+	Choices int `json:"n"`
+	BestOf  int `json:"best_of"`
 }
 
 type completionRequest struct {
@@ -102,7 +136,7 @@
 		Method:      request.Method,
 		Body:        fields,
 		Prompt:      prompt,
-		Limit:       wire.MaxTokens,
+		Limit:       cmp.Or(wire.MaxCompletionTokens, wire.MaxTokens),
 		Fingerprint: fingerprint(request.URL.Path, body),
 	}
 	name, err := identify(&completion, request.Header)
@@ -117,16 +151,19 @@
 	if w.Model == "" {
 		return "", malformed("model is missing")
 	}
-	if w.MaxTokens < 0 {
+	if w.MaxTokens < 0 || w.MaxCompletionTokens < 0 {
 		return "", malformed("max_tokens is negative")
 	}
+	if w.Choices > 1 || w.BestOf > 1 {
+		return "", malformed("n and best_of must be 1")
+	}
 	if strings.HasSuffix(path, "/chat/completions") {
 		if len(w.Messages) == 0 {
 			return "", malformed("messages are missing")
 		}
 		var text strings.Builder
 		for _, message := range w.Messages {
-			text.WriteString(message.Role + ": " + message.Content + "\n")
+			text.WriteString(message.Role + ": " + string(message.Content) + "\n")
 		}
 		return text.String(), nil
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -227,6 +227,9 @@
 	work := p.work()
 	a.touched = append(a.touched, a.prefill)
 	kv, err := p.router.options.Engines.Prefill(p.ctx, a.prefill, work)
+	if errorx.IsOfType(err, invoker.Rejected) {
+		return p.rejected(err)
+	}
 	if !errorx.IsOfType(err, invoker.Unreached) {
 		a.sent = true
 		p.ran = true
@@ -237,6 +240,9 @@
 	a.prefilled = true
 	a.touched = append(a.touched, a.decode)
 	stream, err := p.router.options.Engines.Decode(p.ctx, a.decode, work, kv)
+	if errorx.IsOfType(err, invoker.Rejected) {
+		return p.rejected(err)
+	}
 	if err != nil {
 		return p.fail(a.decode, err)
 	}
@@ -244,6 +250,15 @@
 	return nil
 }
 
+// rejected tells the caller what an engine found wrong with its request. Another
+// engine would find the same.
+func (p *Reply) rejected(err error) *Refusal {
+	p.abandon(0, "")
+	refusal := p.lost(Malformed, "%s", errorx.Cast(err).Message())
+	refusal.RetryAfter = 0
+	return refusal
+}
+
 func (p *Reply) work() invoker.Work {
 	return invoker.Work{
 		Attempt:   p.attempt.id,
