Pass on the fault that every member of a pool reports

Cause: a look-up answered with a 5xx by each member that was asked was refused as backend-server-unavailable, unknown; the service's own answer was lost. Ruled out: passing the first 5xx on at once; another member may have an answer. Change: the latest such answer is passed on when no try has a better one.

--- a/emulator/service.go
+++ b/emulator/service.go
@@ -18,6 +18,8 @@
 	executions map[string]int
 	total      int
 	lose       int
+	// failing makes every execution end with a fault of the service.
+	failing bool
 }
 
 type serviceAnswer struct {
@@ -44,6 +46,7 @@
 	s.total++
 	number := s.total
 	s.executions[r.Header.Get("Idempotency-Key")]++
+	failing := s.failing
 	lost := s.lose > 0
 	if lost {
 		s.lose--
@@ -52,6 +55,10 @@
 	if !pause(r.Context(), s.Delay) || lost {
 		panic(http.ErrAbortHandler)
 	}
+	if failing {
+		http.Error(w, "the case file is locked", http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(serviceAnswer{Number: number, Echo: string(body)})
 }
@@ -63,6 +70,13 @@
 	s.lose = count
 }
 
+// Fail makes the executions from now on end with a fault of the service.
+func (s *Service) Fail() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failing = true
+}
+
 // Executions returns how often each key was executed.
 func (s *Service) Executions() map[string]int {
 	s.mutex.Lock()
--- a/prover/requests_test.go
+++ b/prover/requests_test.go
@@ -16,6 +16,10 @@
 func TestRequests(t *testing.T) {
 	run(t, smallShape, func(t *testing.T, f *fleet) {
 		datadriven.RunTest(t, "testdata/requests", func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "services-fail" {
+				f.failServices()
+				return ""
+			}
 			before := f.total()
 			answer := f.exchange(t, d)
 			after := f.total()
@@ -24,6 +28,12 @@
 	})
 }
 
+func (f *fleet) failServices() {
+	for _, service := range f.services {
+		service.Fail()
+	}
+}
+
 // madeUp matches what differs from run to run in an answer.
 var madeUp = regexp.MustCompile(`"id":"[0-9a-f-]{36}"|"request-id":"[0-9a-f-]{36}"|"created":\d+`)
 
@@ -31,7 +41,7 @@
 func (f *fleet) exchange(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
 	url := "http://" + address(f.node("node-1")) + d.CmdArgs[0].Key
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(d.Input))
+	request, err := http.NewRequestWithContext(t.Context(), strings.ToUpper(d.Cmd), url, strings.NewReader(d.Input))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/router/service.go
+++ b/router/service.go
@@ -63,6 +63,9 @@
 		return nil, notRun(BackendDown, r.options.Limits.RetryAfter, "pool %q has no member that takes work", pool.Name)
 	}
 	var reached atomic.Bool
+	// fault is the latest answer with a server's fault, passed on if no member has
+	// a better one.
+	var fault atomic.Pointer[invoker.Reply]
 	reply, release, err := limiter.Hedge(ctx, r.options.Budgets.Pool(pool.Name), limiter.HedgeOptions[*invoker.Reply]{
 		Send: func(ctx context.Context, try int) (*invoker.Reply, error) {
 			wire := call.Wire
@@ -71,13 +74,19 @@
 			if !errorx.IsOfType(err, invoker.Unreached) {
 				reached.Store(true)
 			}
-			return serverAnswer(reply, err)
+			if err == nil && reply.Status >= http.StatusInternalServerError {
+				fault.Store(&reply)
+				return nil, errServerFault
+			}
+			return &reply, err
 		},
 	})
 	release()
 	switch {
 	case err == nil:
 		return reply, nil
+	case fault.Load() != nil:
+		return fault.Load(), nil
 	case reached.Load():
 		return nil, unknown(BackendDown, "no member of pool %q answered", pool.Name)
 	default:
@@ -89,14 +98,6 @@
 // member may have a better one.
 var errServerFault = errors.New("the backend server reports a fault of its own")
 
-// serverAnswer passes an answer on unless another member should be asked.
-func serverAnswer(reply invoker.Reply, err error) (*invoker.Reply, error) {
-	if err == nil && reply.Status >= http.StatusInternalServerError {
-		return nil, errServerFault
-	}
-	return &reply, err
-}
-
 // callOnce claims the key in the ledger before the first byte leaves.
 func (r *Router) callOnce(ctx context.Context, pool tabulator.Pool, call Call) (*invoker.Reply, *Refusal) {
 	claim := recorder.Call{
