Keep the headers that Connection names to their connection

Cause: only the usual connection headers were taken out; one that a caller or a service names in its Connection header went through (RFC 9110, 7.6.1). Change: those are taken out too.

--- a/receiver/call.go
+++ b/receiver/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -61,9 +62,15 @@
 	return issued, nil
 }
 
-// passedOn copies the headers that reach the backend server.
+// passedOn copies the headers that reach the other side: all but those of the
+// connection and those that its Connection header names (RFC 9110, 7.6.1).
 func passedOn(header http.Header) http.Header {
 	kept := header.Clone()
+	for _, names := range header.Values("Connection") {
+		for name := range strings.SplitSeq(names, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range connectionHeaders {
 		kept.Del(name)
 	}
--- /dev/null
+++ b/receiver/call_test.go
@@ -0,0 +1,18 @@
+package receiver
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+)
+
+func TestConnectionHeadersStay(t *testing.T) {
+	header := http.Header{
+		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"5"}, "X-Case": {"17"},
+	}
+	got := slices.Sorted(maps.Keys(passedOn(header)))
+	if want := []string{"X-Case"}; !slices.Equal(got, want) {
+		t.Errorf("passed on %v, want %v", got, want)
+	}
+}
