Bound each account's requests in flight at a node

Cause: a node bounded its requests as a whole only, so one account's flood took every place. In receiver's new tests against the code before, one account got all 8 of 8 places, another account none, and /v1/entries was refused as overloaded. The same tests found that an overloaded node told a resend `not-run` although an earlier sending of the same key or request id may have run.

Change: limiter.Accounts counts an account's running requests; the receiver asks it before it takes one of the node's places, so that refused requests of a flooding account take none. Refusals are `account-limit` (429, Retry-After), counted as account_limited, and event 8001 names the account once until it has no request left. The setting is requests.max-in-flight-per-account, a quarter of max-in-flight where it is left out (256 of 1024). Both refusals tell a resend `unknown`: nobody has looked up the earlier sending.

Ruled out: a share that grows while the node is idle (an account could fill the node and the next one waits for its streams to end); a waiting queue per account (the placer's queue is where waiting has an order).

Tests: TestAccountBound and TestRefusedResends failed first; TestAccountsMachine is a state machine (never over the bound, places back exactly once, no account remembered without a request), TestAccountsForgotten runs 14,000 accounts. server/token_test.go sets the new field of the receiver it builds. `go test -race ./receiver ./limiter ./configurator ./cmd ./server`: pass; `MATRIX_ONLY=flood go test -run 'TestMatrix|TestFlood' ./prover`: pass.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -135,6 +135,8 @@
 type Requests struct {
 	// MaxInFlight bounds the requests that the node serves at once.
 	MaxInFlight int
+	// MaxInFlightPerAccount bounds those of one account, from 1 to MaxInFlight.
+	MaxInFlightPerAccount int
 	// MaxTimeout is the timeout of routes that set none.
 	MaxTimeout time.Duration
 	// DefaultOutput limits the output of model requests that set no limit.
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -11,14 +11,17 @@
 	"github.com/foxtailspool/foxtailspool/configurator"
 )
 
-// TestParse reads cases of settings: "parse" prints the faults, "show" the
-// settings named in its arguments.
+// TestParse reads cases of settings: "parse" prints the faults, "show" and
+// "show-requests" some of the settings.
 func TestParse(t *testing.T) {
 	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, d *datadriven.TestData) string {
 		settings, faults := configurator.Parse([]byte(d.Input))
 		if len(faults) > 0 {
 			return faults.Error()
 		}
+		if d.Cmd == "show-requests" {
+			return fmt.Sprintf("max-in-flight %d per-account %d", settings.Requests.MaxInFlight, settings.Requests.MaxInFlightPerAccount)
+		}
 		if d.Cmd == "show" {
 			return fmt.Sprintf("callers %s peers %s operators %s body %s seeds %v",
 				settings.Callers.Advertise, settings.Peers.Advertise, settings.Operators.Listen,
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -102,6 +102,7 @@
 func requestKeys(r *Requests) []Key {
 	return []Key{
 		count("requests.max-in-flight", &r.MaxInFlight, "1024", 1<<20, "Requests that the node serves at once."),
+		optionalCount("requests.max-in-flight-per-account", &r.MaxInFlightPerAccount, 1<<20, "Those of one account, by `X-Account`; callers without one count as one account. At most max-in-flight; a quarter of it when empty."),
 		duration("requests.max-timeout", &r.MaxTimeout, "5m", shortest, longest, "The timeout of routes that set none."),
 		count("requests.default-output", &r.DefaultOutput, "512", 1<<20, "The output, in tokens, of model requests that set no limit."),
 		count("requests.max-attempts", &r.MaxAttempts, "3", 100, "Attempts of one model request."),
--- a/configurator/kinds.go
+++ b/configurator/kinds.go
@@ -203,7 +203,11 @@
 func count(key string, target *int, standard string, most int64, meaning string) Key {
 	limits := fmt.Sprintf("1 to %d", most)
 	parse := func(value any) (int, error) {
-		if content, isDefault := value.(defaultText); isDefault {
+		content, isDefault := value.(defaultText)
+		if isDefault && content == "" {
+			return 0, nil
+		}
+		if isDefault {
 			return strconv.Atoi(string(content))
 		}
 		number, ok := value.(int64)
@@ -218,6 +222,11 @@
 	return define(key, "number", limits, standard, meaning, target, parse)
 }
 
+// optionalCount declares a number that is zero when it is left out.
+func optionalCount(key string, target *int, most int64, meaning string) Key {
+	return count(key, target, "", most, meaning)
+}
+
 func ratio(key string, target *float64, standard, meaning string) Key {
 	parse := func(value any) (float64, error) {
 		var number float64
--- a/configurator/parse.go
+++ b/configurator/parse.go
@@ -69,6 +69,7 @@
 	if len(faults) == 0 {
 		faults = settings.check(lines)
 		settings.advertiseListeners()
+		settings.boundAccounts()
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
@@ -242,6 +243,9 @@
 	if s.Requests.CancelRetry > s.Requests.CancelGiveUp {
 		fault("requests.cancel-retry", "must not be above cancel-give-up")
 	}
+	if s.Requests.MaxInFlightPerAccount > s.Requests.MaxInFlight {
+		fault("requests.max-in-flight-per-account", "must not be above max-in-flight")
+	}
 	return faults
 }
 
@@ -269,6 +273,16 @@
 	}
 }
 
+// accountShare is the part of max-in-flight that one account may have where the
+// settings do not say.
+const accountShare = 4
+
+func (s *Settings) boundAccounts() {
+	if s.Requests.MaxInFlightPerAccount == 0 {
+		s.Requests.MaxInFlightPerAccount = max(1, s.Requests.MaxInFlight/accountShare)
+	}
+}
+
 func wildcard(address identifier.Address) bool {
 	parsed, err := netip.ParseAddrPort(string(address))
 	return err == nil && parsed.Addr().IsUnspecified()
--- a/receiver/call.go
+++ b/receiver/call.go
@@ -33,7 +33,7 @@
 	}
 	target := request.URL.RequestURI()
 	return router.Call{
-		Account: identifier.Account(request.Header.Get(accountHeader)),
+		Account: accountOf(request.Header),
 		Path:    request.URL.Path,
 		Wire: invoker.Call{
 			Method: request.Method,
@@ -43,7 +43,7 @@
 			Key:    identifier.Key(key),
 		},
 		Issued:      issued,
-		First:       request.Header.Get(firstHeader) == "true",
+		First:       firstSending(request.Header),
 		Fingerprint: fingerprint(request.Method+" "+target, body),
 	}, nil
 }
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -96,7 +96,7 @@
 		return completionRequest{}, err
 	}
 	completion := router.Completion{
-		Account:     identifier.Account(request.Header.Get(accountHeader)),
+		Account:     accountOf(request.Header),
 		Model:       wire.Model,
 		Path:        request.URL.Path,
 		Method:      request.Method,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,6 +16,8 @@
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/recorder"
 	"github.com/foxtailspool/foxtailspool/router"
 )
@@ -39,12 +41,16 @@
 	BodyBytes int64
 	// Requests bounds the requests answered at once.
 	Requests int
-	// RetryAfter is told to callers refused for that bound.
+	// AccountRequests bounds the requests of one account answered at once, from 1
+	// to Requests. Callers that name no account count as one.
+	AccountRequests int
+	// RetryAfter is told to callers refused for these bounds.
 	RetryAfter time.Duration
 	// Middleware goes around every endpoint: traces, say. May be nil.
 	Middleware func(name string) endpoint.Middleware
 	// Before runs before each endpoint on the request's context. May be empty.
 	Before []kithttp.RequestFunc
+	Log    *logger.Logger
 	Scope  tally.Scope
 }
 
@@ -54,6 +60,8 @@
 	mux     *http.ServeMux
 	// places holds one value for each request being answered.
 	places chan struct{}
+	// accounts bounds the requests of each account.
+	accounts *limiter.Accounts
 }
 
 // New returns a receiver.
@@ -63,30 +71,18 @@
 		mux:     http.NewServeMux(),
 		places:  make(chan struct{}, options.Requests),
 	}
-	complete := handle(r, "complete", r.decodeCompletion, r.complete, encodeCompletion)
+	r.accounts = limiter.NewAccounts(limiter.AccountsOptions{Limit: options.AccountRequests, Reached: r.accountReached})
+	complete := r.admitAccount(r.admit(handle(r, "complete", r.decodeCompletion, r.complete, encodeCompletion)))
 	r.mux.Handle("POST /v1/completions", complete)
 	r.mux.Handle("POST /v1/chat/completions", complete)
-	r.mux.Handle("GET /v1/entries", handle(r, "entries", decodeEntries, r.entries, encodeEntries))
-	r.mux.Handle("/", handle(r, "call", r.decodeCall, r.call, encodeCall))
+	r.mux.Handle("GET /v1/entries", r.admit(handle(r, "entries", decodeEntries, r.entries, encodeEntries)))
+	r.mux.Handle("/", r.admitAccount(r.admit(handle(r, "call", r.decodeCall, r.call, encodeCall))))
 	return r
 }
 
 // ServeHTTP answers a caller.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	select {
-	case r.places <- struct{}{}:
-		defer func() { <-r.places }()
-		r.mux.ServeHTTP(w, request)
-	default:
-		r.options.Scope.Counter("overloaded").Inc(1)
-		refusal := &router.Refusal{
-			Outcome:    router.NotRun,
-			Reason:     router.Overloaded,
-			Message:    "this node answers as many requests as it may",
-			RetryAfter: r.options.RetryAfter,
-		}
-		writeRefusal(w, "", refusal)
-	}
+	r.mux.ServeHTTP(w, request)
 }
 
 // refused carries a refusal through go-kit's decoders, whose failures are errors.
--- a/receiver/refusal.go
+++ b/receiver/refusal.go
@@ -36,6 +36,7 @@
 	router.AnswerLost:               http.StatusBadGateway,
 	router.Exhausted:                http.StatusBadGateway,
 	router.TimedOut:                 http.StatusGatewayTimeout,
+	router.AccountLimit:             http.StatusTooManyRequests,
 	router.Reason(placer.QueueFull): http.StatusTooManyRequests,
 }
 
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -38,6 +38,7 @@
 	TimedOut        Reason = "timeout"
 	Cancelled       Reason = "cancelled"
 	Overloaded      Reason = "overloaded"
+	AccountLimit    Reason = "account-limit"
 )
 
 // Refusal is a request without an answer. It is a value, not an error: the
--- a/server/server.go
+++ b/server/server.go
@@ -179,13 +179,15 @@
 		peers.Handle(path, serve)
 	}
 	callers := receiver.New(receiver.Options{
-		Router:     s.router,
-		Addresser:  s.addresser,
-		BodyBytes:  int64(settings.Callers.MaxBodySize),
-		Requests:   settings.Requests.MaxInFlight,
-		RetryAfter: settings.Requests.RetryAfter,
-		Before:     s.options.Before,
-		Scope:      s.options.Scope,
+		Router:          s.router,
+		Addresser:       s.addresser,
+		BodyBytes:       int64(settings.Callers.MaxBodySize),
+		Requests:        settings.Requests.MaxInFlight,
+		AccountRequests: settings.Requests.MaxInFlightPerAccount,
+		RetryAfter:      settings.Requests.RetryAfter,
+		Before:          s.options.Before,
+		Log:             s.options.Log,
+		Scope:           s.options.Scope,
 	})
 	operators := administrator.NewHandler(administrator.HandlerOptions{
 		Observer:  observer{s},
--- a/server/token_test.go
+++ b/server/token_test.go
@@ -129,7 +129,7 @@
 		Limits:  router.Limits{Attempts: 1, Timeout: time.Minute},
 		Log:     logger.Discard(), Scope: tally.NoopScope,
 	})
-	return receiver.New(receiver.Options{Router: routes, BodyBytes: 1 << 20, Requests: 1, Scope: tally.NoopScope})
+	return receiver.New(receiver.Options{Router: routes, BodyBytes: 1 << 20, Requests: 1, AccountRequests: 1, Log: logger.Discard(), Scope: tally.NoopScope})
 }
 
 // BenchmarkStreamedToken measures what a node does for one streamed token, from
