Serve callers only once a node has joined and has a configuration

Cause: a starting node answered callers as soon as its listener was open. server's new tests against the code before: cut off from its seed at the start, a node with the store's tables answered /v1/entries with itself, ran calls and told /readyz 200 before it knew whether it was alone; without any tables /v1/entries listed two nodes that could serve nothing. Prober.Joined was not used.

Weighed: the first node of a fleet knows of no other and is ready at once; with seeds that are down it goes on alone after one failed round and is then ready; a node cut off at the start likewise, since refusing for as long as the cut lasts would take a whole data centre out; a node cut off later goes on serving. Asking nodes for /v1/entries before they are ready gets 503 too, not the entries they know: a caller without an answer asks its next address, one with an empty or partial list would keep it.

Change: the receiver refuses with `not-joined` or `no-configuration` (503, Retry-After, `unknown` for resends) until server says it is ready; /readyz and `status` tell the same; the addresser leaves out members that have told of no configuration.

Tests: TestCutOffAtStart and TestUnconfigured failed first. addresser's cases give each member a configuration now, and a case without one was added; no expected output changed.

--- a/addresser/addresser.go
+++ b/addresser/addresser.go
@@ -90,8 +90,9 @@
 
 // Answer lists addresses in the order in which a caller should try them.
 type Answer struct {
-	// Entries holds no address of a leaving or dead member. It is empty only
-	// where all live members are leaving.
+	// Entries holds no address of a leaving or dead member, nor of one that has
+	// not told of a configuration yet. It is empty only where all live members
+	// are such.
 	Entries []Entry
 	// Keep is how long the caller may use the answer.
 	Keep time.Duration
@@ -105,6 +106,8 @@
 	var local, far, suspects []assigner.Member
 	for _, member := range a.order().members {
 		switch {
+		case member.Configuration == 0:
+			// It has just started, and serves nothing yet.
 		case member.State == assigner.Suspect:
 			suspects = append(suspects, member)
 		case member.State != assigner.Alive:
--- a/addresser/addresser_test.go
+++ b/addresser/addresser_test.go
@@ -20,8 +20,11 @@
 		fields := strings.Fields(line)
 		view.Members = append(view.Members, assigner.Member{
 			Node: identifier.Node(fields[0]), Callers: identifier.Address(fields[0] + ":80"),
-			DataCentre: identifier.DataCentre(fields[1]), State: assigner.State(fields[2]),
+			DataCentre: identifier.DataCentre(fields[1]), State: assigner.State(fields[2]), Configuration: 1,
 		})
+		if len(fields) > 3 && fields[3] == "unconfigured" {
+			view.Members[len(view.Members)-1].Configuration = 0
+		}
 	}
 	view.Self = view.Members[0]
 	return view
@@ -64,7 +67,7 @@
 		name := fmt.Sprintf("n%03d", i)
 		view.Members = append(view.Members, assigner.Member{
 			Node: identifier.Node(name), Callers: identifier.Address(name), State: assigner.Alive,
-			DataCentre: identifier.DataCentre(fmt.Sprintf("dc%d", i%7)),
+			DataCentre: identifier.DataCentre(fmt.Sprintf("dc%d", i%7)), Configuration: 1,
 		})
 	}
 	var answerers []*addresser.Addresser
--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -22,6 +22,8 @@
 	DataCentre  identifier.DataCentre  `json:"data-centre"`
 	// State is alive, or leaving once the node drains.
 	State assigner.State `json:"state"`
+	// Unready is why the node serves no caller yet; empty once it does.
+	Unready string `json:"unready,omitempty"`
 	// Configuration is the number in force at the node; zero is none.
 	Configuration identifier.Configuration `json:"configuration"`
 	// InFlight counts the callers' requests that the node serves now.
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -59,6 +59,9 @@
 		if d.HasArg("leaving") {
 			node.status.State = assigner.Leaving
 		}
+		if d.HasArg("not-joined") {
+			node.status.Unready = "not-joined"
+		}
 		if d.HasArg("unconfigured") {
 			node.status.Configuration = 0
 		}
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -53,10 +53,14 @@
 	return mux
 }
 
-// ready answers whether the node takes new work: it does once it has a
-// configuration and until it leaves.
+// ready answers whether the node takes new work: it does once it has joined the
+// fleet and has a configuration, and until it leaves.
 func (o HandlerOptions) ready(w http.ResponseWriter, r *http.Request) {
 	status := o.Observer.Status(r.Context())
+	if status.Unready != "" {
+		writeError(w, Unavailable.New("the node is not ready: %s", status.Unready))
+		return
+	}
 	if status.Configuration == 0 {
 		writeError(w, Unavailable.New("the node has no configuration yet"))
 		return
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -49,6 +49,9 @@
 	r.add("node", status.Node)
 	r.add("data centre", status.DataCentre)
 	r.add("state", status.State)
+	if status.Unready != "" {
+		r.add("not ready", status.Unready)
+	}
 	r.add("configuration", status.Configuration)
 	r.add("requests in flight", status.InFlight)
 	r.gap()
--- a/receiver/admission.go
+++ b/receiver/admission.go
@@ -38,6 +38,14 @@
 	})
 }
 
+// unready tells why the node serves nothing yet, or is empty.
+func (r *Receiver) unready() router.Reason {
+	if r.options.Unready == nil {
+		return ""
+	}
+	return r.options.Unready()
+}
+
 // refuse answers a request that was not let in.
 func (r *Receiver) refuse(w http.ResponseWriter, request *http.Request, reason router.Reason, message string) {
 	writeRefusal(w, "", &router.Refusal{
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -37,6 +37,9 @@
 type Options struct {
 	Router    Router
 	Addresser Addresser
+	// Unready tells why the node serves nothing yet; empty once it serves. May be
+	// nil.
+	Unready func() router.Reason
 	// BodyBytes bounds a request's body.
 	BodyBytes int64
 	// Requests bounds the requests answered at once.
@@ -82,6 +85,10 @@
 
 // ServeHTTP answers a caller.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if reason := r.unready(); reason != "" {
+		r.refuse(w, request, reason, "this node has just started and serves nothing yet")
+		return
+	}
 	r.mux.ServeHTTP(w, request)
 }
 
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -21,6 +21,7 @@
 
 // The reasons of refusals. Placement's own reasons are passed on as they are.
 const (
+	NotJoined       Reason = "not-joined"
 	NoConfiguration Reason = "no-configuration"
 	NoRoute         Reason = "no-route"
 	Malformed       Reason = "malformed"
--- a/server/operators.go
+++ b/server/operators.go
@@ -26,6 +26,7 @@
 		Incarnation:   view.Self.Incarnation,
 		DataCentre:    view.Self.DataCentre,
 		State:         view.Self.State,
+		Unready:       string(o.unready()),
 		Configuration: o.Configuration(),
 		InFlight:      o.router.Running(),
 		Members:       administrator.NewMembers(view),
--- /dev/null
+++ b/server/readiness_test.go
@@ -0,0 +1,157 @@
+package server_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/administrator"
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/emulator"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// startPlatform serves a platform until the test's end or the stop.
+func startPlatform(t *testing.T, network *emulator.Network) (platform *emulator.Platform, stop func()) {
+	t.Helper()
+	listener, err := network.Host("10.9.9.9").Listen(t.Context(), "10.9.9.9:6443")
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform = emulator.NewPlatform()
+	serving := &http.Server{Handler: platform, ReadHeaderTimeout: time.Minute}
+	served := make(chan error, 1)
+	go func() { served <- serving.Serve(listener) }()
+	return platform, func() {
+		_ = serving.Close()
+		<-served
+	}
+}
+
+// storeTables puts tables that lead a call to a service into the platform.
+func storeTables(t *testing.T, platform *emulator.Platform) {
+	t.Helper()
+	routes := tabulator.Routes{Routes: []tabulator.Route{{Name: "book", Path: "/book", Pool: "desk", Repeatable: true}}}
+	for name, table := range map[string]any{"routes": routes, "pools": deskPools("10.1.1.1:80")} {
+		text, err := json.Marshal(table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		platform.Put("tables", name, text)
+	}
+}
+
+// askFrom returns a function that asks nodes as a caller or an operator would,
+// and returns the status with the body's reason or addresses.
+func askFrom(t *testing.T, network *emulator.Network) func(url string) string {
+	transport := network.Host("10.8.8.8").Transport(connector.Limits{
+		Dial: time.Second, Header: time.Minute, Idle: time.Second, PerHost: 8,
+	})
+	client := &http.Client{Transport: transport}
+	return func(url string) string {
+		response, err := client.Get(url)
+		if err != nil {
+			return err.Error()
+		}
+		defer func() { _ = response.Body.Close() }()
+		content, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		var body struct {
+			Error   struct{ Outcome, Reason string }
+			Entries []struct{ Address string }
+		}
+		_ = json.Unmarshal(content, &body) // Other bodies tell nothing that is asked here.
+		told := fmt.Sprint(response.StatusCode)
+		if body.Error.Reason != "" {
+			told += " " + body.Error.Outcome + " " + body.Error.Reason
+		}
+		for _, entry := range body.Entries {
+			told += " " + entry.Address
+		}
+		return told
+	}
+}
+
+// A node whose seeds do not answer serves nothing before it knows itself alone,
+// though it has the configuration already.
+func TestCutOffAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := emulator.NewNetwork(time.Millisecond)
+		platform, stopPlatform := startPlatform(t, network)
+		storeTables(t, platform)
+		stopFirst := startSecured(t, network, "10.0.0.1", nil)
+		time.Sleep(10 * time.Second)
+		network.Cut("10.0.0.1", "10.0.0.2")
+		stopSecond := startSecured(t, network, "10.0.0.2", nil)
+		time.Sleep(200 * time.Millisecond)
+		ask := askFrom(t, network)
+		for url, want := range map[string]string{
+			"http://10.0.0.2:8080/v1/entries": "503 not-run not-joined",
+			"http://10.0.0.2:8080/book":       "503 not-run not-joined",
+			"http://10.0.0.2:9090/readyz":     "503",
+		} {
+			if got := ask(url); got != want {
+				t.Errorf("before it knows itself alone, %s: %s, want %s", url, got, want)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		for url, want := range map[string]string{
+			"http://10.0.0.2:8080/v1/entries": "200 10.0.0.2:8080",
+			"http://10.0.0.2:8080/book":       "503 not-run backend-server-unavailable",
+			"http://10.0.0.2:9090/readyz":     "200",
+		} {
+			if got := ask(url); got != want {
+				t.Errorf("alone, %s: %s, want %s", url, got, want)
+			}
+		}
+		network.Heal()
+		time.Sleep(time.Minute)
+		if got := ask("http://10.0.0.1:8080/v1/entries"); strings.Count(got, ":8080") != 2 {
+			t.Errorf("after the cut: %s", got)
+		}
+		stopSecond()
+		stopFirst()
+		stopPlatform()
+		time.Sleep(2 * time.Minute) // Kept connections close once they are idle for 90 s.
+	})
+}
+
+// Without any tables no node is given to callers; with the first tables all are.
+func TestUnconfigured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := emulator.NewNetwork(time.Millisecond)
+		_, stopPlatform := startPlatform(t, network)
+		stopFirst := startSecured(t, network, "10.0.0.1", nil)
+		stopSecond := startSecured(t, network, "10.0.0.2", nil)
+		time.Sleep(10 * time.Second)
+		ask := askFrom(t, network)
+		for _, url := range []string{"http://10.0.0.1:8080/v1/entries", "http://10.0.0.2:8080/book"} {
+			if got := ask(url); got != "503 not-run no-configuration" {
+				t.Errorf("without tables, %s: %s", url, got)
+			}
+		}
+		transport := network.Host("10.8.8.8").Transport(connector.Limits{Dial: time.Second, Idle: time.Second, PerHost: 1})
+		client := administrator.NewClient(administrator.ClientOptions{URL: "http://10.0.0.1:9090", Transport: transport, Timeout: time.Minute})
+		routes := &tabulator.Routes{Routes: []tabulator.Route{{Name: "book", Path: "/book", Pool: "desk"}}}
+		if _, err := client.Apply(t.Context(), administrator.Edit{Routes: routes, Pools: deskPools("10.1.1.1:80")}); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(10 * time.Second)
+		for _, url := range []string{"http://10.0.0.1:8080/v1/entries", "http://10.0.0.2:8080/v1/entries"} {
+			if got := ask(url); strings.Count(got, ":8080") != 2 {
+				t.Errorf("with tables, %s: %s", url, got)
+			}
+		}
+		stopSecond()
+		stopFirst()
+		stopPlatform()
+		time.Sleep(2 * time.Minute) // Kept connections close once they are idle for 90 s.
+	})
+}
--- a/server/server.go
+++ b/server/server.go
@@ -181,6 +181,7 @@
 	callers := receiver.New(receiver.Options{
 		Router:          s.router,
 		Addresser:       s.addresser,
+		Unready:         s.unready,
 		BodyBytes:       int64(settings.Callers.MaxBodySize),
 		Requests:        settings.Requests.MaxInFlight,
 		AccountRequests: settings.Requests.MaxInFlightPerAccount,
@@ -246,6 +247,22 @@
 	return 0
 }
 
+// unready tells why the node serves no caller yet; empty once it does. It waits
+// to join, because a node that knows of no other would place for all shards, and
+// which seeds cannot be reached is soon known. Once it serves it goes on, also cut
+// off from the others: what it places alone stays safe.
+func (s *Server) unready() router.Reason {
+	select {
+	case <-s.prober.Joined():
+	default:
+		return router.NotJoined
+	}
+	if s.Configuration() == 0 {
+		return router.NoConfiguration
+	}
+	return ""
+}
+
 // View returns the membership as this node sees it.
 func (s *Server) View() *assigner.View {
 	return s.prober.View()
