Let a starting node ask its seeds again before it goes on alone

Cause: one refused round of seeds made a node go on alone at once, and it tried them again only after 10 to 30 s. Nodes that all start anew so served as if each were the whole fleet. server's new TestStartTogether against the code before: a node whose seed started 1 s later, asked 3 s after that, still gave its callers only itself, and so did the seed.

Change: a round that fails before the suspicion time has passed is tried again with the backoff that was there for it, now bounded by the suspicion time. A node that knows of no other address still goes on alone at once.

Weighed: trying sooner after going alone only (a node would still serve as if alone in between). The price is that a node whose seeds are all down becomes ready later by the suspicion time and up to one backoff.

Tests: TestStartTogether failed first.

--- a/prober/contact.go
+++ b/prober/contact.go
@@ -62,7 +62,7 @@
 		return
 	}
 	m.nextJoin = now.Add(jitter(m.random, m.joinBackoff))
-	m.joinBackoff = min(2*m.joinBackoff, m.options.ReviveAfter)
+	m.joinBackoff = min(2*m.joinBackoff, m.options.SuspectAfter)
 	m.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	for _, seed := range seeds[:min(len(seeds), m.options.Helpers)] {
 		m.reach(now, contact{purpose: introduction, target: seed, repairs: true})
@@ -306,7 +306,7 @@
 	c := m.contacts[id]
 	if c.purpose == introduction {
 		m.finish(id)
-		m.introductionFailed()
+		m.introductionFailed(now)
 		return
 	}
 	switch {
@@ -321,14 +321,16 @@
 	}
 }
 
-// introductionFailed lets the node go on alone once a round of seeds failed.
-func (m *machine) introductionFailed() {
+// introductionFailed lets the node go on alone once rounds of seeds failed for as
+// long as a silent member is suspected. Nodes that all start anew find each other
+// in that time.
+func (m *machine) introductionFailed(now time.Time) {
 	for _, c := range m.contacts {
 		if c.purpose == introduction {
 			return
 		}
 	}
-	if !m.joined {
+	if !m.joined && !now.Before(m.started.Add(m.options.SuspectAfter)) {
 		m.goOnAlone()
 	}
 }
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -64,6 +64,8 @@
 	pushes float64
 	hot    bool
 
+	// started is when this machine was made.
+	started time.Time
 	// joined is set once a peer answered or the node goes on alone.
 	joined bool
 	// suspended is set from a pause of this process until a peer answered or
@@ -90,6 +92,7 @@
 		lastTick:      now,
 		nextJoin:      now,
 		nextProbe:     now.Add(jitter(random, options.Interval)),
+		started:       now,
 		nextRevive:    now.Add(jitter(random, options.ReviveAfter)),
 		joinBackoff:   options.Interval / 2,
 		pushes:        pushRounds,
--- a/server/readiness_test.go
+++ b/server/readiness_test.go
@@ -123,6 +123,33 @@
 	})
 }
 
+// A node that starts before its seed waits for it a while, so that the nodes of a
+// fleet that all start anew do not each serve as if alone.
+func TestStartTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := emulator.NewNetwork(time.Millisecond)
+		platform, stopPlatform := startPlatform(t, network)
+		storeTables(t, platform)
+		stopSecond := startSecured(t, network, "10.0.0.2", nil)
+		time.Sleep(time.Second)
+		ask := askFrom(t, network)
+		if got := ask("http://10.0.0.2:8080/v1/entries"); got != "503 not-run not-joined" {
+			t.Errorf("before the seed started: %s", got)
+		}
+		stopFirst := startSecured(t, network, "10.0.0.1", nil)
+		time.Sleep(3 * time.Second)
+		for _, host := range []string{"10.0.0.1", "10.0.0.2"} {
+			if got := ask("http://" + host + ":8080/v1/entries"); strings.Count(got, ":8080") != 2 {
+				t.Errorf("after the seed started, %s: %s", host, got)
+			}
+		}
+		stopSecond()
+		stopFirst()
+		stopPlatform()
+		time.Sleep(2 * time.Minute) // Kept connections close once they are idle for 90 s.
+	})
+}
+
 // Without any tables no node is given to callers; with the first tables all are.
 func TestUnconfigured(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
