Tell which data centres an accepted edit has not reached

Cause: the publisher knew in which data centres no node held an accepted configuration, and the operators' interface dropped it. server's new TestUnreachedDataCentre (two data centres, cut apart) got an empty list, and the CLI's new case printed nothing.

Change: the answer of an apply has `unreached-data-centres`, `tables apply` lists them in its table and its JSON, event 1030 has them. The exit code stays 0: the edit is accepted and comes into force there later; said in `--help` and the operators' page. A code of its own was ruled out, as scripts would take an accepted edit for a failed one.

Tests: both failed first. cmd's fake node tells unreached data centres for edits without a base; the other expected outputs are unchanged but for the help texts. `go test -race ./server ./administrator ./cmd`: pass.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -108,6 +108,9 @@
 // in every data centre that can be reached.
 type Accepted struct {
 	Configuration identifier.Configuration `json:"configuration"`
+	// Unreached are the data centres where no node held the configuration when it
+	// was told as accepted, sorted. It comes into force there once they are reached.
+	Unreached []identifier.DataCentre `json:"unreached-data-centres,omitempty"`
 }
 
 // Spread tells which nodes have which configuration.
--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -105,7 +105,7 @@
 			return nil, err
 		}
 		accepted := response.(Accepted)
-		o.Log.Log(EventEditAccepted, logger.Fields{"configuration": accepted.Configuration})
+		o.Log.Log(EventEditAccepted, logger.Fields{"configuration": accepted.Configuration, "unreached": accepted.Unreached})
 		return accepted, nil
 	}
 }
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -22,7 +22,8 @@
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
 
-// fakeNode holds two small tables and accepts an edit unless it breaks them.
+// fakeNode holds two small tables and accepts an edit unless it breaks them. Edits
+// without a base reach two of its data centres only.
 type fakeNode struct {
 	tables administrator.Tables
 }
@@ -70,7 +71,11 @@
 	}
 	edited.Configuration++
 	n.tables = edited
-	return administrator.Accepted{Configuration: edited.Configuration}, nil
+	accepted := administrator.Accepted{Configuration: edited.Configuration}
+	if edit.Base == 0 {
+		accepted.Unreached = []identifier.DataCentre{"haskovo", "stara-zagora"}
+	}
+	return accepted, nil
 }
 
 func (n *fakeNode) Spread(context.Context) (administrator.Spread, error) {
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -19,7 +19,7 @@
 listener.
 
 Exit codes:
-  0  done
+  0  done; an edit is accepted, also where data centres are listed as not reached
   1  "tables diff" found differences
   2  wrong usage: an unknown command, flag or argument
   3  refused: settings or tables are faulty; nothing changed
--- a/cmd/tables_apply.go
+++ b/cmd/tables_apply.go
@@ -22,7 +22,9 @@
 		Long: `Replace one or both tables. The command returns once the edit is accepted: it is
 in the platform's store and held by a node in every data centre that can be
 reached, and will be in force everywhere within seconds. Tables that break each
-other are refused as a whole, and those in force stay.
+other are refused as a whole, and those in force stay. Data centres that could
+not be reached are listed, and the exit code is 0: the edit is accepted and comes
+into force there once they can be reached.
 
 With --base the edit loses, with exit code 4, to any other that was accepted
 since that number. With exit code 6 the edit may have been accepted: compare
@@ -58,5 +60,8 @@
 	}
 	return write(command.OutOrStdout(), a.output, accepted, func(r *rows, accepted administrator.Accepted) {
 		r.add("accepted as configuration", accepted.Configuration)
+		for _, dataCentre := range accepted.Unreached {
+			r.add("data centre not reached yet", dataCentre)
+		}
 	})
 }
--- a/server/operators.go
+++ b/server/operators.go
@@ -114,7 +114,7 @@
 	reasons := strings.Join(outcome.Reasons, "; ")
 	switch outcome.State {
 	case publisher.ApplyAccepted:
-		return administrator.Accepted{Configuration: outcome.Configuration}, nil
+		return administrator.Accepted{Configuration: outcome.Configuration, Unreached: outcome.Reach.Unreached}, nil
 	case publisher.ApplyRefused:
 		return administrator.Accepted{}, administrator.Refused.New("%s", reasons)
 	case publisher.ApplyRaced:
--- a/server/tls_test.go
+++ b/server/tls_test.go
@@ -62,15 +62,21 @@
 
 // startSecured runs a node whose peers and operators need certificates.
 func startSecured(t *testing.T, network *emulator.Network, host string, certificates *connector.TLS) (stop func()) {
+	t.Helper()
+	return startIn(t, network, "south", host, certificates)
+}
+
+// startIn runs a node in a data centre.
+func startIn(t *testing.T, network *emulator.Network, dataCentre, host string, certificates *connector.TLS) (stop func()) {
 	t.Helper()
 	settings, faults := configurator.Parse(fmt.Appendf(nil, `
-node = {name = "node-%[1]s", data-centre = "south"}
+node = {name = "node-%[1]s", data-centre = "%[2]s"}
 callers.listen = "%[1]s:8080"
 peers.listen = "%[1]s:8081"
 operators.listen = "%[1]s:9090"
 platform.url = "http://10.9.9.9:6443"
 membership.seeds = ["10.0.0.1:8081"]
-`, host))
+`, host, dataCentre))
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
