--- a/prover/processes_test.go
+++ b/prover/processes_test.go
@@ -38,6 +38,8 @@
 	platform, service *processNode
 	pools             tabulator.Pools
 	routes            tabulator.Routes
+	// settings are further lines of each node's settings, by section.
+	settings map[string]string
 }
 
 // processNode is one process, a node's or a stand-in's.
@@ -52,26 +54,42 @@
 }
 
 func newProcessFleet(t *testing.T) *processFleet {
-	f := &processFleet{t: t, number: fleets.Add(1), directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
-	f.build()
+	f := newEmptyFleet(t)
 	f.platform = f.standin("platform", "platform")
 	f.service = f.standin("desk-1", "service", "--delay", "300ms")
 	for i := range 2 {
 		f.prefills = append(f.prefills, f.engine(fmt.Sprintf("prefill-%d", i+1)))
 		f.decodes = append(f.decodes, f.engine(fmt.Sprintf("decode-%d", i+1)))
 	}
+	f.placeNodes()
+	f.startNodes("http://" + f.platform.callers)
+	f.setTables()
+	return f
+}
+
+// newEmptyFleet builds the programs for a fleet without any process yet.
+func newEmptyFleet(t *testing.T) *processFleet {
+	f := &processFleet{t: t, number: fleets.Add(1), directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
+	f.build()
+	return f
+}
+
+// placeNodes chooses where three nodes will listen.
+func (f *processFleet) placeNodes() {
 	for i := range 3 {
 		f.nodes = append(f.nodes, &processNode{
 			name: fmt.Sprintf("node-%d", i+1), callers: f.freeAddress(), peers: f.freeAddress(), operators: f.freeAddress(),
 		})
 	}
+}
+
+// startNodes starts the nodes and waits until they answer operators.
+func (f *processFleet) startNodes(platform string) {
 	for _, n := range f.nodes {
-		f.configure(n)
+		f.configure(n, platform)
 		f.start(n)
 	}
 	f.waitFor("nodes answer", func() bool { return f.allAnswer() })
-	f.setTables()
-	return f
 }
 
 // build builds the programs once for the fleet.
@@ -91,7 +109,12 @@
 func (f *processFleet) freeAddress() string {
 	const firstPort = 21000
 	f.ports++
-	return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()%250, f.number, firstPort+f.ports)
+	return fmt.Sprintf("%s:%d", f.host(), firstPort+f.ports)
+}
+
+// host is the fleet's loopback address.
+func (f *processFleet) host() string {
+	return fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, f.number)
 }
 
 func (f *processFleet) standin(name string, arguments ...string) *processNode {
@@ -109,17 +132,27 @@
 }
 
 // configure writes a node's settings.
-func (f *processFleet) configure(n *processNode) {
+func (f *processFleet) configure(n *processNode, platform string) {
 	var seeds []string
 	for _, other := range f.nodes {
 		seeds = append(seeds, fmt.Sprintf("%q", other.peers))
 	}
-	text := fmt.Sprintf("[node]\nname = %q\ndata-centre = \"south\"\n[callers]\nlisten = %q\n[peers]\nlisten = %q\n"+
-		"[operators]\nlisten = %q\n[platform]\nurl = \"http://%s\"\n[membership]\nseeds = [%s]\n[drain]\nentry-keep-time = \"1s\"\n"+
-		"[backends]\nprogress-timeout = \"3s\"\n",
-		n.name, n.callers, n.peers, n.operators, f.platform.callers, strings.Join(seeds, ", "))
+	var text strings.Builder
+	for _, section := range []struct{ name, lines string }{
+		{"node", fmt.Sprintf("name = %q\ndata-centre = \"south\"\n", n.name)},
+		{"callers", fmt.Sprintf("listen = %q\n", n.callers)},
+		{"peers", fmt.Sprintf("listen = %q\n", n.peers)},
+		{"operators", fmt.Sprintf("listen = %q\n", n.operators)},
+		{"platform", fmt.Sprintf("url = %q\n", platform)},
+		{"membership", fmt.Sprintf("seeds = [%s]\n", strings.Join(seeds, ", "))},
+		{"drain", "entry-keep-time = \"1s\"\n"},
+		{"backends", "progress-timeout = \"3s\"\n"},
+		{"traces", ""},
+	} {
+		fmt.Fprintf(&text, "[%s]\n%s%s", section.name, section.lines, f.settings[section.name])
+	}
 	path := filepath.Join(f.directory, n.name+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text.String()), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	n.program, n.arguments = "foxtailspool", []string{"serve", path}
--- a/server/server.go
+++ b/server/server.go
@@ -85,6 +85,9 @@
 	hopDecode        tracer.Hop = "decode"
 	hopService       tracer.Hop = "service"
 	hopBackendServer tracer.Hop = "backend-server"
+	hopLedger        tracer.Hop = "ledger"
+	hopPeerCall      tracer.Hop = "peer-call"
+	hopPeer          tracer.Hop = "peer"
 )
 
 // Names of the services that others look up.
@@ -199,7 +202,7 @@
 	})
 	traced := s.options.Tracer.Handler(hopEntry, callers)
 	certificates := s.options.Certificates
-	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, certificates.Peers, peers))
+	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, certificates.Peers, s.options.Tracer.Continue(hopPeer, peers)))
 	s.supervisor.Register(nameProber, s.prober)
 	s.supervisor.Register(namePublisher, s.publisher)
 	s.supervisor.Register(nameIsolator, s.isolator)
--- a/server/services.go
+++ b/server/services.go
@@ -202,7 +202,7 @@
 		Incarnation:  s.options.Incarnation,
 		Store:        s.store,
 		View:         s.prober.View,
-		Peers:        s.peers(),
+		Peers:        s.options.Tracer.Transport(hopPeerCall, s.peers()),
 		Window:       settings.Ledger.KeyWindow,
 		ClockSkew:    settings.Ledger.ClockSkew,
 		Shards:       settings.Ledger.Shards,
@@ -229,7 +229,7 @@
 		Placer:      s.dispatcher,
 		Engines:     traced{s.invoker, s.options.Tracer},
 		Services:    traced{s.invoker, s.options.Tracer},
-		Ledger:      s.recorder,
+		Ledger:      tracedLedger{s.recorder, s.options.Tracer},
 		Isolator:    s.isolator,
 		Budgets: limiter.New(limiter.Options{
 			Floor: float64(settings.Requests.RetryRate),
--- a/server/traces.go
+++ b/server/traces.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/recorder"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 	"github.com/foxtailspool/foxtailspool/tracer"
 )
@@ -54,3 +55,36 @@
 	span.End(err)
 	return reply, err
 }
+
+// tracedLedger makes a span of each step that a call takes in the ledger, with its
+// write to the platform. One write holds the steps of many calls, so that it has
+// no span of its own.
+type tracedLedger struct {
+	*recorder.Recorder
+	tracer *tracer.Tracer
+}
+
+func ledgerStep(step string) attribute.KeyValue {
+	return attribute.String("foxtailspool.ledger-step", step)
+}
+
+// Claim asks whether a call may run.
+func (t tracedLedger) Claim(ctx context.Context, call recorder.Call) recorder.Claim {
+	ctx, span := t.tracer.Start(ctx, hopLedger, ledgerStep("claim"))
+	defer span.End(nil)
+	return t.Recorder.Claim(ctx, call)
+}
+
+// Await waits for the end of the attempt that runs.
+func (t tracedLedger) Await(ctx context.Context, call recorder.Call) recorder.Claim {
+	ctx, span := t.tracer.Start(ctx, hopLedger, ledgerStep("await"))
+	defer span.End(nil)
+	return t.Recorder.Await(ctx, call)
+}
+
+// Settle keeps the answer of a call that ran.
+func (t tracedLedger) Settle(ctx context.Context, call recorder.Call, answer *recorder.Answer) {
+	ctx, span := t.tracer.Start(ctx, hopLedger, ledgerStep("settle"))
+	defer span.End(nil)
+	t.Recorder.Settle(ctx, call, answer)
+}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -179,6 +179,19 @@
 	})
 }
 
+// Continue makes the hop of an HTTP handler for requests that come with a trace
+// context, and none for others, such as probes.
+func (t *Tracer) Continue(hop Hop, next http.Handler) http.Handler {
+	traced := t.Handler(hop, next)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if api.SpanContextFromContext(t.Extract(r.Context(), r)).IsValid() {
+			traced.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Transport makes the hop of a call to another server: a span that lasts until
 // the answer's body is closed, and whose context is sent along. Calls that belong
 // to no request, such as load reports, have no span.
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -44,6 +44,42 @@
 	return sent
 }
 
+// Only requests that come with a trace context become a hop of Continue.
+func TestContinue(t *testing.T) {
+	exported := make(chan string, 4)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		var export v1.ExportTraceServiceRequest
+		if err := proto.Unmarshal(body, &export); err != nil {
+			t.Error(err)
+		}
+		for _, span := range export.GetResourceSpans()[0].GetScopeSpans()[0].GetSpans() {
+			exported <- span.GetName()
+		}
+	}))
+	defer collector.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	traces, err := tracer.New(ctx, tracer.Options{
+		Node: "entry-1", Endpoint: collector.URL, SampleRatio: 1, Transport: http.DefaultTransport, Log: logger.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := traces.Continue("peer", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	for _, traceparent := range []string{"", parent} {
+		request := httptest.NewRequest(http.MethodPost, "/", nil)
+		request.Header.Set("Traceparent", traceparent)
+		handler.ServeHTTP(httptest.NewRecorder(), request)
+	}
+	stop()
+	if err := traces.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if len(exported) != 1 || <-exported != "peer" {
+		t.Errorf("exported %d more spans", len(exported))
+	}
+}
+
 // Without an endpoint the caller's context reaches the back end as it came.
 func TestContextPassesWithoutExport(t *testing.T) {
 	if sent := relay(t, tracer.Discard()); sent != parent {
