Choose the addresses of processes in one place, without a race

Cause: the demonstration and the gauge found free ports by listening and closing; such a port can go to an outgoing connection before its process listens there, as happened once in prover. prover's own scheme against that stood beside them.

Change: package allocator, which all three use: a loopback host for each fleet (three octets made of process and fleet, where prover had two) and ports below those of outgoing connections, passing over taken ones. Systems that route no other loopback host get 127.0.0.1. It lies in a package of its own, since none of the three should import another; no package of the router uses it.

The race itself was not brought about by a test.

--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
 
+	"github.com/foxtailspool/foxtailspool/allocator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
@@ -46,26 +46,10 @@
 	process   *process
 }
 
-// freeAddresses returns loopback addresses that nothing listens at.
-func freeAddresses(ctx context.Context, count int) ([]string, error) {
-	var addresses []string
-	var listening net.ListenConfig
-	for range count {
-		listener, err := listening.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		// All stay open until the last is chosen, so that none comes twice.
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // newFleet chooses where everything will listen.
 func newFleet(ctx context.Context) (fleet, error) {
 	const others = 6
-	free, err := freeAddresses(ctx, others+3*nodeCount)
+	free, err := allocator.New(ctx).Several(ctx, others+3*nodeCount)
 	if err != nil {
 		return fleet{}, err
 	}
--- a/gauger/processes.go
+++ b/gauger/processes.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/foxtailspool/foxtailspool/administrator"
+	"github.com/foxtailspool/foxtailspool/allocator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
@@ -114,7 +114,7 @@
 
 // start starts the stand-ins and the nodes.
 func (w *whole) start(ctx context.Context, nodes int) error {
-	free, err := freePorts(ctx, 5+3*nodes)
+	free, err := allocator.New(ctx).Several(ctx, 5+3*nodes)
 	if err != nil {
 		return err
 	}
@@ -145,20 +145,6 @@
 	return nil
 }
 
-func freePorts(ctx context.Context, count int) ([]string, error) {
-	var listening net.ListenConfig
-	var addresses []string
-	for range count {
-		listener, err := listening.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // run starts a program; end kills it.
 func (w *whole) run(program string, arguments ...string) error {
 	command := exec.CommandContext(context.Background(), filepath.Join(w.options.binaries, program), arguments...) //nolint:gosec // The project's own programs.
--- a/prover/processes_test.go
+++ b/prover/processes_test.go
@@ -10,12 +10,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/administrator"
+	"github.com/foxtailspool/foxtailspool/allocator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
@@ -29,9 +29,7 @@
 	t         *testing.T
 	directory string
 	client    *http.Client
-	// number tells fleets apart, ports counts the addresses given out.
-	number int32
-	ports  int
+	addresses *allocator.Allocator
 	// nodes, prefills and decodes are in the order of their names.
 	nodes             []*processNode
 	prefills, decodes []*processNode
@@ -69,7 +67,7 @@
 
 // newEmptyFleet builds the programs for a fleet without any process yet.
 func newEmptyFleet(t *testing.T) *processFleet {
-	f := &processFleet{t: t, number: fleets.Add(1), directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
+	f := &processFleet{t: t, addresses: allocator.New(t.Context()), directory: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
 	f.build()
 	return f
 }
@@ -100,21 +98,14 @@
 	}
 }
 
-// fleets counts the fleets of real processes of this test run.
-var fleets atomic.Int32
-
-// freeAddress returns the fleet's next address. Each fleet has a loopback address
-// of its own and ports below those that outgoing connections are given, so that
-// nothing else takes a port before its process listens there.
+// freeAddress returns the fleet's next address.
 func (f *processFleet) freeAddress() string {
-	const firstPort = 21000
-	f.ports++
-	return fmt.Sprintf("%s:%d", f.host(), firstPort+f.ports)
-}
-
-// host is the fleet's loopback address.
-func (f *processFleet) host() string {
-	return fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, f.number)
+	f.t.Helper()
+	address, err := f.addresses.Next(f.t.Context())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return address
 }
 
 func (f *processFleet) standin(name string, arguments ...string) *processNode {
--- a/prover/secured_test.go
+++ b/prover/secured_test.go
@@ -111,7 +111,7 @@
 		f.trust(signer)
 	}
 	for _, files := range []connector.TLSFiles{f.node, f.own, f.store} {
-		signer.issue(f.t, files, f.host(), serial)
+		signer.issue(f.t, files, f.addresses.Host(), serial)
 	}
 }
 
@@ -271,7 +271,7 @@
 	first, second := newAuthority(t, 1), newAuthority(t, 2)
 	f.trust(first, second)
 	f.certify(first, 7)
-	first.issue(t, earlier, f.host(), 8)
+	first.issue(t, earlier, f.addresses.Host(), 8)
 	f.everyListener("the first authority's", 7)
 	f.certify(second, 9)
 	f.everyListener("the second authority's", 9)
@@ -292,7 +292,7 @@
 		return f.presents(f.nodes[0].callers, 9) && strings.Contains(f.log(f.nodes[0]), `"event":1015`)
 	})
 	f.answersWhole(t)
-	second.issue(t, f.node, f.host(), 10)
+	second.issue(t, f.node, f.addresses.Host(), 10)
 	f.everyListener("a repaired file's", 10)
 }
 
