Let max-timeout bound routes that set a longer timeout

Cause: requests.max-timeout was only the default of routes without a timeout, so a setting named a maximum bounded nothing.

Change: the smaller of both holds. Weighed: saying so on the page only; a name of its own for the default. Every limit is a named setting, and users take a maximum for one. With the default of 5m, routes that set a longer timeout are cut to 5m from now on: operators who have such routes raise the setting.

The settings page also tells that ledger.shards, key-window and clock-skew come from the stored layout once it exists (event 3005), and that ledger.max-kept-answer-size is the size kept inline.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -137,7 +137,7 @@
 	MaxInFlight int
 	// MaxInFlightPerAccount bounds those of one account, from 1 to MaxInFlight.
 	MaxInFlightPerAccount int
-	// MaxTimeout is the timeout of routes that set none.
+	// MaxTimeout bounds all requests, and is the timeout of routes that set none.
 	MaxTimeout time.Duration
 	// DefaultOutput limits the output of model requests that set no limit.
 	DefaultOutput int
@@ -178,7 +178,9 @@
 	MaxBacklog int
 }
 
-// Ledger sets up the record of executions. Every node must have the same.
+// Ledger sets up the record of executions. Every node should have the same. The
+// first node of a fleet stores KeyWindow, ClockSkew and Shards, and the stored
+// values are used from then on.
 type Ledger struct {
 	// KeyWindow is how long an Idempotency-Key is remembered.
 	KeyWindow time.Duration
@@ -188,7 +190,8 @@
 	Shards int
 	// CommitInterval is the shortest time between two writes of one page.
 	CommitInterval time.Duration
-	// MaxKeptAnswerSize bounds the answer that is kept for a resend.
+	// MaxKeptAnswerSize bounds the answer that is kept inside a page; a larger one
+	// has an object of its own.
 	MaxKeptAnswerSize Bytes
 }
 
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -103,7 +103,7 @@
 	return []Key{
 		count("requests.max-in-flight", &r.MaxInFlight, "1024", 1<<20, "Requests that the node serves at once."),
 		optionalCount("requests.max-in-flight-per-account", &r.MaxInFlightPerAccount, 1<<20, "Those of one account, by `X-Account`; callers without one count as one account. At most max-in-flight; a quarter of it when empty."),
-		duration("requests.max-timeout", &r.MaxTimeout, "5m", shortest, longest, "The timeout of routes that set none."),
+		duration("requests.max-timeout", &r.MaxTimeout, "5m", shortest, longest, "The longest time of a request: the timeout of routes that set none, and the bound on those that set a longer one."),
 		count("requests.default-output", &r.DefaultOutput, "512", 1<<20, "The output, in tokens, of model requests that set no limit."),
 		count("requests.max-attempts", &r.MaxAttempts, "3", 100, "Attempts of one model request."),
 		count("requests.max-resumes", &r.MaxResumes, "2", 100, "New connections tried for a stream whose connection broke."),
@@ -129,11 +129,11 @@
 
 func ledgerKeys(l *Ledger) []Key {
 	return []Key{
-		duration("ledger.key-window", &l.KeyWindow, "10m", time.Minute, 30*longest, "How long an Idempotency-Key is remembered; older keys are never run. The same on every node."),
-		duration("ledger.clock-skew", &l.ClockSkew, "5s", shortest, longest, "The largest difference between any two clocks of nodes. The same on every node."),
-		count("ledger.shards", &l.Shards, "16", 1<<10, "Owners that share the ledger. The same on every node."),
+		duration("ledger.key-window", &l.KeyWindow, "10m", time.Minute, 30*longest, "How long an Idempotency-Key is remembered; older keys are never run. The same on every node: the first one stores it, and the stored value is used from then on (event 3005)."),
+		duration("ledger.clock-skew", &l.ClockSkew, "5s", shortest, longest, "The largest difference between any two clocks of nodes. Stored by the first node, as key-window is."),
+		count("ledger.shards", &l.Shards, "16", 1<<10, "Owners that share the ledger. Stored by the first node, as key-window is."),
 		duration("ledger.commit-interval", &l.CommitInterval, "150ms", shortest, longest, "The shortest time between two writes of one page."),
-		size("ledger.max-kept-answer-size", &l.MaxKeptAnswerSize, "1KiB", Byte, 2*Kibibyte, "The largest answer that is kept for a resend."),
+		size("ledger.max-kept-answer-size", &l.MaxKeptAnswerSize, "1KiB", Byte, 2*Kibibyte, "The largest answer that is kept inside its page of the ledger; a larger one is kept in an object of its own, with a write more."),
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -80,7 +80,7 @@
 	// CancelGiveUp is when an engine that cannot be reached is taken for gone.
 	CancelRetry  time.Duration
 	CancelGiveUp time.Duration
-	// Timeout bounds requests whose route sets no timeout.
+	// Timeout bounds all requests, and is that of routes that set none.
 	Timeout time.Duration
 	// RetryAfter is what callers are told to wait where nothing better is known.
 	RetryAfter time.Duration
@@ -162,7 +162,7 @@
 // timeout returns the bound on a route's requests.
 func (r *Router) timeout(route tabulator.Route) time.Duration {
 	if route.Timeout > 0 {
-		return time.Duration(route.Timeout)
+		return min(time.Duration(route.Timeout), r.options.Limits.Timeout)
 	}
 	return r.options.Limits.Timeout
 }
--- a/server/readiness_test.go
+++ b/server/readiness_test.go
@@ -36,7 +36,12 @@
 // storeTables puts tables that lead a call to a service into the platform.
 func storeTables(t *testing.T, platform *emulator.Platform) {
 	t.Helper()
-	routes := tabulator.Routes{Routes: []tabulator.Route{{Name: "book", Path: "/book", Pool: "desk", Repeatable: true}}}
+	putTables(t, platform, tabulator.Routes{Routes: []tabulator.Route{{Name: "book", Path: "/book", Pool: "desk", Repeatable: true}}})
+}
+
+// putTables puts routes to one service into the platform.
+func putTables(t *testing.T, platform *emulator.Platform, routes tabulator.Routes) {
+	t.Helper()
 	for name, table := range map[string]any{"routes": routes, "pools": deskPools("10.1.1.1:80")} {
 		text, err := json.Marshal(table)
 		if err != nil {
--- a/server/tls_test.go
+++ b/server/tls_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,8 +67,8 @@
 	return startIn(t, network, "south", host, certificates)
 }
 
-// startIn runs a node in a data centre.
-func startIn(t *testing.T, network *emulator.Network, dataCentre, host string, certificates *connector.TLS) (stop func()) {
+// startIn runs a node in a data centre, with further lines of settings.
+func startIn(t *testing.T, network *emulator.Network, dataCentre, host string, certificates *connector.TLS, more ...string) (stop func()) {
 	t.Helper()
 	settings, faults := configurator.Parse(fmt.Appendf(nil, `
 node = {name = "node-%[1]s", data-centre = "%[2]s"}
@@ -76,7 +77,8 @@
 operators.listen = "%[1]s:9090"
 platform.url = "http://10.9.9.9:6443"
 membership.seeds = ["10.0.0.1:8081"]
-`, host, dataCentre))
+%[3]s
+`, host, dataCentre, strings.Join(more, "\n")))
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
