--- a/publisher/fleet_test.go
+++ b/publisher/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/emulator"
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/publisher"
 	"github.com/foxtailspool/foxtailspool/storer"
 	"github.com/foxtailspool/foxtailspool/tabulator"
@@ -69,6 +70,8 @@
 	bytes, calls int
 	// cut tells which calls fail.
 	cut func(from, to *node) bool
+	// log takes the events of all nodes; nil drops them.
+	log *logger.Logger
 }
 
 // node is one running publisher and what a checker saw of it.
@@ -76,6 +79,8 @@
 	fleet  *fleet
 	member assigner.Member
 	*publisher.Publisher
+	// store, when set, replaces the fleet's.
+	store storer.Store
 	stop  context.CancelFunc
 	ended chan struct{}
 	// numbers are the configurations in force, in order, over all restarts;
@@ -159,8 +164,12 @@
 func (n *node) start() {
 	ctx, stop := context.WithCancel(n.fleet.ctx)
 	n.stop, n.ended = stop, make(chan struct{})
+	store := n.fleet.store
+	if n.store != nil {
+		store = n.store
+	}
 	started := publisher.New(publisher.Options{
-		Self: n.member.Node, DataCentre: n.member.DataCentre, Store: n.fleet.store,
+		Self: n.member.Node, DataCentre: n.member.DataCentre, Store: store, Log: n.fleet.log,
 		View: func() *assigner.View { return n.fleet.view(n) }, Peers: n,
 		InForce: func(s *tabulator.Snapshot) {
 			if ctx.Err() != nil {
--- /dev/null
+++ b/publisher/fork_test.go
@@ -0,0 +1,153 @@
+package publisher_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/publisher"
+	"github.com/foxtailspool/foxtailspool/storer"
+)
+
+// unreachableStore fails its calls while it is out.
+type unreachableStore struct {
+	storer.Store
+	out atomic.Bool
+}
+
+func (u *unreachableStore) failure() error {
+	if u.out.Load() {
+		return storer.Unavailable.New("cut off")
+	}
+	return nil
+}
+
+func (u *unreachableStore) Get(ctx context.Context, kind storer.Kind, name string) (storer.Object, error) {
+	if err := u.failure(); err != nil {
+		return storer.Object{}, err
+	}
+	return u.Store.Get(ctx, kind, name)
+}
+
+func (u *unreachableStore) List(ctx context.Context, kind storer.Kind) (storer.Listing, error) {
+	if err := u.failure(); err != nil {
+		return storer.Listing{}, err
+	}
+	return u.Store.List(ctx, kind)
+}
+
+func (u *unreachableStore) Create(ctx context.Context, object storer.Object) (storer.Object, error) {
+	if err := u.failure(); err != nil {
+		return storer.Object{}, err
+	}
+	return u.Store.Create(ctx, object)
+}
+
+func (u *unreachableStore) Update(ctx context.Context, object storer.Object) (storer.Object, error) {
+	if err := u.failure(); err != nil {
+		return storer.Object{}, err
+	}
+	return u.Store.Update(ctx, object)
+}
+
+func (u *unreachableStore) Watch(ctx context.Context, kind storer.Kind, after storer.Version) (storer.Watch, error) {
+	if err := u.failure(); err != nil {
+		return nil, err
+	}
+	watch, err := u.Store.Watch(ctx, kind, after)
+	if err != nil {
+		return nil, err
+	}
+	return unreachableWatch{watch, u}, nil
+}
+
+// unreachableWatch loses the events that come while its store is out.
+type unreachableWatch struct {
+	storer.Watch
+	store *unreachableStore
+}
+
+func (u unreachableWatch) Next() (storer.Event, error) {
+	event, err := u.Watch.Next()
+	if failure := u.store.failure(); failure != nil {
+		return storer.Event{}, failure
+	}
+	return event, err
+}
+
+// eventLog keeps what nodes log.
+type eventLog struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (e *eventLog) Write(line []byte) (int, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.text.Write(line)
+}
+
+func (e *eventLog) holds(text string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return strings.Contains(e.text.String(), text)
+}
+
+// TestTwoConfigurationsOfOneNumber: the store comes back from a backup while one
+// node, cut off from all, holds a later configuration; another edit gets that
+// node's number. Event 5006 tells, and the store's content gets the next number.
+func TestTwoConfigurationsOfOneNumber(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 3)
+		events := &eventLog{}
+		f.log = logger.New(events, logrus.InfoLevel, nil)
+		alone := f.order[5]
+		cutOff := &unreachableStore{Store: f.store}
+		alone.store = cutOff
+		f.start()
+		f.wantState(f.order[0].apply(routes("book", "desk"), pools("a")), publisher.ApplyAccepted)
+		f.await("configuration 1 everywhere", 12*time.Second, func() bool { return f.everywhere(1) })
+		backup := f.platform.Backup()
+		f.wantState(f.order[0].apply(nil, pools("lost")), publisher.ApplyAccepted)
+		f.await("configuration 2 everywhere", 12*time.Second, func() bool { return f.everywhere(2) })
+
+		cutOff.out.Store(true)
+		f.setCut(func(from, to *node) bool { return from == alone || to == alone })
+		for _, other := range f.order[:5] {
+			other.kill()
+		}
+		f.platform.Restore(backup)
+		for _, other := range f.order[:5] {
+			other.start()
+		}
+		second := f.wantState(f.order[0].apply(nil, pools("kept")), publisher.ApplyAccepted)
+		if second.Configuration != 2 || events.holds(`"event":5006`) {
+			t.Errorf("the edit after the restore got number %d", second.Configuration)
+		}
+		time.Sleep(time.Minute)
+		cutOff.out.Store(false)
+		f.setCut(nil)
+		healed := time.Now()
+		// The owner of the feed mends it once it compares with the node that was alone.
+		f.await("one configuration everywhere", 5*time.Minute, func() bool { return f.everywhere(3) })
+		t.Logf("one configuration %s after the cut", time.Since(healed).Round(time.Second))
+		if !events.holds(`"event":5006`) {
+			t.Error("event 5006 was not told")
+		}
+		for _, node := range f.order {
+			if s := node.Snapshot(); s.Number != 3 || s.Pools.Pools[0].Members[0].Name != "kept" {
+				t.Errorf("%s has %d with %+v", node.member.Node, s.Number, s.Pools)
+			}
+		}
+		f.checkMonotonic()
+	})
+}
