--- a/receiver/refusal.go
+++ b/receiver/refusal.go
@@ -37,6 +37,7 @@
 	router.StreamLost:               http.StatusGone,
 	router.Exhausted:                http.StatusBadGateway,
 	router.TimedOut:                 http.StatusGatewayTimeout,
+	router.AccountLimit:             http.StatusTooManyRequests,
 	router.Reason(placer.QueueFull): http.StatusTooManyRequests,
 }
 
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -21,6 +21,7 @@
 
 // The reasons of refusals. Placement's own reasons are passed on as they are.
 const (
+	NotJoined       Reason = "not-joined"
 	NoConfiguration Reason = "no-configuration"
 	NoRoute         Reason = "no-route"
 	Malformed       Reason = "malformed"
@@ -39,6 +40,7 @@
 	TimedOut        Reason = "timeout"
 	Cancelled       Reason = "cancelled"
 	Overloaded      Reason = "overloaded"
+	AccountLimit    Reason = "account-limit"
 )
 
 // Refusal is a request without an answer. It is a value, not an error: the
--- a/server/operators.go
+++ b/server/operators.go
@@ -26,6 +26,7 @@
 		Incarnation:   view.Self.Incarnation,
 		DataCentre:    view.Self.DataCentre,
 		State:         view.Self.State,
+		Unready:       string(o.unready()),
 		Configuration: o.Configuration(),
 		InFlight:      o.router.Running(),
 		Members:       administrator.NewMembers(view),
@@ -113,7 +114,7 @@
 	reasons := strings.Join(outcome.Reasons, "; ")
 	switch outcome.State {
 	case publisher.ApplyAccepted:
-		return administrator.Accepted{Configuration: outcome.Configuration}, nil
+		return administrator.Accepted{Configuration: outcome.Configuration, Unreached: outcome.Reach.Unreached}, nil
 	case publisher.ApplyRefused:
 		return administrator.Accepted{}, administrator.Refused.New("%s", reasons)
 	case publisher.ApplyRaced:
--- a/server/server.go
+++ b/server/server.go
@@ -85,6 +85,9 @@
 	hopDecode        tracer.Hop = "decode"
 	hopService       tracer.Hop = "service"
 	hopBackendServer tracer.Hop = "backend-server"
+	hopLedger        tracer.Hop = "ledger"
+	hopPeerCall      tracer.Hop = "peer-call"
+	hopPeer          tracer.Hop = "peer"
 )
 
 // Names of the services that others look up.
@@ -179,13 +182,16 @@
 		peers.Handle(path, serve)
 	}
 	callers := receiver.New(receiver.Options{
-		Router:     s.router,
-		Addresser:  s.addresser,
-		BodyBytes:  int64(settings.Callers.MaxBodySize),
-		Requests:   settings.Requests.MaxInFlight,
-		RetryAfter: settings.Requests.RetryAfter,
-		Before:     s.options.Before,
-		Scope:      s.options.Scope,
+		Router:          s.router,
+		Addresser:       s.addresser,
+		Unready:         s.unready,
+		BodyBytes:       int64(settings.Callers.MaxBodySize),
+		Requests:        settings.Requests.MaxInFlight,
+		AccountRequests: settings.Requests.MaxInFlightPerAccount,
+		RetryAfter:      settings.Requests.RetryAfter,
+		Before:          s.options.Before,
+		Log:             s.options.Log,
+		Scope:           s.options.Scope,
 	})
 	operators := administrator.NewHandler(administrator.HandlerOptions{
 		Observer:  observer{s},
@@ -196,7 +202,7 @@
 	})
 	traced := s.options.Tracer.Handler(hopEntry, callers)
 	certificates := s.options.Certificates
-	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, certificates.Peers, peers))
+	s.supervisor.Register(namePeers, s.listener(namePeers, settings.Peers, certificates.Peers, s.options.Tracer.Continue(hopPeer, peers)))
 	s.supervisor.Register(nameProber, s.prober)
 	s.supervisor.Register(namePublisher, s.publisher)
 	s.supervisor.Register(nameIsolator, s.isolator)
@@ -244,6 +250,22 @@
 	return 0
 }
 
+// unready tells why the node serves no caller yet; empty once it does. It waits
+// to join, because a node that knows of no other would place for all shards, and
+// which seeds cannot be reached is soon known. Once it serves it goes on, also cut
+// off from the others: what it places alone stays safe.
+func (s *Server) unready() router.Reason {
+	select {
+	case <-s.prober.Joined():
+	default:
+		return router.NotJoined
+	}
+	if s.Configuration() == 0 {
+		return router.NoConfiguration
+	}
+	return ""
+}
+
 // View returns the membership as this node sees it.
 func (s *Server) View() *assigner.View {
 	return s.prober.View()
