Give an engine no work of a role that it does not report

Cause: placement went by the role in the pools table. An engine that the table moved from decode to prefill got prefills at once, while it drained, and each kept it from running nothing, which its order waits for.

Ruled out: making the orderer hold the table's new role back from placement. The owner of a shard and the sender of orders are different nodes, and the engine's own word needs no message between them. Also ruled out: keeping a new owner from engines that have not reported yet.

Change: the load report carries the role, and an engine whose report names another role than its row gets nothing. The owner's copy of the reports shows such an engine without free memory, so that a node that places alone passes it over; it now also passes over prefill engines reported without free memory.

Conclusion: an engine on its way between the roles is left to finish.

--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -108,7 +108,9 @@
 		switch {
 		case member.Leaving || avoids(&w.demand, member.Name):
 		case member.Role == identifier.Prefill:
-			prefills = append(prefills, member)
+			if l.fallback.mayPrefill(member) {
+				prefills = append(prefills, member)
+			}
 		case l.fallback.fits(member, pieces, nodes):
 			decodes = append(decodes, member)
 		}
@@ -129,6 +131,12 @@
 	return false
 }
 
+// mayPrefill tells whether an engine was last reported to have memory for new work.
+func (f *fallback) mayPrefill(member tabulator.Member) bool {
+	free, known := f.free[member.Name]
+	return !known || free > 0
+}
+
 // room is what this node may still place on an engine: no more than its part,
 // and no more than was last reported free.
 func (f *fallback) room(member tabulator.Member, nodes int) identifier.Pieces {
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -260,7 +260,7 @@
 	for member, load := range s.loads {
 		list = append(list, &dispatcherrpc.Report{
 			Member:          string(member),
-			FreePieces:      int64(load.Free),
+			FreePieces:      int64(s.freeForNew(member, load)),
 			StepNanoseconds: int64(load.Step),
 			AgeNanoseconds:  int64(now.Sub(load.At)),
 		})
@@ -268,6 +268,15 @@
 	return list
 }
 
+// freeForNew is the memory that an engine has for new work: none while it has
+// another role than the table's.
+func (s *shard) freeForNew(name identifier.Member, load placer.Load) identifier.Pieces {
+	if load.Role != "" && load.Role != s.members[name].Role {
+		return 0
+	}
+	return load.Free
+}
+
 // collect waits until there are decisions for a node, or the hold has passed.
 // A node without an outbox has to send its demands again.
 func (s *shard) collect(ctx context.Context, node identifier.Node) ([]*dispatcherrpc.Decision, error) {
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -11,8 +11,9 @@
 
 // loadReport is what an engine tells of its load, as old as the lag says.
 type loadReport struct {
-	PiecesFree int `json:"pieces_free"`
-	Running    int `json:"running"`
+	Role       string `json:"role"`
+	PiecesFree int    `json:"pieces_free"`
+	Running    int    `json:"running"`
 	// Holding lists the running streams.
 	Holding []loadHolding `json:"holding"`
 	taken   time.Time
@@ -60,7 +61,7 @@
 	now := time.Now()
 	report := e.report
 	if report.taken.IsZero() || now.Sub(report.taken) >= e.options.Lag {
-		e.report = loadReport{PiecesFree: e.options.Pieces - e.used, Running: e.running, Holding: e.holding(), taken: now}
+		e.report = loadReport{Role: e.state.Role, PiecesFree: e.options.Pieces - e.used, Running: e.running, Holding: e.holding(), taken: now}
 	}
 	if report.taken.IsZero() {
 		report = e.report
@@ -99,6 +100,13 @@
 	return e.state.Version
 }
 
+// Role returns the role that the engine was last ordered to have.
+func (e *Engine) Role() identifier.Role {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return identifier.Role(e.state.Role)
+}
+
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mutex.Lock()
 	state := e.state
--- a/invoker/control.go
+++ b/invoker/control.go
@@ -11,6 +11,8 @@
 
 // Load is what an engine reports of itself, late.
 type Load struct {
+	// Role is the role that the engine has; empty when it does not tell.
+	Role    identifier.Role
 	Free    identifier.Pieces
 	Running int
 	// Holding lists the attempts that hold memory; nil when the engine does not tell.
@@ -45,8 +47,9 @@
 }
 
 type wireLoad struct {
-	PiecesFree int `json:"pieces_free"`
-	Running    int `json:"running"`
+	Role       identifier.Role `json:"role"`
+	PiecesFree int             `json:"pieces_free"`
+	Running    int             `json:"running"`
 	Holding    []struct {
 		RequestID identifier.Attempt `json:"request_id"`
 		Pieces    identifier.Pieces  `json:"pieces"`
@@ -76,7 +79,7 @@
 	if err != nil {
 		return Load{}, err
 	}
-	load := Load{Free: identifier.Pieces(wire.PiecesFree), Running: wire.Running}
+	load := Load{Role: wire.Role, Free: identifier.Pieces(wire.PiecesFree), Running: wire.Running}
 	for _, held := range wire.Holding {
 		load.Holding = append(load.Holding, Holding{Attempt: held.RequestID, Pieces: held.Pieces})
 	}
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -31,6 +31,8 @@
 type Load struct {
 	// At is when the engine was asked.
 	At time.Time
+	// Role is the role that the engine has; empty when it does not tell.
+	Role identifier.Role
 	// Free is the memory that no request holds.
 	Free identifier.Pieces
 	// Running counts the requests in the batch.
@@ -96,7 +98,13 @@
 	if e.Leaving || e.removed || now.Before(e.avoidUntil) || d.Suspect && e.suspects > 0 {
 		return false
 	}
-	return !avoids(d, e)
+	return e.hasRole() && !avoids(d, e)
+}
+
+// hasRole tells whether the engine has the role of its row of the table, as far
+// as it told. Until it has finished its work of an earlier role it reports that one.
+func (e *engine) hasRole() bool {
+	return e.load.Role == "" || e.load.Role == e.Role
 }
 
 // free is the memory that may be granted now. While the placer rebuilds its
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -105,6 +105,8 @@
 		*field = identifier.Node(text)
 	case *identifier.DataCentre:
 		*field = identifier.DataCentre(text)
+	case *identifier.Role:
+		*field = identifier.Role(text)
 	case *time.Duration:
 		*field = s.duration(text)
 	case *float64:
@@ -208,6 +210,7 @@
 	load := Load{At: s.now}
 	s.scan(d, "free", &load.Free)
 	s.scan(d, "step", &load.Step)
+	s.scan(d, "role", &load.Role)
 	for _, line := range strings.Fields(d.Input) {
 		name, stream, _ := strings.Cut(line, "/")
 		load.Holding = append(load.Holding, Holding{Request: identifier.Request(name), Stream: uint64(s.number(stream)), Pieces: 1})
