Report an engine's step time, prefill rate, backlog and the report's age

Cause: placer.Load has had these fields since placement was written, and no node ever filled them: the stand-in engine did not report them, and invoker.Load and the server's adapter did not carry them. An engine that was slow or worked for somebody else looked idle.

Ruled out: taking the question's time for the report's. Reports lag; a backlog read half a second late would keep an idle engine out for as long again. So the report carries its age, and counts from then.

Change: four fields in /v1/load, their adapter, and the feed. Negative values are unknown. The stand-in measures them; its prefill rate can be changed.

A first form of the test passed without the feed, because the busy engine had no memory left for the prompt and refused it; the prompts are short now.

--- a/dispatcher/engines.go
+++ b/dispatcher/engines.go
@@ -51,7 +51,7 @@
 	defer stop()
 	asked := time.Now()
 	load, err := s.options.Engines.Load(ctx, s.id.pool, member)
-	load.At = asked
+	load.At = asked.Add(-load.Age)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err != nil {
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -11,9 +11,15 @@
 
 // loadReport is what an engine tells of its load, as old as the lag says.
 type loadReport struct {
-	Role       string `json:"role"`
-	PiecesFree int    `json:"pieces_free"`
-	Running    int    `json:"running"`
+	Role string `json:"role"`
+	// AgeSeconds is how old the report is when it is sent.
+	AgeSeconds  float64 `json:"age_seconds"`
+	PiecesFree  int     `json:"pieces_free"`
+	Running     int     `json:"running"`
+	StepSeconds float64 `json:"step_seconds"`
+	PrefillRate int     `json:"prefill_tokens_per_second"`
+	// BacklogTokens is what the engine still has to compute.
+	BacklogTokens int `json:"backlog_tokens"`
 	// Holding lists the running streams.
 	Holding []loadHolding `json:"holding"`
 	taken   time.Time
@@ -61,15 +67,45 @@
 	now := time.Now()
 	report := e.report
 	if report.taken.IsZero() || now.Sub(report.taken) >= e.options.Lag {
-		e.report = loadReport{Role: e.state.Role, PiecesFree: e.options.Pieces - e.used, Running: e.running, Holding: e.holding(), taken: now}
+		e.report = e.takeReport(now)
 	}
 	if report.taken.IsZero() {
 		report = e.report
 	}
+	report.AgeSeconds = now.Sub(report.taken).Seconds()
 	e.mutex.Unlock()
 	_ = json.NewEncoder(w).Encode(report)
 }
 
+// takeReport measures the load; the mutex is held.
+func (e *Engine) takeReport(now time.Time) loadReport {
+	return loadReport{
+		Role:          e.state.Role,
+		PiecesFree:    e.options.Pieces - e.used,
+		Running:       e.running,
+		StepSeconds:   e.step().Seconds(),
+		PrefillRate:   e.options.PrefillRate,
+		BacklogTokens: e.backlog(now),
+		Holding:       e.holding(),
+		taken:         now,
+	}
+}
+
+// step is the time between two tokens of a stream; the mutex is held.
+func (e *Engine) step() time.Duration {
+	return e.options.TokenTime + e.options.TokenTime*time.Duration(max(0, e.running-1))/crowding
+}
+
+// backlog is the prompt tokens that the longest prefill under way still has to
+// compute; the mutex is held. Prefills run side by side.
+func (e *Engine) backlog(now time.Time) int {
+	longest := time.Duration(0)
+	for _, end := range e.prefills {
+		longest = max(longest, end.Sub(now))
+	}
+	return int(longest.Seconds() * float64(e.options.PrefillRate))
+}
+
 // serveOrder carries out an order, unless its fencing number is checked and old.
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order engineOrder
@@ -119,6 +155,13 @@
 	return strings.Contains(text, part)
 }
 
+// SetPrefillRate changes how many prompt tokens the engine computes a second.
+func (e *Engine) SetPrefillRate(rate int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.options.PrefillRate = rate
+}
+
 // SetChecksFencing makes the engine check fencing numbers or ignore them.
 func (e *Engine) SetChecksFencing(checks bool) {
 	e.mutex.Lock()
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -19,7 +19,7 @@
 	// PrefillRate is the prompt tokens computed a second.
 	PrefillRate int
 	// TokenTime is the time between tokens of an empty engine; each further
-	// running request adds a fiftieth.
+	// running request adds a part of it (crowding).
 	TokenTime time.Duration
 	// Evict is how long an exported KV cache that nobody imports is kept.
 	Evict time.Duration
@@ -38,6 +38,9 @@
 	Transport http.RoundTripper
 }
 
+// crowding is how many further requests double the time between tokens.
+const crowding = 50
+
 // Engine is a stand-in of a model engine: OpenAI-compatible completions with
 // KV transfer parameters, memory in pieces, resumable streams, a lagging load
 // report and orders with fencing numbers.
@@ -49,6 +52,8 @@
 	mutex sync.Mutex
 	// streams holds the running and the retained streams by attempt.
 	streams map[string]*stream
+	// prefills holds when each prefill under way ends, by attempt.
+	prefills map[string]time.Time
 	// exports holds the KV caches that wait for import, by attempt.
 	exports map[string]*export
 	// used is the pieces held by streams and exports, at most options.Pieces.
@@ -96,6 +101,7 @@
 		streams: map[string]*stream{},
 		exports: map[string]*export{},
 
+		prefills:  map[string]time.Time{},
 		cancelled: map[string]bool{},
 	}
 	e.mux.HandleFunc("POST /v1/completions", e.serveCompletions)
@@ -142,6 +148,7 @@
 		delete(e.streams, attempt)
 	}
 	e.exports = map[string]*export{}
+	e.prefills = map[string]time.Time{}
 	e.cancelled = map[string]bool{}
 	e.used = 0
 	e.running = 0
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -128,17 +128,20 @@
 	e.mutex.Lock()
 	generation := e.generation
 	admitted := e.reserve(pieces)
+	span := time.Duration(tokens) * time.Second / time.Duration(e.options.PrefillRate)
 	if admitted {
 		e.counts.Prefills++
+		e.prefills[request.RequestID] = time.Now().Add(span)
 	}
 	e.mutex.Unlock()
 	if !admitted {
 		http.Error(w, "no memory", http.StatusServiceUnavailable)
 		return
 	}
-	computed := pause(r.Context(), time.Duration(tokens)*time.Second/time.Duration(e.options.PrefillRate))
+	computed := pause(r.Context(), span)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	delete(e.prefills, request.RequestID)
 	if e.generation != generation {
 		panic(http.ErrAbortHandler)
 	}
@@ -202,7 +205,7 @@
 func (e *Engine) generate(s *stream, attempt, text string, limit, generation int) {
 	for range limit {
 		e.mutex.Lock()
-		step := e.options.TokenTime + e.options.TokenTime*time.Duration(e.running-1)/50
+		step := e.step()
 		e.mutex.Unlock()
 		if !pause(s.ctx, step) {
 			break
--- a/invoker/control.go
+++ b/invoker/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
@@ -12,9 +13,17 @@
 // Load is what an engine reports of itself, late.
 type Load struct {
 	// Role is the role that the engine has; empty when it does not tell.
-	Role    identifier.Role
+	Role identifier.Role
+	// Age is how old the report is; zero is unknown.
+	Age     time.Duration
 	Free    identifier.Pieces
 	Running int
+	// Step is the time between two tokens of a stream; zero is unknown.
+	Step time.Duration
+	// PrefillRate is measured, in tokens a second; zero is unknown.
+	PrefillRate identifier.Tokens
+	// Backlog is the prompt tokens that the engine has yet to compute.
+	Backlog identifier.Tokens
 	// Holding lists the attempts that hold memory; nil when the engine does not tell.
 	Holding []Holding
 }
@@ -47,10 +56,14 @@
 }
 
 type wireLoad struct {
-	Role       identifier.Role `json:"role"`
-	PiecesFree int             `json:"pieces_free"`
-	Running    int             `json:"running"`
-	Holding    []struct {
+	Role          identifier.Role   `json:"role"`
+	AgeSeconds    float64           `json:"age_seconds"`
+	PiecesFree    int               `json:"pieces_free"`
+	Running       int               `json:"running"`
+	StepSeconds   float64           `json:"step_seconds"`
+	PrefillRate   float64           `json:"prefill_tokens_per_second"`
+	BacklogTokens identifier.Tokens `json:"backlog_tokens"`
+	Holding       []struct {
 		RequestID identifier.Attempt `json:"request_id"`
 		Pieces    identifier.Pieces  `json:"pieces"`
 	} `json:"holding"`
@@ -79,13 +92,26 @@
 	if err != nil {
 		return Load{}, err
 	}
-	load := Load{Role: wire.Role, Free: identifier.Pieces(wire.PiecesFree), Running: wire.Running}
+	load := Load{
+		Role:        wire.Role,
+		Age:         seconds(wire.AgeSeconds),
+		Free:        identifier.Pieces(wire.PiecesFree),
+		Running:     wire.Running,
+		Step:        seconds(wire.StepSeconds),
+		PrefillRate: identifier.Tokens(max(0, wire.PrefillRate)),
+		Backlog:     max(0, wire.BacklogTokens),
+	}
 	for _, held := range wire.Holding {
 		load.Holding = append(load.Holding, Holding{Attempt: held.RequestID, Pieces: held.Pieces})
 	}
 	return load, nil
 }
 
+// seconds reads a time; a negative one is unknown.
+func seconds(number float64) time.Duration {
+	return time.Duration(max(0, number) * float64(time.Second))
+}
+
 // State asks an engine what it serves.
 func (i *Invoker) State(ctx context.Context, member tabulator.Member) (State, error) {
 	wire, err := ask[wireState](ctx, i, member, "/v1/state")
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -29,8 +29,10 @@
 
 // Load is an engine's own report. It is old by the time it is read.
 type Load struct {
-	// At is when the engine was asked.
+	// At is when the report was taken, as far as the engine tells.
 	At time.Time
+	// Age is how old the report was when the engine was asked; zero is unknown.
+	Age time.Duration
 	// Role is the role that the engine has; empty when it does not tell.
 	Role identifier.Role
 	// Free is the memory that no request holds.
--- /dev/null
+++ b/prover/loads_test.go
@@ -0,0 +1,40 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A prefill engine that is slow and works for somebody else reports so and is
+// passed over while another one is idle.
+func TestSlowBusyPrefillEngineIsPassedOver(t *testing.T) {
+	run(t, smallShape, func(t *testing.T, f *fleet) {
+		// The first request makes a node ask the engines for reports.
+		f.start(t, "how dry is case 7?", 1)
+		first := f.engines["prefill-1"].Counts().Prefills
+		f.engines["prefill-1"].SetPrefillRate(1000)
+		ctx, leave := context.WithCancel(context.Background())
+		f.atEnd(leave)
+		go f.prefillElsewhere(ctx, "10.1.1.1:80", strings.Repeat("other reading ", 1700))
+		time.Sleep(2 * time.Second)
+		f.start(t, "how dry is case 8?", 1)
+		busy, idle := f.engines["prefill-1"].Counts().Prefills, f.engines["prefill-2"].Counts().Prefills
+		if first != 1 || busy != 2 || idle != 1 {
+			t.Errorf("the busy engine ran %d prefills, its own included, the idle one %d", busy, idle)
+		}
+	})
+}
+
+// prefillElsewhere gives an engine a prompt without asking a node.
+func (f *fleet) prefillElsewhere(ctx context.Context, address, prompt string) {
+	body := fmt.Sprintf(`{"prompt":%q,"request_id":"elsewhere","kv_transfer_params":{"do_remote_decode":true}}`, prompt)
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	response, err := f.caller.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
--- a/prover/roles_test.go
+++ b/prover/roles_test.go
@@ -18,13 +18,13 @@
 		})
 		time.Sleep(2 * time.Second)
 		for f.engines["decode-1"].Counts().Running == 0 {
-			f.start(t, 400)
+			f.start(t, longPrompt, 400)
 		}
 		f.setRole("decode-1", identifier.Prefill)
 		time.Sleep(2 * time.Second)
 		before := f.engines["decode-1"].Counts()
 		for range 10 {
-			f.start(t, 1)
+			f.start(t, longPrompt, 1)
 			time.Sleep(200 * time.Millisecond)
 		}
 		during := f.engines["decode-1"].Counts()
@@ -36,7 +36,7 @@
 		}
 		f.waitFor("the new role", func() bool { return f.engines["decode-1"].Role() == identifier.Prefill })
 		time.Sleep(2 * time.Second)
-		f.start(t, 1)
+		f.start(t, longPrompt, 1)
 		if after := f.engines["decode-1"].Counts(); after.Prefills == 0 || after.Decodes != before.Decodes {
 			t.Errorf("a prefill engine got no prefill, or a stream: %+v", after)
 		}
@@ -44,14 +44,14 @@
 }
 
 // start sends a request and returns at its first token.
-func (f *fleet) start(t *testing.T, tokens int) {
+func (f *fleet) start(t *testing.T, prompt string, tokens int) {
 	t.Helper()
 	began, ended := make(chan struct{}), make(chan answer, 1)
 	ctx, leave := context.WithCancel(context.Background())
 	f.atEnd(leave)
 	name := fmt.Sprintf("start-%d", time.Now().UnixNano())
 	// No two prompts share their beginning, or affinity would choose the engine.
-	request := completion{id: name, prompt: name + longPrompt, tokens: tokens}
+	request := completion{id: name, prompt: name + prompt, tokens: tokens}
 	go func() {
 		got := f.complete(ctx, f.node("node-1"), request, func(offset int) {
 			if offset == 1 {
--- a/server/services.go
+++ b/server/services.go
@@ -259,7 +259,15 @@
 // Load asks an engine for its report.
 func (e engines) Load(ctx context.Context, _ identifier.Pool, member tabulator.Member) (placer.Load, error) {
 	load, err := e.invoker.Load(ctx, member)
-	report := placer.Load{Role: load.Role, Free: load.Free, Running: load.Running}
+	report := placer.Load{
+		Role:        load.Role,
+		Age:         load.Age,
+		Free:        load.Free,
+		Running:     load.Running,
+		Step:        load.Step,
+		PrefillRate: load.PrefillRate,
+		Backlog:     load.Backlog,
+	}
 	for _, held := range load.Holding {
 		request, stream, ok := invoker.ParseAttemptID(held.Attempt)
 		if ok {
