Learn from engines' cache events which prompts they keep

Cause: placer's affinity knew a cached prompt by its own grant only, for a minute, and a new owner knew none. The stand-in engine cached nothing and published nothing, and placer.Load.Cached and Evicted were never fed.

Change: a prefill names the leading blocks of its prompt in the KV transfer parameters, and events carry the names. The stand-in keeps a bounded prefix cache, shortens prefills by it, counts what it computed, and publishes numbered events late and with losses. The invoker reads the events since a position that the shard keeps; a gap or a restart drops what was told before, a failed call is no news and never fails a load report. What events told stands while they go on, and a minute longer; what a grant tells stands a minute as before. Reports of members that left the table are forgotten.

Where no engine keeps a prompt, idle engines still tie by name.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,8 +30,9 @@
 
 // Engines reaches the engines of a pool. Its calls honour their context.
 type Engines interface {
-	// Load asks an engine for its report. At is set by the dispatcher.
-	Load(ctx context.Context, pool identifier.Pool, member tabulator.Member) (placer.Load, error)
+	// Load asks an engine for its report, with its cache events after a position.
+	// At is set by the dispatcher.
+	Load(ctx context.Context, pool identifier.Pool, member tabulator.Member, seen placer.CachePosition) (placer.Load, error)
 	// Cancel returns nil once the engine says that it holds nothing of the
 	// stream any more, also when it never did, or that an attempt later than
 	// the given one goes on with it.
--- a/dispatcher/engines.go
+++ b/dispatcher/engines.go
@@ -49,8 +49,11 @@
 func (s *shard) pollOne(ctx context.Context, member tabulator.Member) {
 	ctx, stop := context.WithTimeout(ctx, s.options.EngineTimeout)
 	defer stop()
+	s.mutex.Lock()
+	seen := s.loads[member.Name].CachePosition
+	s.mutex.Unlock()
 	asked := time.Now()
-	load, err := s.options.Engines.Load(ctx, s.id.pool, member)
+	load, err := s.options.Engines.Load(ctx, s.id.pool, member, seen)
 	load.At = asked.Add(-load.Age)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -135,6 +136,11 @@
 	for _, member := range members {
 		s.members[member.Name] = member
 	}
+	// An engine that comes back to the table is read from the beginning.
+	maps.DeleteFunc(s.loads, func(name identifier.Member, _ placer.Load) bool {
+		_, known := s.members[name]
+		return !known
+	})
 	s.placer.Configure(s.server.placerSettings(s.issuer, pool), engines(members))
 }
 
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -31,6 +31,8 @@
 	TransferTime time.Duration
 	// ChecksFencing refuses orders with an old fencing number.
 	ChecksFencing bool
+	// PrefixCache sets up the cache of prompt prefixes.
+	PrefixCache PrefixCache
 	// Crash ends the engine when it runs a prompt that contains Poison, if set.
 	Poison string
 	Crash  func()
@@ -54,6 +56,8 @@
 	streams map[string]*stream
 	// prefills holds when each prefill under way ends, by attempt.
 	prefills map[string]time.Time
+	// cache holds the prompt prefixes computed not long ago.
+	cache *prefixCache
 	// exports holds the KV caches that wait for import, by attempt.
 	exports map[string]*export
 	// used is the pieces held by streams and exports, at most options.Pieces.
@@ -83,6 +87,9 @@
 	// Prefills and Decodes count started work, Evicted the KV caches that
 	// nobody imported, Refused the requests for which there was no memory.
 	Prefills, Decodes, Evicted, Refused, Cancels int
+	// PromptTokens sums the prompts of finished prefills, ComputedTokens what of
+	// them was not cached.
+	PromptTokens, ComputedTokens int
 	// Crashes counts how often the engine crashed.
 	Crashes int
 	// Held is the pieces in use now, Running the streams that generate now.
@@ -102,6 +109,7 @@
 		exports: map[string]*export{},
 
 		prefills:  map[string]time.Time{},
+		cache:     newPrefixCache(options.PrefixCache),
 		cancelled: map[string]bool{},
 	}
 	e.mux.HandleFunc("POST /v1/completions", e.serveCompletions)
@@ -110,6 +118,7 @@
 	e.mux.HandleFunc("DELETE /v1/streams/{attempt}", e.serveCancel)
 	e.mux.HandleFunc("POST /v1/kv/{attempt}/import", e.serveExport)
 	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
+	e.mux.HandleFunc("GET /v1/cache-events", e.serveCacheEvents)
 	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
 	e.mux.HandleFunc("GET /v1/state", e.serveState)
 	return e
@@ -149,6 +158,7 @@
 	}
 	e.exports = map[string]*export{}
 	e.prefills = map[string]time.Time{}
+	e.cache = newPrefixCache(e.options.PrefixCache)
 	e.cancelled = map[string]bool{}
 	e.used = 0
 	e.running = 0
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -18,6 +18,19 @@
 	RemoteRequestID string `json:"remote_request_id,omitempty"`
 	RemoteHost      string `json:"remote_host,omitempty"`
 	RemotePort      string `json:"remote_port,omitempty"`
+	// PrefixNames are what cache events are to call the prompt's leading blocks of
+	// PrefixBlockTokens tokens each.
+	PrefixNames       []string `json:"prefix_names,omitempty"`
+	PrefixBlockTokens int      `json:"prefix_block_tokens,omitempty"`
+}
+
+// prefixNames returns the names of the prompt's blocks if they are as long as the
+// engine's.
+func (k *kvParameters) prefixNames() []string {
+	if k.PrefixBlockTokens != cacheBlockTokens {
+		return nil
+	}
+	return k.PrefixNames
 }
 
 type chatMessage struct {
@@ -128,7 +141,9 @@
 	e.mutex.Lock()
 	generation := e.generation
 	admitted := e.reserve(pieces)
-	span := time.Duration(tokens) * time.Second / time.Duration(e.options.PrefillRate)
+	// At least the last token is computed, to go on from.
+	compute := max(1, tokens-e.cache.cached(request.text()))
+	span := time.Duration(compute) * time.Second / time.Duration(e.options.PrefillRate)
 	if admitted {
 		e.counts.Prefills++
 		e.prefills[request.RequestID] = time.Now().Add(span)
@@ -149,6 +164,9 @@
 		e.used -= pieces
 		return
 	}
+	e.counts.PromptTokens += tokens
+	e.counts.ComputedTokens += compute
+	e.cache.store(request.text(), request.KV.prefixNames())
 	e.keepExport(request.RequestID, pieces)
 	host, port, _ := net.SplitHostPort(string(e.options.Address))
 	_ = json.NewEncoder(w).Encode(completionAnswer{
--- a/invoker/control.go
+++ b/invoker/control.go
@@ -24,6 +24,8 @@
 	PrefillRate identifier.Tokens
 	// Backlog is the prompt tokens that the engine has yet to compute.
 	Backlog identifier.Tokens
+	// Cache is what the engine's cache events tell since the last report.
+	Cache CacheNews
 	// Holding lists the attempts that hold memory; nil when the engine does not tell.
 	Holding []Holding
 }
@@ -86,8 +88,9 @@
 	Running int              `json:"running"`
 }
 
-// Load asks an engine for its load report.
-func (i *Invoker) Load(ctx context.Context, member tabulator.Member) (Load, error) {
+// Load asks an engine for its load report, and one that computes prompts for its
+// cache events since a position.
+func (i *Invoker) Load(ctx context.Context, member tabulator.Member, seen CachePosition) (Load, error) {
 	wire, err := ask[wireLoad](ctx, i, member, "/v1/load")
 	if err != nil {
 		return Load{}, err
@@ -101,6 +104,9 @@
 		PrefillRate: identifier.Tokens(max(0, wire.PrefillRate)),
 		Backlog:     max(0, wire.BacklogTokens),
 	}
+	if member.Role == identifier.Prefill {
+		load.Cache = i.cacheNews(ctx, member, seen)
+	}
 	for _, held := range wire.Holding {
 		load.Holding = append(load.Holding, Holding{Attempt: held.RequestID, Pieces: held.Pieces})
 	}
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -103,6 +103,10 @@
 	// Generated is the answer so far, of Offset tokens. Generation goes on after it.
 	Generated string
 	Offset    identifier.Tokens
+	// Prefixes are hashes of the prompt's leading blocks of PrefixBlock tokens each,
+	// every one covering the blocks before it too.
+	Prefixes    []uint64
+	PrefixBlock identifier.Tokens
 	// Fresh sends the calls on new connections, because kept ones may be dead.
 	Fresh bool
 }
@@ -167,7 +171,11 @@
 
 // Prefill computes the prompt's KV cache on an engine.
 func (i *Invoker) Prefill(ctx context.Context, member tabulator.Member, work Work) (KV, error) {
-	body, err := work.body(false, 1, json.RawMessage(`{"do_remote_decode":true}`))
+	parameters, err := work.prefillParameters()
+	if err != nil {
+		return KV{}, err
+	}
+	body, err := work.body(false, 1, parameters)
 	if err != nil {
 		return KV{}, err
 	}
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -45,13 +45,27 @@
 	PrefillRate identifier.Tokens
 	// Backlog is the prompt tokens that wait for their prefill.
 	Backlog identifier.Tokens
-	// Cached and Evicted are prefix hashes from cache events, late and with gaps.
+	// CachePosition is how far the engine's cache events were read for this report.
+	CachePosition CachePosition
+	// CacheKnown tells that the events came, whether any or none; CacheLost that what
+	// they told before this report does not stand any more.
+	CacheKnown bool
+	CacheLost  bool
+	// Cached and Evicted are the prefix hashes of those events, late and with gaps.
 	Cached  []uint64
 	Evicted []uint64
 	// Holding lists the requests that hold memory; nil when the engine does not tell.
 	Holding []Holding
 }
 
+// CachePosition is a place in an engine's cache events, which only the adapter of
+// engines reads. Its zero value is the beginning.
+type CachePosition struct {
+	Instance string
+	Number   uint64
+	RetryAt  time.Time
+}
+
 // Holding is one request that an engine says it holds memory for.
 type Holding struct {
 	Request identifier.Request
@@ -76,6 +90,10 @@
 	// linkUntil when the transfers are.
 	prefillUntil time.Time
 	linkUntil    time.Time
+	// cacheEpoch counts the breaks in the engine's cache events, from one; what they
+	// told in an earlier epoch does not stand. cacheHeard is when they last came.
+	cacheEpoch uint64
+	cacheHeard time.Time
 	// hits is how many prefix blocks of the demand numbered stamp are cached.
 	hits  int
 	stamp uint64
--- a/placer/state.go
+++ b/placer/state.go
@@ -146,7 +146,7 @@
 	for _, described := range engines {
 		known := p.engines[described.Member]
 		if known == nil {
-			known = &engine{}
+			known = &engine{cacheEpoch: 1}
 			p.engines[described.Member] = known
 		}
 		known.Engine = described
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -133,7 +133,7 @@
 		Limit:      limit,
 		Wait:       p.patience(),
 		Between:    time.Duration(p.route.BetweenTokens),
-		Prefixes:   prefixes(p.request.Prompt),
+		Prefixes:   p.prefixes,
 		Fresh:      p.begun,
 		Suspect:    p.router.options.Isolator.Suspect(p.request.Fingerprint),
 		Avoid:      p.avoid,
@@ -214,15 +214,17 @@
 
 func (p *Reply) work() invoker.Work {
 	return invoker.Work{
-		Attempt:   p.attempt.id,
-		Path:      p.request.Path,
-		Body:      p.request.Body,
-		Rank:      p.route.Rank,
-		Seed:      xxhash.Sum64String(string(p.request.Request)),
-		Limit:     p.request.Limit - p.offset,
-		Generated: p.generated.String(),
-		Offset:    p.offset,
-		Fresh:     p.attempts > 1,
+		Attempt:     p.attempt.id,
+		Path:        p.request.Path,
+		Body:        p.request.Body,
+		Rank:        p.route.Rank,
+		Seed:        xxhash.Sum64String(string(p.request.Request)),
+		Limit:       p.request.Limit - p.offset,
+		Generated:   p.generated.String(),
+		Offset:      p.offset,
+		Prefixes:    p.prefixes,
+		PrefixBlock: placer.PrefixBlock,
+		Fresh:       p.attempts > 1,
 	}
 }
 
--- a/router/completion.go
+++ b/router/completion.go
@@ -55,8 +55,10 @@
 	route   tabulator.Route
 	pool    tabulator.Pool
 	flight  *flight
-	ctx     context.Context
-	stop    context.CancelCauseFunc
+	// prefixes are the hashes of the prompt's leading blocks.
+	prefixes []uint64
+	ctx      context.Context
+	stop     context.CancelCauseFunc
 
 	// attempt is the one under way, or nil between two attempts.
 	attempt  *attempt
@@ -112,13 +114,14 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	bounded, release := context.WithTimeoutCause(ctx, r.timeout(route), context.DeadlineExceeded)
 	reply := &Reply{
-		router:  r,
-		request: request,
-		route:   route,
-		pool:    pool,
-		ctx:     bounded,
-		ran:     request.Resent,
-		emitted: request.After,
+		router:   r,
+		request:  request,
+		prefixes: prefixes(request.Prompt),
+		route:    route,
+		pool:     pool,
+		ctx:      bounded,
+		ran:      request.Resent,
+		emitted:  request.After,
 	}
 	reply.stop = func(cause error) { stop(cause); release() }
 	reply.flight = r.flights.begin(request.Request, stop)
