--- /dev/null
+++ b/invoker/bench_test.go
@@ -0,0 +1,125 @@
+package invoker_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/emulator"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// countedConn counts what a connection carries.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// decodeStreams is how many requests fill a decode engine's memory.
+const decodeStreams = 20
+
+// BenchmarkLoad is one load report over loopback, without the engine's own cost:
+// it answers from memory. A decode engine's memory is full; a prefill engine
+// tells of so many new prompts of 16 named blocks since the last report.
+func BenchmarkLoad(b *testing.B) {
+	b.Run("decode", func(b *testing.B) { loads(b, identifier.Decode, 0) })
+	for _, prompts := range []int{0, 1, 4} {
+		b.Run(fmt.Sprint("prefill-prompts-", prompts), func(b *testing.B) { loads(b, identifier.Prefill, prompts) })
+	}
+}
+
+func loads(b *testing.B, role identifier.Role, prompts int) {
+	engine := emulator.NewEngine(emulator.EngineOptions{
+		Name: "engine-1", Pieces: 1 << 30, PieceTokens: 16, PrefillRate: 1 << 40, TokenTime: time.Hour, Evict: time.Nanosecond,
+		PrefixCache: emulator.PrefixCache{Blocks: 64},
+	})
+	server := httptest.NewServer(engine)
+	defer server.Close()
+	defer engine.Crash()
+	var bytes atomic.Int64
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countedConn{connection, &bytes}, err
+	}}
+	defer transport.CloseIdleConnections()
+	calls := invoker.New(invoker.Options{Transport: transport, Fresh: http.DefaultTransport, Call: time.Minute, Prefill: time.Minute, Import: time.Minute})
+	member := tabulator.Member{Name: "engine-1", Role: role, Address: identifier.Address(strings.TrimPrefix(server.URL, "http://"))}
+	if role == identifier.Decode {
+		for i := range decodeStreams {
+			startStream(b, server.URL, i)
+		}
+	}
+	var seen invoker.CachePosition
+	issued := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		for range prompts {
+			issued++
+			newPrompt(b, server.URL, issued)
+		}
+		b.StartTimer()
+		load, err := calls.Load(b.Context(), member, seen)
+		if err != nil {
+			b.Fatal(err)
+		}
+		seen = load.Cache.Position
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+}
+
+// startStream makes an engine hold memory for a stream that goes on.
+func startStream(b *testing.B, url string, number int) {
+	body := fmt.Sprintf(`{"prompt":"p","max_tokens":100,"stream":true,"request_id":"0199f3a0-7d3c-7a51-8c1f-%012d.abcdefgh"}`, number)
+	post(b, url, body, false)
+}
+
+// newPrompt makes an engine compute a prompt of 16 blocks that it does not keep.
+func newPrompt(b *testing.B, url string, number int) {
+	var names []string
+	for block := range 16 {
+		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("%016x", uint64(number)<<32|uint64(block)|1<<63)))
+	}
+	body := fmt.Sprintf(`{"prompt":%q,"request_id":"p","kv_transfer_params":{"do_remote_decode":true,"prefix_block_tokens":256,"prefix_names":[%s]}}`,
+		fmt.Sprintf("%08d", number)+strings.Repeat("reading ", 2047), strings.Join(names, ","))
+	post(b, url, body, true)
+}
+
+// post sends a completion and reads its answer, or leaves that to the end.
+func post(b *testing.B, url, body string, whole bool) {
+	request, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if !whole {
+		b.Cleanup(func() { _ = response.Body.Close() })
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
