--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -19,7 +19,7 @@
 	// PrefillRate is the prompt tokens computed a second.
 	PrefillRate int
 	// TokenTime is the time between tokens of an empty engine; each further
-	// running request adds a fiftieth.
+	// running request adds a part of it (crowding).
 	TokenTime time.Duration
 	// Evict is how long an exported KV cache that nobody imports is kept.
 	Evict time.Duration
@@ -31,6 +31,8 @@
 	TransferTime time.Duration
 	// ChecksFencing refuses orders with an old fencing number.
 	ChecksFencing bool
+	// PrefixCache sets up the cache of prompt prefixes.
+	PrefixCache PrefixCache
 	// Crash ends the engine when it runs a prompt that contains Poison, if set.
 	Poison string
 	Crash  func()
@@ -41,6 +43,9 @@
 	Transport http.RoundTripper
 }
 
+// crowding is how many further requests double the time between tokens.
+const crowding = 50
+
 // Engine is a stand-in of a model engine: OpenAI-compatible completions with
 // KV transfer parameters, memory in pieces, resumable streams, a lagging load
 // report and orders with fencing numbers.
@@ -52,6 +57,10 @@
 	mutex sync.Mutex
 	// streams holds the running and the retained streams by attempt.
 	streams map[string]*stream
+	// prefills holds when each prefill under way ends, by attempt.
+	prefills map[string]time.Time
+	// cache holds the prompt prefixes computed not long ago.
+	cache *prefixCache
 	// exports holds the KV caches that wait for import, by attempt.
 	exports map[string]*export
 	// used is the pieces held by streams and exports, at most options.Pieces.
@@ -81,6 +90,9 @@
 	// Prefills and Decodes count started work, Evicted the KV caches that
 	// nobody imported, Refused the requests for which there was no memory.
 	Prefills, Decodes, Evicted, Refused, Cancels int
+	// PromptTokens sums the prompts of finished prefills, ComputedTokens what of
+	// them was not cached.
+	PromptTokens, ComputedTokens int
 	// Crashes counts how often the engine crashed.
 	Crashes int
 	// Held is the pieces in use now, Running the streams that generate now.
@@ -99,6 +111,8 @@
 		streams: map[string]*stream{},
 		exports: map[string]*export{},
 
+		prefills:  map[string]time.Time{},
+		cache:     newPrefixCache(options.PrefixCache),
 		cancelled: map[string]bool{},
 	}
 	e.mux.HandleFunc("POST /v1/completions", e.serveCompletions)
@@ -107,6 +121,7 @@
 	e.mux.HandleFunc("DELETE /v1/streams/{attempt}", e.serveCancel)
 	e.mux.HandleFunc("POST /v1/kv/{attempt}/import", e.serveExport)
 	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
+	e.mux.HandleFunc("GET /v1/cache-events", e.serveCacheEvents)
 	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
 	e.mux.HandleFunc("GET /v1/state", e.serveState)
 	return e
@@ -145,6 +160,8 @@
 		delete(e.streams, attempt)
 	}
 	e.exports = map[string]*export{}
+	e.prefills = map[string]time.Time{}
+	e.cache = newPrefixCache(e.options.PrefixCache)
 	e.cancelled = map[string]bool{}
 	e.used = 0
 	e.running = 0
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -18,6 +18,19 @@
 	RemoteRequestID string `json:"remote_request_id,omitempty"`
 	RemoteHost      string `json:"remote_host,omitempty"`
 	RemotePort      string `json:"remote_port,omitempty"`
+	// PrefixNames are what cache events are to call the prompt's leading blocks of
+	// PrefixBlockTokens tokens each.
+	PrefixNames       []string `json:"prefix_names,omitempty"`
+	PrefixBlockTokens int      `json:"prefix_block_tokens,omitempty"`
+}
+
+// prefixNames returns the names of the prompt's blocks if they are as long as the
+// engine's.
+func (k *kvParameters) prefixNames() []string {
+	if k.PrefixBlockTokens != cacheBlockTokens {
+		return nil
+	}
+	return k.PrefixNames
 }
 
 type chatMessage struct {
@@ -137,17 +150,22 @@
 	e.mutex.Lock()
 	generation := e.generation
 	admitted := e.reserve(pieces)
+	// At least the last token is computed, to go on from.
+	compute := max(1, tokens-e.cache.cached(request.text()))
+	span := time.Duration(compute) * time.Second / time.Duration(e.options.PrefillRate)
 	if admitted {
 		e.counts.Prefills++
+		e.prefills[request.RequestID] = time.Now().Add(span)
 	}
 	e.mutex.Unlock()
 	if !admitted {
 		http.Error(w, "no memory", http.StatusServiceUnavailable)
 		return
 	}
-	computed := pause(r.Context(), time.Duration(tokens)*time.Second/time.Duration(e.options.PrefillRate))
+	computed := pause(r.Context(), span)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	delete(e.prefills, request.RequestID)
 	if e.generation != generation {
 		panic(http.ErrAbortHandler)
 	}
@@ -155,6 +173,9 @@
 		e.used -= pieces
 		return
 	}
+	e.counts.PromptTokens += tokens
+	e.counts.ComputedTokens += compute
+	e.cache.store(request.text(), request.KV.prefixNames())
 	e.keepExport(request.RequestID, pieces)
 	host, port, _ := net.SplitHostPort(string(e.options.Address))
 	_ = json.NewEncoder(w).Encode(completionAnswer{
@@ -211,7 +232,7 @@
 func (e *Engine) generate(s *stream, attempt, text string, limit, generation int) {
 	for range limit {
 		e.mutex.Lock()
-		step := e.options.TokenTime + e.options.TokenTime*time.Duration(e.running-1)/50
+		step := e.step()
 		e.mutex.Unlock()
 		if !pause(s.ctx, step) {
 			break
