Keep one pinged HTTP/2 connection between nodes

Cause: connections between nodes were kept and not pinged, and most of a placement exchange's bytes were HTTP/1 header.

Weighed: one connection to a peer falls silent as a whole, and a call that times out on HTTP/2 does not close it as on HTTP/1. With pings alone, calls go on timing out until ping interval and ping timeout have passed: the new test of connector failed so, "the silent connection is still open" and "after the silence: context deadline exceeded". Short pings instead would cost every idle connection its bytes. HTTP/1 with trimmed header fields was estimated at about 360 of 488 bytes and not built.

Change: calls between nodes use HTTP/2 with pings, setting peer-calls.ping-interval, 5 s. A call that times out while its connection received nothing since the call began closes the connection; one that times out where others hear leaves it. Fresh probes and calls to backend servers stay on HTTP/1.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -127,6 +127,9 @@
 	// CallTimeout bounds a short call as a whole, such as a cancel or a load
 	// report.
 	CallTimeout time.Duration
+	// PingInterval is how long a kept connection between nodes may receive nothing
+	// before it is pinged. It is zero for calls to others, which are not pinged.
+	PingInterval time.Duration
 	// MaxConnectionsPerHost bounds the connections to one server.
 	MaxConnectionsPerHost int
 }
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -20,6 +20,8 @@
 	keys = append(keys, platformKeys(&s.Platform)...)
 	keys = append(keys, membershipKeys(&s.Membership)...)
 	keys = append(keys, clientKeys("peer-calls", "another node", "2s", "5s", &s.PeerCalls)...)
+	keys = append(keys, duration("peer-calls.ping-interval", &s.PeerCalls.PingInterval, "5s", shortest, longest,
+		"A kept connection to another node that received nothing for so long is pinged; it is closed when the answer takes longer than `dial-timeout`."))
 	keys = append(keys, clientKeys("backends", "a backend server", "30s", "10s", &s.Backends)...)
 	keys = append(keys, requestKeys(&s.Requests)...)
 	keys = append(keys, placementKeys(&s.Placement)...)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -57,13 +57,22 @@
 	}
 }
 
+// dial opens a connection; one that is pinged notes when it hears something.
+func (n Network) dial(ctx context.Context, network, address string, limits Limits) (net.Conn, error) {
+	opened, err := n.Dial(ctx, network, address)
+	if err != nil || limits.Ping <= 0 {
+		return opened, err
+	}
+	return &heardConn{Conn: opened}, nil
+}
+
 // Transport returns an HTTP transport over the network.
 func (n Network) Transport(limits Limits) *http.Transport {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, limits.Dial)
 			defer cancel()
-			return n.Dial(ctx, network, address)
+			return n.dial(ctx, network, address, limits)
 		},
 		TLSHandshakeTimeout:   limits.Dial,
 		ResponseHeaderTimeout: limits.Header,
--- a/connector/server.go
+++ b/connector/server.go
@@ -199,7 +199,7 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, limits.Dial)
 		defer cancel()
-		raw, err := n.Dial(ctx, network, address)
+		raw, err := n.dial(ctx, network, address, limits)
 		if err != nil {
 			return nil, err
 		}
--- a/server/services.go
+++ b/server/services.go
@@ -44,15 +44,19 @@
 	})
 }
 
-// transport returns a transport for the node's own calls.
+// transport returns a transport for the node's own calls over HTTP/1.
 func (s *Server) transport(client configurator.Client, certificates *connector.TLS) *http.Transport {
-	return s.options.Network.Transport(connector.Limits{
+	return s.options.Network.Transport(limitsOf(client, certificates))
+}
+
+func limitsOf(client configurator.Client, certificates *connector.TLS) connector.Limits {
+	return connector.Limits{
 		Dial:    client.DialTimeout,
 		Header:  client.HeaderTimeout,
 		Idle:    client.IdleTimeout,
 		PerHost: client.MaxConnectionsPerHost,
 		TLS:     certificates,
-	})
+	}
 }
 
 // fresh returns a transport that opens a connection for each call.
@@ -63,24 +67,27 @@
 }
 
 // peers returns the transport of calls to other nodes. All services share its
-// kept connections.
+// kept connections, which are HTTP/2 and pinged.
 func (s *Server) peers() http.RoundTripper {
 	if s.keptPeers == nil {
 		settings := s.options.Settings.PeerCalls
-		kept := s.secure(s.transport(settings, s.options.Certificates.Peers))
-		s.keptPeers = connector.LimitProgress(kept, settings.ProgressTimeout)
+		limits := limitsOf(settings, s.options.Certificates.Peers)
+		limits.Ping = settings.PingInterval
+		kept := connector.CloseSilent(s.options.Network.Transport(limits))
+		s.keptPeers = connector.LimitProgress(s.secure(kept), settings.ProgressTimeout)
 	}
 	return s.keptPeers
 }
 
-// newPeers returns a transport that opens a connection for each call.
+// newPeers returns a transport that opens a connection for each call. It speaks
+// HTTP/1, which needs no handshake of its own for a single call.
 func (s *Server) newPeers() http.RoundTripper {
 	return s.secure(s.fresh(s.options.Settings.PeerCalls, s.options.Certificates.Peers))
 }
 
 // secure turns calls to other nodes, whose addresses come as "http://", into
 // https where the peers' listener has certificates.
-func (s *Server) secure(transport *http.Transport) http.RoundTripper {
+func (s *Server) secure(transport http.RoundTripper) http.RoundTripper {
 	if s.options.Certificates.Peers == nil {
 		return transport
 	}
