Renew a known grant without repeating what it is

Change: an owner that knows the grant is sent its id and progress. One that answers "unknown" is sent everything with the next exchange, as before.

--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -264,7 +264,7 @@
 	}
 	if renew {
 		for _, h := range l.held {
-			request.Renewals = append(request.Renewals, encodeRenewal(h, !h.known))
+			request.Renewals = append(request.Renewals, encodeRenewal(h))
 		}
 	}
 	if len(request.Demands)+len(request.Withdrawals)+len(request.Renewals)+len(request.Releases) == 0 {
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -55,19 +55,22 @@
 	return d, int(message.GetRank()) < len(identifier.Ranks)
 }
 
-func encodeRenewal(h *heldGrant, withDemand bool) *dispatcherrpc.Renewal {
+// encodeRenewal tells an owner that knows the grant only how far its stream is,
+// and another one the whole grant.
+func encodeRenewal(h *heldGrant) *dispatcherrpc.Renewal {
 	message := &dispatcherrpc.Renewal{
 		Grant:        string(h.Grant),
-		Prefill:      string(h.Prefill),
-		Decode:       string(h.Decode),
-		Pieces:       int64(h.Pieces),
 		OutputTokens: int64(h.Output),
 		Decoding:     h.Decoding,
-		Stream:       h.Stream,
 	}
-	if withDemand {
-		message.Demand = encodeDemand(&h.Demand, h.Demand.Wait)
+	if h.known {
+		return message
 	}
+	message.Prefill = string(h.Prefill)
+	message.Decode = string(h.Decode)
+	message.Pieces = int64(h.Pieces)
+	message.Stream = h.Stream
+	message.Demand = encodeDemand(&h.Demand, h.Demand.Wait)
 	return message
 }
 
