Measure the heap of a shard and of a node's side of placement

Cause: docs/CAPACITY.md had no memory of a dispatcher nor of a placement client.

Change: two benchmarks. One fills a shard of 24 engines through the placer: a fleet of today, a 30th of the target's load, and every bound reached; 6 prefix hashes a prompt, and load reports that list what engines hold, in the format of this commit. The other fills a node's links.

--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -57,6 +57,9 @@
 // benchIncarnation is as long as those of nodes, which are times in nanoseconds.
 const benchIncarnation = 1_900_000_000_000_000_000
 
+// benchPieces is the memory of an engine in pieces, room for 200 requests.
+const benchPieces = 400
+
 // benchOwner runs the owner of a shard until the benchmark ends.
 func benchOwner(b *testing.B, engines int) *Dispatcher {
 	b.Helper()
@@ -73,7 +76,7 @@
 	}
 	f.snapshot.Pools.Pools[0].Members = nil
 	for i := range engines {
-		member := tabulator.Member{Name: identifier.Member(fmt.Sprint("lector-engine-", i)), Address: "x", Role: identifier.Decode, Pieces: 60}
+		member := tabulator.Member{Name: identifier.Member(fmt.Sprint("lector-engine-", i)), Address: "x", Role: identifier.Decode, Pieces: benchPieces}
 		if i%3 == 0 {
 			member.Role = identifier.Prefill
 		}
@@ -83,7 +86,7 @@
 	owner := f.viewOf("entry-vm-117")().Owner(id.String()).Node
 	return New(Options{
 		Self: owner, View: f.viewOf(owner), Snapshot: func() *tabulator.Snapshot { return f.snapshot },
-		Peers: f, Engines: f, Rebuild: time.Nanosecond, ShardEngines: engines,
+		Peers: f, Engines: f, Lease: time.Hour, Rebuild: time.Nanosecond, ShardEngines: engines,
 	})
 }
 
--- /dev/null
+++ b/dispatcher/memory_test.go
@@ -0,0 +1,172 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/placer"
+)
+
+// shardLoad is what a shard of 24 engines holds when its memory is measured.
+type shardLoad struct {
+	name string
+	// finished requests come before those held, and leave their prefixes, output
+	// lengths and releases behind.
+	finished int
+	// held are the grants, waiting the queued demands of each rank.
+	held, waiting    int
+	accounts, routes int
+	nodes            int
+	// prefixes are the hashes of a prompt's blocks.
+	prefixes int
+}
+
+// shardLoads: a fleet of today, a 30th of the target, and every bound reached.
+var shardLoads = []shardLoad{
+	{name: "today", finished: 5_000, held: 320, waiting: 50, accounts: 500, routes: 4, nodes: 8, prefixes: 6},
+	{name: "target", finished: 10_000, held: 2_560, waiting: 300, accounts: 14_000, routes: 15, nodes: 350, prefixes: 6},
+	{name: "bounds", finished: 150_000, held: 2_560, waiting: 1_000, accounts: 14_000, routes: 256, nodes: 350, prefixes: 6},
+}
+
+// BenchmarkShardMemory reports the heap that a filled shard holds.
+func BenchmarkShardMemory(b *testing.B) {
+	for _, load := range shardLoads {
+		b.Run(load.name, func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				sh := benchShard(b, 24)
+				newFiller(sh, load).fill(b)
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "heap-MB")
+				runtime.KeepAlive(sh)
+			}
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// filler makes the requests that fill a shard, on a clock of its own.
+type filler struct {
+	shard  *shard
+	load   shardLoad
+	random *rand.Rand
+	now    time.Time
+	issued int
+}
+
+func newFiller(sh *shard, load shardLoad) *filler {
+	return &filler{shard: sh, load: load, random: rand.New(rand.NewPCG(1, 2)), now: time.Now()}
+}
+
+func (f *filler) fill(b *testing.B) {
+	b.Helper()
+	f.shard.configure()
+	f.placeEach(f.load.finished, func(g placer.Decision) {
+		result := placer.Result{Output: identifier.Tokens(1 + f.random.IntN(8000)), Prefilled: true, Decoded: true}
+		f.shard.placer.Release(f.now, g.Outcome.Placement.Grant, result)
+	})
+	holding := map[identifier.Member][]placer.Holding{}
+	f.placeEach(f.load.held, func(g placer.Decision) {
+		placed := g.Outcome.Placement
+		holding[placed.Decode] = append(holding[placed.Decode], placer.Holding{Request: g.Request, Stream: placed.Stream, Pieces: placed.Pieces})
+	})
+	f.report(holding)
+	for _, rank := range identifier.Ranks {
+		for range f.load.waiting {
+			d := f.demand()
+			// A prompt as large as an engine fits beside no other.
+			d.Rank, d.Wait, d.Prompt = rank, 1000*time.Hour, 2000*benchPieces-1000
+			f.shard.placer.Submit(f.now, d)
+		}
+		if waiting := f.shard.placer.Waiting(rank); waiting != f.load.waiting {
+			b.Fatalf("%d demands of rank %d wait, want %d", waiting, rank, f.load.waiting)
+		}
+	}
+	for i := range f.load.nodes {
+		f.shard.outbox(f.now, identifier.Node(fmt.Sprint("entry-vm-", i)), benchIncarnation)
+	}
+	if held := len(f.shard.placer.Held()); held != f.load.held {
+		b.Fatalf("%d grants are held, want %d", held, f.load.held)
+	}
+}
+
+// placeEach has a number of requests placed, one after another.
+func (f *filler) placeEach(count int, placed func(placer.Decision)) {
+	for done := 0; done < count; {
+		f.now = f.now.Add(8 * time.Millisecond)
+		f.shard.placer.Submit(f.now, f.demand())
+		f.shard.placer.Advance(f.now)
+		decisions, _ := f.shard.placer.Take()
+		for _, decision := range decisions {
+			if decision.Outcome.Placement != nil && done < count {
+				done++
+				placed(decision)
+			}
+		}
+	}
+}
+
+func (f *filler) demand() placer.Demand {
+	f.issued++
+	d := benchDemand(f.issued)
+	d.Rank = identifier.Ranks[f.issued%len(identifier.Ranks)]
+	d.Node = identifier.Node(fmt.Sprint("entry-vm-", f.issued%f.load.nodes))
+	d.Account = identifier.Account(fmt.Sprint("account-", f.issued%f.load.accounts))
+	d.Route = identifier.Route(fmt.Sprint("route-", f.issued%f.load.routes))
+	for range f.load.prefixes {
+		d.Prefixes = append(d.Prefixes, f.random.Uint64())
+	}
+	return d
+}
+
+// report has each engine tell what it holds.
+func (f *filler) report(holding map[identifier.Member][]placer.Holding) {
+	for name, member := range f.shard.members {
+		load := placer.Load{At: f.now, Free: member.Pieces, Running: len(holding[name]), Holding: holding[name]}
+		for _, held := range load.Holding {
+			load.Free -= held.Pieces
+		}
+		f.shard.loads[name] = load
+		f.shard.placer.Report(f.now, name, load)
+	}
+}
+
+// BenchmarkClientMemory reports the heap of a node's side of placement at the
+// target: 240 grants held and 100 demands waiting at 20 shards.
+func BenchmarkClientMemory(b *testing.B) {
+	const shards, held, waiting = 20, 12, 5
+	for b.Loop() {
+		before := heapInUse()
+		node := newBenchOwner(24)
+		f := newFiller(nil, shardLoad{accounts: 14_000, routes: 15, nodes: 350, prefixes: 6})
+		for index := range uint32(shards) {
+			l := node.link(shardID{pool: testPool, index: index})
+			for i := range held + waiting {
+				d := f.demand()
+				l.submit(d)
+				if i < held {
+					l.settle(l.waiting[d.Request], benchPlacement(i), true)
+				}
+			}
+		}
+		b.ReportMetric(float64(heapInUse()-before)/1e6, "heap-MB")
+		runtime.KeepAlive(node)
+	}
+}
+
+func benchPlacement(issued int) placer.Outcome {
+	return placer.Outcome{Placement: &placer.Placement{
+		Grant:   identifier.Grant(fmt.Sprintf("entry-vm-117.%d.1-%d", benchIncarnation, issued)),
+		Prefill: "lector-engine-0", Decode: "lector-engine-1", Pieces: 1, Attempt: 1, Stream: 1,
+	}}
+}
