Have the exchange benchmark's demands granted

Cause: the benchmark asked for more prefills a second than its engines have, so that two thirds of its demands were refused later and the answers held few grants.

Change: engines whose rates do not limit.

--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -60,6 +60,10 @@
 // benchPieces is the memory of an engine in pieces, room for 200 requests.
 const benchPieces = 400
 
+// benchRate, in tokens and bytes a second, keeps prefills and links from being what
+// demands wait for.
+const benchRate = 1e12
+
 // benchOwner runs the owner of a shard until the benchmark ends.
 func benchOwner(b *testing.B, engines int) *Dispatcher {
 	b.Helper()
@@ -76,7 +80,10 @@
 	}
 	f.snapshot.Pools.Pools[0].Members = nil
 	for i := range engines {
-		member := tabulator.Member{Name: identifier.Member(fmt.Sprint("lector-engine-", i)), Address: "x", Role: identifier.Decode, Pieces: benchPieces}
+		member := tabulator.Member{
+			Name: identifier.Member(fmt.Sprint("lector-engine-", i)), Address: "x",
+			Role: identifier.Decode, Pieces: benchPieces, PrefillRate: benchRate, LinkRate: benchRate,
+		}
 		if i%3 == 0 {
 			member.Role = identifier.Prefill
 		}
