Begin grant ids with a hash of their owner's generation

Cause: a grant's id held the owner's name, incarnation and generation, 37 bytes at the target's names, and goes over the wire with the grant, with each renewal and with the release.

Change: the id begins with the 64-bit hash of the three, 13 characters at most. Event 2000 (shard owned) names it, so that a grant can be traced to its owner.

--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
@@ -89,14 +91,20 @@
 		return nil
 	}
 	s.generation++
-	issuer := fmt.Sprintf("%s.%d.%d", s.options.Self, s.options.View().Self.Incarnation, s.generation)
-	fresh := newShard(id, issuer, pool, s)
+	fresh := newShard(id, s.issuer(), pool, s)
 	s.shards[id] = fresh
 	s.start(fresh)
-	s.options.Log.Log(eventOwned, logger.Fields{"shard": id.String()})
+	s.options.Log.Log(eventOwned, logger.Fields{"shard": id.String(), "issuer": fresh.issuer})
 	return fresh
 }
 
+// issuer begins the grant ids of the present generation: a hash, since each
+// renewal carries the id.
+func (s *server) issuer() string {
+	name := fmt.Sprintf("%s.%d.%d", s.options.Self, s.options.View().Self.Incarnation, s.generation)
+	return strconv.FormatUint(xxhash.Sum64String(name), 36)
+}
+
 // drop forgets a shard that another node owns.
 func (s *server) drop(id shardID) {
 	s.mutex.Lock()
