Leave connections to other nodes alone when one owner fails

Cause: each failed exchange closed every idle connection of the node, to all peers, every 50 ms while an owner was away. That was how a silent HTTP/1 connection was kept out of use; a silent HTTP/2 connection is now closed by the call that timed out on it.

The new test failed first: with one owner dead and one demand placed, "kept connections were closed 7 times". It passes now, as do the tests of dispatcher under the race detector and the cells of the matrix: `MATRIX_ONLY=silent` (9.9 s) and `MATRIX_ONLY=owner` (14.2 s), `go test -count=1 -run TestMatrix ./prover`.

Weighed: a connection that falls silent after a call has heard something on it is closed by the call after that one, 250 ms later than before. The fall-back after 300 ms covers it.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -47,7 +47,8 @@
 	View func() *assigner.View
 	// Snapshot returns the configuration, nil before the first one.
 	Snapshot func() *tabulator.Snapshot
-	// Peers carries requests to the peer addresses of other nodes.
+	// Peers carries requests to the peer addresses of other nodes. It uses no
+	// connection again that a request timed out on because it was silent.
 	Peers http.RoundTripper
 	// Engines reaches the engines.
 	Engines Engines
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -31,6 +31,8 @@
 	cancelled []string
 	// stubborn is how many cancels the engines still refuse.
 	stubborn int
+	// closings counts how often all idle connections were closed.
+	closings int
 }
 
 func (f *fabric) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -95,6 +97,13 @@
 	return append([]string(nil), f.cancelled...)
 }
 
+// CloseIdleConnections counts the calls.
+func (f *fabric) CloseIdleConnections() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.closings++
+}
+
 func (f *fabric) set(hosts map[string]bool, node string, value bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -352,3 +352,16 @@
 		stop(append(others, owner)...)
 	})
 }
+
+// An owner that cannot be reached costs nobody a connection to another node.
+func TestFailingOwnerLeavesOtherConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, owner, others := startThree(t)
+		f.kill(owner)
+		others[0].placed(t, demand("r1", 1))
+		if f.closings != 0 {
+			t.Errorf("kept connections were closed %d times", f.closings)
+		}
+		stop(others...)
+	})
+}
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -318,10 +318,6 @@
 		l.withdrawals = append(batch.GetWithdrawals(), l.withdrawals...)
 	}
 	l.resend()
-	// A connection that has gone silent is not used again.
-	if idle, ok := l.options.Peers.(interface{ CloseIdleConnections() }); ok {
-		idle.CloseIdleConnections()
-	}
 	l.placeAlone(time.Now())
 	if len(l.waiting)+len(l.releases) > 0 {
 		signal(l.wake)
