--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -42,6 +42,7 @@
 func (f *fallback) take(now time.Time, reports []*dispatcherrpc.Report) {
 	if len(reports) > 0 {
 		f.taken = now
+		clear(f.free)
 	}
 	for _, report := range reports {
 		f.free[identifier.Member(report.GetMember())] = identifier.Pieces(report.GetFreePieces())
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -264,7 +264,7 @@
 	}
 	if renew {
 		for _, h := range l.held {
-			request.Renewals = append(request.Renewals, encodeRenewal(h, !h.known))
+			request.Renewals = append(request.Renewals, encodeRenewal(h))
 		}
 	}
 	if len(request.Demands)+len(request.Withdrawals)+len(request.Renewals)+len(request.Releases) == 0 {
@@ -318,10 +318,6 @@
 		l.withdrawals = append(batch.GetWithdrawals(), l.withdrawals...)
 	}
 	l.resend()
-	// A connection that has gone silent is not used again.
-	if idle, ok := l.options.Peers.(interface{ CloseIdleConnections() }); ok {
-		idle.CloseIdleConnections()
-	}
 	l.placeAlone(time.Now())
 	if len(l.waiting)+len(l.releases) > 0 {
 		signal(l.wake)
--- a/dispatcher/roles_test.go
+++ b/dispatcher/roles_test.go
@@ -26,7 +26,7 @@
 	owned.loads["drains-to-decode"] = placer.Load{At: now, Role: identifier.Prefill, Free: 20}
 	owned.loads["tells-nothing"] = placer.Load{At: now, Free: 20}
 	alone := newFallback()
-	alone.take(now, owned.reports(now))
+	alone.take(now, owned.reports())
 	if alone.mayPrefill(members[0]) || alone.fits(members[1], 1, 1) || !alone.fits(members[2], 1, 1) {
 		t.Errorf("free memory for new work: %v", alone.free)
 	}
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -71,7 +71,7 @@
 const idleAdvance = 250 * time.Millisecond
 
 // reportInterval is the time between two copies of the engines' reports for a node.
-const reportInterval = time.Second
+const reportInterval = 2 * time.Second
 
 // run advances the placer, watches the fleet and polls the engines until ctx
 // ends or another node owns the shard and no order is open.
@@ -222,7 +222,7 @@
 	s.distribute()
 	response.Decisions, box.decisions = box.decisions, nil
 	if now.Sub(box.reported) >= reportInterval {
-		response.Reports = s.reports(now)
+		response.Reports = s.reports()
 		box.reported = now
 	}
 	s.signal()
@@ -260,16 +260,15 @@
 	}
 }
 
-// reports passes on what the engines last said.
-func (s *shard) reports(now time.Time) []*dispatcherrpc.Report {
+// reports passes on what a node needs to place alone: the free memory of the
+// decode engines, and which engines take no new work.
+func (s *shard) reports() []*dispatcherrpc.Report {
 	list := make([]*dispatcherrpc.Report, 0, len(s.loads))
-	for member, load := range s.loads {
-		list = append(list, &dispatcherrpc.Report{
-			Member:          string(member),
-			FreePieces:      int64(s.freeForNew(member, load)),
-			StepNanoseconds: int64(load.Step),
-			AgeNanoseconds:  int64(now.Sub(load.At)),
-		})
+	for name, load := range s.loads {
+		free := s.freeForNew(name, load)
+		if s.members[name].Role == identifier.Decode || free == 0 {
+			list = append(list, &dispatcherrpc.Report{Member: string(name), FreePieces: int64(free)})
+		}
 	}
 	return list
 }
