Strike whole data centres in the fault matrix

The matrix's fleets had one data centre, so cuts between data centres were proved only in the tests of prober and publisher. The small fleets keep their names, addresses and checks.

--- a/prover/booking_test.go
+++ b/prover/booking_test.go
@@ -17,6 +17,8 @@
 	key   string
 	entry *node
 	leave context.CancelFunc
+	// lasts is how long the fault still lasts when the resends during it end.
+	lasts time.Duration
 
 	mutex sync.Mutex
 	ended bool
@@ -152,6 +154,7 @@
 		time.Sleep(time.Duration(round) * time.Second)
 	}
 	b.f.notRunHolds(t, b)
+	b.afterwards(t)
 	if count := b.f.executions(b.key); count > 1 {
 		t.Errorf("executed %d times", count)
 	}
@@ -172,6 +175,19 @@
 	}
 }
 
+// afterwards resends once more when a long fault has ended.
+func (b *booking) afterwards(t *testing.T) {
+	t.Helper()
+	if b.lasts == 0 {
+		return
+	}
+	time.Sleep(b.lasts)
+	for _, name := range []string{"node-2", "node-3", "node-1"} {
+		b.send(t.Context(), b.f.node(name), false)
+	}
+	b.f.notRunHolds(t, b)
+}
+
 // notRunHolds checks that a call of which nobody was told more than "not run"
 // was not executed.
 func (f *fleet) notRunHolds(t *testing.T, b *booking) {
--- a/prover/configuration_test.go
+++ b/prover/configuration_test.go
@@ -24,6 +24,8 @@
 type edit struct {
 	f    *fleet
 	node *node
+	// lasts is how long the fault lasts at the most.
+	lasts time.Duration
 
 	mutex sync.Mutex
 	ended bool
@@ -99,6 +101,7 @@
 	e := &edit{
 		f:       f,
 		node:    f.node("node-1"),
+		lasts:   15 * time.Second,
 		told:    map[tabulator.Duration]identifier.Configuration{},
 		highest: map[*node]identifier.Configuration{},
 		content: map[identifier.Configuration]tabulator.Duration{},
@@ -187,7 +190,7 @@
 func (e *edit) check(t *testing.T) {
 	t.Helper()
 	e.f.waitFor("the operator's answer", e.over)
-	time.Sleep(15*time.Second + inForce)
+	time.Sleep(e.lasts + inForce)
 	e.mutex.Lock()
 	newest := identifier.Configuration(0)
 	for target, number := range e.told {
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 // fleet is a small deployment on an in-memory network.
 type fleet struct {
 	t        *testing.T
+	size     shape
 	network  *emulator.Network
 	platform *emulator.Platform
 	engines  map[string]*emulator.Engine
@@ -56,6 +58,7 @@
 type node struct {
 	host   string
 	name   string
+	centre identifier.DataCentre
 	server *server.Server
 	// stop tells the node to leave; ended is closed when it has.
 	stop  context.CancelFunc
@@ -67,10 +70,21 @@
 // shape says how large a fleet is.
 type shape struct {
 	nodes, prefills, decodes, services int
+	// centres is the number of data centres that all these are spread over in
+	// turn; zero stands for one.
+	centres int
 }
 
 var smallShape = shape{nodes: 3, prefills: 2, decodes: 2, services: 1}
 
+// centreNames are the data centres of a fleet, as far as its shape asks.
+var centreNames = []identifier.DataCentre{"south", "middle", "north"}
+
+// centre returns the data centre of the nth node or backend server, from zero.
+func (s shape) centre(nth int) identifier.DataCentre {
+	return centreNames[nth%max(s.centres, 1)]
+}
+
 // run runs a scenario on a fleet in virtual time.
 func run(t *testing.T, size shape, scenario func(t *testing.T, f *fleet)) {
 	t.Helper()
@@ -84,6 +98,7 @@
 func newFleet(t *testing.T, size shape) *fleet {
 	f := &fleet{
 		t:        t,
+		size:     size,
 		network:  emulator.NewNetwork(time.Millisecond),
 		platform: emulator.NewPlatform(),
 		engines:  map[string]*emulator.Engine{},
@@ -98,10 +113,10 @@
 		Name: "summariser", Kind: tabulator.Models, PieceTokens: 16, KVBytesPerToken: 1 << 10, LesserShare: 0.2, QueueLimit: 64,
 	}
 	for i := range size.prefills {
-		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("prefill-%d", i+1), fmt.Sprintf("10.1.1.%d", i+1), identifier.Prefill))
+		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("prefill-%d", i+1), fmt.Sprintf("10.1.1.%d", i+1), identifier.Prefill, size.centre(i)))
 	}
 	for i := range size.decodes {
-		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("decode-%d", i+1), fmt.Sprintf("10.1.2.%d", i+1), identifier.Decode))
+		models.Members = append(models.Members, f.startEngine(fmt.Sprintf("decode-%d", i+1), fmt.Sprintf("10.1.2.%d", i+1), identifier.Decode, size.centre(i)))
 	}
 	desk := tabulator.Pool{Name: "desk", Kind: tabulator.Services}
 	for i := range size.services {
@@ -109,7 +124,7 @@
 		f.services[name] = emulator.NewService(20 * time.Millisecond)
 		f.serve(host, f.services[name])
 		desk.Members = append(desk.Members, tabulator.Member{
-			Name: identifier.Member(name), Address: identifier.Address(host + ":80"), Role: identifier.Service, DataCentre: "south",
+			Name: identifier.Member(name), Address: identifier.Address(host + ":80"), Role: identifier.Service, DataCentre: size.centre(i),
 		})
 	}
 	f.pools = tabulator.Pools{Pools: []tabulator.Pool{models, desk}}
@@ -139,7 +154,7 @@
 	f.platform.Put("tables", "routes", routes)
 }
 
-func (f *fleet) startEngine(name, host string, role identifier.Role) tabulator.Member {
+func (f *fleet) startEngine(name, host string, role identifier.Role, centre identifier.DataCentre) tabulator.Member {
 	address := identifier.Address(host + ":80")
 	engine := emulator.NewEngine(emulator.EngineOptions{
 		Name: identifier.Member(name), Address: address,
@@ -154,7 +169,7 @@
 	f.atEnd(engine.Crash)
 	f.serve(host, engine)
 	return tabulator.Member{
-		Name: identifier.Member(name), Address: address, DataCentre: "south", Role: role,
+		Name: identifier.Member(name), Address: address, DataCentre: centre, Role: role,
 		Pieces: 400, PrefillRate: 4000, LinkRate: 1 << 30, ChecksFencing: true,
 	}
 }
@@ -184,7 +199,7 @@
 const settingsText = `
 [node]
 name = "%[1]s"
-data-centre = "south"
+data-centre = "%[3]s"
 [callers]
 listen = "%[2]s:8080"
 [peers]
@@ -202,14 +217,20 @@
 header-timeout = "2s"
 `
 
+// nodeHost is the host of the node with a number from one.
+func nodeHost(ordinal int) string {
+	return fmt.Sprintf("10.0.0.%d", ordinal)
+}
+
 // startNode starts a process of a node, also after an earlier one was killed.
 func (f *fleet) startNode(name string) *node {
-	host := "10.0.0." + strings.TrimPrefix(name, "node-")
-	settings, faults := configurator.Parse([]byte(fmt.Sprintf(settingsText, name, host)))
+	ordinal, _ := strconv.Atoi(strings.TrimPrefix(name, "node-"))
+	host, centre := nodeHost(ordinal), f.size.centre(ordinal-1)
+	settings, faults := configurator.Parse([]byte(fmt.Sprintf(settingsText, name, host, centre)))
 	if len(faults) > 0 {
 		f.t.Fatal(faults.Error())
 	}
-	started := &node{host: host, name: name, ended: make(chan struct{})}
+	started := &node{host: host, name: name, centre: centre, ended: make(chan struct{})}
 	started.server = server.New(server.Options{
 		Settings:    settings,
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
--- a/prover/model_test.go
+++ b/prover/model_test.go
@@ -31,6 +31,8 @@
 	away bool
 	// mayBeHeld allows the request to be held as poison.
 	mayBeHeld bool
+	// blind is how long no node that reaches the engines knows of them.
+	blind time.Duration
 
 	mutex  sync.Mutex
 	offset int
@@ -152,22 +154,44 @@
 func (f *fleet) try(t *testing.T, request completion) *trial {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &trial{f: f, request: request, leave: cancel}
-	owner := f.node("node-1").server.View().Owner(placementShard).Node
-	for _, name := range []string{"node-1", "node-2", "node-3"} {
-		if name == string(owner) {
-			r.owner = f.node(name)
-		} else if r.entry == nil {
-			r.entry = f.node(name)
-		}
-	}
+	r.owner = f.node(string(f.node("node-1").server.View().Owner(placementShard).Node))
+	r.entry = f.entryFor(r.owner)
 	go r.insist(ctx, t.Context())
 	return r
 }
 
+// entryFor returns the first node that is not the owner. In a fleet of several
+// data centres it lies in another one than the owner.
+func (f *fleet) entryFor(owner *node) *node {
+	for _, n := range f.running() {
+		if n != owner && (f.size.centres < 2 || n.centre != owner.centre) {
+			return n
+		}
+	}
+	return owner
+}
+
+// order lists the nodes that a caller asks in turn: the entry first, then the
+// others as the fleet's address answer puts data centres, the near one first.
+func (r *trial) order() []*node {
+	if r.f.size.centres < 2 {
+		return []*node{r.entry, r.f.node("node-1"), r.f.node("node-2"), r.f.node("node-3")}
+	}
+	order := []*node{r.entry}
+	for _, near := range []bool{true, false} {
+		for _, n := range r.f.running() {
+			if n != r.entry && (n.centre == r.entry.centre) == near {
+				order = append(order, n)
+			}
+		}
+	}
+	return order
+}
+
 // insist comes back through one node after the other until the answer is whole.
 func (r *trial) insist(first, later context.Context) {
 	deadline := time.Now().Add(insistence)
-	order := []*node{r.entry, r.f.node("node-1"), r.f.node("node-2"), r.f.node("node-3")}
+	order := r.order()
 	got, turns := answer{}, 0
 	for turn := 0; !got.whole && time.Now().Before(deadline); turn++ {
 		turns++
@@ -240,6 +264,7 @@
 		t.Errorf("got %d tokens, whole %v, refusal %q %q, equal so far: %v", len(got.tokens), got.whole, got.outcome, got.reason,
 			len(got.text()) <= len(expected(r.request)) && got.text() == expected(r.request)[:len(got.text())])
 	}
+	time.Sleep(r.blind)
 	r.f.freed(t)
 	if got := r.result; got.outcome == "not-run" && r.f.total().Prefills > 0 {
 		t.Errorf("told \"not run\" (%s), and an engine worked for it", got.reason)
--- a/prover/orders_test.go
+++ b/prover/orders_test.go
@@ -13,6 +13,8 @@
 	f *fleet
 	// sender held the lease when the edit was made.
 	sender *node
+	// lasts is how long the fault lasts, if longer than the wait for the version.
+	lasts time.Duration
 	// seen is the number of orders carried out before the edit.
 	seen int
 }
@@ -114,6 +116,7 @@
 // order of an older sender after one of a newer.
 func (o *orders) check(t *testing.T) {
 	t.Helper()
+	time.Sleep(o.lasts)
 	o.f.waitFor("the new version", func() bool { return o.f.loaded("v2") })
 	time.Sleep(2 * time.Minute)
 	if !o.f.loaded("v2") {
