Start afresh when a stream to go on with cannot be reached

A region is cut off and its nodes are restarted. A caller that comes back through another data centre is handed the orphaned stream on an engine that is out of reach; the node gave that attempt up without telling the owner, so each of its attempts, and of later requests, was handed the same stream: the caller was told attempts-exhausted for the whole cut although free engines were at hand.

Ruled out: the grace of orphans (it is 2 s, and the grant is held again by each attempt) and the caller's patience (36 connections in 90 s).

Now an attempt that gave up a stream it was to go on with demands afresh, and avoids the engine unless that answered that the stream is gone.

The cells of this fault look for held memory 45 s after the cut's end, those of the others 45 s after its beginning: the restarted nodes have no configuration and no store, so nobody who reaches the engines of the region knows of them.

--- a/prover/centre_test.go
+++ b/prover/centre_test.go
@@ -46,6 +46,10 @@
 		f.cutCentre(here)
 		f.restartCentre(here)
 	}},
+	{"region-cut-and-restarted", regionCutSpan, true, func(f *fleet, here, _ identifier.DataCentre) {
+		f.cutRegion(here)
+		f.restartCentre(here)
+	}},
 }
 
 // inflict strikes and heals after the fault's span.
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -163,7 +163,7 @@
 }
 
 // takeOver goes on with the stream of an earlier attempt on the decode engine.
-// Where that is gone, the request starts afresh.
+// Where that is gone or cannot be reached from here, the request starts afresh.
 func (p *Reply) takeOver() *Refusal {
 	a := p.attempt
 	a.touched = []tabulator.Member{a.prefill, a.decode}
@@ -184,6 +184,11 @@
 	if refusal := p.over(); refusal != nil {
 		return refusal
 	}
+	// The owner would hand the same stream over again if it were not told.
+	p.begun = true
+	if !errorx.IsOfType(err, invoker.Gone) {
+		p.avoid = append(p.avoid, a.decode.Name)
+	}
 	p.abandon(0, "")
 	return nil
 }
--- a/router/completion.go
+++ b/router/completion.go
@@ -64,7 +64,8 @@
 	avoid    []identifier.Member
 	// paused tells that the next attempt goes on with a paused stream.
 	paused bool
-	// begun tells that this node has started an attempt of its own.
+	// begun tells that this node has started an attempt of its own, or given up
+	// the one that it was to go on with.
 	begun bool
 	// ran is set once an engine may have worked for the request.
 	ran bool
