Change the fleet and ask for addresses while a data centre is cut

Cells of two promises in the fleet of three data centres. fleet-whole: a node leaves, dies or joins on either side of a cut, and 30 s after the heal every node tells callers of all running nodes and of no other and all choose one owner; also after a cut of 70 minutes, when the dead are forgotten and only the seeds are left. address-answer: during a fault each node puts those of its own data centre first, and an answer kept from before it still leads to a node that serves.

--- a/prover/centre_test.go
+++ b/prover/centre_test.go
@@ -16,6 +16,8 @@
 	cutSpan = 30 * time.Second
 	// regionCutSpan is how long a region stays cut off.
 	regionCutSpan = 3 * time.Minute
+	// maximumNodes bounds the nodes of a fleet, with those that join later.
+	maximumNodes = 9
 )
 
 // centreFault strikes whole data centres.
@@ -100,7 +102,7 @@
 
 func (f *fleet) nodeHosts(centre identifier.DataCentre) []string {
 	var hosts []string
-	for i := range f.size.nodes + 1 {
+	for i := range maximumNodes {
 		if f.size.centre(i) == centre {
 			hosts = append(hosts, nodeHost(i+1))
 		}
