Keep long lesser prefills off a quarter of the prefill engines

Cause: prefills are not preempted. A lesser prompt that takes longer to compute than an urgent demand can wait may take the last prefill engine, and urgent demands that come meanwhile are late.

Change: a lesser prefill longer than 0.3 of the time that urgent demands had left leaves a quarter of the prefill engines, at least one of several, to shorter work, as long as an urgent demand came in within 10 s.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -72,6 +72,8 @@
 	// linkUntil when the transfers are.
 	prefillUntil time.Time
 	linkUntil    time.Time
+	// longUntil is when the last long lesser prefill is expected to end.
+	longUntil time.Time
 	// hits is how many prefix blocks of the demand numbered stamp are cached.
 	hits  int
 	stamp uint64
--- a/placer/events.go
+++ b/placer/events.go
@@ -84,6 +84,9 @@
 
 // enqueue puts a demand into the queue of its rank or refuses it.
 func (p *Placer) enqueue(now time.Time, d Demand) {
+	if d.Rank == identifier.Urgent {
+		p.noteUrgent(now, &d)
+	}
 	need := p.pieces(&d)
 	if reason, ok := p.admissible(&d, need); !ok {
 		p.refuse(&d, reason, p.settings.Lease)
--- a/placer/place.go
+++ b/placer/place.go
@@ -35,6 +35,8 @@
 	refused
 	// noMemory: no decode engine has the memory now.
 	noMemory
+	// noTurn: as many prefill engines as may run long lesser prefills do.
+	noTurn
 	// noPrefill: every prefill engine has enough work ahead.
 	noPrefill
 )
@@ -102,6 +104,9 @@
 	if start.begin.Sub(now) > p.settings.PrefillAhead || start.linkWait > p.settings.LinkAhead {
 		return noPrefill
 	}
+	if p.isLong(d, start) && !p.mayRunLong(now, start.engine) {
+		return noTurn
+	}
 	decode := p.bestDecode(now, d, w.pieces, start)
 	if decode == nil {
 		if d.Rank == identifier.Urgent && p.settings.has(Pause) {
@@ -206,6 +211,9 @@
 func (p *Placer) grant(now time.Time, w *waiting, start run, decode *engine) {
 	start.engine.prefillUntil = start.end
 	start.engine.linkUntil = start.ready
+	if p.isLong(&w.demand, start) {
+		start.engine.longUntil = start.end
+	}
 	decode.linkUntil = later(decode.linkUntil, start.ready)
 	p.served[w.demand.Rank].add(now, w.pieces)
 	for _, prefix := range w.demand.Prefixes {
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -23,6 +23,8 @@
 	LinkBudget
 	// Fairness puts accounts beyond their share behind the others.
 	Fairness
+	// ShortPrefill keeps long lesser prefills off some prefill engines.
+	ShortPrefill
 )
 
 // Settings are the limits of one shard. Zero fields take their defaults.
@@ -68,6 +70,10 @@
 	PauseLead time.Duration
 	// PauseTokens bounds the tokens to compute once more for one pause.
 	PauseTokens identifier.Tokens
+	// LongPrefill is the part of the time that urgent demands can wait from
+	// which on a lesser prefill is long: such ones leave some prefill engines to
+	// shorter work while urgent work comes in.
+	LongPrefill float64
 	// SizeDelay sets a demand back in its queue for each piece that it needs.
 	SizeDelay time.Duration
 	// RefuseBeyond is how many times the time left a demand's expected wait
@@ -95,6 +101,7 @@
 	orDefault(&s.RefuseBeyond, 3)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
 	orDefault(&s.PauseTokens, 4000)
+	orDefault(&s.LongPrefill, 0.3)
 	return s
 }
 
--- a/placer/state.go
+++ b/placer/state.go
@@ -109,11 +109,15 @@
 	// stamp numbers the demands that were matched with the index.
 	stamp uint64
 	// drain is the memory that comes free, served what each rank is granted.
-	drain     drain
-	served    [len(identifier.Ranks)]drain
-	issued    uint64
-	decisions []Decision
-	orders    []Order
+	drain  drain
+	served [len(identifier.Ranks)]drain
+	// urgent is when an urgent demand last came in, urgentWait the average time
+	// that the last ones had left.
+	urgent     time.Time
+	urgentWait time.Duration
+	issued     uint64
+	decisions  []Decision
+	orders     []Order
 	// blocked is scratch space of place.
 	blocked []*waiting
 	// lapse is when the earliest grant expires, at the latest.
