Pause only what an urgent demand needs, at most 2250 tokens

Streams were chosen by rising cost until the memory was enough, so that small ones were stopped beside a larger one that was enough alone.

Change: streams beyond the need go on, the dearest first; one pause computes at most 2250 tokens again (4000 before).

The text case pause-spare fails without the change: l1 is cancelled beside l2.

--- a/placer/pause.go
+++ b/placer/pause.go
@@ -33,7 +33,7 @@
 }
 
 // victims picks the lesser streams of an engine to stop for some memory, those
-// with the least to compute for each piece first.
+// with the least to compute first.
 func (p *Placer) victims(e *engine, need identifier.Pieces) (chosen []*grant, cost identifier.Tokens, ok bool) {
 	spare := p.used[identifier.Lesser] - identifier.Pieces(p.settings.LesserShare*float64(p.capacity))
 	var streams []*grant
@@ -52,9 +52,23 @@
 		need -= g.Pieces
 		spare -= g.Pieces
 	}
+	chosen, cost = spareVictims(chosen, cost, -need)
 	return chosen, cost, need <= 0
 }
 
+// spareVictims lets those streams go on, the dearest first, whose memory is more
+// than what is needed.
+func spareVictims(chosen []*grant, cost identifier.Tokens, surplus identifier.Pieces) ([]*grant, identifier.Tokens) {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if g := chosen[i]; g.Pieces <= surplus {
+			surplus -= g.Pieces
+			cost -= g.resumeCost()
+			chosen = append(chosen[:i], chosen[i+1:]...)
+		}
+	}
+	return chosen, cost
+}
+
 // resumeCost is the tokens to compute when a stream goes on later.
 func (g *grant) resumeCost() identifier.Tokens {
 	return g.Demand.Prompt + g.Output
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -100,7 +100,7 @@
 	orDefault(&s.SizeDelay, 500*time.Millisecond)
 	orDefault(&s.RefuseBeyond, 3)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
-	orDefault(&s.PauseTokens, 4000)
+	orDefault(&s.PauseTokens, 2250)
 	orDefault(&s.LongPrefill, 0.3)
 	return s
 }
