Keep memory free of lesser work for urgent bursts

Cause: lesser streams fill the decode memory between two urgent bursts, and an urgent demand then waits or pauses them.

Change: beyond its share, lesser work is granted only while the free memory is at least what urgent work was granted in 0.75 s at its present rate (trunk reservation). Without urgent work nothing is kept.

--- a/measurer/ablation.go
+++ b/measurer/ablation.go
@@ -23,6 +23,7 @@
 	without("no-link-budget", placer.LinkBudget),
 	without("no-fairness", placer.Fairness),
 	without("no-short-prefill", placer.ShortPrefill),
+	without("no-headroom", placer.Headroom),
 	{Name: "no-lookahead", Change: func(s *placer.Settings) { s.Lookahead = 1 }},
 	{Name: "no-size-delay", Change: func(s *placer.Settings) { s.SizeDelay = time.Nanosecond }},
 	{Name: "no-lesser-share", Change: func(s *placer.Settings) { s.LesserShare = 0 }},
--- a/placer/place.go
+++ b/placer/place.go
@@ -51,11 +51,22 @@
 	if !p.drainQueue(now, identifier.Urgent, always) {
 		return
 	}
-	p.drainQueue(now, identifier.Lesser, always)
+	p.drainQueue(now, identifier.Lesser, func() bool { return p.hasHeadroom(now) })
 }
 
 func always() bool { return true }
 
+// hasHeadroom tells whether the free memory is more than urgent work is granted in
+// the time of the setting, so that its next burst finds memory without a pause.
+func (p *Placer) hasHeadroom(now time.Time) bool {
+	if !p.settings.has(Headroom) {
+		return true
+	}
+	free := p.capacity - p.used[identifier.Urgent] - p.used[identifier.Lesser]
+	rate := p.served[identifier.Urgent].rate(now)
+	return float64(free) >= rate*p.settings.Headroom.Seconds()
+}
+
 // lesserBelowShare tells whether lesser work holds less than its minimum share.
 func (p *Placer) lesserBelowShare() bool {
 	return float64(p.used[identifier.Lesser]) < p.settings.LesserShare*float64(p.capacity)
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -25,6 +25,8 @@
 	Fairness
 	// ShortPrefill keeps long lesser prefills off some prefill engines.
 	ShortPrefill
+	// Headroom keeps memory free of lesser work for urgent bursts.
+	Headroom
 )
 
 // Settings are the limits of one shard. Zero fields take their defaults.
@@ -79,6 +81,9 @@
 	// RefuseBeyond is how many times the time left a demand's expected wait
 	// must be for an early refusal.
 	RefuseBeyond float64
+	// Headroom is how long the memory kept free of lesser work lasts for urgent
+	// work at its present rate.
+	Headroom time.Duration
 	// Without leaves elements out.
 	Without Element
 }
@@ -99,6 +104,7 @@
 	orDefault(&s.OutputQuantile, 0.75)
 	orDefault(&s.SizeDelay, 500*time.Millisecond)
 	orDefault(&s.RefuseBeyond, 3)
+	orDefault(&s.Headroom, 750*time.Millisecond)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
 	orDefault(&s.PauseTokens, 2250)
 	orDefault(&s.LongPrefill, 0.3)
