--- /dev/null
+++ b/measurer/causes.go
@@ -0,0 +1,136 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// cause says why a request was not answered within its targets.
+type cause uint8
+
+const (
+	// refusedEarly: it was refused as soon as it came in.
+	refusedEarly cause = iota
+	// outOfMemory: it was refused late, while all engines together did not have
+	// the memory.
+	outOfMemory
+	// fragmented: it was refused late, while only all engines together had it.
+	fragmented
+	// unplaced: it was refused late, while an engine had the memory; prefill, link
+	// or a reservation stood in the way.
+	unplaced
+	// lateFirst and lateBetween: it was answered, but missed that target.
+	lateFirst
+	lateBetween
+	// lost: it was not answered, because its node died or its stream ended.
+	lost
+	causeCount
+)
+
+var causeNames = [causeCount]string{
+	"refused-early", "out-of-memory", "fragmented", "unplaced", "late-first", "late-between", "lost",
+}
+
+// earlyWithin is how soon after its arrival a refusal counts as early.
+const earlyWithin = 50 * time.Millisecond
+
+// refusedFor finds out why a request is refused now.
+func (r *run) refusedFor(q *request) cause {
+	if r.now-q.arrived < earlyWithin {
+		return refusedEarly
+	}
+	need := memoryOf(q.prompt + q.generated + 1)
+	var total identifier.Pieces
+	for _, e := range r.decodes {
+		if e.free >= need {
+			return unplaced
+		}
+		total += e.free
+	}
+	if total >= need {
+		return fragmented
+	}
+	return outOfMemory
+}
+
+// missed tells why a request was not answered within its targets.
+func (r *request) missed() cause {
+	switch {
+	case r.state == notRun:
+		return r.cause
+	case r.state != answered:
+		return lost
+	case r.first > r.deadline():
+		return lateFirst
+	default:
+		return lateBetween
+	}
+}
+
+// group is the requests of a rank, with short or with long prompts.
+type group struct {
+	arrivals float64
+	missed   [causeCount]float64
+}
+
+// Causes writes which share of the arrivals the dispatcher does not serve within
+// their targets, by rank, length of prompt and cause.
+func Causes(output io.Writer, scenarios []string, seeds int) {
+	for i := range Settings {
+		for _, scenario := range Scenarios {
+			if !chosen(scenario.Name, scenarios) {
+				continue
+			}
+			_, _ = fmt.Fprintf(output, "\n%s %s\n", Settings[i].Name, scenario.Name)
+			writeCauses(output, &Settings[i], scenario, seeds)
+		}
+	}
+}
+
+func writeCauses(output io.Writer, setting *Setting, scenario Scenario, seeds int) {
+	var groups [len(identifier.Ranks)][2]group
+	var all counts
+	for seed := range seeds {
+		r := newRun(setting, scenario, uint64(seed+1))
+		r.strategy = newDispatched(r, Variant{})
+		r.execute()
+		r.countMissed(&groups)
+		all.add(r.counts)
+	}
+	for _, rank := range identifier.Ranks {
+		for long, length := range [...]string{"short", "long"} {
+			groups[rank][long].write(output, fmt.Sprintf("%s %s", rank, length))
+		}
+	}
+	_, _ = fmt.Fprintf(output, "prefill work wasted: evicted %.4f, preempted %.4f, stopped %.4f\n",
+		all.ended[evicted]/all.prefilled, all.ended[preempted]/all.prefilled, all.ended[stopped]/all.prefilled)
+}
+
+// countMissed adds the requests of a run to their groups.
+func (r *run) countMissed(groups *[len(identifier.Ranks)][2]group) {
+	for _, q := range r.requests {
+		if q.arrived < warmUp || q.arrived > runLength {
+			continue
+		}
+		long := 0
+		if q.prompt >= longPrompt {
+			long = 1
+		}
+		g := &groups[q.rank][long]
+		g.arrivals++
+		if !q.good() {
+			g.missed[q.missed()]++
+		}
+	}
+}
+
+func (g *group) write(output io.Writer, name string) {
+	_, _ = fmt.Fprintf(output, "%-12s %6.0f", name, g.arrivals)
+	for c, count := range g.missed {
+		_, _ = fmt.Fprintf(output, "  %s %.3f", causeNames[c], count/max(1, g.arrivals))
+	}
+	_, _ = fmt.Fprintln(output)
+}
--- a/measurer/decode.go
+++ b/measurer/decode.go
@@ -72,6 +72,7 @@
 
 func (e *decodeEngine) waste(j *job, how ending) {
 	e.run.counts.wasted += float64(j.computed)
+	e.run.counts.ended[how] += float64(j.computed)
 	j.done(how)
 }
 
--- a/measurer/foxtailspool-measure/main.go
+++ b/measurer/foxtailspool-measure/main.go
@@ -25,7 +25,7 @@
 			measurer.Report(cmd.OutOrStdout(), seeds)
 		},
 	}
-	root.AddCommand(ablate(&seeds))
+	root.AddCommand(ablate(&seeds), causes(&seeds))
 	root.PersistentFlags().IntVar(&seeds, "seeds", seeds, "runs of each scenario, each with its own seed")
 	return root
 }
@@ -42,3 +42,16 @@
 	sub.Flags().StringSliceVar(&scenarios, "scenario", nil, "names of the scenarios to run, all if empty")
 	return sub
 }
+
+func causes(seeds *int) *cobra.Command {
+	var scenarios []string
+	sub := &cobra.Command{
+		Use:   "causes",
+		Short: "Count the requests outside their targets by cause",
+		Run: func(cmd *cobra.Command, _ []string) {
+			measurer.Causes(cmd.OutOrStdout(), scenarios, *seeds)
+		},
+	}
+	sub.Flags().StringSliceVar(&scenarios, "scenario", nil, "names of the scenarios to run, all if empty")
+	return sub
+}
--- a/measurer/prefill.go
+++ b/measurer/prefill.go
@@ -47,6 +47,7 @@
 	preempted
 	// stopped: the job was cancelled.
 	stopped
+	endingCount
 )
 
 // prefillEngine computes one prompt at a time, urgent ones first.
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -120,7 +120,7 @@
 	if s.seeds == 0 {
 		return "    -"
 	}
-	return fmt.Sprintf("%5.2f [%4.2f-%4.2f]", s.median, s.least, s.most)
+	return fmt.Sprintf("%5.3f [%4.3f-%4.3f]", s.median, s.least, s.most)
 }
 
 // column is one metric of the table.
@@ -146,7 +146,7 @@
 func writeHeader(output io.Writer, first string) {
 	_, _ = fmt.Fprintf(output, "%-22s", first)
 	for _, c := range columns {
-		_, _ = fmt.Fprintf(output, " %17s", c.name)
+		_, _ = fmt.Fprintf(output, " %20s", c.name)
 	}
 	_, _ = fmt.Fprintln(output)
 }
@@ -155,7 +155,7 @@
 func writeRow(output io.Writer, name string, results []Result) {
 	_, _ = fmt.Fprintf(output, "%-22s", name)
 	for _, c := range columns {
-		_, _ = fmt.Fprintf(output, " %17s", spreadOf(results, c.value))
+		_, _ = fmt.Fprintf(output, " %20s", spreadOf(results, c.value))
 	}
 	_, _ = fmt.Fprintln(output)
 }
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -23,6 +23,16 @@
 type counts struct {
 	prefilled float64
 	wasted    float64
+	// ended is the wasted work by how its jobs ended.
+	ended [endingCount]float64
+}
+
+func (c *counts) add(other counts) {
+	c.prefilled += other.prefilled
+	c.wasted += other.wasted
+	for how, tokens := range other.ended {
+		c.ended[how] += tokens
+	}
 }
 
 // memory integrates the use of decode memory over time.
@@ -247,6 +257,7 @@
 	r.decided = append(r.decided, r.now-q.asked)
 	r.setWaiting(q, false)
 	if q.state == open {
+		q.cause = r.refusedFor(q)
 		q.state = notRun
 	}
 }
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -139,6 +139,8 @@
 	first time.Duration
 	ended time.Duration
 	state state
+	// cause is why a request that was not run was refused.
+	cause cause
 	// waiting requests were asked for at asked; counted ones have waited long.
 	waiting bool
 	counted bool
