Count the first step and the way of a grant in a demand's last moment

Cause: the placer planned until the KV cache had reached the decode engine. The first token comes a step later (25 to 76 ms), and the grant takes a moment to its node and engines. In a flood demands are granted near their last moment, and those came about 36 ms late: they held memory and missed their target.

Change: last moment, refusal and pause count the average step that decode engines report, and 3 ms for the way.

--- a/placer/events.go
+++ b/placer/events.go
@@ -93,7 +93,7 @@
 		return
 	}
 	deadline := now.Add(d.Wait)
-	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d))}
+	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d) - p.afterReady())}
 	w.within = !p.settings.has(Fairness) || p.withinShare(&d, need)
 	if p.settings.has(EarlyRefusal) && p.hopeless(now, w) {
 		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
@@ -365,6 +365,7 @@
 		backlog := seconds(float64(load.Backlog), float64(e.prefillRate()))
 		e.prefillUntil = later(e.prefillUntil, load.At.Add(backlog))
 	}
+	p.averageStep()
 	p.index.take(now, e, load)
 	p.countForeign(now, e)
 }
@@ -376,6 +377,19 @@
 	stream  uint64
 }
 
+// averageStep notes the time that a stream's first token takes on average.
+func (p *Placer) averageStep() {
+	var sum time.Duration
+	known := 0
+	for _, e := range p.decodes {
+		if e.load.Step > 0 {
+			sum += e.load.Step
+			known++
+		}
+	}
+	p.step = sum / time.Duration(max(1, known))
+}
+
 // countForeign finds memory held by requests that have no grant here. Those
 // that no node claims for long enough are cancelled.
 func (p *Placer) countForeign(now time.Time, e *engine) {
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -11,7 +11,7 @@
 // compute again, so that an urgent demand about to be late gets its memory. The
 // nodes of the stopped streams ask for memory once more.
 func (p *Placer) pauseFor(now time.Time, w *waiting, start run) {
-	last := w.deadline.Add(-start.ready.Sub(now))
+	last := w.deadline.Add(-start.ready.Sub(now) - p.afterReady())
 	if w.pausing || now.Before(last.Add(-p.settings.PauseLead)) || now.After(last) {
 		return
 	}
--- a/placer/place.go
+++ b/placer/place.go
@@ -108,7 +108,7 @@
 	if start.engine == nil {
 		return noPrefill
 	}
-	if start.ready.After(w.deadline) {
+	if start.ready.Add(p.afterReady()).After(w.deadline) {
 		p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
 		return refused
 	}
@@ -129,6 +129,14 @@
 	return placed
 }
 
+// handOver is the time that a grant takes to its node and on to its engines.
+const handOver = 3 * time.Millisecond
+
+// afterReady is the time to the first token beyond prefill and transfer.
+func (p *Placer) afterReady() time.Duration {
+	return p.step + handOver
+}
+
 // run is a prefill as it is planned on one engine.
 type run struct {
 	engine *engine
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -11,7 +11,7 @@
 type waiting struct {
 	demand Demand
 	// deadline is when the first token is due, and latest the last moment to
-	// grant engines that are idle.
+	// grant engines that are idle, for it to come in time.
 	deadline time.Time
 	latest   time.Time
 	// order is the deadline, set back by the memory that the demand needs.
--- a/placer/state.go
+++ b/placer/state.go
@@ -118,6 +118,8 @@
 	issued     uint64
 	decisions  []Decision
 	orders     []Order
+	// step is the average time between two tokens that decode engines reported.
+	step time.Duration
 	// blocked is scratch space of place.
 	blocked []*waiting
 	// lapse is when the earliest grant expires, at the latest.
@@ -309,3 +311,13 @@
 	p.issued++
 	return identifier.Grant(p.settings.Issuer + "-" + strconv.FormatUint(p.issued, 36))
 }
+
+// Room is the free less the awaited part of the decode memory; it is negative
+// when more is awaited than is free.
+func (p *Placer) Room() float64 {
+	room := p.capacity - p.used[identifier.Urgent] - p.used[identifier.Lesser]
+	for i := range p.queues {
+		room -= p.queues[i].pieces
+	}
+	return float64(room) / float64(max(1, p.capacity))
+}
