Give every shard of a pool engines of both roles

Cause: the number of shards followed from all engines alone. A pool of 2 prefill and 70 decode engines was split into three shards, one of them without a prefill engine, and every demand that was spread to it was refused as no-member. At the target's lengths (8 prefill to 88 decode engines) shards of 8 would be such.

Change: there are at most as many shards as prefill engines and as decode engines.

--- a/dispatcher/owned.go
+++ b/dispatcher/owned.go
@@ -54,5 +54,5 @@
 
 // Shards is how many shards a pool of models has.
 func (d *Dispatcher) Shards(pool tabulator.Pool) int {
-	return shardCount(len(pool.Members), d.options.ShardEngines)
+	return shardCount(pool, d.options.ShardEngines)
 }
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -64,7 +64,7 @@
 		if pool.Kind != tabulator.Models {
 			continue
 		}
-		count := shardCount(len(pool.Members), s.options.ShardEngines)
+		count := shardCount(pool, s.options.ShardEngines)
 		for index := range uint32(count) {
 			id := shardID{pool: pool.Name, index: index}
 			if s.owns(view, id) {
--- a/dispatcher/shards.go
+++ b/dispatcher/shards.go
@@ -22,16 +22,24 @@
 	return fmt.Sprintf("placement/%s/%d", s.pool, s.index)
 }
 
-// shardCount is how many shards a pool of some engines is split into.
-func shardCount(engines, perShard int) int {
-	return max(1, (engines+perShard-1)/perShard)
+// shardCount is how many shards a pool is split into. Each has engines of both
+// roles, so that its shards may be larger than perShard.
+func shardCount(pool tabulator.Pool, perShard int) int {
+	prefills := 0
+	for _, member := range pool.Members {
+		if member.Role == identifier.Prefill {
+			prefills++
+		}
+	}
+	shards := (len(pool.Members) + perShard - 1) / perShard
+	return max(1, min(shards, prefills, len(pool.Members)-prefills))
 }
 
 // shardMembers returns the members of one shard, none of a shard that a smaller
 // pool no longer has. Both roles are dealt out in order of data centre, so that
 // a shard's engines stand near one another.
 func shardMembers(pool tabulator.Pool, index uint32, perShard int) []tabulator.Member {
-	count := shardCount(len(pool.Members), perShard)
+	count := shardCount(pool, perShard)
 	if int(index) >= count {
 		return nil
 	}
@@ -74,7 +82,7 @@
 	if !ok || pool.Kind != tabulator.Models {
 		return shardID{}, false
 	}
-	count := shardCount(len(pool.Members), d.options.ShardEngines)
+	count := shardCount(pool, d.options.ShardEngines)
 	if count == 1 {
 		return shardID{pool: pool.Name}, true
 	}
