--- a/placer/engine.go
+++ b/placer/engine.go
@@ -94,6 +94,8 @@
 	// told in an earlier epoch does not stand. cacheHeard is when they last came.
 	cacheEpoch uint64
 	cacheHeard time.Time
+	// longUntil is when the last long lesser prefill is expected to end.
+	longUntil time.Time
 	// hits is how many prefix blocks of the demand numbered stamp are cached.
 	hits  int
 	stamp uint64
--- a/placer/place.go
+++ b/placer/place.go
@@ -35,6 +35,8 @@
 	refused
 	// noMemory: no decode engine has the memory now.
 	noMemory
+	// noTurn: as many prefill engines as may run long lesser prefills do.
+	noTurn
 	// noPrefill: every prefill engine has enough work ahead.
 	noPrefill
 )
@@ -49,11 +51,22 @@
 	if !p.drainQueue(now, identifier.Urgent, always) {
 		return
 	}
-	p.drainQueue(now, identifier.Lesser, always)
+	p.drainQueue(now, identifier.Lesser, func() bool { return p.hasHeadroom(now) })
 }
 
 func always() bool { return true }
 
+// hasHeadroom tells whether the free memory is more than urgent work is granted in
+// the time of the setting, so that its next burst finds memory without a pause.
+func (p *Placer) hasHeadroom(now time.Time) bool {
+	if !p.settings.has(Headroom) {
+		return true
+	}
+	free := p.capacity - p.used[identifier.Urgent] - p.used[identifier.Lesser]
+	rate := p.served[identifier.Urgent].rate(now)
+	return float64(free) >= rate*p.settings.Headroom.Seconds()
+}
+
 // lesserBelowShare tells whether lesser work holds less than its minimum share.
 func (p *Placer) lesserBelowShare() bool {
 	return float64(p.used[identifier.Lesser]) < p.settings.LesserShare*float64(p.capacity)
@@ -95,13 +108,16 @@
 	if start.engine == nil {
 		return noPrefill
 	}
-	if start.ready.After(w.deadline) {
+	if start.ready.Add(p.afterReady()).After(w.deadline) {
 		p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
 		return refused
 	}
 	if start.begin.Sub(now) > p.settings.PrefillAhead || start.linkWait > p.settings.LinkAhead {
 		return noPrefill
 	}
+	if p.isLong(d, start) && !p.mayRunLong(now, start.engine) {
+		return noTurn
+	}
 	decode := p.bestDecode(now, d, w.pieces, start)
 	if decode == nil {
 		if d.Rank == identifier.Urgent && p.settings.has(Pause) {
@@ -113,6 +129,14 @@
 	return placed
 }
 
+// handOver is the time that a grant takes to its node and on to its engines.
+const handOver = 3 * time.Millisecond
+
+// afterReady is the time to the first token beyond prefill and transfer.
+func (p *Placer) afterReady() time.Duration {
+	return p.step + handOver
+}
+
 // run is a prefill as it is planned on one engine.
 type run struct {
 	engine *engine
@@ -206,6 +230,9 @@
 func (p *Placer) grant(now time.Time, w *waiting, start run, decode *engine) {
 	start.engine.prefillUntil = start.end
 	start.engine.linkUntil = start.ready
+	if p.isLong(&w.demand, start) {
+		start.engine.longUntil = start.end
+	}
 	decode.linkUntil = later(decode.linkUntil, start.ready)
 	p.served[w.demand.Rank].add(now, w.pieces)
 	for _, prefix := range w.demand.Prefixes {
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -23,6 +23,10 @@
 	LinkBudget
 	// Fairness puts accounts beyond their share behind the others.
 	Fairness
+	// ShortPrefill keeps long lesser prefills off some prefill engines.
+	ShortPrefill
+	// Headroom keeps memory free of lesser work for urgent bursts.
+	Headroom
 )
 
 // Settings are the limits of one shard. Zero fields take their defaults.
@@ -68,11 +72,18 @@
 	PauseLead time.Duration
 	// PauseTokens bounds the tokens to compute once more for one pause.
 	PauseTokens identifier.Tokens
+	// LongPrefill is the part of the time that urgent demands can wait from
+	// which on a lesser prefill is long: such ones leave some prefill engines to
+	// shorter work while urgent work comes in.
+	LongPrefill float64
 	// SizeDelay sets a demand back in its queue for each piece that it needs.
 	SizeDelay time.Duration
 	// RefuseBeyond is how many times the time left a demand's expected wait
 	// must be for an early refusal.
 	RefuseBeyond float64
+	// Headroom is how long the memory kept free of lesser work lasts for urgent
+	// work at its present rate.
+	Headroom time.Duration
 	// Without leaves elements out.
 	Without Element
 }
@@ -93,8 +104,10 @@
 	orDefault(&s.OutputQuantile, 0.75)
 	orDefault(&s.SizeDelay, 500*time.Millisecond)
 	orDefault(&s.RefuseBeyond, 3)
+	orDefault(&s.Headroom, 750*time.Millisecond)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
-	orDefault(&s.PauseTokens, 4000)
+	orDefault(&s.PauseTokens, 2250)
+	orDefault(&s.LongPrefill, 0.3)
 	return s
 }
 
--- a/placer/state.go
+++ b/placer/state.go
@@ -109,11 +109,17 @@
 	// stamp numbers the demands that were matched with the index.
 	stamp uint64
 	// drain is the memory that comes free, served what each rank is granted.
-	drain     drain
-	served    [len(identifier.Ranks)]drain
-	issued    uint64
-	decisions []Decision
-	orders    []Order
+	drain  drain
+	served [len(identifier.Ranks)]drain
+	// urgent is when an urgent demand last came in, urgentWait the average time
+	// that the last ones had left.
+	urgent     time.Time
+	urgentWait time.Duration
+	issued     uint64
+	decisions  []Decision
+	orders     []Order
+	// step is the average time between two tokens that decode engines reported.
+	step time.Duration
 	// blocked is scratch space of place.
 	blocked []*waiting
 	// lapse is when the earliest grant expires, at the latest.
@@ -305,3 +311,13 @@
 	p.issued++
 	return identifier.Grant(p.settings.Issuer + "-" + strconv.FormatUint(p.issued, 36))
 }
+
+// Room is the free less the awaited part of the decode memory; it is negative
+// when more is awaited than is free.
+func (p *Placer) Room() float64 {
+	room := p.capacity - p.used[identifier.Urgent] - p.used[identifier.Lesser]
+	for i := range p.queues {
+		room -= p.queues[i].pieces
+	}
+	return float64(room) / float64(max(1, p.capacity))
+}
