--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -1,14 +1,17 @@
 package receiver_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/addresser"
@@ -49,10 +52,10 @@
 	accountRequests = 2
 )
 
-func newReceiver(slow *slowRouter, scope tally.Scope) http.Handler {
+func newReceiver(slow *slowRouter, scope tally.Scope, log io.Writer) http.Handler {
 	return receiver.New(receiver.Options{
 		Router: slow, Addresser: slow, BodyBytes: 1 << 10, Requests: allRequests, AccountRequests: accountRequests,
-		RetryAfter: time.Second, Log: logger.Discard(), Scope: scope,
+		RetryAfter: time.Second, Log: logger.New(log, logrus.WarnLevel, nil), Scope: scope,
 	})
 }
 
@@ -106,7 +109,8 @@
 // which addresses to use.
 func TestAccountBound(t *testing.T) {
 	slow, scope := newSlowRouter(), tally.NewTestScope("", nil)
-	handler := newReceiver(slow, scope)
+	var log bytes.Buffer
+	handler := newReceiver(slow, scope, &log)
 	taken, told := flood(handler, slow, "dealer")
 	if want := (answered{http.StatusTooManyRequests, router.NotRun, "account-limit", "1"}); taken != accountRequests || told != want {
 		t.Errorf("took %d calls of one account, and told the next %+v", taken, told)
@@ -114,12 +118,20 @@
 	if got := send(handler, "/v1/entries", account("dealer")); got.status != http.StatusOK {
 		t.Errorf("asked for addresses: %+v", got)
 	}
+	if got := send(handler, "/call", account("dealer")); got.reason != "account-limit" {
+		t.Errorf("a further call: %+v", got)
+	}
 	if other, _ := flood(handler, slow, "conservator"); other != accountRequests {
 		t.Errorf("another account got %d calls", other)
 	}
-	if refused := scope.Snapshot().Counters()["account_limited+"]; refused == nil || refused.Value() != 2 {
+	if refused := scope.Snapshot().Counters()["account_limited+"]; refused == nil || refused.Value() != 3 {
 		t.Errorf("counted %v", refused)
 	}
+	for _, name := range []string{"dealer", "conservator"} {
+		if told := strings.Count(log.String(), `"account":"`+name+`","event":8001`); told != 1 {
+			t.Errorf("event 8001 told %d times of %s", told, name)
+		}
+	}
 	close(slow.release)
 }
 
@@ -128,7 +140,7 @@
 func TestRefusedResends(t *testing.T) {
 	slow := newSlowRouter()
 	defer close(slow.release)
-	handler := newReceiver(slow, tally.NoopScope)
+	handler := newReceiver(slow, tally.NoopScope, io.Discard)
 	for _, name := range []string{"a", "b", "c", "d"} {
 		flood(handler, slow, name)
 	}
