Tell resends of calls without a route that their outcome is unknown

Cause: a call with a key whose route was removed after its first sending was told `not-run`, though that sending may have run; a caller who then takes a new key books twice. TestResendWithoutRoute against the code before: a resend got `not-run` with `no-route`.

Change: refusals of Router.Call that nobody asked the ledger for are `unknown` where the call has a key and the caller does not say that it sends it first. This holds for `no-configuration` in the router too. `idempotency-key-missing` has no key, and a key used for another call is answered by the ledger.

--- a/router/service.go
+++ b/router/service.go
@@ -37,11 +37,11 @@
 func (r *Router) Call(ctx context.Context, call Call) (*invoker.Reply, *Refusal) {
 	query := tabulator.Query{Path: call.Path, Method: call.Wire.Method, Account: call.Account}
 	route, pool, refusal := r.match(query)
-	if refusal != nil {
-		return nil, refusal
+	if refusal == nil && pool.Kind != tabulator.Services {
+		refusal = notRun(NoRoute, 0, "route %q does not lead to a service", route.Name)
 	}
-	if pool.Kind != tabulator.Services {
-		return nil, notRun(NoRoute, 0, "route %q does not lead to a service", route.Name)
+	if refusal != nil {
+		return nil, call.unproven(refusal)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout(route))
 	defer cancel()
@@ -55,6 +55,15 @@
 	return r.callOnce(ctx, pool, call)
 }
 
+// unproven makes a refusal that nobody asked the ledger for unknown where the call
+// may have been sent before, and run then.
+func (c Call) unproven(refusal *Refusal) *Refusal {
+	if c.Wire.Key != "" && !c.First {
+		refusal.Outcome = Unknown
+	}
+	return refusal
+}
+
 // callRepeatable looks up at one member, and at the next on a new connection
 // where the first fails or is slow and the pool's retry budget allows.
 func (r *Router) callRepeatable(ctx context.Context, pool tabulator.Pool, call Call) (*invoker.Reply, *Refusal) {
