Do not plan prefills on engines that are busy for longer than the best takes

Change: an engine whose prefills end no earlier than the best plan is ready is left out. The choice is the same.

Pools without backlog gain nothing.

Ruled out: an index of engines by free memory; reports, grants and data centres change its order each time, and bestDecode is 17% of the time.

--- a/placer/place.go
+++ b/placer/place.go
@@ -155,7 +155,8 @@
 	var bestAt time.Time
 	p.matchPrefixes(now, d)
 	for _, e := range p.prefills {
-		if !e.takes(now, d) {
+		// An engine that is busy until then is ready later.
+		if best.engine != nil && !e.prefillUntil.Before(bestAt) || !e.takes(now, d) {
 			continue
 		}
 		planned := p.plan(now, d, e)
