--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -139,6 +139,9 @@
 	first time.Duration
 	ended time.Duration
 	state state
+	// shard is where the request is asked for, moved that it was refused elsewhere.
+	shard int
+	moved bool
 	// cause is why a request that was not run was refused.
 	cause cause
 	// waiting requests were asked for at asked; counted ones have waited long.
