Let nodes that start alone find each other within seconds

The nodes of a data centre are restarted while it is cut off. The first round of seeds fails, because the node beside is not listening yet and the others are out of reach; each goes on alone, and tried nobody again before its first revival, 10 to 30 s after its start. Until then each owned everything and told callers of itself only.

--- a/prober/contact.go
+++ b/prober/contact.go
@@ -58,7 +58,7 @@
 	}
 	seeds := m.strangers()
 	if len(seeds) == 0 {
-		m.goOnAlone()
+		m.goOnAlone(now)
 		return
 	}
 	m.nextJoin = now.Add(jitter(m.random, m.joinBackoff))
@@ -69,27 +69,34 @@
 	}
 }
 
-func (m *machine) goOnAlone() {
+// goOnAlone ends the start of a node that no other answered. It soon tries again.
+func (m *machine) goOnAlone(now time.Time) {
 	m.joined = true
+	m.nextRevive = now.Add(jitter(m.random, 2*m.options.Interval))
 	m.out.viewChanged = true
 	if len(m.options.Seeds) > 0 {
 		m.out.note(eventAlone, nil)
 	}
 }
 
-// revive tries to reach one node or address that is not a live member.
+// revive tries to reach one node or address that is not a live member. A node
+// that is alone tries several at once: those beside it may have started alone at
+// the same time, while all others cannot be reached.
 func (m *machine) revive(now time.Time) {
-	pause := m.options.ReviveAfter
+	pause, count := m.options.ReviveAfter, 1
 	if len(m.currentNeighbours()) == 0 {
-		pause = 2 * m.options.Interval
+		pause, count = 2*m.options.Interval, m.options.Helpers
 	}
 	m.nextRevive = now.Add(jitter(m.random, pause))
 	strangers := m.strangers()
 	if len(strangers) == 0 {
 		return
 	}
-	stranger := strangers[m.random.IntN(len(strangers))]
-	m.reach(now, contact{purpose: introduction, method: overNew, target: stranger, repairs: true})
+	first := m.random.IntN(len(strangers))
+	for i := range min(len(strangers), count) {
+		stranger := strangers[(first+i)%len(strangers)]
+		m.reach(now, contact{purpose: introduction, method: overNew, target: stranger, repairs: true})
+	}
 }
 
 // strangers returns the dead members and the seeds that are no live members.
@@ -306,7 +313,7 @@
 	c := m.contacts[id]
 	if c.purpose == introduction {
 		m.finish(id)
-		m.introductionFailed()
+		m.introductionFailed(now)
 		return
 	}
 	switch {
@@ -322,14 +329,14 @@
 }
 
 // introductionFailed lets the node go on alone once a round of seeds failed.
-func (m *machine) introductionFailed() {
+func (m *machine) introductionFailed(now time.Time) {
 	for _, c := range m.contacts {
 		if c.purpose == introduction {
 			return
 		}
 	}
 	if !m.joined {
-		m.goOnAlone()
+		m.goOnAlone(now)
 	}
 }
 
--- a/prover/centre_members_test.go
+++ b/prover/centre_members_test.go
@@ -129,6 +129,10 @@
 	t.Helper()
 	for _, n := range f.running() {
 		got := f.entries(t, n)
+		if len(got) < nearEntries {
+			t.Errorf("%s, struck by %s, tells callers only of %v", n.name, fault.name, got)
+			continue
+		}
 		for _, entry := range got[:nearEntries] {
 			if f.centreOf(entry) != n.centre {
 				t.Errorf("%s, struck by %s, puts %v before the nodes of its own data centre", n.name, fault.name, got)
