Ask for no grant on engines that this node cannot reach

The nodes of a data centre lose their engines, which nodes elsewhere still reach. The owner, which reaches them, went on granting them: each request through the cut nodes lost 1 to 3 s, and its grant stayed booked for the 30 s in which the cancel was tried on an engine that no call had reached, so that memory ran out for everyone.

Only engines that a call may have reached are cancelled.

--- a/prover/model_test.go
+++ b/prover/model_test.go
@@ -154,12 +154,17 @@
 func (f *fleet) try(t *testing.T, request completion) *trial {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &trial{f: f, request: request, leave: cancel}
-	r.owner = f.node(string(f.node("node-1").server.View().Owner(placementShard).Node))
+	r.owner = f.placementOwner()
 	r.entry = f.entryFor(r.owner)
 	go r.insist(ctx, t.Context())
 	return r
 }
 
+// placementOwner returns the node that places for the model pool.
+func (f *fleet) placementOwner() *node {
+	return f.node(string(f.node("node-1").server.View().Owner(placementShard).Node))
+}
+
 // entryFor returns the first node that is not the owner. In a fleet of several
 // data centres it lies in another one than the owner.
 func (f *fleet) entryFor(owner *node) *node {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,7 +30,8 @@
 	prefill   tabulator.Member
 	decode    tabulator.Member
 	stream    *invoker.Stream
-	// touched are the engines that may hold memory for the attempt.
+	// touched are the engines that may hold memory for the attempt: those that a
+	// call may have reached.
 	touched   []tabulator.Member
 	prefilled bool
 	// resumes counts the new connections since the last token.
@@ -56,11 +58,15 @@
 	if p.from > 0 {
 		p.startAfresh()
 	}
-	outcome := p.router.options.Placer.Acquire(p.ctx, p.demand())
-	if outcome.Placement == nil && outcome.Refusal.Reason == placer.NoMember && len(p.avoid) > 0 {
-		// Every engine failed this request once; one of them may be well again.
+	demand := p.demand()
+	outcome := p.router.options.Placer.Acquire(p.ctx, demand)
+	if outcome.Placement == nil && outcome.Refusal.Reason == placer.NoMember && len(demand.Avoid) > 0 {
+		// Every engine failed this request or this node once; one of them may be
+		// well again.
 		p.avoid = nil
-		outcome = p.router.options.Placer.Acquire(p.ctx, p.demand())
+		demand = p.demand()
+		demand.Avoid = nil
+		outcome = p.router.options.Placer.Acquire(p.ctx, demand)
 	}
 	if outcome.Placement == nil {
 		return p.refused(outcome.Refusal)
@@ -136,7 +142,7 @@
 		Prefixes:   prefixes(p.request.Prompt),
 		Fresh:      p.begun,
 		Suspect:    p.router.options.Isolator.Suspect(p.request.Fingerprint),
-		Avoid:      p.avoid,
+		Avoid:      slices.Concat(p.avoid, p.router.unreached.list()),
 	}
 }
 
@@ -200,7 +206,9 @@
 	work := p.work()
 	a.touched = append(a.touched, a.prefill)
 	kv, err := p.router.options.Engines.Prefill(p.ctx, a.prefill, work)
-	if !errorx.IsOfType(err, invoker.Unreached) {
+	if errorx.IsOfType(err, invoker.Unreached) {
+		a.touched = nil
+	} else {
 		a.sent = true
 		p.ran = true
 	}
@@ -210,6 +218,9 @@
 	a.prefilled = true
 	a.touched = append(a.touched, a.decode)
 	stream, err := p.router.options.Engines.Decode(p.ctx, a.decode, work, kv)
+	if errorx.IsOfType(err, invoker.Unreached) {
+		a.touched = []tabulator.Member{a.prefill}
+	}
 	if err != nil {
 		return p.fail(a.decode, err)
 	}
--- a/router/completion.go
+++ b/router/completion.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -302,6 +301,9 @@
 	p.router.options.Log.Log(attemptFailed, logger.Fields{
 		"request": p.request.Request, "member": member.Name, "error": err.Error(),
 	})
+	if cutOff(err) {
+		p.router.unreached.add(member)
+	}
 	crashed := p.attempt.sent && crashed(err)
 	p.abandon(0, member.Name)
 	if !errorx.IsOfType(err, invoker.Refused) {
@@ -336,6 +338,6 @@
 	case errorx.IsOfType(err, invoker.Lost), errorx.IsOfType(err, invoker.Gone):
 		return true
 	default:
-		return errorx.IsOfType(err, invoker.Unreached) && errors.Is(err, syscall.ECONNREFUSED)
+		return errorx.IsOfType(err, invoker.Unreached) && refused(err)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,7 @@
 	Decode(ctx context.Context, member tabulator.Member, work invoker.Work, kv invoker.KV) (*invoker.Stream, error)
 	Resume(ctx context.Context, member tabulator.Member, attempt identifier.Attempt, after identifier.Tokens, reader uint64) (*invoker.Stream, error)
 	Cancel(ctx context.Context, member tabulator.Member, attempt identifier.Attempt, reader uint64) error
+	Load(ctx context.Context, member tabulator.Member) (invoker.Load, error)
 }
 
 // Services calls plain services.
@@ -111,8 +112,10 @@
 	cleaner *cleaner
 	flights *flights
 	revoked *revocations
-	strays  tally.Counter
-	retries tally.Counter
+	// unreached holds the engines that this node cannot connect to.
+	unreached *unreached
+	strays    tally.Counter
+	retries   tally.Counter
 	// turn counts service calls, to begin with another member each time.
 	turn atomic.Uint64
 }
@@ -120,19 +123,25 @@
 // New returns a router. Run has to be started for cancelled work to be freed.
 func New(options Options) *Router {
 	return &Router{
-		options: options,
-		cleaner: newCleaner(options),
-		flights: newFlights(),
-		revoked: newRevocations(),
-		strays:  options.Scope.Counter("stray_chunks"),
-		retries: options.Scope.Counter("attempts_repeated"),
+		options:   options,
+		cleaner:   newCleaner(options),
+		flights:   newFlights(),
+		revoked:   newRevocations(),
+		unreached: newUnreached(options.Engines),
+		strays:    options.Scope.Counter("stray_chunks"),
+		retries:   options.Scope.Counter("attempts_repeated"),
 	}
 }
 
 // Run frees the memory of abandoned attempts until ctx ends, and then until
-// what was abandoned before is free.
+// what was abandoned before is free. It tries engines again that could not be
+// reached.
 func (r *Router) Run(ctx context.Context) error {
-	return r.cleaner.run(ctx)
+	ended := make(chan struct{})
+	go r.unreached.run(ctx, ended)
+	err := r.cleaner.run(ctx)
+	<-ended
+	return err
 }
 
 // Running returns the number of requests that are being answered.
