Have the cells know which nodes may answer

A node is in the address answer only once it has told of a configuration, and answers only once it has one itself. The cell stale-address-list asked before all had told theirs; the cell region-cut-and-restarted asked nodes that were restarted without store and peers. Ruled out: a fault of the nodes. In the trace both restarted nodes refuse as not-run, no-configuration, as a node must that could serve nothing. Change: a fleet is ready once every node knows that all others have a configuration; a node without one must refuse, by name, instead of answering.

--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -203,11 +203,17 @@
 	return held
 }
 
+// askEntries returns what a node answers to the question which addresses to use.
+func (f *fleet) askEntries(t *testing.T, n *node) answer {
+	t.Helper()
+	request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address(n)+"/v1/entries", nil)
+	return do(f.caller, request)
+}
+
 // entries asks a node which addresses to use.
 func (f *fleet) entries(t *testing.T, n *node) []string {
 	t.Helper()
-	request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address(n)+"/v1/entries", nil)
-	got := do(f.caller, request)
+	got := f.askEntries(t, n)
 	var body struct {
 		Entries []struct {
 			Address string `json:"address"`
--- a/prover/centre_members_test.go
+++ b/prover/centre_members_test.go
@@ -123,11 +123,15 @@
 	}
 }
 
-// answersNear checks during a fault that every node that answers names the nodes
-// of its own data centre first.
+// answersNear checks during a fault that every node with a configuration names the
+// nodes of its own data centre first, and that any other node refuses to answer.
 func (f *fleet) answersNear(t *testing.T, fault centreFault) {
 	t.Helper()
 	for _, n := range f.running() {
+		if n.server.Configuration() == 0 {
+			f.refusesEntries(t, n)
+			continue
+		}
 		got := f.entries(t, n)
 		if len(got) < nearEntries {
 			t.Errorf("%s, struck by %s, tells callers only of %v", n.name, fault.name, got)
@@ -141,6 +145,15 @@
 	}
 }
 
+// refusesEntries checks that a node sends callers who ask it for addresses to others.
+func (f *fleet) refusesEntries(t *testing.T, n *node) {
+	t.Helper()
+	got := f.askEntries(t, n)
+	if got.outcome != "not-run" || got.reason != "no-configuration" && got.reason != "not-joined" {
+		t.Errorf("%s has no configuration, and answers %+v", n.name, got)
+	}
+}
+
 // centreOf returns the data centre of the node with a callers' address.
 func (f *fleet) centreOf(entry string) identifier.DataCentre {
 	for _, n := range f.running() {
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -305,12 +305,13 @@
 	f.stops = append(f.stops, do)
 }
 
-// waitReady waits until every node has a configuration and sees all others.
+// waitReady waits until every node has a configuration, sees all others and knows
+// that they have one.
 func (f *fleet) waitReady() {
 	f.waitFor("nodes ready", func() bool {
 		nodes := f.running()
 		for _, n := range nodes {
-			if n.server.Configuration() == 0 || alive(n.server.View()) < len(nodes) {
+			if n.server.Configuration() == 0 || serving(n.server.View()) < len(nodes) {
 				return false
 			}
 		}
@@ -328,6 +329,17 @@
 	return count
 }
 
+// serving counts the members that are known to be alive with a configuration.
+func serving(view *assigner.View) int {
+	count := 0
+	for _, member := range view.Members {
+		if member.State == assigner.Alive && member.Configuration > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // waitFor waits in virtual time until a condition holds.
 func (f *fleet) waitFor(what string, holds func() bool) {
 	f.t.Helper()
