--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -60,11 +60,11 @@
 	if c.Messages == nil {
 		return c.Prompt
 	}
-	return ChatText(c.Messages, c.Continue)
+	return chatText(c.Messages, c.Continue)
 }
 
-// ChatText is the stand-in's chat template.
-func ChatText(messages []chatMessage, goOn bool) string {
+// chatText is the stand-in's chat template.
+func chatText(messages []chatMessage, goOn bool) string {
 	text := ""
 	for i, message := range messages {
 		text += message.Role + ": " + string(message.Content)
--- a/invoker/bench_test.go
+++ b/invoker/bench_test.go
@@ -36,20 +36,20 @@
 	return n, err
 }
 
-// decodeStreams is how many requests fill a decode engine's memory.
-const decodeStreams = 20
-
 // BenchmarkLoad is one load report over loopback, without the engine's own cost:
-// it answers from memory. A decode engine's memory is full; a prefill engine
-// tells of so many new prompts of 16 named blocks since the last report.
+// it answers from memory. A decode engine holds so many streams: 20 today, 160 at
+// the target; a prefill engine tells of so many new prompts of 16 named blocks since
+// the last report.
 func BenchmarkLoad(b *testing.B) {
-	b.Run("decode", func(b *testing.B) { loads(b, identifier.Decode, 0) })
+	for _, streams := range []int{0, 20, 160} {
+		b.Run(fmt.Sprint("decode-streams-", streams), func(b *testing.B) { loads(b, identifier.Decode, streams, 0) })
+	}
 	for _, prompts := range []int{0, 1, 4} {
-		b.Run(fmt.Sprint("prefill-prompts-", prompts), func(b *testing.B) { loads(b, identifier.Prefill, prompts) })
+		b.Run(fmt.Sprint("prefill-prompts-", prompts), func(b *testing.B) { loads(b, identifier.Prefill, 0, prompts) })
 	}
 }
 
-func loads(b *testing.B, role identifier.Role, prompts int) {
+func loads(b *testing.B, role identifier.Role, streams, prompts int) {
 	engine := emulator.NewEngine(emulator.EngineOptions{
 		Name: "engine-1", Pieces: 1 << 30, PieceTokens: 16, PrefillRate: 1 << 40, TokenTime: time.Hour, Evict: time.Nanosecond,
 		PrefixCache: emulator.PrefixCache{Blocks: 64},
@@ -65,10 +65,8 @@
 	defer transport.CloseIdleConnections()
 	calls := invoker.New(invoker.Options{Transport: transport, Fresh: http.DefaultTransport, Call: time.Minute, Prefill: time.Minute, Import: time.Minute})
 	member := tabulator.Member{Name: "engine-1", Role: role, Address: identifier.Address(strings.TrimPrefix(server.URL, "http://"))}
-	if role == identifier.Decode {
-		for i := range decodeStreams {
-			startStream(b, server.URL, i)
-		}
+	for i := range streams {
+		startStream(b, server.URL, i)
 	}
 	var seen invoker.CachePosition
 	issued := 0
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -8,8 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
@@ -145,38 +143,3 @@
 		}
 	})
 }
-
-func TestGate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		gate := NewGate(1, 1)
-		leave, err := gate.Enter(context.Background())
-		if err != nil {
-			t.Fatal(err)
-		}
-		entered := make(chan error, 1)
-		go func() {
-			leave, err := gate.Enter(context.Background())
-			entered <- err
-			leave()
-		}()
-		synctest.Wait()
-		if _, err := gate.Enter(context.Background()); !errorx.IsOfType(err, Full) {
-			t.Fatalf("a third entered: %v", err)
-		}
-		leave()
-		if err := <-entered; err != nil {
-			t.Fatal(err)
-		}
-		synctest.Wait()
-		leave, err = gate.Enter(context.Background())
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		if _, err := gate.Enter(ctx); !errors.Is(err, context.DeadlineExceeded) {
-			t.Fatalf("entered: %v", err)
-		}
-		leave()
-	})
-}
--- a/prover/stream_test.go
+++ b/prover/stream_test.go
@@ -4,12 +4,33 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
 func init() {
 	add("whole-answer", "node-killed", "mid-stream", func(t *testing.T, f *fleet) {
 		f.resumeAfter(t, func(f *fleet) { f.kill("node-1") })
 	})
+	add("whole-answer", "streams-break", "mid-stream", func(t *testing.T, f *fleet) {
+		r := f.try(t, completion{id: "report-1", prompt: longPrompt, tokens: 60})
+		f.waitFor("mid-stream", func() bool { return r.received() >= 20 })
+		f.holding(identifier.Decode).BreakStreams()
+		r.check(t)
+		if r.parts != 1 {
+			t.Errorf("the answer took %d connections", r.parts)
+		}
+	})
+	add("whole-answer", "closing-event-lost", "finish", func(t *testing.T, f *fleet) {
+		for _, engine := range f.engines {
+			engine.CutEnds(5)
+		}
+		r := f.try(t, completion{id: "report-1", prompt: longPrompt, tokens: 20})
+		r.check(t)
+		if r.parts != 1 || f.total().Decodes != 1 {
+			t.Errorf("the answer took %d connections and %d decodes", r.parts, f.total().Decodes)
+		}
+	})
 }
 
 // longReport is a request whose answer takes some seconds.
