Tell the first configuration of a node at once

Since nodes without a configuration are left out of the address answer, the others leave a new node out until they have heard of its first one, and that news waited for the next probe, a second or two. Ruled out: news that never comes; the cells and the gauge see all nodes later. Change: a node pushes the news of its first configuration; the demonstration waits for the answer to hold all nodes instead of asking once.

--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -190,16 +190,18 @@
 }
 
 func (d *Demonstrator) summarise(ctx context.Context) error {
-	addresses, err := d.entries(ctx, d.fleet.nodes[0])
-	if err != nil {
-		return err
+	var addresses []string
+	whole := func(ctx context.Context) bool {
+		var err error
+		addresses, err = d.entries(ctx, d.fleet.nodes[0])
+		return err == nil && len(addresses) == nodeCount
 	}
-	if len(addresses) != nodeCount {
-		return fmt.Errorf("the address answer holds %v, want %d addresses", addresses, nodeCount)
+	if err := await(ctx, fmt.Sprintf("an address answer of %d nodes", nodeCount), whole); err != nil {
+		return err
 	}
 	prompt := humidityLog(14)
 	d.printf("   %d bytes of log to %s:\n  ", len(prompt), addresses[0])
-	err = d.stream(ctx, completion{
+	err := d.stream(ctx, completion{
 		address: addresses[0], prompt: prompt, tokens: summaryTokens,
 		onToken: func(_ int, text string) { d.printf("%s", text) },
 	})
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -347,9 +347,15 @@
 	m.push(now)
 }
 
-// announce sets the configuration in force here.
-func (m *machine) announce(number identifier.Configuration) {
+// announce sets the configuration in force here. The first one is told at once,
+// because the others send no caller here before they know of it.
+func (m *machine) announce(now time.Time, number identifier.Configuration) {
+	first := m.self().member.Configuration == 0
 	m.advance(progress{m.self().run(), number})
+	if first {
+		m.hot = true
+		m.push(now)
+	}
 }
 
 // broadcast starts a rumour of this node.
--- a/prober/machine_test.go
+++ b/prober/machine_test.go
@@ -94,7 +94,7 @@
 		f.at(node, func() { node.machine.broadcast(f.now, "topic", []byte(d.CmdArgs[1].Key)) })
 	case "announce":
 		node := f.node(first)
-		f.at(node, func() { node.machine.announce(7) })
+		f.at(node, func() { node.machine.announce(f.now, 7) })
 	case "show":
 		return f.show(d)
 	default:
--- a/prober/service.go
+++ b/prober/service.go
@@ -82,7 +82,7 @@
 
 // Announce tells the others which configuration is in force here.
 func (p *Prober) Announce(number identifier.Configuration) {
-	p.with(func(m *machine, _ time.Time) { m.announce(number) })
+	p.with(func(m *machine, now time.Time) { m.announce(now, number) })
 }
 
 // Broadcast passes a small message to the subscribers on every live node, this
