Have a cancel end a stalled transfer on a connection gone silent

In the stand-in engine the memory of an import belongs to its connection's request until the stream begins. When the import stalls and the connection then falls silent, the request never ends there, and a cancel on another connection did not know of it. Ruled out: a cancel that the nodes forget. With a stand-in that ends an import at its attempt's cancel, as an engine's abort by request id does, nothing else was changed and the memory is freed. Conclusion: the stand-in's fault. Engines have to keep to a cancel at every stage; an engine that does not would hold memory here.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -61,6 +61,8 @@
 	prefills map[string]time.Time
 	// cache holds the prompt prefixes computed not long ago.
 	cache *prefixCache
+	// transfers holds the imports of KV cache under way, by attempt.
+	transfers map[string]*transfer
 	// exports holds the KV caches that wait for import, by attempt.
 	exports map[string]*export
 	// used is the pieces held by streams and exports, at most options.Pieces.
@@ -109,7 +111,9 @@
 		mux:     http.NewServeMux(),
 		client:  &http.Client{Transport: options.Transport},
 		streams: map[string]*stream{},
-		exports: map[string]*export{},
+
+		transfers: map[string]*transfer{},
+		exports:   map[string]*export{},
 
 		prefills:  map[string]time.Time{},
 		cache:     newPrefixCache(options.PrefixCache),
--- a/emulator/export.go
+++ b/emulator/export.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -70,3 +71,28 @@
 	pause(r.Context(), e.options.TransferTime)
 	return response.StatusCode == http.StatusNoContent
 }
+
+// transfer is the import of a KV cache for an attempt whose stream has not begun.
+type transfer struct {
+	ctx  context.Context
+	stop context.CancelFunc
+}
+
+// beginTransfer notes an import, so that a cancel ends it: the connection may have
+// gone silent, and its request's context never ends then.
+func (e *Engine) beginTransfer(r *http.Request, attempt string) *transfer {
+	ctx, stop := context.WithCancel(r.Context())
+	under := &transfer{ctx: ctx, stop: stop}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.transfers[attempt] = under
+	return under
+}
+
+// endTransfer forgets an import; the mutex is held.
+func (e *Engine) endTransfer(attempt string, under *transfer) {
+	under.stop()
+	if e.transfers[attempt] == under {
+		delete(e.transfers, attempt)
+	}
+}
--- a/emulator/stream.go
+++ b/emulator/stream.go
@@ -203,8 +203,11 @@
 		http.Error(w, "no memory", http.StatusServiceUnavailable)
 		return
 	}
-	imported := request.KV == nil || e.importKV(r, request.KV)
+	under := e.beginTransfer(r, request.RequestID)
+	imported := request.KV == nil || e.importKV(r.WithContext(under.ctx), request.KV)
 	e.mutex.Lock()
+	imported = imported && under.ctx.Err() == nil
+	e.endTransfer(request.RequestID, under)
 	if e.generation != generation {
 		e.mutex.Unlock()
 		panic(http.ErrAbortHandler)
@@ -355,6 +358,9 @@
 	attempt := r.PathValue("attempt")
 	reader, _ := strconv.ParseUint(r.URL.Query().Get("reader"), 10, 64)
 	e.mutex.Lock()
+	if under, ok := e.transfers[attempt]; ok {
+		under.stop()
+	}
 	s, ok := e.streams[attempt]
 	if ok && s.readBy(reader) {
 		e.mutex.Unlock()
--- a/prover/pairs_test.go
+++ b/prover/pairs_test.go
@@ -42,6 +42,17 @@
 		silence()
 		r.f.after(4*time.Second, silence)
 	}, false},
+	// The engine never learns from the connection that the stalled request was given up.
+	{"transfers-stall-and-connections-silent", func(r *trial) {
+		for _, engine := range r.f.engines {
+			engine.StallImports(1)
+		}
+		r.f.after(time.Second, func() {
+			for _, host := range r.f.engineHosts(identifier.Decode) {
+				r.f.network.Silence(r.entry.host, host)
+			}
+		})
+	}, false},
 	// The node that comes back has no store to learn the configuration from.
 	{"node-replaced-without-store", func(r *trial) {
 		r.f.platform.SetFaults(emulator.PlatformFaults{Down: emulator.DownHanging})
