Share one scan of the ring between both kinds of neighbours

Cause: successors and predecessors each searched a ring for the closest node. Change: both call closest; successors leave out those taken by dropping them. Behaviour is the same.

--- a/prober/table.go
+++ b/prober/table.go
@@ -176,36 +176,35 @@
 	var chosen []identifier.Node
 	for ring := range rings {
 		own := ringPosition(of, ring)
-		best, bestDistance := identifier.Node(""), uint64(0)
-		for _, other := range others {
-			distance := ringPosition(other.member.Node, ring) - own
-			if slices.Contains(chosen, other.member.Node) {
-				continue
-			}
-			if best == "" || distance < bestDistance {
-				best, bestDistance = other.member.Node, distance
-			}
-		}
-		if best != "" {
-			chosen = append(chosen, best)
+		best := closest(others, func(node identifier.Node) uint64 { return ringPosition(node, ring) - own })
+		if best == "" {
+			break
 		}
+		chosen = append(chosen, best)
+		others = slices.DeleteFunc(others, func(r record) bool { return r.member.Node == best })
 	}
 	return chosen
 }
 
+// closest returns the first node at the least distance, or none without nodes.
+func closest(others []record, distance func(identifier.Node) uint64) identifier.Node {
+	var best identifier.Node
+	var least uint64
+	for _, other := range others {
+		if d := distance(other.member.Node); best == "" || d < least {
+			best, least = other.member.Node, d
+		}
+	}
+	return best
+}
+
 // predecessors returns the nodes that most likely keep a connection to a node.
 func (t *table) predecessors(of identifier.Node, rings int) []identifier.Node {
 	others := t.live(of)
 	var chosen []identifier.Node
 	for ring := range rings {
 		own := ringPosition(of, ring)
-		best, bestDistance := identifier.Node(""), uint64(0)
-		for _, other := range others {
-			distance := own - ringPosition(other.member.Node, ring)
-			if best == "" || distance < bestDistance {
-				best, bestDistance = other.member.Node, distance
-			}
-		}
+		best := closest(others, func(node identifier.Node) uint64 { return own - ringPosition(node, ring) })
 		if best != "" && !slices.Contains(chosen, best) {
 			chosen = append(chosen, best)
 		}
