Run on the users' platform: a thin whole path

A node serves the platform's callers through an adapter in platform/: requests with opaque bodies are forwarded to services, and to a prefill and a decode engine granted by the dispatcher. One role on every machine; the store's configuration and list of back ends are read by two nodes and passed on.

--- a/addresser/addresser.go
+++ b/addresser/addresser.go
@@ -26,6 +26,9 @@
 	Keep time.Duration
 	// Limit bounds the addresses of one answer; 8 by default.
 	Limit int
+	// AnyOrder tells that callers use the addresses in any order. Suspects are
+	// then named only where there is nobody else.
+	AnyOrder bool
 }
 
 // The defaults of Options.
@@ -117,6 +120,9 @@
 			far = append(far, member)
 		}
 	}
+	if a.options.AnyOrder && len(local)+len(far) > 0 {
+		suspects = nil
+	}
 	turn := a.answered.Add(1)
 	rotate(turn, local)
 	rotate(turn, far)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -55,6 +55,7 @@
 	}
 	root.AddCommand(
 		newServeCommand(),
+		newRunCommand(),
 		newCheckCommand(),
 		newTablesCommand(),
 		newStatusCommand(),
--- /dev/null
+++ b/cmd/run.go
@@ -0,0 +1,105 @@
+package cmd
+
+import (
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/meter"
+	"github.com/foxtailspool/foxtailspool/platform"
+	"github.com/foxtailspool/foxtailspool/starter"
+	"github.com/foxtailspool/foxtailspool/supervisor"
+)
+
+// liveness finds connections that fell silent for good within about three
+// seconds, less than callers wait.
+var liveness = connector.Liveness{
+	KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	Unacknowledged: 2 * time.Second,
+}
+
+type runCommand struct {
+	serveCommand
+	level string
+}
+
+func newRunCommand() *cobra.Command {
+	c := &runCommand{serveCommand: serveCommand{exit: os.Exit}}
+	command := &cobra.Command{
+		Use:   "run",
+		Short: "Run a node on the users' platform until it is told to stop",
+		Long: `Run a node on the users' platform. The environment variable ` + platform.SettingsVariable + `
+names the settings file, which the platform writes in its own format. The node
+logs numbered events as JSON lines to standard output.
+
+The first SIGTERM or SIGINT drains the node: it leaves the address answer, takes
+requests for as long as callers may keep that answer, finishes what is open and
+exits with code 0. A second signal ends it at once, with code 7.`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return c.run(command) },
+	}
+	command.Flags().StringVar(&c.level, "log-level", "info", "least severe `level` of the events that are logged")
+	return command
+}
+
+func (c *runCommand) run(command *cobra.Command) error {
+	path := os.Getenv(platform.SettingsVariable)
+	content, err := os.ReadFile(path) //nolint:gosec // The platform names the file.
+	if err != nil {
+		return Failed.Wrap(err, "settings")
+	}
+	settings, err := platform.ParseSettings(content)
+	if err != nil {
+		return Faulty.Wrap(err, "settings")
+	}
+	level, err := logrus.ParseLevel(c.level)
+	if err != nil {
+		return Faulty.Wrap(err, "--log-level")
+	}
+	log := newRunLog(command.OutOrStdout(), level, settings)
+	log.Log(EventStarting, logger.Fields{"release": release, "settings": path})
+	debug.SetMemoryLimit(starter.MemoryLimit(settings))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGPIPE)
+	return c.serve(command.Context(), assemblePlatform(settings, log), signals, log)
+}
+
+func newRunLog(output io.Writer, level logrus.Level, settings platform.Settings) *logger.Logger {
+	return logger.New(output, level, logger.Fields{"node": settings.Node, "data-centre": settings.DataCentre})
+}
+
+// assemblePlatform makes a node from the platform's settings, with its metrics.
+func assemblePlatform(settings platform.Settings, log *logger.Logger) runner {
+	metrics := meter.New(meter.Options{
+		Node:       settings.Node,
+		DataCentre: settings.DataCentre,
+		Interval:   reportInterval,
+		Log:        log,
+	})
+	node := starter.New(starter.Options{
+		Settings:    settings,
+		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
+		Network:     connector.NewLiveNetwork(liveness),
+		Metrics:     metrics.Handler,
+		Log:         log,
+		Scope:       metrics.Scope,
+	})
+	process := supervisor.New()
+	process.Register("meter", metrics)
+	process.Register("node", node)
+	return process
+}
+
+var _ runner = (*starter.Starter)(nil)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -6,11 +6,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
 )
 
 // Errors is the namespace of this package's error types.
@@ -42,13 +45,31 @@
 	TLS *TLS
 }
 
-// keepAlive finds dead TCP connections that nothing is being sent on.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3}
+// Liveness is how dead TCP connections are found.
+type Liveness struct {
+	// KeepAlive finds those that nothing is being sent on.
+	KeepAlive net.KeepAliveConfig
+	// Unacknowledged is how long sent bytes may go without acknowledgement before
+	// the connection is given up; zero leaves it to the operating system.
+	Unacknowledged time.Duration
+}
+
+// defaultLiveness spares networks on which connections seldom die unnoticed.
+var defaultLiveness = Liveness{
+	KeepAlive: net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3},
+}
 
 // NewNetwork returns the network of the operating system.
 func NewNetwork() Network {
-	dialer := &net.Dialer{KeepAliveConfig: keepAlive}
-	listening := net.ListenConfig{KeepAliveConfig: keepAlive}
+	return NewLiveNetwork(defaultLiveness)
+}
+
+// NewLiveNetwork returns the network of the operating system, with its own way to
+// find dead connections.
+func NewLiveNetwork(liveness Liveness) Network {
+	control := liveness.control
+	dialer := &net.Dialer{KeepAliveConfig: liveness.KeepAlive, Control: control}
+	listening := net.ListenConfig{KeepAliveConfig: liveness.KeepAlive, Control: control}
 	return Network{
 		Dial: dialer.DialContext,
 		Listen: func(ctx context.Context, address string) (net.Listener, error) {
@@ -57,6 +78,18 @@
 	}
 }
 
+// control bounds how long sent bytes may go without acknowledgement.
+func (l Liveness) control(_, _ string, raw syscall.RawConn) error {
+	if l.Unacknowledged <= 0 {
+		return nil
+	}
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.Unacknowledged.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
 // dial opens a connection; one that is pinged notes when it hears something.
 func (n Network) dial(ctx context.Context, network, address string, limits Limits) (net.Conn, error) {
 	opened, err := n.Dial(ctx, network, address)
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,323 @@
+// Package follower keeps each node's copy of some collections of the platform's
+// store current: the operators' configuration and the list of back ends.
+//
+// Each call to the store costs, so that only a few nodes, the readers, read it
+// at short intervals; every other node waits at a reader for something newer. A
+// reader may be cut off from the store, or the store may turn it away, while
+// others are served: a node whose reader is silent or behind reads by itself, and
+// one that cannot read asks the others. Reads at intervals are used instead of
+// watches, because a waiting watch may miss changes for seconds without notice.
+//
+// A copy is replaced whole, and only by one of a later version, so that a node
+// never goes back within one run of its process.
+package follower
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/storer"
+)
+
+// Lister reads collections of the store.
+type Lister interface {
+	List(ctx context.Context, kind storer.Kind) (storer.Listing, error)
+}
+
+// Options configures a follower. Zero values take the defaults.
+type Options struct {
+	Self identifier.Node
+	// Kinds are the collections to follow.
+	Kinds []storer.Kind
+	Store Lister
+	// Compare orders the versions of a collection.
+	Compare func(a, b storer.Version) int
+	View    func() *assigner.View
+	// Peers carries calls to the peer addresses of other nodes.
+	Peers http.RoundTripper
+	// Changed is told of a newer copy of a collection, in the order of versions.
+	// It must not block.
+	Changed func(kind storer.Kind, listing storer.Listing)
+	// Readers is how many nodes read the store: 2.
+	Readers int
+	// Interval is the time between two reads of a reader: 400 ms. A change is
+	// known everywhere within it and two short calls.
+	Interval time.Duration
+	// Stale is the age of a copy from which on a node looks elsewhere: 900 ms.
+	Stale time.Duration
+	// Timeout bounds one read and one call to a peer, beyond its hold: 400 ms.
+	Timeout time.Duration
+	Log     *logger.Logger
+	Scope   tally.Scope
+}
+
+// The defaults of Options. With them a change reaches a node whose reader has
+// just failed within Interval + Stale + 2 Timeout, about 2 s at worst.
+const (
+	defaultReaders  = 2
+	defaultInterval = 400 * time.Millisecond
+	defaultStale    = 900 * time.Millisecond
+	defaultTimeout  = 400 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	o.Readers = cmp.Or(o.Readers, defaultReaders)
+	o.Interval = cmp.Or(o.Interval, defaultInterval)
+	o.Stale = cmp.Or(o.Stale, defaultStale)
+	o.Timeout = cmp.Or(o.Timeout, defaultTimeout)
+	if o.Log == nil {
+		o.Log = logger.Discard()
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return o
+}
+
+// copied is a node's copy of one collection.
+type copied struct {
+	listing storer.Listing
+	// digest covers the names and versions of the objects. The store's version
+	// grows with changes of other collections too, so that copies of different
+	// versions may be the same.
+	digest uint64
+	// known tells that the collection was read at least once.
+	known bool
+	// confirmed is when the version was last known to be the latest.
+	confirmed time.Time
+}
+
+// Follower is one node's copy of the collections.
+type Follower struct {
+	options Options
+	reads   tally.Counter
+	failed  tally.Counter
+	// refreshing holds one token, so that one read on demand runs at a time.
+	refreshing chan struct{}
+	// storeDown and alone tell what was last logged of the store and the peers.
+	storeDown atomic.Bool
+
+	// mutex guards the fields below.
+	mutex  sync.Mutex
+	copies map[storer.Kind]*copied
+	// newer is closed when a copy is replaced, and then made anew.
+	newer chan struct{}
+	// refreshed is when the last read on demand ended.
+	refreshed time.Time
+}
+
+// New returns a follower without copies.
+func New(options Options) *Follower {
+	options = options.withDefaults()
+	scope := options.Scope.SubScope("follower")
+	f := &Follower{
+		options:    options,
+		reads:      scope.Counter("store-reads"),
+		failed:     scope.Counter("store-reads-failed"),
+		refreshing: make(chan struct{}, 1),
+		copies:     map[storer.Kind]*copied{},
+		newer:      make(chan struct{}),
+	}
+	for _, kind := range options.Kinds {
+		f.copies[kind] = &copied{}
+	}
+	return f
+}
+
+// Run follows the collections until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		began := time.Now()
+		f.round(ctx)
+		pause := time.NewTimer(f.options.Interval - time.Since(began))
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+		pause.Stop()
+	}
+	return nil
+}
+
+// round brings the copies up to date once, from the cheapest source that is.
+func (f *Follower) round(ctx context.Context) {
+	readers := f.readers()
+	for _, reader := range readers {
+		if reader.Node == f.options.Self {
+			if f.read(ctx) {
+				return
+			}
+			continue
+		}
+		if f.isReader(readers) {
+			continue
+		}
+		f.ask(ctx, reader, f.options.Interval)
+		if f.Age() < f.options.Stale {
+			return
+		}
+	}
+	if !f.isReader(readers) && f.read(ctx) {
+		return
+	}
+	f.askAround(ctx)
+}
+
+// readers are the nodes that read the store for the others.
+func (f *Follower) readers() []assigner.Member {
+	return f.options.View().Ranked("store-readers", f.options.Readers)
+}
+
+func (f *Follower) isReader(readers []assigner.Member) bool {
+	for _, reader := range readers {
+		if reader.Node == f.options.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// askAround asks some other nodes for what they have, until a copy is fresh.
+func (f *Follower) askAround(ctx context.Context) {
+	const most = 3
+	asked := 0
+	for _, member := range f.options.View().Ranked(string(f.options.Self), len(f.options.View().Members)) {
+		if member.Node == f.options.Self {
+			continue
+		}
+		if asked++; asked > most || ctx.Err() != nil {
+			return
+		}
+		f.ask(ctx, member, 0)
+		if f.Age() < f.options.Stale {
+			return
+		}
+	}
+}
+
+// read reads all collections and tells whether that worked.
+func (f *Follower) read(ctx context.Context) bool {
+	ok := true
+	for _, kind := range f.options.Kinds {
+		ok = f.readOne(ctx, kind) && ok
+	}
+	return ok
+}
+
+func (f *Follower) readOne(ctx context.Context, kind storer.Kind) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	defer cancel()
+	asked := time.Now()
+	f.reads.Inc(1)
+	listing, err := f.options.Store.List(ctx, kind)
+	if err != nil {
+		f.failed.Inc(1)
+		if !f.storeDown.Swap(true) {
+			f.options.Log.Log(eventStoreLost, logger.Fields{"kind": kind, "error": err.Error(), "age-ms": f.Age().Milliseconds()})
+		}
+		return false
+	}
+	if f.storeDown.Swap(false) {
+		f.options.Log.Log(eventStoreBack, logger.Fields{"kind": kind, "version": listing.Version})
+	}
+	f.take(kind, listing, asked)
+	return true
+}
+
+// take replaces a copy by a later one and confirms an equal one.
+func (f *Follower) take(kind storer.Kind, listing storer.Listing, confirmed time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	held := f.copies[kind]
+	if held == nil {
+		return
+	}
+	order := 1
+	if held.known {
+		order = f.options.Compare(listing.Version, held.listing.Version)
+	}
+	if order < 0 {
+		return
+	}
+	if confirmed.After(held.confirmed) {
+		held.confirmed = confirmed
+	}
+	digest := digestOf(listing.Objects)
+	if held.known && digest == held.digest {
+		return
+	}
+	held.listing, held.digest = listing, digest
+	held.known = true
+	close(f.newer)
+	f.newer = make(chan struct{})
+	f.options.Changed(kind, listing)
+}
+
+// digestOf covers the names and versions of objects in any order.
+func digestOf(objects []storer.Object) uint64 {
+	var sum uint64
+	for _, object := range objects {
+		sum += xxhash.Sum64String(object.Name + "/" + string(object.Version))
+	}
+	return sum
+}
+
+// Age is how long ago the oldest copy was confirmed to be the latest; it is very
+// large while a copy is missing.
+func (f *Follower) Age() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var age time.Duration
+	for _, held := range f.copies {
+		age = max(age, held.age(time.Now()))
+	}
+	return age
+}
+
+// neverConfirmed is the age of a copy that is missing.
+const neverConfirmed = 24 * time.Hour
+
+func (c *copied) age(now time.Time) time.Duration {
+	if !c.known {
+		return neverConfirmed
+	}
+	return now.Sub(c.confirmed)
+}
+
+// refreshGap is the least time between two reads on demand, so that callers who
+// ask for what does not exist cannot load the store.
+const refreshGap = 150 * time.Millisecond
+
+// Refresh reads the store now, unless that was done a moment ago, and returns
+// when the copies are as new as can be had, or with ctx.
+func (f *Follower) Refresh(ctx context.Context) {
+	asked := time.Now()
+	select {
+	case f.refreshing <- struct{}{}:
+		defer func() { <-f.refreshing }()
+	case <-ctx.Done():
+		return
+	}
+	f.mutex.Lock()
+	recent := asked.Sub(f.refreshed) < refreshGap || f.refreshed.After(asked)
+	f.mutex.Unlock()
+	if recent || f.Age() < refreshGap {
+		return
+	}
+	if !f.read(ctx) {
+		f.askAround(ctx)
+	}
+	f.mutex.Lock()
+	f.refreshed = time.Now()
+	f.mutex.Unlock()
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,223 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/router"
+)
+
+// stream answers a model request: it gets engine memory granted, has the prompt
+// read by a prefill engine and the answer made by a decode engine.
+func (c *call) stream() (*Reply, *router.Refusal) {
+	for {
+		placement, refusal := c.acquire()
+		if refusal != nil {
+			return nil, refusal
+		}
+		reply, err := c.start(placement)
+		if err == nil {
+			return reply, nil
+		}
+		c.giveBack()
+		if refusal := c.over(); refusal != nil {
+			return nil, refusal
+		}
+		if c.ran > 0 && (!c.route.Resumable || c.ran >= c.route.Backends) {
+			return nil, unknown(router.AnswerLost, "the answer of the engine was lost")
+		}
+		if c.sends > 0 && !c.mayRepeat() || len(c.tried) > maxReaches {
+			return nil, c.exhausted()
+		}
+	}
+}
+
+// exhausted refuses a request that may not be sent again.
+func (c *call) exhausted() *router.Refusal {
+	if c.ran > 0 {
+		return unknown(router.RetryBudget, "the answer was lost and the budget of retries is used up")
+	}
+	return notRun(router.RetryBudget, retryAfterBusy, "the engines declined and the budget of retries is used up")
+}
+
+// acquire gets engine memory, or tells when to come back.
+func (c *call) acquire() (*placer.Placement, *router.Refusal) {
+	demand := c.demand()
+	outcome := c.options.Placer.Acquire(c.ctx, demand)
+	if outcome.Placement != nil {
+		c.grant = outcome.Placement.Grant
+		c.result = placer.Result{}
+		return outcome.Placement, nil
+	}
+	if refusal := c.over(); refusal != nil {
+		return nil, refusal
+	}
+	if c.ran > 0 {
+		return nil, unknown(router.Overloaded, "the answer was lost and no engine has room for another")
+	}
+	return nil, notRun(placementReason(outcome.Refusal.Reason), outcome.Refusal.RetryAfter, "no engine has room in time")
+}
+
+// placementReason tells a request that is too large for the engines that are
+// there now from one that no engine may ever take.
+func placementReason(reason placer.Reason) router.Reason {
+	if reason == placer.TooLarge {
+		return router.Overloaded
+	}
+	return router.Reason(reason)
+}
+
+// demand describes the request to the placer.
+func (c *call) demand() placer.Demand {
+	cost := c.request.Cost
+	rank := identifier.Lesser
+	if c.route.Rank == 0 {
+		rank = identifier.Urgent
+	}
+	return placer.Demand{
+		Request:    identifier.Request(c.request.Attempt),
+		Attempt:    uint64(time.Now().UnixMilli()),
+		Pool:       c.pool.Name,
+		Route:      c.route.Name,
+		Rank:       rank,
+		DataCentre: c.options.DataCentre,
+		Prompt:     max(1, cost.Prompt),
+		Limit:      cost.Limit * max(1, c.pool.EventTokens),
+		Wait:       c.route.Target - time.Since(c.request.Arrived),
+		Between:    c.route.Gap,
+		Prefixes:   cost.Prefixes,
+		Fresh:      true,
+		Suspect:    c.options.Isolator.Suspect(c.request.Fingerprint),
+		Avoid:      c.tried,
+	}
+}
+
+// giveBack releases the grant of an attempt that failed.
+func (c *call) giveBack() {
+	if c.grant != "" {
+		c.options.Placer.Release(c.grant, c.result)
+		c.grant = ""
+	}
+}
+
+// start runs one attempt up to the header of its answer.
+func (c *call) start(placement *placer.Placement) (*Reply, error) {
+	source, err := c.prefill(placement.Prefill)
+	if err != nil {
+		return nil, err
+	}
+	c.result.Prefilled = true
+	reply, err := c.decode(placement.Decode, source)
+	if err != nil {
+		c.drop(source)
+		return nil, err
+	}
+	c.result.Decoded = true
+	return reply, nil
+}
+
+// prefill has the prompt read. Whatever happens, the request has not run.
+func (c *call) prefill(member identifier.Member) (Source, error) {
+	backend, ok := c.table.Find(member)
+	if !ok {
+		return Source{}, c.vanished(member)
+	}
+	began := time.Now()
+	c.judge.begin(backend)
+	source, err := c.options.Backends.Prefill(c.ctx, c.work(backend))
+	c.engineJudged(backend, err, time.Since(began))
+	if err != nil {
+		c.failed(backend, err)
+		return Source{}, err
+	}
+	return source, nil
+}
+
+// vanished is the error of an engine that the placer knows and this node's table
+// does not have, or has no more.
+func (c *call) vanished(member identifier.Member) error {
+	c.tried = append(c.tried, member)
+	return Unreached.New("engine %s is not in this node's table", member)
+}
+
+// failed notes that an engine is of no use to this request.
+func (c *call) failed(backend Backend, err error) {
+	c.tried = append(c.tried, backend.Name)
+	if c.ctx.Err() == nil {
+		c.result.Failed = backend.Name
+	}
+	if !errorx.IsOfType(err, Unsent) {
+		c.sends++
+	}
+}
+
+// engineJudged notes how a call to an engine ended; answers are judged when their
+// stream ends.
+func (c *call) engineJudged(backend Backend, err error, took time.Duration) {
+	v := answered
+	if err != nil {
+		v = verdictFor(err)
+	}
+	if err != nil && c.ctx.Err() != nil {
+		v = withdrawn
+	}
+	c.judge.end(time.Now(), backend, v, took)
+	if err != nil {
+		c.logSending(backend, v, err)
+	}
+	if v == lost {
+		c.suspect(backend)
+	}
+}
+
+// decode sends the request to the engine that makes the answer.
+func (c *call) decode(member identifier.Member, source Source) (*Reply, error) {
+	backend, ok := c.table.Find(member)
+	if !ok {
+		return nil, c.vanished(member)
+	}
+	work := c.work(backend)
+	work.Source = source
+	sent := time.Now()
+	c.judge.begin(backend)
+	answer, err := c.options.Backends.Send(c.ctx, work)
+	if err != nil {
+		c.engineJudged(backend, err, time.Since(sent))
+		if !provenNotRun(err) {
+			c.ran++
+		}
+		c.failed(backend, err)
+		return nil, err
+	}
+	c.sends++
+	c.ran++
+	return &Reply{
+		Status:    answer.Status,
+		Header:    answer.Header,
+		Length:    answer.Length,
+		Streaming: true,
+		backend:   backend,
+		body:      answer.Body,
+		sent:      sent,
+	}, nil
+}
+
+// dropTimeout bounds the call that frees a prompt; its engine frees it by itself
+// soon after.
+const dropTimeout = 500 * time.Millisecond
+
+// drop frees the KV cache of a prompt that nobody fetches.
+func (c *call) drop(source Source) {
+	if source == (Source{}) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), dropTimeout)
+	defer cancel()
+	if err := c.options.Backends.Drop(ctx, source); err != nil {
+		c.logDrop(source, err)
+	}
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,6 +22,9 @@
 	Floor float64
 	// Burst is the largest number of repeated sendings saved up.
 	Burst float64
+	// Shares is into how many equal parts Floor and Burst are split, such as one
+	// for each live node of a fleet that has them together; nil is one part.
+	Shares func() int
 	// Scope takes this package's metrics.
 	Scope tally.Scope
 }
@@ -33,6 +36,10 @@
 	defaultBurst = 20.0
 )
 
+// burst is this part's largest saving, floor its rate.
+func (o Options) burst() float64 { return o.Burst / float64(max(1, o.Shares())) }
+func (o Options) floor() float64 { return o.Floor / float64(max(1, o.Shares())) }
+
 // Limiter holds the budgets of the pools.
 type Limiter struct {
 	options Options
@@ -52,6 +59,9 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	if options.Shares == nil {
+		options.Shares = func() int { return 1 }
+	}
 	return &Limiter{options: options, budgets: map[identifier.Pool]*Budget{}}
 }
 
@@ -64,7 +74,7 @@
 		scope := l.options.Scope.SubScope("limiter").Tagged(map[string]string{"pool": string(pool)})
 		budget = &Budget{
 			options: l.options,
-			tokens:  l.options.Burst / 2,
+			tokens:  l.options.burst() / 2,
 			filled:  time.Now(),
 			spent:   scope.Counter("retries"),
 			refused: scope.Counter("retries-refused"),
@@ -104,7 +114,7 @@
 func (b *Budget) Sent() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.tokens = min(b.tokens+b.options.Ratio, b.options.Burst)
+	b.tokens = min(b.tokens+b.options.Ratio, max(1, b.options.burst()))
 }
 
 // Retry tells whether a repeated sending, a retry or a hedge, may go out now.
@@ -112,7 +122,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := time.Now()
-	b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*b.options.Floor, b.options.Burst)
+	b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*b.options.floor(), max(1, b.options.burst()))
 	b.filled = now
 	if b.tokens < 1 {
 		b.refused.Inc(1)
--- /dev/null
+++ b/starter/limits.go
@@ -0,0 +1,89 @@
+package starter
+
+import (
+	"net"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/platform"
+)
+
+const (
+	// maximumBody bounds bodies until a configuration bounds them.
+	maximumBody = 4 << 20
+	// metricsPort is where the metrics are served; deploy/system.toml names it too.
+	metricsPort = "9464"
+	// leaveShare is the part of the grace for which a node that stops still takes
+	// requests; the rest is for finishing them.
+	leaveShare = 0.6
+	// finishShare is when a node that stops cuts what is still open, of the grace.
+	finishShare = 0.95
+	// memoryShare is the part of the memory bound that the garbage collector aims
+	// below; connections' buffers in the kernel take some of the rest.
+	memoryShare = 0.6
+	// callerFiles is the part of the descriptors that callers' connections may take.
+	callerFiles = 0.5
+)
+
+// peerLimits bound the listener for other nodes. Its calls are short, or held for
+// less than a second.
+var peerLimits = connector.ServerLimits{
+	ReadHeader:  5 * time.Second,
+	Read:        10 * time.Second,
+	Write:       5 * time.Second,
+	Idle:        60 * time.Second,
+	Finish:      200 * time.Millisecond,
+	Connections: 1000,
+	Streams:     250,
+	Header:      16 << 10,
+	Body:        8 << 20,
+}
+
+// smallLimits bound the listeners for checks, address answers and metrics.
+var smallLimits = connector.ServerLimits{
+	ReadHeader:  5 * time.Second,
+	Read:        5 * time.Second,
+	Write:       5 * time.Second,
+	Idle:        30 * time.Second,
+	Finish:      100 * time.Millisecond,
+	Connections: 500,
+	Streams:     100,
+	Header:      16 << 10,
+	Body:        64 << 10,
+}
+
+// callerLimits bound the listener for callers. The times lie above what the
+// configurations allow, which the door enforces where it knows them.
+func callerLimits(settings platform.Settings) connector.ServerLimits {
+	return connector.ServerLimits{
+		ReadHeader:  10 * time.Second,
+		Read:        60 * time.Second,
+		Write:       10 * time.Second,
+		Idle:        60 * time.Second,
+		Finish:      time.Duration(float64(settings.Grace) * (finishShare - leaveShare)),
+		Connections: max(100, int(float64(settings.Files)*callerFiles)),
+		Streams:     100,
+		Header:      64 << 10,
+		Body:        maximumBody,
+	}
+}
+
+// leaveTime is how long a node that stops goes on taking requests.
+func (s *Starter) leaveTime() time.Duration {
+	return time.Duration(float64(s.options.Settings.Grace) * leaveShare)
+}
+
+// MemoryLimit is what the garbage collector should stay below.
+func MemoryLimit(settings platform.Settings) int64 {
+	return int64(float64(settings.MemoryBytes) * memoryShare)
+}
+
+// metricsAddress is on the same host as the peers' listener.
+func metricsAddress(settings platform.Settings) identifier.Address {
+	host, _, err := net.SplitHostPort(string(settings.Peers))
+	if err != nil {
+		return settings.Peers
+	}
+	return identifier.Address(net.JoinHostPort(host, metricsPort))
+}
--- /dev/null
+++ b/starter/services.go
@@ -0,0 +1,188 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/addresser"
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/dispatcher"
+	"github.com/foxtailspool/foxtailspool/exchanger"
+	"github.com/foxtailspool/foxtailspool/follower"
+	"github.com/foxtailspool/foxtailspool/forwarder"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/platform"
+	"github.com/foxtailspool/foxtailspool/prober"
+	"github.com/foxtailspool/foxtailspool/registrar"
+	"github.com/foxtailspool/foxtailspool/storer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+const (
+	// storeTimeout bounds one call to the store, some tens of usual answers long.
+	storeTimeout = 400 * time.Millisecond
+	// storeConnections is enough for the follower, a read on demand and the
+	// registrar at once.
+	storeConnections = 4
+	// peerDial, peerHeader and peerPing find a peer's silent connection within
+	// about a second.
+	peerDial   = 400 * time.Millisecond
+	peerHeader = 1500 * time.Millisecond
+	peerPing   = time.Second
+	peerIdle   = 30 * time.Second
+	peerConns  = 4
+	// probeInterval and the times below find a dead node in about two seconds,
+	// within the platform's bound of three for what a node must know.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 250 * time.Millisecond
+	suspicionTime = 1500 * time.Millisecond
+	// entryKeep is how long callers may keep an address answer: shorter than the
+	// platform allows, so that they leave a stopping node soon.
+	entryKeep = time.Second
+	// entryLimit bounds the addresses of an answer, as the platform does.
+	entryLimit = 64
+	// budgetShare is the part of the fleet's retry budget that is used. The rest is
+	// for nodes that another node does not know of yet.
+	budgetShare = 0.8
+	// loadInterval is the time between two reports of an engine to its pool's
+	// owner. Each costs as much as a probe, and they tell what grants do not: that
+	// an engine is slow or unreachable.
+	loadInterval = time.Second
+)
+
+func (s *Starter) newStore() {
+	transport := s.options.Network.Transport(connector.Limits{
+		Dial:    storeTimeout,
+		Header:  storeTimeout,
+		Idle:    10 * time.Second,
+		PerHost: storeConnections,
+	})
+	s.store = platform.NewStore(platform.StoreOptions{
+		Address:   s.options.Settings.Store,
+		Transport: transport,
+		Timeout:   storeTimeout,
+	})
+}
+
+func (s *Starter) newMembership() {
+	settings := s.options.Settings
+	limits := connector.Limits{Dial: peerDial, Header: peerHeader, Idle: peerIdle, PerHost: peerConns}
+	fresh := func() http.RoundTripper {
+		transport := s.options.Network.Transport(limits)
+		transport.DisableKeepAlives = true
+		return transport
+	}
+	kept := limits
+	kept.Ping = peerPing
+	s.peers = connector.CloseSilent(s.options.Network.Transport(kept))
+	s.registrar = registrar.New(registrar.Options{
+		Node:    settings.Node,
+		Address: settings.Peers,
+		Store:   s.store,
+		Log:     s.options.Log,
+	})
+	s.prober = prober.New(prober.Options{
+		Self:         s.self(),
+		Listed:       s.registrar.Listed,
+		Peers:        s.peers,
+		NewPeers:     fresh,
+		Interval:     probeInterval,
+		Timeout:      probeTimeout,
+		SuspectAfter: suspicionTime,
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
+	})
+	s.addresser = addresser.New(addresser.Options{
+		View:       s.prober.View,
+		DataCentre: settings.DataCentre,
+		Keep:       min(entryKeep, settings.EntryKeep),
+		Limit:      entryLimit,
+		AnyOrder:   true,
+	})
+}
+
+func (s *Starter) newTables() {
+	s.tables = newTables(s.options.Log, func(number identifier.Configuration) { s.prober.Announce(number) })
+	s.follower = follower.New(follower.Options{
+		Self:    s.options.Settings.Node,
+		Kinds:   []storer.Kind{platform.KindConfiguration, platform.KindBackends},
+		Store:   s.store,
+		Compare: platform.CompareVersions,
+		View:    s.prober.View,
+		Peers:   s.peers,
+		Changed: s.tables.changed,
+		Log:     s.options.Log,
+		Scope:   s.options.Scope,
+	})
+}
+
+func (s *Starter) newForwarding() {
+	settings := s.options.Settings
+	s.exchanger = exchanger.New(exchanger.Options{
+		Dial:  s.options.Network.Dial,
+		Echo:  platform.HeaderAttempt,
+		Scope: s.options.Scope,
+	})
+	s.backends = platform.NewBackends(s.exchanger)
+	s.dispatcher = dispatcher.New(dispatcher.Options{
+		Self:     settings.Node,
+		View:     s.prober.View,
+		Snapshot: s.tables.snapshot,
+		Peers:    s.peers,
+		Engines:  engines{},
+		Poll:     loadInterval,
+		Log:      s.options.Log,
+		Scope:    s.options.Scope,
+	})
+	s.isolator = isolator.New(isolator.Options{
+		Broadcast: s.prober.Broadcast,
+		Log:       s.options.Log,
+		Scope:     s.options.Scope,
+	})
+	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
+	s.forwarder = forwarder.New(forwarder.Options{
+		Node:       settings.Node,
+		DataCentre: settings.DataCentre,
+		Table:      s.tables.current,
+		Refresh:    s.follower.Refresh,
+		Placer:     s.dispatcher,
+		Backends:   s.backends,
+		Reacher:    s.backends,
+		Isolator:   s.isolator,
+		Budgets:    limiter.New(s.budget(settings.Retries)),
+		Log:        s.options.Log,
+		Scope:      s.options.Scope,
+	})
+}
+
+// budget splits the fleet's retry budget between the live nodes. Half of the
+// slack may be spent at once, the other half comes back over the window.
+func (s *Starter) budget(fleet platform.RetryBudget) limiter.Options {
+	return limiter.Options{
+		Ratio:  fleet.Ratio * budgetShare,
+		Floor:  fleet.Slack * budgetShare / 2 / fleet.Window.Seconds(),
+		Burst:  fleet.Slack * budgetShare / 2,
+		Shares: func() int { return len(s.prober.View().Live()) },
+		Scope:  s.options.Scope,
+	}
+}
+
+// engines tells the dispatcher of engines what is known without asking them.
+type engines struct{}
+
+// Load reports nothing beyond the dispatcher's own account.
+func (engines) Load(context.Context, identifier.Pool, tabulator.Member, placer.CachePosition) (placer.Load, error) {
+	return placer.Load{Free: unknownFree}, nil
+}
+
+// unknownFree is a report of free memory that leaves the account as it is.
+const unknownFree = 1 << 30
+
+// Cancel has nothing to do: an engine drops a request when its connection closes.
+func (engines) Cancel(context.Context, identifier.Pool, tabulator.Member, identifier.Request, uint64, uint64) error {
+	return nil
+}
--- /dev/null
+++ b/starter/tables.go
@@ -0,0 +1,145 @@
+package starter
+
+import (
+	"cmp"
+	"sync"
+	"sync/atomic"
+
+	"github.com/foxtailspool/foxtailspool/forwarder"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/platform"
+	"github.com/foxtailspool/foxtailspool/storer"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// pieceTokens is the size of the pieces that engine memory is granted in: small
+// beside a prompt, so that rounding wastes little.
+const pieceTokens identifier.Tokens = 256
+
+// tables makes what the node routes by from the collections that it follows.
+type tables struct {
+	log      *logger.Logger
+	announce func(identifier.Configuration)
+	// mutex orders the changes; latest and placed are swapped whole.
+	mutex         sync.Mutex
+	configuration *forwarder.Configuration
+	backends      []forwarder.Backend
+	listed        bool
+	latest        atomic.Pointer[forwarder.Table]
+	placed        atomic.Pointer[tabulator.Snapshot]
+}
+
+func newTables(log *logger.Logger, announce func(identifier.Configuration)) *tables {
+	t := &tables{log: log, announce: announce}
+	t.latest.Store(forwarder.NewTable(nil, nil, false))
+	return t
+}
+
+// current returns the table in force.
+func (t *tables) current() *forwarder.Table {
+	return t.latest.Load()
+}
+
+// snapshot returns the engines as the dispatcher knows them; nil before the first
+// configuration.
+func (t *tables) snapshot() *tabulator.Snapshot {
+	return t.placed.Load()
+}
+
+// bodyBytes is the bound on callers' bodies in force.
+func (t *tables) bodyBytes() int64 {
+	if c := t.current().Configuration; c != nil && c.Limits.BodyBytes > 0 {
+		return c.Limits.BodyBytes
+	}
+	return maximumBody
+}
+
+// changed takes a newer copy of a collection over.
+func (t *tables) changed(kind storer.Kind, listing storer.Listing) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	switch kind {
+	case platform.KindConfiguration:
+		t.configure(listing)
+	case platform.KindBackends:
+		t.list(listing)
+	}
+	t.latest.Store(forwarder.NewTable(t.configuration, t.backends, t.listed))
+	if t.configuration == nil || !t.listed {
+		return
+	}
+	t.placed.Store(t.newSnapshot())
+	t.announce(t.configuration.Number)
+}
+
+// configure takes a later configuration over. One that cannot be read leaves the
+// one before in force.
+func (t *tables) configure(listing storer.Listing) {
+	configuration, err := platform.ParseConfiguration(listing)
+	if err != nil {
+		t.log.Log(eventConfigurationUnreadable, logger.Fields{"version": listing.Version, "error": err.Error()})
+		return
+	}
+	if configuration == nil || t.configuration != nil && configuration.Number <= t.configuration.Number {
+		return
+	}
+	t.configuration = configuration
+	t.log.Log(eventConfigured, logger.Fields{"configuration": configuration.Number, "version": listing.Version})
+}
+
+func (t *tables) list(listing storer.Listing) {
+	backends, unreadable := platform.ParseBackends(listing)
+	for _, err := range unreadable {
+		t.log.Log(eventBackendUnreadable, logger.Fields{"version": listing.Version, "error": err.Error()})
+	}
+	leaving := 0
+	for _, backend := range backends {
+		if backend.Leaving {
+			leaving++
+		}
+	}
+	t.backends, t.listed = backends, true
+	t.log.Log(eventListed, logger.Fields{"version": listing.Version, "back-ends": len(backends), "leaving": leaving})
+}
+
+// newSnapshot describes the pools of engines to the dispatcher.
+func (t *tables) newSnapshot() *tabulator.Snapshot {
+	snapshot := &tabulator.Snapshot{Number: t.configuration.Number}
+	for _, pool := range t.configuration.Pools() {
+		if !pool.Model {
+			continue
+		}
+		placed := tabulator.Pool{
+			Name:            pool.Name,
+			Kind:            tabulator.Models,
+			PieceTokens:     pieceTokens,
+			KVBytesPerToken: pool.TokenBytes,
+		}
+		for _, backend := range t.backends {
+			if backend.Pool == pool.Name {
+				placed.Members = append(placed.Members, member(pool, backend))
+			}
+		}
+		snapshot.Pools.Pools = append(snapshot.Pools.Pools, placed)
+	}
+	return snapshot
+}
+
+func member(pool forwarder.Pool, backend forwarder.Backend) tabulator.Member {
+	return tabulator.Member{
+		Name:        backend.Name,
+		Address:     backend.Address,
+		DataCentre:  backend.DataCentre,
+		Role:        backend.Role,
+		Pieces:      identifier.Pieces(pool.Memory / pieceTokens),
+		Concurrency: cmp.Or(backend.Slots, pool.Slots),
+		LinkRate:    pool.LinkRate,
+		PrefillRate: prefillRate,
+		Leaving:     backend.Leaving,
+	}
+}
+
+// prefillRate is what an engine of the users' kind reads in a second.
+// TODO: learned from the prefills that were made.
+const prefillRate identifier.Tokens = 50_000
--- a/storer/client.go
+++ b/storer/client.go
@@ -176,17 +176,17 @@
 	request.Header.Set("Accept-Encoding", "gzip")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, lostCall(err, method, path)
+		return nil, LostCall(err, method, path)
 	}
 	if response.StatusCode < http.StatusBadRequest {
 		return response, nil
 	}
 	_ = response.Body.Close()
-	return nil, statusError(response.StatusCode, method, path)
+	return nil, StatusError(response.StatusCode, method, path)
 }
 
-// lostCall tells a call that never left from one whose answer was lost.
-func lostCall(err error, method, path string) error {
+// LostCall tells a call that never left from one whose answer was lost.
+func LostCall(err error, method, path string) error {
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		return Unavailable.Wrap(err, "%s %s", method, path)
@@ -194,7 +194,8 @@
 	return Uncertain.Wrap(err, "%s %s", method, path)
 }
 
-func statusError(status int, method, path string) error {
+// StatusError is the error of a call that was answered with a failure.
+func StatusError(status int, method, path string) error {
 	switch {
 	case status == http.StatusNotFound:
 		return NotFound.New("%s %s", method, path)
