Grant engine memory by its foreseen use

Cause: a grant reserved the prompt and an upper quantile of the output from its start, so that engines ran some nine requests where memory holds fourteen at the mix of ages that they have.

The placer sums mean and spread of what each request will hold at moments ahead, from the prompt, the tokens made and the caller's hint weighed with the route's outputs. A caller that was refused and comes back waits behind the others.

--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -162,6 +162,7 @@
 		PieceTokens:     pool.PieceTokens,
 		KVBytesPerToken: pool.KVBytesPerToken,
 		LesserShare:     pool.LesserShare,
+		Foresight:       pool.Foresight,
 		QueueLimit:      pool.QueueLimit,
 		Lease:           s.options.Lease,
 		OrphanGrace:     s.options.Grace,
--- a/dispatcher/shards.go
+++ b/dispatcher/shards.go
@@ -119,6 +119,7 @@
 			Pieces:      member.Pieces,
 			PrefillRate: member.PrefillRate,
 			LinkRate:    member.LinkRate,
+			Slots:       member.Concurrency,
 			Leaving:     member.Leaving,
 		})
 	}
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -21,6 +21,9 @@
 		WaitNanoseconds:    int64(wait),
 		BetweenNanoseconds: int64(d.Between),
 		Prefixes:           d.Prefixes,
+		HintTokens:         int64(d.Hint),
+		HoldNanoseconds:    int64(d.Hold),
+		Returning:          d.Returning,
 		Suspect:            d.Suspect,
 		Fresh:              d.Fresh,
 	}
@@ -46,6 +49,9 @@
 		Wait:       time.Duration(message.GetWaitNanoseconds()),
 		Between:    time.Duration(message.GetBetweenNanoseconds()),
 		Prefixes:   message.GetPrefixes(),
+		Hint:       identifier.Tokens(message.GetHintTokens()),
+		Hold:       time.Duration(message.GetHoldNanoseconds()),
+		Returning:  message.GetReturning(),
 		Suspect:    message.GetSuspect(),
 		Fresh:      message.GetFresh(),
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -37,9 +37,9 @@
 // Cost is what a model request asks of an engine.
 type Cost struct {
 	Prompt identifier.Tokens
-	// Limit bounds the output in events of the pool's EventTokens each.
+	// Limit bounds the output.
 	Limit identifier.Tokens
-	// Hint is the caller's estimate of the same; zero is none.
+	// Hint is the caller's estimate of the output; zero is none.
 	Hint identifier.Tokens
 	// Prefixes are hashes of the prompt's leading parts, shortest first.
 	Prefixes []uint64
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -71,6 +71,23 @@
 	return router.Reason(reason)
 }
 
+const (
+	// holdShare is the part of the target for which a request waits for room. What
+	// has no room by then is refused while its caller can still do something else.
+	holdShare = 0.25
+	// firstEventMargin is left between a grant and the target, besides the prefill:
+	// the time for the first event of usual engines, and for its way.
+	firstEventMargin = 120 * time.Millisecond
+	// leastWait keeps demands of callers who came back late from being refused
+	// for their target alone.
+	leastWait = 100 * time.Millisecond
+)
+
+// waitLeft is how long the grant may take for the first event to be on time.
+func (c *call) waitLeft() time.Duration {
+	return max(leastWait, c.route.Target-time.Since(c.request.Arrived)-firstEventMargin)
+}
+
 // demand describes the request to the placer.
 func (c *call) demand() placer.Demand {
 	cost := c.request.Cost
@@ -86,8 +103,11 @@
 		Rank:       rank,
 		DataCentre: c.options.DataCentre,
 		Prompt:     max(1, cost.Prompt),
-		Limit:      cost.Limit * max(1, c.pool.EventTokens),
-		Wait:       c.route.Target - time.Since(c.request.Arrived),
+		Limit:      cost.Limit,
+		Hint:       cost.Hint,
+		Hold:       time.Duration(float64(c.route.Target) * holdShare),
+		Returning:  c.request.Fingerprint,
+		Wait:       c.waitLeft(),
 		Between:    c.route.Gap,
 		Prefixes:   cost.Prefixes,
 		Fresh:      true,
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -17,6 +17,8 @@
 	PrefillRate identifier.Tokens
 	// LinkRate is in bytes a second; zero takes DefaultLinkRate.
 	LinkRate identifier.BytesPerSecond
+	// Slots is how many requests the engine runs at once; zero is no bound.
+	Slots int
 	// Leaving engines keep what they run and get nothing new.
 	Leaving bool
 }
@@ -105,6 +107,8 @@
 	freed []freed
 	// suspects counts the grants of suspect demands here, as either engine.
 	suspects int
+	// forecast is the last foreseen use.
+	forecast forecast
 	// removed engines left the table but still carry grants.
 	removed bool
 }
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -25,6 +25,9 @@
 	sketch *ddsketch.DDSketch
 	count  int
 	total  float64
+	// outputs and hints average logarithms, for Foresight.
+	outputs logs
+	hints   logs
 	// upper is the configured quantile and mean the average, as last read.
 	upper identifier.Tokens
 	mean  identifier.Tokens
--- a/placer/events.go
+++ b/placer/events.go
@@ -94,8 +94,9 @@
 	}
 	deadline := now.Add(d.Wait)
 	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d) - p.afterReady())}
+	p.boundHold(now, w)
 	w.within = !p.settings.has(Fairness) || p.withinShare(&d, need)
-	if p.settings.has(EarlyRefusal) && p.hopeless(now, w) {
+	if p.settings.has(EarlyRefusal) && !w.returned && p.hopeless(now, w) {
 		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
 		return
 	}
@@ -111,6 +112,9 @@
 	}
 	w.pieces = need
 	w.order = deadline.Add(time.Duration(need) * p.settings.SizeDelay)
+	if w.returned {
+		w.order = w.order.Add(returnedBehind)
+	}
 	queue.add(w)
 	p.queued[d.Request] = w
 	p.account(&d, 0, need)
@@ -133,6 +137,52 @@
 	return best
 }
 
+// boundHold sets the last moment of a demand that may not be held until its
+// target. One whose caller was refused before is held for longer: it has missed its
+// target anyway, and refusing it again would be worse than a late answer.
+func (p *Placer) boundHold(now time.Time, w *waiting) {
+	if w.demand.Hold <= 0 {
+		return
+	}
+	if p.returned(&w.demand) {
+		w.returned = true
+		w.deadline = now.Add(returnedHold)
+		w.latest = w.deadline
+		return
+	}
+	if until := now.Add(w.demand.Hold); until.Before(w.latest) {
+		w.latest = until
+	}
+}
+
+const (
+	// returnedBehind sets demands of callers that came back behind all that can
+	// still be on time.
+	returnedBehind = time.Hour
+	// returnedHold is how long a caller that came back is held for room: about as
+	// long as most of what an engine runs takes to end.
+	returnedHold = 3 * time.Second
+	// returnLimit bounds how many refused callers are remembered.
+	returnLimit = 4096
+)
+
+// expectReturn remembers that a demand's caller was refused.
+func (p *Placer) expectReturn(d *Demand) {
+	if d.Returning == 0 {
+		return
+	}
+	if len(p.returning) >= returnLimit {
+		clear(p.returning)
+	}
+	p.returning[d.Returning] = struct{}{}
+}
+
+// returned tells whether a demand's caller was refused before.
+func (p *Placer) returned(d *Demand) bool {
+	_, refused := p.returning[d.Returning]
+	return refused && d.Returning != 0
+}
+
 // hopeless tells whether a demand's queue will not drain in time.
 func (p *Placer) hopeless(now time.Time, w *waiting) bool {
 	return p.expectedWait(now, w).Seconds() > w.demand.Wait.Seconds()*p.settings.RefuseBeyond
@@ -204,6 +254,8 @@
 		p.fail(now, result.Failed)
 	} else if result.Decoded && result.Output > 0 {
 		p.outputs(&g.Demand).add(result.Output, p.settings.OutputQuantile)
+		p.outputs(&g.Demand).learn(result.Output, g.Demand.Hint)
+		p.noteTokenTime(now, g, result.Output)
 	}
 	p.free(now, g)
 }
@@ -231,7 +283,7 @@
 // the renewal carries its demand: an earlier owner or the fall-back gave it.
 func (p *Placer) Renew(now time.Time, h Held, withDemand bool) Renewal {
 	if g := p.grants[h.Grant]; g != nil {
-		p.progress(g, h)
+		p.progress(now, g, h)
 		if g.phase == cancelling {
 			return Revoked
 		}
@@ -253,7 +305,11 @@
 }
 
 // progress takes over how far a stream has come.
-func (p *Placer) progress(g *grant, h Held) {
+func (p *Placer) progress(now time.Time, g *grant, h Held) {
+	if h.Output != g.Output || h.Decoding != g.Decoding {
+		g.told = now
+		g.decode.forecast.at = time.Time{}
+	}
 	g.Output = h.Output
 	g.Decoding = h.Decoding
 	if needed := p.piecesFor(g.Demand.Prompt + h.Output); needed > g.Pieces {
@@ -268,7 +324,7 @@
 	if decode == nil || decode.Role != identifier.Decode || h.Pieces <= 0 {
 		return Renewed
 	}
-	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now, asked: h.Demand.Attempt}
+	g := &grant{Held: h, prefill: prefill, decode: decode, granted: now, ready: now, told: now, asked: h.Demand.Attempt}
 	p.renew(now, g)
 	p.hold(g)
 	return Renewed
--- a/placer/place.go
+++ b/placer/place.go
@@ -118,7 +118,7 @@
 	if p.isLong(d, start) && !p.mayRunLong(now, start.engine) {
 		return noTurn
 	}
-	decode := p.bestDecode(now, d, w.pieces, start)
+	decode := p.chooseDecode(now, w, start)
 	if decode == nil {
 		if d.Rank == identifier.Urgent && p.settings.has(Pause) {
 			p.pauseFor(now, w, start)
@@ -188,6 +188,14 @@
 	return seconds(float64(d.Prompt)*float64(p.settings.KVBytesPerToken), float64(e.linkRate()))
 }
 
+// chooseDecode returns the decode engine for a demand, or nil while none has room.
+func (p *Placer) chooseDecode(now time.Time, w *waiting, start run) *engine {
+	if p.settings.Foresight {
+		return p.foreseeDecode(now, w, start)
+	}
+	return p.bestDecode(now, &w.demand, w.pieces, start)
+}
+
 // bestDecode returns the engine that has the memory and the most room, nearest
 // to the prefill engine among equals.
 func (p *Placer) bestDecode(now time.Time, d *Demand, need identifier.Pieces, start run) *engine {
@@ -252,6 +260,8 @@
 		prefill: start.engine,
 		decode:  decode,
 		granted: now,
+		ready:   start.ready,
+		told:    start.ready,
 		asked:   w.demand.Attempt,
 		expires: now.Add(p.settings.Lease),
 	}
@@ -281,6 +291,7 @@
 }
 
 func (p *Placer) refuse(d *Demand, reason Reason, retryAfter time.Duration) {
+	p.expectReturn(d)
 	p.answer(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter}})
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -28,6 +28,13 @@
 	// is no bound.
 	Prompt identifier.Tokens
 	Limit  identifier.Tokens
+	// Hint is the caller's estimate of the output; zero is none.
+	Hint identifier.Tokens
+	// Hold bounds the time in the queue; zero leaves it to Wait alone.
+	Hold time.Duration
+	// Returning identifies the request when its caller sends it again after a
+	// refusal, which gives it another Request; zero is unknown.
+	Returning uint64
 	// Wait is how much of the first-token target is left; Between is the
 	// target between tokens.
 	Wait    time.Duration
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -18,6 +18,8 @@
 	order time.Time
 	// pieces is the decode memory to reserve.
 	pieces identifier.Pieces
+	// returned tells that the demand's caller was refused before.
+	returned bool
 	// pausing tells that lesser streams were stopped for the demand.
 	pausing bool
 	// within tells in which heap of its rank the demand stands; index is its
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -84,6 +84,13 @@
 	// Headroom is how long the memory kept free of lesser work lasts for urgent
 	// work at its present rate.
 	Headroom time.Duration
+	// Foresight grants memory by its foreseen use instead of by reservation.
+	Foresight bool
+	// Caution is how many spreads above its mean the foreseen use has to fit, and
+	// SlotSlack how many requests more than its slots an engine may be granted,
+	// which it lets in as others end.
+	Caution   float64
+	SlotSlack float64
 	// Without leaves elements out.
 	Without Element
 }
@@ -105,6 +112,8 @@
 	orDefault(&s.SizeDelay, 500*time.Millisecond)
 	orDefault(&s.RefuseBeyond, 3)
 	orDefault(&s.Headroom, 750*time.Millisecond)
+	orDefault(&s.Caution, 2)
+	orDefault(&s.SlotSlack, 0.5)
 	orDefault(&s.PauseLead, 150*time.Millisecond)
 	orDefault(&s.PauseTokens, 2250)
 	orDefault(&s.LongPrefill, 0.3)
--- a/placer/state.go
+++ b/placer/state.go
@@ -62,6 +62,9 @@
 	place   int
 	phase   phase
 	granted time.Time
+	// ready is when the stream was planned to begin, told when Output was told.
+	ready time.Time
+	told  time.Time
 	// asked is the attempt that the demand named; the grant's may be larger.
 	asked uint64
 	// expires is the end of the lease of a held grant, of the grace of an
@@ -118,6 +121,10 @@
 	issued     uint64
 	decisions  []Decision
 	orders     []Order
+	// tokenTime is the average time that a stream takes for a token.
+	tokenTime time.Duration
+	// returning holds the callers that were refused, by Demand.Returning.
+	returning map[uint64]struct{}
 	// step is the average time between two tokens that decode engines reported.
 	step time.Duration
 	// blocked is scratch space of place.
@@ -138,6 +145,8 @@
 		accounts:   map[accountKey]*accountUse{},
 		estimators: map[identifier.Route]*estimator{"": newEstimator()},
 		strangers:  map[stranger]time.Time{},
+		returning:  map[uint64]struct{}{},
+		tokenTime:  defaultTokenTime,
 		index:      newPrefixIndex(),
 	}
 }
@@ -238,6 +247,7 @@
 	g.decode.used += g.Pieces
 	g.place = len(g.decode.held)
 	g.decode.held = append(g.decode.held, g)
+	g.decode.forecast.at = time.Time{}
 	p.used[g.Demand.Rank] += g.Pieces
 	p.account(&g.Demand, g.Pieces, 0)
 	g.countSuspect(1)
@@ -263,6 +273,7 @@
 	}
 	g.decode.used -= g.Pieces
 	g.decode.drop(g)
+	g.decode.forecast.at = time.Time{}
 	p.used[g.Demand.Rank] -= g.Pieces
 	p.account(&g.Demand, -g.Pieces, 0)
 	g.countSuspect(-1)
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -115,6 +115,7 @@
 			Kind:            tabulator.Models,
 			PieceTokens:     pieceTokens,
 			KVBytesPerToken: pool.TokenBytes,
+			Foresight:       true,
 		}
 		for _, backend := range t.backends {
 			if backend.Pool == pool.Name {
--- a/tabulator/tabulator.go
+++ b/tabulator/tabulator.go
@@ -63,6 +63,8 @@
 	LesserShare float64 `json:"lesser-share,omitempty" toml:"lesser-share,omitempty"`
 	// QueueLimit bounds the requests that wait for memory, for each rank.
 	QueueLimit int `json:"queue-limit,omitempty" toml:"queue-limit,omitempty"`
+	// Foresight grants memory by its foreseen use instead of by reservation.
+	Foresight bool `json:"-" toml:"-"`
 	// RepeatableOutput tells that all engines of the pool generate the same tokens
 	// for the same prompt and seed. Only then is an answer whose beginning is known
 	// to its caller alone generated again.
