Hold a request without room briefly, and have its caller return after the burst

Cause: 93 requests of a double burst were answered late and held memory that others needed to be on time; callers returned into the same burst and were refused again.

Callers that come back take only room up to 0.9 of an engine, are told to return after 4.5 s at least, and a fresh request waits for 0.4 of its target.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -74,7 +74,7 @@
 const (
 	// holdShare is the part of the target for which a request waits for room. What
 	// has no room by then is refused while its caller can still do something else.
-	holdShare = 0.25
+	holdShare = 0.4
 	// firstEventMargin is left between a grant and the target, besides the prefill:
 	// the time for the first event of usual engines, and for its way.
 	firstEventMargin = 120 * time.Millisecond
--- a/placer/foresee.go
+++ b/placer/foresee.go
@@ -24,6 +24,9 @@
 }
 
 const (
+	// returnedRoom is the part of an engine up to which callers that came back
+	// late are let in; the rest is for those who can still be on time.
+	returnedRoom = 0.9
 	// defaultTokenTime is the time for a token before any was measured.
 	defaultTokenTime = 700 * time.Microsecond
 	// tokenTimeWeight is the weight of one finished request in the average.
@@ -155,7 +158,7 @@
 			continue
 		}
 		use := p.peak(now, w, e, start.ready)
-		if use > 1 {
+		if use > 1 || w.returned && use > returnedRoom {
 			continue
 		}
 		if e.DataCentre != start.engine.DataCentre {
--- a/placer/place.go
+++ b/placer/place.go
@@ -299,6 +299,10 @@
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
+	// returnAfter is the least where use is foreseen: all that runs now has ended
+	// by then, and so have most bursts. A caller that comes back into the same burst
+	// is only refused once more.
+	returnAfter = 4500 * time.Millisecond
 )
 
 // retryAfter is how long the demands queued at a rank and above take to drain.
@@ -307,9 +311,13 @@
 	for _, r := range identifier.Ranks[:rank+1] {
 		ahead += p.queues[r].pieces
 	}
+	least := minRetryAfter
+	if p.settings.Foresight {
+		least = returnAfter
+	}
 	rate := p.drain.rate(now)
 	if rate <= 0 {
-		return minRetryAfter
+		return least
 	}
-	return min(max(seconds(float64(ahead), rate), minRetryAfter), maxRetryAfter)
+	return min(max(seconds(float64(ahead), rate), least), maxRetryAfter)
 }
