--- /dev/null
+++ b/emulator/instance.go
@@ -0,0 +1,469 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Instance is a stand-in of a back end of the users' platform: a plain server, or
+// an engine of one stage. It counts what it ran, so that checkers need not believe
+// the router.
+type Instance struct {
+	options InstanceOptions
+
+	mutex   sync.Mutex
+	runs    []Run
+	running int
+	// waiting counts the requests that wait for a slot or memory.
+	waiting int
+	// used is the memory of running requests and of handles, in tokens.
+	used    int
+	handles map[string]*prefilled
+	faults  InstanceFaults
+	// freed is closed when a slot or memory comes free, and then made anew.
+	freed  chan struct{}
+	issued int
+	// ending is closed by a crash.
+	ending chan struct{}
+}
+
+// InstanceOptions set up an instance.
+type InstanceOptions struct {
+	ID      string
+	Address string
+	// Stage is prefill, decode or empty for a plain server.
+	Stage string
+	// Slots bounds the requests run at once, Queue those that wait.
+	Slots, Queue int
+	// Memory is in tokens; zero is no bound.
+	Memory int
+	// Work is the time of a plain request, Prefill that of a prompt token and
+	// Token that of a generated one; EventTokens is the tokens of an event.
+	Work, Prefill, Token time.Duration
+	EventTokens          int
+	HandleLife           time.Duration
+	// Find returns the instance at an address, for transfers between engines.
+	Find func(address string) *Instance
+}
+
+// InstanceFaults are the faults of an instance.
+type InstanceFaults struct {
+	// Errors answers that many requests with a fault of its own, which counts as run.
+	Errors int
+	// Shed declines that many requests.
+	Shed int
+	// LoseAnswers runs that many requests and breaks their connections off.
+	LoseAnswers int
+	// Truncate cuts that many answers in the middle.
+	Truncate int
+	// Noise answers that many requests with bytes that are no answer.
+	Noise int
+	// Extra sends a second answer of another request after that many answers.
+	Extra int
+	// Unsigned leaves the signature off that many answers.
+	Unsigned int
+	// Slow multiplies the time of work; zero is one.
+	Slow int
+}
+
+// Run is one request that an instance worked on.
+type Run struct {
+	Attempt, Method, Target, Body string
+	Header                        http.Header
+	// Done tells that it was worked on to its end.
+	Done bool
+}
+
+type prefilled struct {
+	attempt string
+	tokens  int
+	expires time.Time
+}
+
+// NewInstance returns an instance that is well.
+func NewInstance(options InstanceOptions) *Instance {
+	if options.EventTokens == 0 {
+		options.EventTokens = 1
+	}
+	return &Instance{options: options, handles: map[string]*prefilled{}, freed: make(chan struct{}), ending: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (i *Instance) SetFaults(faults InstanceFaults) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.faults = faults
+}
+
+// Runs returns what the instance worked on so far.
+func (i *Instance) Runs() []Run {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return slices.Clone(i.runs)
+}
+
+// Used is the memory that running requests and handles hold.
+func (i *Instance) Used() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.expire()
+	return i.used
+}
+
+// Crash ends everything that runs; what follows finds a process that knows
+// nothing of before.
+func (i *Instance) Crash() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	close(i.ending)
+	i.ending = make(chan struct{})
+	i.handles = map[string]*prefilled{}
+	i.used, i.running = 0, 0
+}
+
+// ServeHTTP answers one request as the platform's pages say.
+func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/health":
+		w.Header().Set("X-Instance-Id", i.options.ID)
+		return
+	case strings.HasPrefix(r.URL.Path, "/v1/kv-handle/"):
+		i.release(strings.TrimPrefix(r.URL.Path, "/v1/kv-handle/"))
+		return
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != i.options.ID {
+		w.Header().Set("X-Instance-Id", i.options.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if r.Header.Get("X-Attempt-Id") == "" {
+		decline(w, http.StatusBadRequest)
+		return
+	}
+	if i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
+		decline(w, http.StatusServiceUnavailable)
+		return
+	}
+	i.serve(w, r, string(body))
+}
+
+func decline(w http.ResponseWriter, status int) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(status)
+}
+
+// takeFault uses one of a kind of fault up.
+func (i *Instance) takeFault(which func(f *InstanceFaults) *int) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	left := which(&i.faults)
+	if *left == 0 {
+		return false
+	}
+	*left--
+	return true
+}
+
+// serve runs a request by the instance's stage.
+func (i *Instance) serve(w http.ResponseWriter, r *http.Request, body string) {
+	prompt, output := tokenCounts(r.Header.Get("X-Token-Counts"))
+	prefill := r.Header.Get("X-Stage") == "prefill"
+	if prefill && i.options.Stage == "decode" || !prefill && i.options.Stage == "prefill" {
+		decline(w, http.StatusMisdirectedRequest)
+		return
+	}
+	ctx, cancel := i.context(r)
+	defer cancel()
+	memory := 0
+	if i.options.Stage != "" {
+		memory = prompt
+	}
+	if !i.begin(ctx, memory) {
+		decline(w, http.StatusServiceUnavailable)
+		return
+	}
+	switch {
+	case prefill:
+		i.prefill(ctx, w, r, prompt)
+	case i.options.Stage == "decode":
+		i.decode(ctx, w, r, body, prompt, output)
+	default:
+		i.plain(ctx, w, r, body)
+	}
+}
+
+// context ends with the request, its deadline or a crash.
+func (i *Instance) context(r *http.Request) (context.Context, context.CancelFunc) {
+	left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		left = int(time.Hour / time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
+	i.mutex.Lock()
+	ending := i.ending
+	i.mutex.Unlock()
+	go func() {
+		select {
+		case <-ending:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// begin waits in the queue for a slot and memory.
+func (i *Instance) begin(ctx context.Context, memory int) bool {
+	queued := false
+	for {
+		i.mutex.Lock()
+		i.expire()
+		room := i.options.Memory == 0 || i.used+memory <= i.options.Memory
+		if i.running < i.options.Slots && room {
+			i.running++
+			i.used += memory
+			if queued {
+				i.waiting--
+			}
+			i.mutex.Unlock()
+			return true
+		}
+		if !queued && i.waiting >= i.options.Queue {
+			i.mutex.Unlock()
+			return false
+		}
+		if !queued {
+			i.waiting++
+			queued = true
+		}
+		freed := i.freed
+		i.mutex.Unlock()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			i.mutex.Lock()
+			i.waiting--
+			i.mutex.Unlock()
+			return false
+		}
+	}
+}
+
+// end gives the slot and some memory back.
+func (i *Instance) end(memory int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.running = max(0, i.running-1)
+	i.used = max(0, i.used-memory)
+	close(i.freed)
+	i.freed = make(chan struct{})
+}
+
+// expire frees the handles whose time is over; the mutex is held.
+func (i *Instance) expire() {
+	for id, handle := range i.handles {
+		if time.Now().After(handle.expires) {
+			i.used -= handle.tokens
+			delete(i.handles, id)
+		}
+	}
+}
+
+func (i *Instance) release(id string) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if handle := i.handles[id]; handle != nil {
+		i.used -= handle.tokens
+		delete(i.handles, id)
+	}
+}
+
+// take hands a prefilled prompt over, once.
+func (i *Instance) take(id, attempt string) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.expire()
+	handle := i.handles[id]
+	if handle == nil || handle.attempt != attempt {
+		return false
+	}
+	i.used -= handle.tokens
+	delete(i.handles, id)
+	return true
+}
+
+func (i *Instance) span(length time.Duration) time.Duration {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return length * time.Duration(max(1, i.faults.Slow))
+}
+
+func (i *Instance) prefill(ctx context.Context, w http.ResponseWriter, r *http.Request, prompt int) {
+	attempt := r.Header.Get("X-Attempt-Id")
+	if !pause(ctx, i.span(time.Duration(prompt)*i.options.Prefill)) {
+		i.end(prompt)
+		panic(http.ErrAbortHandler)
+	}
+	i.mutex.Lock()
+	i.issued++
+	id := fmt.Sprintf("%s-%d", i.options.ID, i.issued)
+	i.handles[id] = &prefilled{attempt: attempt, tokens: prompt, expires: time.Now().Add(i.options.HandleLife)}
+	i.mutex.Unlock()
+	i.end(0)
+	w.Header().Set("X-Attempt-Id", attempt)
+	writeJSON(w, http.StatusOK, map[string]any{"transferHandle": id, "tokens": prompt, "version": 1})
+}
+
+// fetch gets the prompt's KV cache from the engine that read it.
+func (i *Instance) fetch(r *http.Request) bool {
+	source := r.Header.Get("X-Kv-Source")
+	if source == "" {
+		return true
+	}
+	address, id, _ := strings.Cut(source, "/")
+	from := i.options.Find(address)
+	return from != nil && from.take(id, r.Header.Get("X-Attempt-Id"))
+}
+
+func (i *Instance) decode(ctx context.Context, w http.ResponseWriter, r *http.Request, body string, prompt, output int) {
+	if !i.fetch(r) {
+		i.end(prompt)
+		decline(w, http.StatusServiceUnavailable)
+		return
+	}
+	if r.Header.Get("X-Kv-Source") == "" && !pause(ctx, i.span(2*time.Duration(prompt)*i.options.Prefill)) {
+		i.end(prompt)
+		panic(http.ErrAbortHandler)
+	}
+	run := i.note(r, body)
+	held := prompt
+	defer func() { i.end(held) }()
+	header := w.Header()
+	header.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	header.Set("X-Server-Seal", i.options.ID)
+	header.Set("Content-Type", "text/event-stream")
+	truncate := i.takeFault(func(f *InstanceFaults) *int { return &f.Truncate })
+	flush := http.NewResponseController(w)
+	for made := 0; made < output; made += i.options.EventTokens {
+		if !pause(ctx, i.span(time.Duration(i.options.EventTokens)*i.options.Token)) || truncate && made > output/2 {
+			panic(http.ErrAbortHandler)
+		}
+		held += i.options.EventTokens
+		i.grow(i.options.EventTokens)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", made/i.options.EventTokens+1, r.Header.Get("X-Attempt-Id")) //nolint:gosec // No browser reads it.
+		if err := flush.Flush(); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	i.done(run)
+}
+
+func (i *Instance) grow(tokens int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.used += tokens
+}
+
+// note records that a request began to run.
+func (i *Instance) note(r *http.Request, body string) int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.runs = append(i.runs, Run{
+		Attempt: r.Header.Get("X-Attempt-Id"),
+		Method:  r.Method,
+		Target:  r.RequestURI,
+		Body:    body,
+		Header:  r.Header.Clone(),
+	})
+	return len(i.runs) - 1
+}
+
+func (i *Instance) done(run int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.runs[run].Done = true
+}
+
+func (i *Instance) plain(ctx context.Context, w http.ResponseWriter, r *http.Request, body string) {
+	defer i.end(0)
+	run := i.note(r, body)
+	if !pause(ctx, i.span(i.options.Work)) {
+		panic(http.ErrAbortHandler)
+	}
+	i.done(run)
+	attempt := r.Header.Get("X-Attempt-Id")
+	answer := "answer to " + attempt
+	if i.takeFault(func(f *InstanceFaults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
+	if i.takeFault(func(f *InstanceFaults) *int { return &f.Noise }) {
+		hijacked(w, "\x00\x01 this is no answer\r\n\r\n")
+		return
+	}
+	header := w.Header()
+	header.Set("X-Attempt-Id", attempt)
+	if !i.takeFault(func(f *InstanceFaults) *int { return &f.Unsigned }) {
+		header.Set("X-Server-Seal", i.options.ID)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(answer)))
+	switch {
+	case i.takeFault(func(f *InstanceFaults) *int { return &f.Truncate }):
+		_, _ = io.WriteString(w, answer[:len(answer)/2]) //nolint:gosec // No browser reads it.
+		panic(http.ErrAbortHandler)
+	case i.takeFault(func(f *InstanceFaults) *int { return &f.Errors }):
+		w.WriteHeader(http.StatusInternalServerError)
+	case i.takeFault(func(f *InstanceFaults) *int { return &f.Extra }):
+		sealed := func(id string) string {
+			text := "answer to " + id
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, i.options.ID, len(text), text)
+		}
+		hijacked(w, sealed(attempt)+sealed("an-earlier-one"))
+		return
+	}
+	_, _ = io.WriteString(w, answer) //nolint:gosec // No browser reads it.
+}
+
+// hijacked writes bytes of its own to a connection and closes it.
+func hijacked(w http.ResponseWriter, content string) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(connection, content)
+	_ = connection.Close()
+}
+
+func tokenCounts(text string) (prompt, output int) {
+	first, second, _ := strings.Cut(text, ",")
+	prompt, _ = strconv.Atoi(first)
+	output, _ = strconv.Atoi(second)
+	return prompt, output
+}
+
+// Entry is the instance's entry in the platform's list.
+func (i *Instance) Entry(service, zone, state string) json.RawMessage {
+	entry := map[string]any{
+		"service": service, "address": i.options.Address, "zone": zone, "version": "v1",
+		"slots": i.options.Slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
+	}
+	if i.options.Stage != "" {
+		entry["stage"] = i.options.Stage
+	}
+	encoded, err := json.Marshal(entry)
+	if err != nil {
+		panic(err) // Strings and numbers can be written.
+	}
+	return encoded
+}
--- /dev/null
+++ b/emulator/objects.go
@@ -0,0 +1,373 @@
+package emulator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Objects is a stand-in of the users' platform's store: objects by kind and name,
+// with conditional updates, pages, calls that wait for events, and a history that
+// may lapse. One revision counter serves all kinds.
+type Objects struct {
+	// PageSize bounds the items of one answer.
+	PageSize int
+
+	mutex sync.Mutex
+	// kinds holds the objects; revision is the counter.
+	kinds    map[string]map[string]storedObject
+	revision int64
+	// history holds the events after forgotten, oldest first.
+	history   []objectEvent
+	forgotten int64
+	// changed is closed at each change, and then made anew.
+	changed chan struct{}
+	faults  ObjectFaults
+	// refused holds the hosts whose calls are turned away.
+	refused map[string]ObjectFaults
+	counts  ObjectCounts
+}
+
+// ObjectFaults are the faults of a store, towards all callers or one.
+type ObjectFaults struct {
+	// Status answers every call with a status such as 503; nothing is done.
+	Status int
+	// Silent answers no call.
+	Silent bool
+	// Reset breaks every call's connection off.
+	Reset bool
+	// Delay holds each answer back.
+	Delay time.Duration
+	// LoseAnswers carries that many writes out and answers none of them.
+	LoseAnswers int
+}
+
+// ObjectCounts are the calls that a store was sent.
+type ObjectCounts struct {
+	Reads, Writes, Watches, Refused int
+}
+
+type objectMetadata struct {
+	Name           string   `json:"name"`
+	Revision       int64    `json:"revision"`
+	CreateRevision int64    `json:"createRevision"`
+	Finalizers     []string `json:"finalizers"`
+	Deleting       bool     `json:"deleting"`
+}
+
+type storedObject struct {
+	Metadata objectMetadata  `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type objectEvent struct {
+	kind     string
+	revision int64
+	Object   storedObject `json:"object"`
+	Deleted  bool         `json:"deleted"`
+}
+
+const (
+	// objectsRoot is the path of all kinds.
+	objectsRoot = "/v1/objects/"
+	// defaultPageSize is small, so that tests meet more than one page.
+	defaultPageSize = 50
+)
+
+// NewObjects returns an empty store.
+func NewObjects() *Objects {
+	return &Objects{
+		PageSize: defaultPageSize,
+		kinds:    map[string]map[string]storedObject{},
+		revision: 1,
+		changed:  make(chan struct{}),
+		refused:  map[string]ObjectFaults{},
+	}
+}
+
+// SetFaults sets the faults towards all callers.
+func (o *Objects) SetFaults(faults ObjectFaults) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.faults = faults
+}
+
+// RefuseHost sets the faults towards one host; the zero value ends them.
+func (o *Objects) RefuseHost(host string, faults ObjectFaults) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.refused[host] = faults
+}
+
+// Counts returns the calls so far.
+func (o *Objects) Counts() ObjectCounts {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.counts
+}
+
+// Put writes an object as an operator or a back end does.
+func (o *Objects) Put(kind, name string, spec any) {
+	encoded, raw := spec.(json.RawMessage)
+	if !raw {
+		var err error
+		if encoded, err = json.Marshal(spec); err != nil {
+			panic(err) // The specs of tests can be written.
+		}
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	held := o.kinds[kind][name]
+	held.Metadata.Name = name
+	held.Spec = encoded
+	o.keep(kind, held)
+}
+
+// Remove deletes an object.
+func (o *Objects) Remove(kind, name string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.drop(kind, name)
+}
+
+// Names lists the objects of a kind.
+func (o *Objects) Names(kind string) []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return sortedNames(o.kinds[kind])
+}
+
+// Forget drops the history, so that every waiting call ends with "gone".
+func (o *Objects) Forget() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.history, o.forgotten = nil, o.revision
+	o.signal()
+}
+
+func sortedNames(objects map[string]storedObject) []string {
+	names := make([]string, 0, len(objects))
+	for name := range objects {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (o *Objects) signal() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *Objects) keep(kind string, object storedObject) storedObject {
+	o.revision++
+	if object.Metadata.CreateRevision == 0 {
+		object.Metadata.CreateRevision = o.revision
+	}
+	object.Metadata.Revision = o.revision
+	if o.kinds[kind] == nil {
+		o.kinds[kind] = map[string]storedObject{}
+	}
+	o.kinds[kind][object.Metadata.Name] = object
+	o.history = append(o.history, objectEvent{kind: kind, revision: o.revision, Object: object})
+	o.signal()
+	return object
+}
+
+func (o *Objects) drop(kind, name string) {
+	object, known := o.kinds[kind][name]
+	if !known {
+		return
+	}
+	o.revision++
+	delete(o.kinds[kind], name)
+	o.history = append(o.history, objectEvent{kind: kind, revision: o.revision, Object: object, Deleted: true})
+	o.signal()
+}
+
+// ServeHTTP answers one call.
+func (o *Objects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsRoot), "/")
+	faults := o.admit(r)
+	switch {
+	case faults.Silent:
+		// The server notices the caller's end once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	case faults.Reset:
+		panic(http.ErrAbortHandler)
+	case faults.Status != 0:
+		w.WriteHeader(faults.Status)
+		return
+	}
+	if !pause(r.Context(), faults.Delay) {
+		return
+	}
+	switch {
+	case r.Method != http.MethodGet:
+		o.write(w, r, kind, name)
+	case r.URL.Query().Get("watch") != "":
+		o.wait(w, r, kind)
+	case name != "":
+		o.get(w, kind, name)
+	default:
+		o.list(w, r, kind)
+	}
+}
+
+// admit counts a call and returns the faults that it meets.
+func (o *Objects) admit(r *http.Request) ObjectFaults {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	switch {
+	case r.Method != http.MethodGet:
+		o.counts.Writes++
+	case r.URL.Query().Get("watch") != "":
+		o.counts.Watches++
+	default:
+		o.counts.Reads++
+	}
+	faults := o.faults
+	if own, refused := o.refused[hostOf(r.RemoteAddr)]; refused && own != (ObjectFaults{}) {
+		faults = own
+	}
+	if own, refused := o.refused[r.RemoteAddr]; refused && own != (ObjectFaults{}) {
+		faults = own
+	}
+	if faults.Silent || faults.Reset || faults.Status != 0 {
+		o.counts.Refused++
+	}
+	return faults
+}
+
+func (o *Objects) get(w http.ResponseWriter, kind, name string) {
+	o.mutex.Lock()
+	object, known := o.kinds[kind][name]
+	o.mutex.Unlock()
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, object)
+}
+
+func (o *Objects) list(w http.ResponseWriter, r *http.Request, kind string) {
+	o.mutex.Lock()
+	var page struct {
+		Items      []storedObject `json:"items"`
+		HasMore    bool           `json:"hasMore"`
+		CurrentRev int64          `json:"currentRev"`
+	}
+	page.Items = []storedObject{}
+	page.CurrentRev = o.revision
+	for _, name := range sortedNames(o.kinds[kind]) {
+		if name <= r.URL.Query().Get("after") {
+			continue
+		}
+		if len(page.Items) == o.PageSize {
+			page.HasMore = true
+			break
+		}
+		page.Items = append(page.Items, o.kinds[kind][name])
+	}
+	o.mutex.Unlock()
+	writeJSON(w, http.StatusOK, page)
+}
+
+// wait answers a watch as soon as there is an event, or at its end.
+func (o *Objects) wait(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	milliseconds, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	ended := time.NewTimer(time.Duration(milliseconds) * time.Millisecond)
+	defer ended.Stop()
+	for waiting := true; ; {
+		o.mutex.Lock()
+		events, gone, changed, revision := o.since(kind, after), after < o.forgotten, o.changed, o.revision
+		o.mutex.Unlock()
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || !waiting:
+			writeJSON(w, http.StatusOK, map[string]any{"events": events, "currentRev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-ended.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (o *Objects) since(kind string, after int64) []objectEvent {
+	events := []objectEvent{}
+	for _, event := range o.history {
+		if event.kind == kind && event.revision > after {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+func (o *Objects) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var object storedObject
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	if expected := r.URL.Query().Get("revision"); expected != "" {
+		object.Metadata.Revision, _ = strconv.ParseInt(expected, 10, 64)
+	}
+	o.mutex.Lock()
+	status, answer := o.effect(r.Method, kind, name, object)
+	lose := o.faults.LoseAnswers > 0
+	if lose {
+		o.faults.LoseAnswers--
+	}
+	o.mutex.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, status, answer)
+}
+
+// effect carries a write out if its condition holds; the mutex is held.
+func (o *Objects) effect(method, kind, name string, object storedObject) (int, storedObject) {
+	status := strings.HasSuffix(name, "/status")
+	name = strings.TrimSuffix(name, "/status")
+	if method == http.MethodPost {
+		name = object.Metadata.Name
+	}
+	held, known := o.kinds[kind][name]
+	expected := object.Metadata.Revision
+	switch {
+	case method == http.MethodPost && known:
+		return http.StatusConflict, held
+	case method != http.MethodPost && !known:
+		return http.StatusNotFound, held
+	case method != http.MethodPost && expected != 0 && expected != held.Metadata.Revision:
+		return http.StatusConflict, held
+	case method == http.MethodDelete:
+		o.drop(kind, name)
+		return http.StatusOK, held
+	case status:
+		held.Status = object.Status
+	default:
+		held.Metadata.Name = name
+		held.Metadata.Finalizers = object.Metadata.Finalizers
+		held.Spec = object.Spec
+	}
+	return http.StatusOK, o.keep(kind, held)
+}
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -34,6 +34,8 @@
 	source *boundedReader
 	// unwatch ends the watch of the running exchange's context.
 	unwatch func() bool
+	// used tells that an exchange has ended on the connection.
+	used bool
 	// expires is when an unused connection is closed.
 	expires time.Time
 }
@@ -119,6 +121,7 @@
 		_ = c.Close()
 		return
 	}
+	c.used = true
 	c.expires = time.Now().Add(c.idleTime(response.Header.Get("Keep-Alive")))
 	c.exchanger.keep(c)
 }
@@ -147,7 +150,7 @@
 	// the answer is read also after a failed write.
 	want := request.Header.Get(c.exchanger.options.Echo)
 	for range strayLimit + 1 {
-		response, err := c.readHeader(request.Method)
+		response, err := c.readHeader(request.Method) //nolint:bodyclose // The Response closes the connection.
 		if err != nil {
 			return nil, err
 		}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -121,14 +121,21 @@
 	}
 	c.watch(ctx)
 	response, err := c.exchange(request)
-	if err != nil {
-		c.close()
-		if ctx.Err() != nil && !errorx.IsOfType(err, Unsent) {
-			return nil, Lost.Wrap(context.Cause(ctx), "exchange with %s", address)
-		}
+	if err == nil {
+		return response, nil
+	}
+	c.close()
+	unsent := errorx.IsOfType(err, Unsent)
+	switch {
+	case unsent && c.used && ctx.Err() == nil:
+		// The kept connection had ended; nothing has left on it.
+		request.Fresh = true
+		return x.Send(ctx, address, request)
+	case ctx.Err() != nil && !unsent:
+		return nil, Lost.Wrap(context.Cause(ctx), "exchange with %s", address)
+	default:
 		return nil, err
 	}
-	return response, nil
 }
 
 // connect takes a kept connection that is still sound, or opens one.
@@ -143,9 +150,9 @@
 		}
 		c.close()
 	}
-	dialing, cancel := context.WithTimeout(ctx, x.options.DialTimeout)
+	bounded, cancel := context.WithTimeout(ctx, x.options.DialTimeout)
 	defer cancel()
-	opened, err := x.options.Dial(dialing, "tcp", string(address))
+	opened, err := x.options.Dial(bounded, "tcp", string(address))
 	if err != nil {
 		return nil, Unreached.Wrap(err, "connect to %s", address)
 	}
--- a/forwarder/judge.go
+++ b/forwarder/judge.go
@@ -141,13 +141,6 @@
 	}
 }
 
-// avoided tells whether a back end is kept out of the choice now.
-func (j *judge) avoided(now time.Time, b Backend) bool {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	return now.Before(j.of(b).avoidUntil)
-}
-
 // pick returns the best back end of a list for one request: one that is not
 // avoided nor tried, that fails no more than the others, is not slow, has the
 // fewest requests of this node under way and lies near. The turn breaks ties.
--- /dev/null
+++ b/forwarder/reply_test.go
@@ -0,0 +1,29 @@
+package forwarder
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestEventsInPiecesOfAnySize counts a stream's events however its bytes arrive.
+func TestEventsInPiecesOfAnySize(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		newline := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(r, "newline")
+		lines := rapid.SliceOf(rapid.IntRange(1, 3)).Draw(r, "lines of each event")
+		var text strings.Builder
+		for _, count := range lines {
+			text.WriteString(strings.Repeat("data: x"+newline, count) + newline)
+		}
+		counter := eventCounter{}
+		for rest := text.String(); rest != ""; {
+			n := rapid.IntRange(1, len(rest)).Draw(r, "piece")
+			counter.add([]byte(rest[:n]))
+			rest = rest[n:]
+		}
+		if counter.count != len(lines) {
+			r.Fatalf("%d events of %q", counter.count, text.String())
+		}
+	})
+}
--- a/placer/foresee.go
+++ b/placer/foresee.go
@@ -74,15 +74,6 @@
 	return min(1, l.survival(more)/reached)
 }
 
-// expected is the mean length.
-func (l length) expected() float64 {
-	mean := math.Exp(l.mean + l.spread*l.spread/2)
-	if l.limit > 0 {
-		mean = min(mean, l.limit)
-	}
-	return mean
-}
-
 // generated is how many tokens a grant's stream has made, from the last word of
 // its node and the time since.
 func (p *Placer) generated(now time.Time, g *grant) float64 {
