--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -98,22 +98,20 @@
 
 func encodeRelease(r *released) *dispatcherrpc.Release {
 	return &dispatcherrpc.Release{
-		Grant:                 string(r.grant),
-		OutputTokens:          int64(r.result.Output),
-		Prefilled:             r.result.Prefilled,
-		Decoded:               r.result.Decoded,
-		PrefillingNanoseconds: int64(r.result.Prefilling),
-		Failed:                string(r.result.Failed),
+		Grant:        string(r.grant),
+		OutputTokens: int64(r.result.Output),
+		Prefilled:    r.result.Prefilled,
+		Decoded:      r.result.Decoded,
+		Failed:       string(r.result.Failed),
 	}
 }
 
 func decodeRelease(message *dispatcherrpc.Release) (identifier.Grant, placer.Result) {
 	return identifier.Grant(message.GetGrant()), placer.Result{
-		Output:     identifier.Tokens(message.GetOutputTokens()),
-		Prefilled:  message.GetPrefilled(),
-		Decoded:    message.GetDecoded(),
-		Prefilling: time.Duration(message.GetPrefillingNanoseconds()),
-		Failed:     identifier.Member(message.GetFailed()),
+		Output:    identifier.Tokens(message.GetOutputTokens()),
+		Prefilled: message.GetPrefilled(),
+		Decoded:   message.GetDecoded(),
+		Failed:    identifier.Member(message.GetFailed()),
 	}
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -167,7 +167,6 @@
 		c.failed(backend, err)
 		return Source{}, err
 	}
-	c.result.Prefilling = took
 	return source, nil
 }
 
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -107,10 +107,8 @@
 	freed []freed
 	// suspects counts the grants of suspect demands here, as either engine.
 	suspects int
-	// tokenTime and prefillTime are learned averages of the time for a token, made or
-	// read; zero is unknown.
-	tokenTime   time.Duration
-	prefillTime time.Duration
+	// tokenTime is a learned average of the time for a token; zero is unknown.
+	tokenTime time.Duration
 	// lastPeak is the peak that was foreseen for the last demand that was tried.
 	lastPeak float64
 	// forecast is the last foreseen use.
@@ -161,9 +159,6 @@
 	if e.load.PrefillRate > 0 && e.load.PrefillRate < rate {
 		rate = e.load.PrefillRate
 	}
-	if e.prefillTime > 0 {
-		rate = min(rate, identifier.Tokens(time.Second/e.prefillTime))
-	}
 	return rate
 }
 
--- a/placer/events.go
+++ b/placer/events.go
@@ -250,7 +250,6 @@
 	if g == nil {
 		return
 	}
-	p.notePrefill(g, result.Prefilling)
 	if result.Failed != "" {
 		p.fail(now, result.Failed)
 	} else if result.Decoded && result.Output > 0 {
--- a/placer/foresee.go
+++ b/placer/foresee.go
@@ -175,14 +175,6 @@
 	average(&g.decode.tokenTime, measured)
 }
 
-// notePrefill learns the time for a token of a prompt.
-func (p *Placer) notePrefill(g *grant, took time.Duration) {
-	if g.prefill == nil || took <= 0 || g.Demand.Prompt <= 0 {
-		return
-	}
-	average(&g.prefill.prefillTime, took/time.Duration(g.Demand.Prompt))
-}
-
 // average moves a learned time towards a measured one.
 func average(learned *time.Duration, measured time.Duration) {
 	if *learned == 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -124,8 +124,6 @@
 	// Prefilled tells that the prefill ran, Decoded that its result was used.
 	Prefilled bool
 	Decoded   bool
-	// Prefilling is how long the prefill took; zero is unknown.
-	Prefilling time.Duration
 	// Failed names a member that failed the request, or is empty.
 	Failed identifier.Member
 }
