Keep lesser work from starving where use is foreseen

Foreseen use decides, and a hundredth of the memory goes to lesser work first. Ruled out: a larger share, which urgent work would miss.

--- a/placer/place.go
+++ b/placer/place.go
@@ -60,7 +60,8 @@
 // hasHeadroom tells whether the free memory is more than urgent work is granted in
 // the time of the setting, so that its next burst finds memory without a pause.
 func (p *Placer) hasHeadroom(now time.Time) bool {
-	if !p.settings.has(Headroom) {
+	if p.settings.Foresight || !p.settings.has(Headroom) {
+		// What is foreseen decides; reservations would never leave any.
 		return true
 	}
 	free := p.capacity - p.used[identifier.Urgent] - p.used[identifier.Lesser]
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -17,6 +17,11 @@
 // beside a prompt, so that rounding wastes little.
 const pieceTokens identifier.Tokens = 256
 
+// lesserShare is the part of the engines' memory that lesser work gets before
+// urgent work: enough for a few requests at a time, so that a long flood of urgent
+// ones does not starve it.
+const lesserShare = 0.01
+
 // tables makes what the node routes by from the collections that it follows.
 type tables struct {
 	log      *logger.Logger
@@ -116,6 +121,7 @@
 			PieceTokens:     pieceTokens,
 			KVBytesPerToken: pool.TokenBytes,
 			Foresight:       true,
+			LesserShare:     lesserShare,
 		}
 		for _, backend := range t.backends {
 			if backend.Pool == pool.Name {
