Keep a read prompt for the next engine, and avoid engines that were replaced

A replaced engine is avoided and reported to the owner; where the decode engine was not there, the prompt's KV cache goes to the next one while it lives. Prompts that nobody fetches are freed in the background, so that no refusal waits for that.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -110,6 +110,13 @@
 	return slices.Clone(i.runs)
 }
 
+// Prefills counts the prompts that were read apart.
+func (i *Instance) Prefills() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.issued
+}
+
 // Used is the memory that running requests and handles hold.
 func (i *Instance) Used() int {
 	i.mutex.Lock()
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -35,7 +35,7 @@
 )
 
 var verdictNames = [...]string{
-	answered: "answered", faulted: "faulted", declined: "declined", lost: "lost", unreached: "unreached", withdrawn: "withdrawn",
+	answered: "answered", faulted: "faulted", declined: "declined", replaced: "replaced", lost: "lost", unreached: "unreached", withdrawn: "withdrawn",
 }
 
 func (v verdict) String() string { return verdictNames[v] }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,12 +61,14 @@
 	// turn counts choices, so that ties are broken in turn.
 	turn    atomic.Uint64
 	running atomic.Int64
+	// drops holds prompts to be freed by Run.
+	drops chan Source
 	// seen is the table that the judge's records were last compared with.
 	seen    atomic.Pointer[Table]
 	metrics metrics
 }
 
-// New returns a forwarder.
+// New returns a forwarder. Run has to be started for prompts to be freed.
 func New(options Options) *Forwarder {
 	if options.Log == nil {
 		options.Log = logger.Discard()
@@ -80,7 +82,7 @@
 	if options.Refresh == nil {
 		options.Refresh = func(context.Context) {}
 	}
-	return &Forwarder{options: options, judge: newJudge(), metrics: newMetrics(options.Scope)}
+	return &Forwarder{options: options, judge: newJudge(), drops: make(chan Source, dropLimit), metrics: newMetrics(options.Scope)}
 }
 
 // Running returns how many requests are being answered.
@@ -165,6 +167,9 @@
 	// grant is the engine memory held, or empty.
 	grant  identifier.Grant
 	result placer.Result
+	// source is a prefilled prompt that no engine has fetched yet, read at prefilled.
+	source    Source
+	prefilled time.Time
 	// sends counts the sendings that reached a back end.
 	sends int
 }
@@ -241,6 +246,7 @@
 // finish ends the call: it gives back what is held and counts the outcome.
 func (c *call) finish(refusal *router.Refusal) {
 	c.cancel()
+	c.dropSource()
 	if c.grant != "" {
 		c.options.Placer.Release(c.grant, c.result)
 		c.grant = ""
--- a/forwarder/judge.go
+++ b/forwarder/judge.go
@@ -15,6 +15,9 @@
 	unreachedHold = time.Second
 	// lostHold is the same after a lost answer, which may be a single fault.
 	lostHold = 300 * time.Millisecond
+	// replacedHold keeps a back end out whose address another one has. It is gone,
+	// and the list tells that within a few seconds.
+	replacedHold = 5 * time.Second
 	// faultDecay is how fast outcomes are forgotten.
 	faultDecay = 4 * time.Second
 	// faultLead is by how much the share of faults must exceed the pool's for a
@@ -107,6 +110,8 @@
 	faulted
 	// declined: the back end had no room.
 	declined
+	// replaced: another back end has the address.
+	replaced
 	// lost: without a whole answer.
 	lost
 	// unreached: without a connection.
@@ -137,6 +142,8 @@
 		r.outcomes++
 		r.faults++
 		r.avoidUntil = now.Add(lostHold)
+	case replaced:
+		r.avoidUntil = now.Add(replacedHold)
 	case unreached:
 		r.avoidUntil = now.Add(unreachedHold)
 	case withdrawn:
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -133,6 +133,8 @@
 		return unreached
 	case errorx.IsOfType(err, Unsent):
 		return withdrawn
+	case errorx.IsOfType(err, Replaced):
+		return replaced
 	case errorx.IsOfType(err, Declined):
 		return declined
 	default:
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -21,6 +21,7 @@
 		}
 		reply, err := c.start(placement)
 		if err == nil {
+			c.source = Source{}
 			return reply, nil
 		}
 		c.giveBack()
@@ -132,18 +133,53 @@
 
 // start runs one attempt up to the header of its answer.
 func (c *call) start(placement *placer.Placement) (*Reply, error) {
-	source, err := c.prefill(placement.Prefill)
-	if err != nil {
-		return nil, err
+	if !c.keepsSource() {
+		source, err := c.prefill(placement.Prefill)
+		if err != nil {
+			return nil, err
+		}
+		c.source, c.prefilled = source, time.Now()
 	}
 	c.result.Prefilled = true
-	reply, err := c.decode(placement.Decode, source)
-	if err != nil {
-		c.drop(source)
-		return nil, err
+	reply, err := c.decode(placement.Decode, c.source)
+	if err == nil {
+		c.result.Decoded = true
+		return reply, nil
+	}
+	if !untouched(err) {
+		c.dropSource()
 	}
-	c.result.Decoded = true
-	return reply, nil
+	return nil, err
+}
+
+// sourceShare is the part of a KV cache's life in which it is still sent on; the
+// rest is for its way.
+const sourceShare = 0.6
+
+// keepsSource tells whether the prompt's KV cache of an earlier attempt can still
+// be fetched.
+func (c *call) keepsSource() bool {
+	life := time.Duration(float64(c.pool.HandleLife) * sourceShare)
+	return c.source != (Source{}) && time.Since(c.prefilled) < life
+}
+
+// untouched tells whether an error proves that the KV cache was not fetched: the
+// decode engine was not there.
+func untouched(err error) bool {
+	return errorx.IsOfType(err, Unsent) || errorx.IsOfType(err, Replaced)
+}
+
+// dropSource frees the prompt's KV cache where nobody will fetch it.
+func (c *call) dropSource() {
+	if c.source == (Source{}) {
+		return
+	}
+	select {
+	case c.drops <- c.source:
+	default:
+		c.logDrop(c.source, errDropsWaiting)
+	}
+	c.source = Source{}
 }
 
 // prefill has the prompt read. Whatever happens, the request has not run.
@@ -216,7 +252,7 @@
 	if err != nil {
 		c.logSending(backend, v, err)
 	}
-	if v == unreached || v == lost && c.suspect(backend) {
+	if v == unreached || v == replaced || v == lost && c.suspect(backend) {
 		c.result.Failed = backend.Name
 	}
 }
@@ -252,19 +288,3 @@
 		sent:      sent,
 	}, nil
 }
-
-// dropTimeout bounds the call that frees a prompt; its engine frees it by itself
-// soon after.
-const dropTimeout = 500 * time.Millisecond
-
-// drop frees the KV cache of a prompt that nobody fetches.
-func (c *call) drop(source Source) {
-	if source == (Source{}) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), dropTimeout)
-	defer cancel()
-	if err := c.options.Backends.Drop(ctx, source); err != nil {
-		c.logDrop(source, err)
-	}
-}
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -107,18 +107,15 @@
 	}
 }
 
-// EventDropped tells of lines that nobody will read.
-var EventDropped = Define(1050, logrus.WarnLevel, "log lines dropped",
-	"The output was read too slowly; the field count says how many lines are missing before this one.")
-
-// NewQueued returns a logger that writes JSON lines into a queue.
-func NewQueued(queue *Queue, level logrus.Level, fields Fields) *Logger {
+// NewQueued returns a logger that writes JSON lines into a queue. The event tells
+// of dropped lines, with their count.
+func NewQueued(queue *Queue, level logrus.Level, fields Fields, droppedLines Event) *Logger {
 	l := New(io.Discard, level, fields)
 	l.queue = queue
 	queue.told = func(dropped int) []byte {
-		line, err := l.format(EventDropped, Fields{"count": dropped})
+		line, err := l.format(droppedLines, Fields{"count": dropped})
 		if err != nil {
-			return fmt.Appendf(nil, "{\"event\":%d,\"count\":%d}\n", EventDropped.Number, dropped)
+			return fmt.Appendf(nil, "{\"event\":%d,\"count\":%d}\n", droppedLines.Number, dropped)
 		}
 		return line
 	}
--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -16,8 +16,9 @@
 )
 
 var (
-	eventUsual  = logger.Define(99001, logrus.InfoLevel, "usual", "A test's event.")
-	eventUrgent = logger.Define(99002, logrus.WarnLevel, "urgent", "A test's event.")
+	eventUsual   = logger.Define(99001, logrus.InfoLevel, "usual", "A test's event.")
+	eventDropped = logger.Define(99003, logrus.WarnLevel, "dropped", "A test's event.")
+	eventUrgent  = logger.Define(99002, logrus.WarnLevel, "urgent", "A test's event.")
 )
 
 // blocked is an output that nobody reads until it is opened.
@@ -41,7 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		output := &blocked{open: make(chan struct{})}
 		queue := logger.NewQueue(output)
-		log := logger.NewQueued(queue, logrus.InfoLevel, nil)
+		log := logger.NewQueued(queue, logrus.InfoLevel, nil, eventDropped)
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- queue.Run(ctx) }()
@@ -72,7 +73,7 @@
 
 func BenchmarkLine(b *testing.B) {
 	queue := logger.NewQueue(io.Discard)
-	log := logger.NewQueued(queue, logrus.InfoLevel, logger.Fields{"node": "n", "data-centre": "d"})
+	log := logger.NewQueued(queue, logrus.InfoLevel, logger.Fields{"node": "n", "data-centre": "d"}, eventDropped)
 	ctx, stop := context.WithCancel(b.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- queue.Run(ctx) }()
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -182,6 +182,45 @@
 	})
 }
 
+// TestPromptIsReadOnce has a decode engine's address taken over: the prompt's KV
+// cache is fetched by another engine instead of being read again.
+func TestPromptIsReadOnce(t *testing.T) {
+	run(t, 1, func(t *testing.T, f *fleet) {
+		id := f.backends("llm", "decode")[0]
+		f.objects.Remove("servers", id)
+		f.objects.Put("servers", "i-0-earlier", f.instances[id].Entry("llm", "south", "ready"))
+		time.Sleep(applyBound)
+		sent := 0
+		for range 4 {
+			got := f.send(t.Context(), 0, quote())
+			f.check(t, got, true)
+			if sent++; got.status != http.StatusOK {
+				t.Errorf("%+v", got)
+			}
+		}
+		prefills := 0
+		for _, id := range f.backends("llm", "prefill") {
+			prefills += f.instances[id].Prefills()
+		}
+		if prefills != sent {
+			t.Errorf("%d prompts were read %d times", sent, prefills)
+		}
+	})
+}
+
+// TestLateRequestGoesOn has prefill engines hang: requests find others, and those
+// that missed their target are served while there is room.
+func TestLateRequestGoesOn(t *testing.T) {
+	run(t, 1, func(t *testing.T, f *fleet) {
+		f.instances[f.backends("llm", "prefill")[0]].SetFaults(emulator.InstanceFaults{Slow: 1000})
+		for range 3 {
+			if got := f.send(t.Context(), 0, quote()); got.status != http.StatusOK {
+				t.Errorf("%+v", got)
+			}
+		}
+	})
+}
+
 // TestStartsFromNothing has the whole fleet lose power while the store is away,
 // and come back before it.
 func TestStartsFromNothing(t *testing.T) {
