--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -61,7 +61,7 @@
 		r.end(nil)
 		return n, io.EOF
 	}
-	r.broke()
+	r.broke(err)
 	return n, err
 }
 
@@ -77,11 +77,13 @@
 }
 
 // broke ends a stream that its engine cut off, or that has to stop.
-func (r *Reply) broke() {
+func (r *Reply) broke(cause error) {
 	refusal := r.call.over()
 	if refusal == nil {
 		refusal = unknown(router.StreamLost, "the back end broke its answer off")
 		r.call.judge.end(time.Now(), r.backend, lost, time.Since(r.sent))
+		r.call.logSending(r.backend, lost, cause)
+		r.call.logJudged(r.backend, r.call.judge.look(time.Now(), r.backend, r.call.table.Pool(r.backend.Pool, r.backend.Role)))
 		if r.call.suspect(r.backend) {
 			r.call.result.Failed = r.backend.Name
 		}
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailspool/foxtailspool/platform"
 	"github.com/foxtailspool/foxtailspool/starter"
 
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -44,6 +45,8 @@
 	caller    *http.Client
 	sent      atomic.Int64
 	version   int
+	// logs takes the log of every node.
+	logs io.Writer
 }
 
 // node is one node's latest process.
@@ -56,6 +59,12 @@
 
 // run runs a scenario on a fleet of some nodes in virtual time.
 func run(t *testing.T, nodes int, scenario func(t *testing.T, f *fleet)) {
+	t.Helper()
+	runLogged(t, nodes, io.Discard, scenario)
+}
+
+// runLogged is run with the nodes' logs.
+func runLogged(t *testing.T, nodes int, logs io.Writer, scenario func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
@@ -63,6 +72,7 @@
 			network:   emulator.NewNetwork(time.Millisecond),
 			objects:   emulator.NewObjects(),
 			instances: map[string]*emulator.Instance{},
+			logs:      logs,
 		}
 		transport := f.network.Host(callerHost).Transport(connector.Limits{
 			Dial: time.Second, Header: 20 * time.Second, Idle: time.Second, PerHost: 100,
@@ -199,7 +209,7 @@
 		Settings:    own.settings,
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
 		Network:     f.network.Host(own.host),
-		Log:         logger.Discard(),
+		Log:         logger.New(f.logs, logrus.InfoLevel, logger.Fields{"node": own.settings.Node}),
 		Scope:       tally.NoopScope,
 	})
 	ended := own.ended
