--- a/prober/contact.go
+++ b/prober/contact.go
@@ -58,7 +58,9 @@
 	}
 	seeds := m.strangers()
 	if len(seeds) == 0 {
-		m.goOnAlone(now)
+		if m.options.Unlisted == nil || !m.options.Unlisted() || !now.Before(m.started.Add(m.options.SuspectAfter)) {
+			m.goOnAlone(now)
+		}
 		return
 	}
 	m.nextJoin = now.Add(jitter(m.random, m.joinBackoff))
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -36,6 +36,9 @@
 	// Listed returns further seeds, such as the platform's VM list. It may be
 	// late or wrong: it is never taken as membership. It may be nil.
 	Listed func() []identifier.Address
+	// Unlisted tells that Listed has not been read yet. Without seeds a node waits
+	// for it before it goes on alone, but no longer than SuspectAfter. It may be nil.
+	Unlisted func() bool
 	// Peers sends to "http://" and a peer address, and keeps connections longer
 	// than four Intervals.
 	Peers http.RoundTripper
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -45,19 +45,26 @@
 // Registrar writes a node's entry and reads the others'.
 type Registrar struct {
 	options Options
-	listed  atomic.Pointer[[]identifier.Address]
+	// listed is nil until the list has been read.
+	listed atomic.Pointer[[]identifier.Address]
 }
 
 // New returns a registrar that knows no other node yet.
 func New(options Options) *Registrar {
-	r := &Registrar{options: options}
-	r.listed.Store(&[]identifier.Address{})
-	return r
+	return &Registrar{options: options}
 }
 
 // Listed returns the peer addresses of the other nodes with an entry.
 func (r *Registrar) Listed() []identifier.Address {
-	return *r.listed.Load()
+	if listed := r.listed.Load(); listed != nil {
+		return *listed
+	}
+	return nil
+}
+
+// Unlisted tells that the list has not been read yet.
+func (r *Registrar) Unlisted() bool {
+	return r.listed.Load() == nil
 }
 
 type wireNode struct {
--- a/starter/services.go
+++ b/starter/services.go
@@ -88,6 +88,7 @@
 	s.prober = prober.New(prober.Options{
 		Self:         s.self(),
 		Listed:       s.registrar.Listed,
+		Unlisted:     s.registrar.Unlisted,
 		Peers:        s.peers,
 		NewPeers:     fresh,
 		Interval:     probeInterval,
@@ -147,7 +148,7 @@
 	s.forwarder = forwarder.New(forwarder.Options{
 		Node:       settings.Node,
 		DataCentre: settings.DataCentre,
-		Table:      s.tables.current,
+		Table:      s.table,
 		Streams:    s.takesStreams,
 		Refresh:    s.follower.Refresh,
 		Placer:     s.dispatcher,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -125,9 +125,20 @@
 	return stopped == 0 || time.Since(time.Unix(0, stopped)) < grace
 }
 
+// table is what the node routes by: nothing until it knows whether it is alone. A
+// node that does not know of the others would place for all of them.
+func (s *Starter) table() *forwarder.Table {
+	select {
+	case <-s.prober.Joined():
+		return s.tables.current()
+	default:
+		return s.tables.empty
+	}
+}
+
 // ready tells whether callers may use the node.
 func (s *Starter) ready() bool {
-	table := s.tables.current()
+	table := s.table()
 	return table.Configuration != nil && table.Listed && !s.leaving()
 }
 
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -33,11 +33,13 @@
 	listed        bool
 	latest        atomic.Pointer[forwarder.Table]
 	placed        atomic.Pointer[tabulator.Snapshot]
+	// empty is a table that routes nothing.
+	empty *forwarder.Table
 }
 
 func newTables(log *logger.Logger, announce func(identifier.Configuration)) *tables {
-	t := &tables{log: log, announce: announce}
-	t.latest.Store(forwarder.NewTable(nil, nil, false))
+	t := &tables{log: log, announce: announce, empty: forwarder.NewTable(nil, nil, false)}
+	t.latest.Store(t.empty)
 	return t
 }
 
