Test the placement of loads, and follow a mix that shifts

Tests of loads against the pure placer: bursts, lesser floods while engines drain, urgent floods, a slow engine, longer answers, callers who return, an owner lost.

--- a/placer/foresee.go
+++ b/placer/foresee.go
@@ -199,7 +199,7 @@
 }
 
 // logWindow is over how many outputs the averages are taken.
-const logWindow = 300
+const logWindow = 60
 
 func (l *logs) add(value float64) {
 	l.weight = min(l.weight+1, logWindow)
--- /dev/null
+++ b/placer/foresee_test.go
@@ -0,0 +1,357 @@
+package placer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// The load that the tests below play: prompts and outputs about as long as those
+// of the users' model routes, against six decode engines behind three prefill
+// engines.
+const (
+	loadPrompt  = 5000
+	loadOutput  = 4500
+	loadSpread  = 0.5
+	loadMemory  = 105_000
+	loadToken   = 700 * time.Microsecond
+	loadTarget  = 650 * time.Millisecond
+	loadHold    = 320 * time.Millisecond
+	loadStep    = 10 * time.Millisecond
+	loadPiece   = 250
+	loadDecodes = 6
+)
+
+// load plays requests against a placer and counts what becomes of them. What the
+// engines really hold follows from the requests' true outputs.
+type load struct {
+	t        *testing.T
+	random   *rand.Rand
+	placer   *Placer
+	engines  []Engine
+	now      time.Time
+	sent     int
+	waiting  map[identifier.Request]playedRequest
+	running  map[identifier.Grant]*playedRun
+	slow     map[identifier.Member]float64
+	rate     float64
+	lesser   float64
+	longer   float64
+	returns  bool
+	comeback []comeback
+	counts   counts
+}
+
+type playedRequest struct {
+	rank     identifier.Rank
+	prompt   float64
+	output   float64
+	hash     uint64
+	returned bool
+}
+
+type playedRun struct {
+	playedRequest
+	decode identifier.Member
+	starts time.Time
+	made   float64
+}
+
+type comeback struct {
+	at      time.Time
+	request playedRequest
+}
+
+// counts are requests by what became of them, and the moments at which an engine
+// held more than its memory, of all moments.
+type counts struct {
+	urgent, lesser, placed, placedLesser, refused, late int
+	overflows, moments                                  int
+}
+
+func newLoad(t *testing.T, foresight bool) *load {
+	l := &load{
+		t:       t,
+		random:  rand.New(rand.NewPCG(1, 2)),
+		now:     time.Unix(1000, 0),
+		waiting: map[identifier.Request]playedRequest{},
+		running: map[identifier.Grant]*playedRun{},
+		slow:    map[identifier.Member]float64{},
+		longer:  1,
+	}
+	for n := range 3 {
+		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("p%d", n)), Role: identifier.Prefill, Pieces: loadMemory / loadPiece, PrefillRate: 55_000, LinkRate: 1e12})
+	}
+	for n := range loadDecodes {
+		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("d%d", n)), Role: identifier.Decode, Pieces: loadMemory / loadPiece, LinkRate: 1e12, Slots: 32})
+	}
+	settings := Settings{Issuer: "t", PieceTokens: loadPiece, Foresight: foresight, LesserShare: 0.02, Lease: time.Hour, Rebuild: time.Nanosecond}
+	l.placer = New(l.now, settings)
+	l.placer.Configure(settings, l.engines)
+	l.now = l.now.Add(time.Second)
+	return l
+}
+
+// play sends requests at a rate for some time and returns what became of those.
+func (l *load) play(rate float64, span time.Duration) counts {
+	l.rate = rate
+	l.counts = counts{}
+	for until := l.now.Add(span); l.now.Before(until); l.now = l.now.Add(loadStep) {
+		if l.random.Float64() < l.rate*loadStep.Seconds() {
+			l.submit(l.draw())
+		}
+		l.comeBack()
+		l.run()
+		l.placer.Advance(l.now)
+		l.settle()
+	}
+	return l.counts
+}
+
+func (l *load) draw() playedRequest {
+	r := playedRequest{prompt: l.spread(loadPrompt), output: min(9000, l.spread(loadOutput)*l.longer), hash: l.random.Uint64() | 1}
+	if l.random.Float64() < l.lesser {
+		r.rank = identifier.Lesser
+	}
+	return r
+}
+
+func (l *load) spread(mean float64) float64 {
+	return mean * math.Exp(l.random.NormFloat64()*loadSpread-loadSpread*loadSpread/2)
+}
+
+func (l *load) submit(r playedRequest) {
+	l.sent++
+	id := identifier.Request(fmt.Sprint(l.sent))
+	if r.rank == identifier.Urgent {
+		l.counts.urgent++
+	} else {
+		l.counts.lesser++
+	}
+	l.waiting[id] = r
+	demand := Demand{
+		Request: id, Attempt: 1, Rank: r.rank, Node: "n", Prompt: identifier.Tokens(r.prompt), Limit: 9000,
+		Hint: identifier.Tokens(l.spread(r.output)), Wait: loadTarget, Hold: loadHold, Between: 300 * time.Millisecond, Fresh: true,
+	}
+	if l.returns {
+		demand.Returning = r.hash
+	}
+	l.placer.Submit(l.now, demand)
+}
+
+func (l *load) comeBack() {
+	for len(l.comeback) > 0 && !l.now.Before(l.comeback[0].at) {
+		back := l.comeback[0]
+		l.comeback = l.comeback[1:]
+		back.request.returned = true
+		l.submit(back.request)
+	}
+}
+
+// run lets the streams make tokens, and notes engines that hold too much.
+func (l *load) run() {
+	held := map[identifier.Member]float64{}
+	for grant, r := range l.running {
+		if l.now.Before(r.starts) {
+			continue
+		}
+		slow := max(1, l.slow[r.decode])
+		r.made += loadStep.Seconds() / loadToken.Seconds() / slow
+		if r.made >= r.output {
+			delete(l.running, grant)
+			l.placer.Release(l.now, grant, Result{Output: identifier.Tokens(r.output), Prefilled: true, Decoded: true})
+			continue
+		}
+		held[r.decode] += r.prompt + r.made
+	}
+	for _, e := range l.engines[3:] {
+		l.counts.moments++
+		if held[e.Member] > loadMemory {
+			l.counts.overflows++
+		}
+	}
+	if l.now.UnixMilli()%1000 == 0 {
+		l.renew()
+	}
+}
+
+// renew tells the placer how far the streams are, as nodes do each second.
+func (l *load) renew() {
+	for _, h := range l.placer.Held() {
+		if r := l.running[h.Grant]; r != nil && r.made > 0 {
+			l.placer.Renew(l.now, Held{Grant: h.Grant, Output: identifier.Tokens(r.made), Decoding: true}, false)
+		}
+	}
+}
+
+func (l *load) settle() {
+	decisions, _ := l.placer.Take()
+	for _, d := range decisions {
+		r := l.waiting[d.Request]
+		delete(l.waiting, d.Request)
+		placed := d.Outcome.Placement
+		if placed == nil {
+			l.counts.refused++
+			if l.returns && !r.returned {
+				at := l.now.Add(d.Outcome.Refusal.RetryAfter)
+				l.comeback = append(l.comeback, comeback{at, r})
+				slices.SortFunc(l.comeback, func(a, b comeback) int { return a.at.Compare(b.at) })
+			}
+			continue
+		}
+		l.running[placed.Grant] = &playedRun{playedRequest: r, decode: placed.Decode, starts: l.now.Add(120 * time.Millisecond)}
+		switch {
+		case r.returned:
+			l.counts.late++
+		case r.rank == identifier.Lesser:
+			l.counts.placedLesser++
+		default:
+			l.counts.placed++
+		}
+	}
+}
+
+const (
+	// usualRate fills about half of the engines' memory, burstRate over all of it.
+	usualRate = 11
+	burstRate = 30
+)
+
+// TestBurstIsServedByForeseenUse holds what foresight is for: in a burst it places
+// clearly more than reservations do, and the engines hold no more than they have.
+func TestBurstIsServedByForeseenUse(t *testing.T) {
+	foreseen, reserved := newLoad(t, true), newLoad(t, false)
+	var with, without counts
+	for _, l := range []struct {
+		load   *load
+		counts *counts
+	}{{foreseen, &with}, {reserved, &without}} {
+		if quiet := l.load.play(usualRate, 20*time.Second); quiet.refused > quiet.urgent/50 {
+			t.Errorf("refused in quiet times: %+v", quiet)
+		}
+		*l.counts = l.load.play(burstRate, 10*time.Second)
+	}
+	if float64(with.placed) < 1.15*float64(without.placed) {
+		t.Errorf("foreseen %+v, reserved %+v", with, without)
+	}
+	if float64(with.overflows) > 0.02*float64(with.moments) {
+		t.Errorf("engines held too much: %+v", with)
+	}
+}
+
+// TestLesserBurstWhileEnginesDrain has lesser work flood the pool while a third of
+// its decode engines leave: urgent work is served as before, and lesser work too
+// where there is room.
+func TestLesserBurstWhileEnginesDrain(t *testing.T) {
+	l := newLoad(t, true)
+	l.play(usualRate, 10*time.Second)
+	for n := 3; n < 5; n++ {
+		l.engines[n].Leaving = true
+	}
+	l.placer.Configure(l.placer.settings, l.engines)
+	l.lesser = 0.6
+	got := l.play(2*usualRate, 10*time.Second)
+	if float64(got.placed) < 0.9*float64(got.urgent) {
+		t.Errorf("urgent work was refused: %+v", got)
+	}
+	if float64(got.placedLesser) < 0.25*float64(got.lesser) {
+		t.Errorf("lesser work starves: %+v", got)
+	}
+}
+
+// TestUrgentFloodStarvesNobody has more urgent work than the engines hold for as
+// long as a burst lasts: a little lesser work still gets through.
+func TestUrgentFloodStarvesNobody(t *testing.T) {
+	l := newLoad(t, true)
+	l.lesser = 0.03
+	l.play(usualRate, 10*time.Second)
+	got := l.play(2*burstRate, 20*time.Second)
+	if got.lesser < 10 || float64(got.placedLesser) < 0.25*float64(got.lesser) {
+		t.Errorf("lesser work starves: %+v", got)
+	}
+}
+
+// TestUrgentBurstWithSlowEngine has one engine make tokens at a third of the
+// others' speed: it is given fewer requests, and none of the engines overflows.
+func TestUrgentBurstWithSlowEngine(t *testing.T) {
+	l := newLoad(t, true)
+	l.slow["d0"] = 3
+	l.play(usualRate, 30*time.Second)
+	got := l.play(burstRate, 10*time.Second)
+	if float64(got.overflows) > 0.03*float64(got.moments) {
+		t.Errorf("engines held too much: %+v", got)
+	}
+}
+
+// TestMixShiftsToLongAnswers has the outputs double between two bursts: what is
+// learned follows, so that the engines do not overflow for long.
+func TestMixShiftsToLongAnswers(t *testing.T) {
+	l := newLoad(t, true)
+	l.play(usualRate, 20*time.Second)
+	l.longer = 2
+	l.play(usualRate/2, 20*time.Second)
+	got := l.play(burstRate, 10*time.Second)
+	if float64(got.overflows) > 0.05*float64(got.moments) {
+		t.Errorf("engines held too much: %+v", got)
+	}
+}
+
+// TestCallersWhoReturnTakeNothingFromOthers has every refused caller come back as
+// it is told: in the burst no fewer requests are on time than without them, and
+// most of those who return are served in the end.
+func TestCallersWhoReturnTakeNothingFromOthers(t *testing.T) {
+	alone, with := newLoad(t, true), newLoad(t, true)
+	with.returns = true
+	var burst [2]counts
+	for i, l := range []*load{alone, with} {
+		l.play(usualRate, 20*time.Second)
+		burst[i] = l.play(burstRate, 8*time.Second)
+	}
+	if float64(burst[1].placed) < 0.93*float64(burst[0].placed) {
+		t.Errorf("with callers who return %+v, without %+v", burst[1], burst[0])
+	}
+	after := with.play(usualRate/2, 12*time.Second)
+	if after.late == 0 || after.refused > after.late/5 {
+		t.Errorf("callers who returned were refused again: %+v", after)
+	}
+}
+
+// TestOwnerLostInBurst has a new owner take over in a burst with what the nodes
+// renew: the engines hold too much for no longer than a moment.
+func TestOwnerLostInBurst(t *testing.T) {
+	l := newLoad(t, true)
+	l.play(usualRate, 10*time.Second)
+	l.play(burstRate, 4*time.Second)
+	held := l.placer.Held()
+	settings := l.placer.settings
+	settings.Issuer = "u"
+	l.placer = New(l.now, settings)
+	l.placer.Configure(settings, l.engines)
+	for _, h := range held {
+		if r := l.running[h.Grant]; r != nil {
+			h.Output, h.Decoding = identifier.Tokens(r.made), r.made > 0
+			l.placer.Renew(l.now, h, true)
+		}
+	}
+	got := l.play(burstRate, 4*time.Second)
+	if float64(got.overflows) > 0.05*float64(got.moments) {
+		t.Errorf("engines held too much: %+v", got)
+	}
+}
+
+func TestRefusalTellsItsCause(t *testing.T) {
+	l := newLoad(t, true)
+	l.play(2*burstRate, 5*time.Second)
+	l.placer.Submit(l.now, Demand{Request: "x", Attempt: 1, Node: "n", Prompt: 6000, Wait: loadTarget, Hold: time.Millisecond, Fresh: true})
+	l.placer.Advance(l.now.Add(time.Second))
+	decisions, _ := l.placer.Take()
+	last := decisions[len(decisions)-1].Outcome.Refusal
+	if last == nil || last.Cause.Engines != loadDecodes || last.Cause.Peak < 0.9 || last.RetryAfter < returnAfter {
+		t.Errorf("%+v", last)
+	}
+}
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -20,7 +20,7 @@
 // lesserShare is the part of the engines' memory that lesser work gets before
 // urgent work: enough for a few requests at a time, so that a long flood of urgent
 // ones does not starve it.
-const lesserShare = 0.01
+const lesserShare = 0.02
 
 // tables makes what the node routes by from the collections that it follows.
 type tables struct {
