Ask a store that answers nobody from few nodes only

While the readers are behind, a few substitutes read; a node that is neither backs off up to 4 s, and asks them first.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,6 +115,10 @@
 	newer chan struct{}
 	// refreshed is when the last read on demand ended.
 	refreshed time.Time
+	// nextRead is when a node that is no reader may try the store again, backoff the
+	// pause before that.
+	nextRead time.Time
+	backoff  time.Duration
 }
 
 // New returns a follower without copies.
@@ -149,44 +154,77 @@
 	return nil
 }
 
-// round brings the copies up to date once, from the cheapest source that is.
+// round brings the copies up to date once, from the cheapest source that is: the
+// readers, then the substitutes, who read by themselves while the readers are
+// behind, then the store, then any other node.
 func (f *Follower) round(ctx context.Context) {
-	readers := f.readers()
-	for _, reader := range readers {
-		if reader.Node == f.options.Self {
-			if f.read(ctx) {
-				return
-			}
-			continue
-		}
-		if f.isReader(readers) {
-			continue
-		}
-		f.ask(ctx, reader, f.options.Interval)
-		if f.Age() < f.options.Stale {
-			return
+	ranked := f.options.View().Ranked("store-readers", f.options.Readers*(1+substitutes))
+	readers := ranked[:min(f.options.Readers, len(ranked))]
+	reads, substitute := named(readers, f.options.Self), named(ranked, f.options.Self)
+	if reads {
+		if !f.read(ctx) {
+			f.askAround(ctx)
 		}
+		return
+	}
+	if f.askAll(ctx, readers) || !substitute && f.askAll(ctx, ranked[len(readers):]) {
+		return
 	}
-	if !f.isReader(readers) && f.read(ctx) {
+	if f.mayRead(time.Now()) && f.readBacked(ctx) {
 		return
 	}
 	f.askAround(ctx)
 }
 
-// readers are the nodes that read the store for the others.
-func (f *Follower) readers() []assigner.Member {
-	return f.options.View().Ranked("store-readers", f.options.Readers)
+// substitutes are how many nodes for each reader read by themselves while the
+// readers are behind.
+const substitutes = 2
+
+// named tells whether a node is among some members.
+func named(members []assigner.Member, node identifier.Node) bool {
+	return slices.ContainsFunc(members, func(m assigner.Member) bool { return m.Node == node })
 }
 
-func (f *Follower) isReader(readers []assigner.Member) bool {
-	for _, reader := range readers {
-		if reader.Node == f.options.Self {
+// askAll waits at some nodes in turn for something newer, until the copies are fresh.
+func (f *Follower) askAll(ctx context.Context, members []assigner.Member) bool {
+	for _, member := range members {
+		if ctx.Err() != nil {
+			return false
+		}
+		f.ask(ctx, member, f.options.Interval)
+		if f.Age() < f.options.Stale {
 			return true
 		}
 	}
 	return false
 }
 
+// mayRead tells whether a node that is no reader tries the store again. While the
+// store answers nobody, only the readers go on asking it each interval.
+func (f *Follower) mayRead(now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !now.Before(f.nextRead)
+}
+
+// mostBackoff is the longest pause between two tries of a node that is no reader.
+const mostBackoff = 4 * time.Second
+
+// readBacked reads the store, and waits twice as long for the next try each time
+// that fails.
+func (f *Follower) readBacked(ctx context.Context) bool {
+	ok := f.read(ctx)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if ok {
+		f.backoff = 0
+		return true
+	}
+	f.backoff = min(max(2*f.backoff, f.options.Interval), mostBackoff)
+	f.nextRead = time.Now().Add(f.backoff)
+	return false
+}
+
 // askAround asks some other nodes for what they have, until a copy is fresh.
 func (f *Follower) askAround(ctx context.Context) {
 	const most = 3
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -143,6 +143,76 @@
 	}
 }
 
+// TestStoreAwayCostsFewCalls has the store answer nobody for a while: it is not
+// asked by every node at every interval, and all nodes are current soon after.
+func TestStoreAwayCostsFewCalls(t *testing.T) {
+	const nodes, away = 10, 8
+	run(t, nodes, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		f.objects.SetFaults(emulator.ObjectFaults{Status: http.StatusServiceUnavailable})
+		before := f.objects.Counts()
+		time.Sleep(away * time.Second)
+		calls := f.objects.Counts().Reads - before.Reads
+		// Two readers ask for two collections five times in two seconds.
+		if most := 2*2*away*5/2 + nodes*2*5; calls > most {
+			t.Errorf("%d calls in %d s, want %d at most", calls, away, most)
+		}
+		f.objects.SetFaults(emulator.ObjectFaults{})
+		f.configure("other")
+		time.Sleep(applyBound)
+		for n := range f.nodes {
+			got := f.send(t.Context(), n, booking())
+			if _, where, _ := f.runsOf(got.attempt); len(where) != 1 || where[0] != f.backends("other", "")[0] {
+				t.Errorf("node %d: ran at %v", n, where)
+			}
+		}
+	})
+}
+
+// TestReadersCutOffCostFewCalls has the store turn the two nodes away that read it
+// for the others: a few others read it instead, not all.
+func TestReadersCutOffCostFewCalls(t *testing.T) {
+	const nodes, span = 10, 8
+	run(t, nodes, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		for _, n := range f.readers(t) {
+			f.objects.RefuseHost(f.nodes[n].host, emulator.ObjectFaults{Silent: true})
+		}
+		time.Sleep(3 * time.Second)
+		before := f.objects.Counts()
+		time.Sleep(span * time.Second)
+		answered := f.objects.Counts().Reads - before.Reads - (f.objects.Counts().Refused - before.Refused)
+		if most := 4 * 2 * span * 5 / 2; answered > most {
+			t.Errorf("%d reads in %d s, want %d at most", answered, span, most)
+		}
+		f.configure("other")
+		time.Sleep(applyBound)
+		for n := range f.nodes {
+			got := f.send(t.Context(), n, booking())
+			if _, where, _ := f.runsOf(got.attempt); len(where) != 1 || where[0] != f.backends("other", "")[0] {
+				t.Errorf("node %d: ran at %v", n, where)
+			}
+		}
+	})
+}
+
+// readers finds the nodes that read the store, by turning one after the other away
+// and looking whether it asks.
+func (f *fleet) readers(t *testing.T) []int {
+	t.Helper()
+	var readers []int
+	for n, own := range f.nodes {
+		f.objects.RefuseHost(own.host, emulator.ObjectFaults{Status: http.StatusServiceUnavailable})
+		before := f.objects.Counts().Refused
+		time.Sleep(time.Second)
+		if f.objects.Counts().Refused > before {
+			readers = append(readers, n)
+		}
+		f.objects.RefuseHost(own.host, emulator.ObjectFaults{})
+	}
+	return readers
+}
+
 func TestLeavingBackEndGetsNothing(t *testing.T) {
 	run(t, 3, func(t *testing.T, f *fleet) {
 		leaving := f.backends("desk", "")[0]
