--- a/cmd/catalogue_test.go
+++ b/cmd/catalogue_test.go
@@ -80,7 +80,7 @@
 	var text strings.Builder
 	text.WriteString("# Events\n\n" +
 		"Every event that a node logs, generated from the code. A node writes JSON lines\n" +
-		"to standard error; the field `event` holds the number, which never changes its\n" +
+		"to standard error, under `run` to standard output; the field `event` holds the number, which never changes its\n" +
 		"meaning. `log.level` sets the least severe level that is written.\n\n" +
 		"| event | level | message | meaning |\n| --- | --- | --- | --- |\n")
 	for _, event := range events {
