--- a/follower/follower.go
+++ b/follower/follower.go
@@ -336,8 +336,8 @@
 // ask for what does not exist cannot load the store.
 const refreshGap = 150 * time.Millisecond
 
-// Refresh reads the store now, unless that was done a moment ago, and returns
-// when the copies are as new as can be had, or with ctx.
+// Refresh reads the store now, unless the copies are fresh or that was done a
+// moment ago, and returns when they are as new as can be had, or with ctx.
 func (f *Follower) Refresh(ctx context.Context) {
 	asked := time.Now()
 	select {
@@ -349,7 +349,7 @@
 	f.mutex.Lock()
 	recent := asked.Sub(f.refreshed) < refreshGap || f.refreshed.After(asked)
 	f.mutex.Unlock()
-	if recent || f.Age() < refreshGap {
+	if recent || f.Age() < f.options.Stale {
 		return
 	}
 	if !f.read(ctx) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -27,7 +27,7 @@
 	retryPause = 400 * time.Millisecond
 	// settleReads is how many times the list is read again soon after the start,
 	// while others start too, and settlePause the time between.
-	settleReads = 3
+	settleReads = 1
 	settlePause = 700 * time.Millisecond
 	// readInterval is the time between two later reads. Later starters reach the
 	// others by themselves, so that these are for fleets that were split.
