--- a/starter/services.go
+++ b/starter/services.go
@@ -48,6 +48,9 @@
 	// budgetShare is the part of the fleet's retry budget that is used. The rest is
 	// for nodes that another node does not know of yet.
 	budgetShare = 0.8
+	// shardEngines bounds the engines that one owner places for. A decision looks at
+	// all of them: some tens of microseconds at this size.
+	shardEngines = 64
 	// loadInterval is the time between two reports of an engine to its pool's
 	// owner. Each costs as much as a probe, and they tell what grants do not: that
 	// an engine is slow or unreachable.
@@ -136,8 +139,10 @@
 		Peers:    s.peers,
 		Engines:  engines{},
 		Poll:     loadInterval,
-		Log:      s.options.Log,
-		Scope:    s.options.Scope,
+		// Two owners of half a pool each keep less of it in use than one of all.
+		ShardEngines: shardEngines,
+		Log:          s.options.Log,
+		Scope:        s.options.Scope,
 	})
 	s.isolator = isolator.New(isolator.Options{
 		Broadcast: s.prober.Broadcast,
