--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,7 +36,6 @@
 
 // Options sets up a forwarder.
 type Options struct {
-	Node       identifier.Node
 	DataCentre identifier.DataCentre
 	// Table returns what to route by, never nil.
 	Table func() *Table
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -125,6 +126,6 @@
 // format makes the line of an event.
 func (l *Logger) format(event Event, fields Fields) ([]byte, error) {
 	entry := l.entry.WithField("event", event.Number).WithFields(fields)
-	entry.Level, entry.Message, entry.Time = event.Level, event.Message, now()
+	entry.Level, entry.Message, entry.Time = event.Level, event.Message, time.Now()
 	return entry.Bytes()
 }
--- a/logger/sample.go
+++ b/logger/sample.go
@@ -1,13 +1,6 @@
 package logger
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-// now is the time of day, which lines of several nodes are ordered by.
-func now() time.Time { return time.Now() }
+import "github.com/cespare/xxhash/v2"
 
 // sampleOne is of how many requests that went well one is logged: a line costs
 // about as much as a tenth of forwarding a look-up, and a node serves hundreds a
--- a/server/server.go
+++ b/server/server.go
@@ -129,18 +129,7 @@
 // requests for as long as callers keep that answer, finishes its streams, and
 // returns.
 func (s *Server) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := make(chan error, 1)
-	go func() { ended <- s.supervisor.Run(running) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	s.leave(running)
-	stop()
-	return <-ended
+	return s.supervisor.RunDraining(ctx, s.leave)
 }
 
 // leave tells the fleet and waits until no caller holds this node's address.
--- a/starter/services.go
+++ b/starter/services.go
@@ -151,7 +151,6 @@
 	})
 	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
 	s.forwarder = forwarder.New(forwarder.Options{
-		Node:       settings.Node,
 		DataCentre: settings.DataCentre,
 		Table:      s.table,
 		Streams:    s.takesStreams,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -79,18 +79,7 @@
 // requests for as long as callers keep that answer, finishes what is open, and
 // returns.
 func (s *Starter) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := make(chan error, 1)
-	go func() { ended <- s.supervisor.Run(running) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	s.leave(running)
-	stop()
-	return <-ended
+	return s.supervisor.RunDraining(ctx, s.leave)
 }
 
 // leave tells the fleet and waits until callers have asked for addresses anew.
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -149,6 +149,7 @@
 	}
 }
 
-// prefillRate is what an engine of the users' kind reads in a second.
-// TODO: learned from the prefills that were made.
+// prefillRate is what prefills are planned with, in prompt tokens a second: a tenth
+// below what the users' sheets give for an idle engine. The platform does not tell it,
+// and times of prefills hold their queueing too, so that it is not learned.
 const prefillRate identifier.Tokens = 50_000
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -89,6 +89,23 @@
 	return failure
 }
 
+// RunDraining is Run for services that go on until they have left: when ctx ends,
+// leave is called while they all still run, and they are stopped once it returns.
+func (s *Supervisor) RunDraining(ctx context.Context, leave func(ctx context.Context)) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(running) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	leave(running)
+	stop()
+	return <-ended
+}
+
 // failed tells a failure from a service that reports the end of its context.
 func failed(err error) bool {
 	return err != nil && !errors.Is(err, context.Canceled)
