--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -1,7 +1,6 @@
 package starter_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -322,7 +321,7 @@
 // TestRestartedNodeOwnsNothingAlone has a node start again beside others: it must
 // not place requests by itself before it has found them.
 func TestRestartedNodeOwnsNothingAlone(t *testing.T) {
-	var logs bytes.Buffer
+	var logs lines
 	runLogged(t, 3, &logs, func(t *testing.T, f *fleet) {
 		time.Sleep(5 * time.Second)
 		for n := range f.nodes {
--- a/starter/walkthrough_test.go
+++ b/starter/walkthrough_test.go
@@ -1,7 +1,6 @@
 package starter_test
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"slices"
@@ -49,15 +48,39 @@
 	})
 }
 
+// lines holds the logs of several nodes, which write at the same time.
+type lines struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *lines) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
+func (l *lines) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.text.Reset()
+}
+
 // walk runs a scenario that returns a request's id, and holds the events that its
 // timeline must have, in this order.
 func walk(t *testing.T, scenario func(t *testing.T, f *fleet) string, events ...int) {
 	t.Helper()
-	var logs bytes.Buffer
+	var logs lines
 	var request string
 	runLogged(t, 2, &logs, func(t *testing.T, f *fleet) { request = scenario(t, f) })
 	collector := explainer.New(request)
-	if err := collector.Read(&logs); err != nil {
+	if err := collector.Read(strings.NewReader(logs.String())); err != nil {
 		t.Fatal(err)
 	}
 	timeline := collector.Timeline()
