--- a/follower/wire.go
+++ b/follower/wire.go
@@ -33,8 +33,9 @@
 	for _, h := range request.GetHeld() {
 		held[storer.Kind(h.GetKind())] = h
 	}
-	hold := time.NewTimer(min(time.Duration(request.GetHoldMilliseconds())*time.Millisecond, s.follower.options.Stale))
-	defer hold.Stop()
+	hold := min(time.Duration(request.GetHoldMilliseconds())*time.Millisecond, s.follower.options.Stale)
+	ctx, cancel := context.WithTimeout(ctx, hold)
+	defer cancel()
 	for {
 		response, changed, newer := s.follower.since(held)
 		if changed {
@@ -42,10 +43,8 @@
 		}
 		select {
 		case <-newer:
-		case <-hold.C:
-			response, _, _ = s.follower.since(held)
-			return response, nil
 		case <-ctx.Done():
+			response, _, _ = s.follower.since(held)
 			return response, nil
 		}
 	}
