--- a/follower/follower.go
+++ b/follower/follower.go
@@ -105,7 +105,7 @@
 	failed  tally.Counter
 	// refreshing holds one token, so that one read on demand runs at a time.
 	refreshing chan struct{}
-	// storeDown and alone tell what was last logged of the store and the peers.
+	// storeDown tells what was last logged of the store.
 	storeDown atomic.Bool
 
 	// mutex guards the fields below.
--- a/starter/services.go
+++ b/starter/services.go
@@ -48,8 +48,8 @@
 	// budgetShare is the part of the fleet's retry budget that is used. The rest is
 	// for nodes that another node does not know of yet.
 	budgetShare = 0.8
-	// shardEngines bounds the engines that one owner places for. A decision looks at
-	// all of them: some tens of microseconds at this size.
+	// shardEngines bounds the engines that one owner places for: two owners of half a
+	// pool each keep less of it in use than one of all.
 	shardEngines = 64
 	// loadInterval is the time between two reports of an engine to its pool's
 	// owner. Each costs as much as a probe, and they tell what grants do not: that
@@ -133,13 +133,12 @@
 	})
 	s.backends = platform.NewBackends(s.exchanger)
 	s.dispatcher = dispatcher.New(dispatcher.Options{
-		Self:     settings.Node,
-		View:     s.prober.View,
-		Snapshot: s.tables.snapshot,
-		Peers:    s.peers,
-		Engines:  engines{},
-		Poll:     loadInterval,
-		// Two owners of half a pool each keep less of it in use than one of all.
+		Self:         settings.Node,
+		View:         s.prober.View,
+		Snapshot:     s.tables.snapshot,
+		Peers:        s.peers,
+		Engines:      engines{},
+		Poll:         loadInterval,
 		ShardEngines: shardEngines,
 		Log:          s.options.Log,
 		Scope:        s.options.Scope,
