--- a/cmd/root.go
+++ b/cmd/root.go
@@ -59,6 +59,7 @@
 		newCheckCommand(),
 		newTablesCommand(),
 		newStatusCommand(),
+		newExplainCommand(),
 		newVersionCommand(),
 	)
 	return root
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -1,7 +1,7 @@
 package cmd
 
 import (
-	"io"
+	"context"
 	"net"
 	"os"
 	"os/signal"
@@ -66,29 +66,49 @@
 	if err != nil {
 		return Faulty.Wrap(err, "--log-level")
 	}
-	log := newRunLog(command.OutOrStdout(), level, settings)
+	lines := logger.NewQueue(command.OutOrStdout())
+	log := logger.NewQueued(lines, level, logger.Fields{"node": settings.Node, "data-centre": settings.DataCentre})
 	log.Log(EventStarting, logger.Fields{"release": release, "settings": path})
 	debug.SetMemoryLimit(starter.MemoryLimit(settings))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 	signal.Ignore(syscall.SIGPIPE)
-	return c.serve(command.Context(), assemblePlatform(settings, log), signals, log)
+	written := startLines(command.Context(), lines)
+	defer written()
+	return c.serve(command.Context(), assemblePlatform(settings, lines, log), signals, log)
 }
 
-func newRunLog(output io.Writer, level logrus.Level, settings platform.Settings) *logger.Logger {
-	return logger.New(output, level, logger.Fields{"node": settings.Node, "data-centre": settings.DataCentre})
+// flushTime bounds the wait for the last lines of a process whose output may not
+// be read any more.
+const flushTime = 200 * time.Millisecond
+
+// startLines writes log lines until the returned function is called, which waits
+// for the last ones.
+func startLines(ctx context.Context, lines *logger.Queue) (stop func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan error, 1)
+	go func() { ended <- lines.Run(ctx) }()
+	return func() {
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(flushTime):
+		}
+	}
 }
 
 // assemblePlatform makes a node from the platform's settings, with its metrics.
-func assemblePlatform(settings platform.Settings, log *logger.Logger) runner {
+func assemblePlatform(settings platform.Settings, lines *logger.Queue, log *logger.Logger) runner {
 	metrics := meter.New(meter.Options{
 		Node:       settings.Node,
 		DataCentre: settings.DataCentre,
 		Interval:   reportInterval,
 		Log:        log,
 	})
+	dropped := metrics.Scope.Gauge("log-lines-dropped")
 	node := starter.New(starter.Options{
+		Tick:        func() { dropped.Update(float64(lines.Dropped())) },
 		Settings:    settings,
 		Incarnation: identifier.Incarnation(time.Now().UnixNano()),
 		Network:     connector.NewLiveNetwork(liveness),
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -26,6 +26,8 @@
 		"An engine did not confirm a cancel; it is repeated, and the memory stays booked until then.")
 	eventLoadFailed = logger.Define(2030, logrus.WarnLevel, "load report failed",
 		"An engine does not report its load; it gets no new work until it does.")
+	eventRefused = logger.Define(2032, logrus.InfoLevel, "demand refused by the owner",
+		"The owner of a pool's shard had no room in time; the fields have what decided it: the demands that wait, the engines that take work and the lowest foreseen peak of any.")
 	eventRevoked = logger.Define(2031, logrus.InfoLevel, "grant revoked",
 		"The dispatcher took a grant back; the request has to be placed again.")
 )
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -166,6 +166,7 @@
 func (s *shard) distribute() {
 	decisions, orders := s.placer.Take()
 	for i := range decisions {
+		s.logRefusal(&decisions[i])
 		box := s.outboxes[decisions[i].Node]
 		if box == nil {
 			continue
@@ -180,6 +181,26 @@
 	}
 }
 
+// logRefusal tells why a demand got no grant.
+func (s *shard) logRefusal(d *placer.Decision) {
+	refusal := d.Outcome.Refusal
+	if refusal == nil || refusal.Reason == placer.Superseded || refusal.Reason == placer.Gone {
+		return
+	}
+	s.options.Log.Log(eventRefused, logger.Fields{
+		"request":        d.Request,
+		"asking-node":    d.Node,
+		"shard":          s.id.String(),
+		"reason":         refusal.Reason,
+		"retry-after-ms": refusal.RetryAfter.Milliseconds(),
+		"waiting":        refusal.Cause.Waiting,
+		"engines":        refusal.Cause.Engines,
+		"lowest-peak":    refusal.Cause.Peak,
+		"returned":       refusal.Cause.Returned,
+		"configuration":  s.configuration,
+	})
+}
+
 func (s *shard) signal() {
 	select {
 	case s.wake <- struct{}{}:
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -24,6 +24,7 @@
 		HintTokens:         int64(d.Hint),
 		HoldNanoseconds:    int64(d.Hold),
 		Returning:          d.Returning,
+		Late:               d.Late,
 		Suspect:            d.Suspect,
 		Fresh:              d.Fresh,
 	}
@@ -52,6 +53,7 @@
 		Hint:       identifier.Tokens(message.GetHintTokens()),
 		Hold:       time.Duration(message.GetHoldNanoseconds()),
 		Returning:  message.GetReturning(),
+		Late:       message.GetLate(),
 		Suspect:    message.GetSuspect(),
 		Fresh:      message.GetFresh(),
 	}
@@ -96,20 +98,22 @@
 
 func encodeRelease(r *released) *dispatcherrpc.Release {
 	return &dispatcherrpc.Release{
-		Grant:        string(r.grant),
-		OutputTokens: int64(r.result.Output),
-		Prefilled:    r.result.Prefilled,
-		Decoded:      r.result.Decoded,
-		Failed:       string(r.result.Failed),
+		Grant:                 string(r.grant),
+		OutputTokens:          int64(r.result.Output),
+		Prefilled:             r.result.Prefilled,
+		Decoded:               r.result.Decoded,
+		PrefillingNanoseconds: int64(r.result.Prefilling),
+		Failed:                string(r.result.Failed),
 	}
 }
 
 func decodeRelease(message *dispatcherrpc.Release) (identifier.Grant, placer.Result) {
 	return identifier.Grant(message.GetGrant()), placer.Result{
-		Output:    identifier.Tokens(message.GetOutputTokens()),
-		Prefilled: message.GetPrefilled(),
-		Decoded:   message.GetDecoded(),
-		Failed:    identifier.Member(message.GetFailed()),
+		Output:     identifier.Tokens(message.GetOutputTokens()),
+		Prefilled:  message.GetPrefilled(),
+		Decoded:    message.GetDecoded(),
+		Prefilling: time.Duration(message.GetPrefillingNanoseconds()),
+		Failed:     identifier.Member(message.GetFailed()),
 	}
 }
 
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/logger"
+	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -19,6 +20,16 @@
 		"The caller was told that the request may have run, or its answer was cut off.")
 	eventSending = logger.Define(6203, logrus.WarnLevel, "sending failed",
 		"One sending of a request to a back end gave no answer that can be passed on.")
+	eventPlaced = logger.Define(6205, logrus.InfoLevel, "request placed",
+		"The owner of the pool granted a prefill and a decode engine; sampled as requests that went well are.")
+	eventRepeated = logger.Define(6206, logrus.InfoLevel, "request sent again",
+		"An attempt failed, and the request goes to another back end; the fields say why that is allowed.")
+	eventKept = logger.Define(6207, logrus.InfoLevel, "request not sent again",
+		"An attempt failed and the request may not be sent again; the field why says which rule forbids it.")
+	eventJudgedBad = logger.Define(6208, logrus.WarnLevel, "back end judged bad",
+		"Outcomes of real requests put a back end behind the others; the fields have the counts that decided it.")
+	eventJudgedGood = logger.Define(6209, logrus.InfoLevel, "back end judged good again",
+		"A back end that was judged bad is taken like the others again.")
 	eventDrop = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"An engine could not be told to free a KV cache; it frees it by itself after its time.")
 )
@@ -47,7 +58,9 @@
 	fields["sends"] = c.sends
 	fields["tried"] = c.tried
 	if refusal == nil {
-		c.options.Log.Log(eventEnded, fields)
+		if logger.Sampled(string(c.request.Attempt)) || c.sends > c.usualSends() {
+			c.options.Log.Log(eventEnded, fields)
+		}
 		return
 	}
 	fields["reason"] = refusal.Reason
@@ -59,6 +72,54 @@
 	c.options.Log.Log(eventFailed, fields)
 }
 
+// usualSends is how many sendings a request takes when nothing fails.
+func (c *call) usualSends() int {
+	if c.pool.Model {
+		return 2
+	}
+	return 1
+}
+
+// logPlaced tells where a model request goes.
+func (c *call) logPlaced(placement *placer.Placement, waited time.Duration) {
+	if !logger.Sampled(string(c.request.Attempt)) {
+		return
+	}
+	fields := c.fields()
+	fields["grant"] = placement.Grant
+	fields["prefill"] = placement.Prefill
+	fields["decode"] = placement.Decode
+	fields["waited-ms"] = waited.Milliseconds()
+	c.options.Log.Log(eventPlaced, fields)
+}
+
+// logDecision tells whether a request goes to another back end after a failure.
+func (c *call) logDecision(event logger.Event, why string, err error) {
+	fields := c.fields()
+	fields["why"] = why
+	fields["sends"] = c.sends
+	fields["ran"] = c.ran
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	c.options.Log.Log(event, fields)
+}
+
+// logJudged tells of a change in what this node believes of a back end.
+func (f *Forwarder) logJudged(b Backend, change change) {
+	if change == unchanged {
+		return
+	}
+	event := eventJudgedBad
+	if change == turnedGood {
+		event = eventJudgedGood
+	}
+	outcomes, faults, share := f.judge.counts(b)
+	f.options.Log.Log(event, logger.Fields{
+		"member": b.Name, "pool": b.Pool, "outcomes": outcomes, "faults": faults, "pool-share": share,
+	})
+}
+
 func (c *call) logSending(backend Backend, v verdict, err error) {
 	fields := c.fields()
 	fields["member"] = backend.Name
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	DataCentre identifier.DataCentre
 	// Table returns what to route by, never nil.
 	Table func() *Table
+	// Streams tells whether new streams are begun; nil begins all.
+	Streams func() bool
 	// Refresh asks for a newer table and returns once it is there, or with ctx.
 	Refresh  func(ctx context.Context)
 	Placer   Placer
@@ -72,6 +74,9 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	if options.Streams == nil {
+		options.Streams = func() bool { return true }
+	}
 	if options.Refresh == nil {
 		options.Refresh = func(context.Context) {}
 	}
@@ -87,6 +92,9 @@
 	// retryAfterStart is what callers are told to wait for a node that knows no
 	// configuration yet: another node most likely does.
 	retryAfterStart = 200 * time.Millisecond
+	// retryAfterLeaving is what callers of a node that stops are told to wait: the
+	// time to connect to another one.
+	retryAfterLeaving = 20 * time.Millisecond
 	// refreshWait bounds the wait for a newer configuration before a request is
 	// told that no route matches.
 	refreshWait = 400 * time.Millisecond
@@ -217,6 +225,9 @@
 	if c.options.Isolator.Held(c.request.Fingerprint) {
 		return nil, notRun(router.Quarantined, 0, "this request crashed several back ends and is held")
 	}
+	if c.pool.Model && !c.options.Streams() {
+		return nil, notRun(router.Leaving, retryAfterLeaving, "this node stops")
+	}
 	c.options.Budgets.Pool(c.pool.Name).Sent()
 	if c.pool.Model {
 		return c.stream()
@@ -270,12 +281,14 @@
 
 // suspect checks whether a back end that lost an answer has crashed, and tells
 // the isolator if it has. A connection that broke alone is no crash.
-func (c *call) suspect(backend Backend) {
+func (c *call) suspect(backend Backend) (crashed bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), reachTimeout)
 	defer cancel()
-	if err := c.options.Reacher.Reach(ctx, backend); err != nil {
-		c.options.Isolator.Crashed(backend.Name, []uint64{c.request.Fingerprint})
+	if err := c.options.Reacher.Reach(ctx, backend); err == nil {
+		return false
 	}
+	c.options.Isolator.Crashed(backend.Name, []uint64{c.request.Fingerprint})
+	return true
 }
 
 // reachTimeout bounds the look at a back end that may have crashed; a crashed
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -82,8 +82,9 @@
 	if refusal == nil {
 		refusal = unknown(router.StreamLost, "the back end broke its answer off")
 		r.call.judge.end(time.Now(), r.backend, lost, time.Since(r.sent))
-		r.call.result.Failed = r.backend.Name
-		r.call.suspect(r.backend)
+		if r.call.suspect(r.backend) {
+			r.call.result.Failed = r.backend.Name
+		}
 	} else {
 		r.call.judge.end(time.Now(), r.backend, withdrawn, 0)
 	}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -33,11 +33,14 @@
 			return nil, refusal
 		}
 		if !provenNotRun(err) {
+			c.logDecision(eventKept, "it may have run, and may run only once", err)
 			return nil, unknown(router.AnswerLost, "the answer of the back end was lost")
 		}
 		if !c.repeatsAfter(err) {
+			c.logDecision(eventKept, "the retry budget or the tries are used up", err)
 			return nil, notRun(router.BackendDown, retryAfterBusy, "no back end has room")
 		}
+		c.logDecision(eventRepeated, "it has not run", err)
 	}
 }
 
@@ -112,6 +115,7 @@
 		v = withdrawn
 	}
 	c.judge.end(time.Now(), backend, v, took)
+	c.logJudged(backend, c.judge.look(time.Now(), backend, c.table.Pool(backend.Pool, "")))
 	if v != answered {
 		c.logSending(backend, v, err)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -28,11 +28,14 @@
 			return nil, refusal
 		}
 		if c.ran > 0 && (!c.route.Resumable || c.ran >= c.route.Backends) {
+			c.logDecision(eventKept, "it may have run, and may run only once", err)
 			return nil, unknown(router.AnswerLost, "the answer of the engine was lost")
 		}
 		if c.sends > 0 && !c.mayRepeat() || len(c.tried) > maxReaches {
+			c.logDecision(eventKept, "the retry budget or the tries are used up", err)
 			return nil, c.exhausted()
 		}
+		c.logDecision(eventRepeated, "it has not run, or may run again", err)
 	}
 }
 
@@ -47,8 +50,10 @@
 // acquire gets engine memory, or tells when to come back.
 func (c *call) acquire() (*placer.Placement, *router.Refusal) {
 	demand := c.demand()
+	asked := time.Now()
 	outcome := c.options.Placer.Acquire(c.ctx, demand)
 	if outcome.Placement != nil {
+		c.logPlaced(outcome.Placement, time.Since(asked))
 		c.grant = outcome.Placement.Grant
 		c.result = placer.Result{}
 		return outcome.Placement, nil
@@ -78,14 +83,14 @@
 	// firstEventMargin is left between a grant and the target, besides the prefill:
 	// the time for the first event of usual engines, and for its way.
 	firstEventMargin = 120 * time.Millisecond
-	// leastWait keeps demands of callers who came back late from being refused
-	// for their target alone.
+	// leastWait keeps late demands from being refused for their target alone.
 	leastWait = 100 * time.Millisecond
 )
 
-// waitLeft is how long the grant may take for the first event to be on time.
+// waitLeft is how long the grant may take for the first event to be on time;
+// negative where that has been missed.
 func (c *call) waitLeft() time.Duration {
-	return max(leastWait, c.route.Target-time.Since(c.request.Arrived)-firstEventMargin)
+	return c.route.Target - time.Since(c.request.Arrived) - firstEventMargin
 }
 
 // demand describes the request to the placer.
@@ -107,7 +112,8 @@
 		Hint:       cost.Hint,
 		Hold:       time.Duration(float64(c.route.Target) * holdShare),
 		Returning:  c.request.Fingerprint,
-		Wait:       c.waitLeft(),
+		Wait:       max(leastWait, c.waitLeft()),
+		Late:       c.waitLeft() <= 0,
 		Between:    c.route.Gap,
 		Prefixes:   cost.Prefixes,
 		Fresh:      true,
@@ -148,15 +154,39 @@
 	}
 	began := time.Now()
 	c.judge.begin(backend)
-	source, err := c.options.Backends.Prefill(c.ctx, c.work(backend))
-	c.engineJudged(backend, err, time.Since(began))
+	ctx, cancel := context.WithTimeout(c.ctx, c.prefillBound())
+	defer cancel()
+	source, err := c.options.Backends.Prefill(ctx, c.work(backend))
+	took := time.Since(began)
+	c.engineJudged(backend, err, took)
 	if err != nil {
+		if ctx.Err() != nil && c.ctx.Err() == nil {
+			// The engine may be well, but is of no use to requests with this target.
+			c.result.Failed = backend.Name
+		}
 		c.failed(backend, err)
 		return Source{}, err
 	}
+	c.result.Prefilling = took
 	return source, nil
 }
 
+const (
+	// prefillShare is the part of the target after which a prefill is given up: it
+	// may be repeated, and an engine that answers nothing else is found that soon.
+	prefillShare = 0.6
+	// latePrefill is the same for requests that have missed their target.
+	latePrefill = 2 * time.Second
+)
+
+// prefillBound is how long a prefill may take.
+func (c *call) prefillBound() time.Duration {
+	if c.waitLeft() <= 0 || c.route.Target <= 0 {
+		return latePrefill
+	}
+	return time.Duration(float64(c.route.Target) * prefillShare)
+}
+
 // vanished is the error of an engine that the placer knows and this node's table
 // does not have, or has no more.
 func (c *call) vanished(member identifier.Member) error {
@@ -167,9 +197,6 @@
 // failed notes that an engine is of no use to this request.
 func (c *call) failed(backend Backend, err error) {
 	c.tried = append(c.tried, backend.Name)
-	if c.ctx.Err() == nil {
-		c.result.Failed = backend.Name
-	}
 	if !errorx.IsOfType(err, Unsent) {
 		c.sends++
 	}
@@ -186,11 +213,12 @@
 		v = withdrawn
 	}
 	c.judge.end(time.Now(), backend, v, took)
+	c.logJudged(backend, c.judge.look(time.Now(), backend, c.table.Pool(backend.Pool, backend.Role)))
 	if err != nil {
 		c.logSending(backend, v, err)
 	}
-	if v == lost {
-		c.suspect(backend)
+	if v == unreached || v == lost && c.suspect(backend) {
+		c.result.Failed = backend.Name
 	}
 }
 
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -7,6 +7,7 @@
 	"io"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -55,6 +56,8 @@
 // Logger writes events of one node.
 type Logger struct {
 	entry *logrus.Entry
+	// queue takes the lines where set; else they are written at once.
+	queue *Queue
 }
 
 // New returns a logger that writes JSON lines from a level up.
@@ -62,7 +65,7 @@
 	log := logrus.New()
 	log.SetOutput(output)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	return &Logger{entry: log.WithFields(fields)}
 }
 
@@ -76,5 +79,13 @@
 	if !l.entry.Logger.IsLevelEnabled(event.Level) {
 		return
 	}
-	l.entry.WithField("event", event.Number).WithFields(fields).Log(event.Level, event.Message)
+	if l.queue == nil {
+		l.entry.WithField("event", event.Number).WithFields(fields).Log(event.Level, event.Message)
+		return
+	}
+	line, err := l.format(event, fields)
+	if err != nil {
+		line = fmt.Appendf(nil, "{\"event\":%d,\"error\":%q}\n", event.Number, err.Error())
+	}
+	l.queue.put(line, event.Level <= logrus.WarnLevel)
 }
--- /dev/null
+++ b/logger/queue_test.go
@@ -0,0 +1,100 @@
+package logger_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailspool/foxtailspool/logger"
+)
+
+var (
+	eventUsual  = logger.Define(99001, logrus.InfoLevel, "usual", "A test's event.")
+	eventUrgent = logger.Define(99002, logrus.WarnLevel, "urgent", "A test's event.")
+)
+
+// blocked is an output that nobody reads until it is opened.
+type blocked struct {
+	open  chan struct{}
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+func (b *blocked) Write(line []byte) (int, error) {
+	<-b.open
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(line)
+}
+
+// TestReaderThatStopsDelaysNobody holds that writers go on while the output
+// blocks, that what waits is bounded, that urgent lines are kept longest, and that
+// the drops are told.
+func TestReaderThatStopsDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &blocked{open: make(chan struct{})}
+		queue := logger.NewQueue(output)
+		log := logger.NewQueued(queue, logrus.InfoLevel, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- queue.Run(ctx) }()
+		const flood = 20_000
+		for n := range flood {
+			log.Log(eventUsual, logger.Fields{"n": n})
+		}
+		log.Log(eventUrgent, nil)
+		synctest.Wait()
+		close(output.open)
+		synctest.Wait()
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		text := output.String()
+		if lines := strings.Count(text, "\n"); lines > 2100 {
+			t.Errorf("%d lines were kept", lines)
+		}
+		if !strings.Contains(text, `"urgent"`) {
+			t.Error("the urgent line was dropped")
+		}
+		if queue.Dropped() == 0 || !strings.Contains(text, fmt.Sprintf(`"count":%d`, queue.Dropped())) {
+			t.Errorf("%d drops are not told", queue.Dropped())
+		}
+	})
+}
+
+func BenchmarkLine(b *testing.B) {
+	queue := logger.NewQueue(io.Discard)
+	log := logger.NewQueued(queue, logrus.InfoLevel, logger.Fields{"node": "n", "data-centre": "d"})
+	ctx, stop := context.WithCancel(b.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- queue.Run(ctx) }()
+	for b.Loop() {
+		log.Log(eventUsual, logger.Fields{"request": "r", "route": "quote", "age-ms": 7, "left-ms": 900})
+	}
+	stop()
+	<-ended
+}
+
+func TestSampledIsTheSameEverywhere(t *testing.T) {
+	kept := 0
+	for n := range 16_000 {
+		id := fmt.Sprint("request-", n)
+		if logger.Sampled(id) != logger.Sampled(id) {
+			t.Fatal("sampling differs between two looks")
+		}
+		if logger.Sampled(id) {
+			kept++
+		}
+	}
+	if kept < 800 || kept > 1200 {
+		t.Errorf("%d of 16000 requests are kept", kept)
+	}
+}
--- a/placer/events.go
+++ b/placer/events.go
@@ -144,7 +144,7 @@
 	if w.demand.Hold <= 0 {
 		return
 	}
-	if p.returned(&w.demand) {
+	if w.demand.Late || p.returned(&w.demand) {
 		w.returned = true
 		w.deadline = now.Add(returnedHold)
 		w.latest = w.deadline
@@ -250,12 +250,13 @@
 	if g == nil {
 		return
 	}
+	p.notePrefill(g, result.Prefilling)
 	if result.Failed != "" {
 		p.fail(now, result.Failed)
 	} else if result.Decoded && result.Output > 0 {
 		p.outputs(&g.Demand).add(result.Output, p.settings.OutputQuantile)
 		p.outputs(&g.Demand).learn(result.Output, g.Demand.Hint)
-		p.noteTokenTime(now, g, result.Output)
+		p.noteOutput(g, result.Output-g.Output, now.Sub(g.told))
 	}
 	p.free(now, g)
 }
@@ -307,6 +308,9 @@
 // progress takes over how far a stream has come.
 func (p *Placer) progress(now time.Time, g *grant, h Held) {
 	if h.Output != g.Output || h.Decoding != g.Decoding {
+		if g.Decoding {
+			p.noteOutput(g, h.Output-g.Output, now.Sub(g.told))
+		}
 		g.told = now
 		g.decode.forecast.at = time.Time{}
 	}
--- a/placer/foresee.go
+++ b/placer/foresee.go
@@ -29,8 +29,8 @@
 	returnedRoom = 0.9
 	// defaultTokenTime is the time for a token before any was measured.
 	defaultTokenTime = 700 * time.Microsecond
-	// tokenTimeWeight is the weight of one finished request in the average.
-	tokenTimeWeight = 0.1
+	// learnWeight is the weight of one measurement in a learned average.
+	learnWeight = 0.1
 	// leastSpread keeps the logarithmic spread of outputs from vanishing.
 	leastSpread = 0.15
 )
@@ -77,10 +77,11 @@
 // generated is how many tokens a grant's stream has made, from the last word of
 // its node and the time since.
 func (p *Placer) generated(now time.Time, g *grant) float64 {
+	each := p.tokenTimeOf(g.decode).Seconds()
 	if !g.Decoding {
-		return max(0, now.Sub(g.ready).Seconds()/p.tokenTime.Seconds())
+		return max(0, now.Sub(g.ready).Seconds()/each)
 	}
-	return float64(g.Output) + max(0, now.Sub(g.told).Seconds())/p.tokenTime.Seconds()
+	return float64(g.Output) + max(0, now.Sub(g.told).Seconds())/each
 }
 
 // add puts one request's use into the forecast: its prompt, and its output, of
@@ -116,14 +117,14 @@
 	if !g.Decoding {
 		starts = g.ready.Sub(now)
 	}
-	f.add(float64(g.Demand.Prompt), p.lengthOf(&g.Demand), have, starts, p.tokenTime)
+	f.add(float64(g.Demand.Prompt), p.lengthOf(&g.Demand), have, starts, p.tokenTimeOf(g.decode))
 }
 
 // peak returns the largest part of an engine's memory or slots that would be in
 // use if a demand came to it.
 func (p *Placer) peak(now time.Time, w *waiting, e *engine, ready time.Time) float64 {
 	with := *p.foresee(now, e)
-	with.add(float64(w.demand.Prompt), p.lengthOf(&w.demand), 0, ready.Sub(now), p.tokenTime)
+	with.add(float64(w.demand.Prompt), p.lengthOf(&w.demand), 0, ready.Sub(now), p.tokenTimeOf(e))
 	memory := float64(e.Pieces) * float64(p.settings.PieceTokens)
 	highest := 0.0
 	for _, m := range with.moments {
@@ -149,6 +150,7 @@
 			continue
 		}
 		use := p.peak(now, w, e, start.ready)
+		e.lastPeak = use
 		if use > 1 || w.returned && use > returnedRoom {
 			continue
 		}
@@ -162,14 +164,40 @@
 	return best
 }
 
-// noteTokenTime learns the time for a token from a finished stream.
-func (p *Placer) noteTokenTime(now time.Time, g *grant, output identifier.Tokens) {
-	const shortest = 200
-	if output < shortest || g.ready.IsZero() || !now.After(g.ready) {
+// noteOutput learns the time for a token from how far a stream came in some time.
+func (p *Placer) noteOutput(g *grant, tokens identifier.Tokens, took time.Duration) {
+	const fewest = 200
+	if tokens < fewest || took <= 0 {
 		return
 	}
-	measured := now.Sub(g.ready).Seconds() / float64(output)
-	p.tokenTime += time.Duration((measured - p.tokenTime.Seconds()) * tokenTimeWeight * float64(time.Second))
+	measured := took / time.Duration(tokens)
+	average(&p.tokenTime, measured)
+	average(&g.decode.tokenTime, measured)
+}
+
+// notePrefill learns the time for a token of a prompt.
+func (p *Placer) notePrefill(g *grant, took time.Duration) {
+	if g.prefill == nil || took <= 0 || g.Demand.Prompt <= 0 {
+		return
+	}
+	average(&g.prefill.prefillTime, took/time.Duration(g.Demand.Prompt))
+}
+
+// average moves a learned time towards a measured one.
+func average(learned *time.Duration, measured time.Duration) {
+	if *learned == 0 {
+		*learned = measured
+		return
+	}
+	*learned += time.Duration(float64(measured-*learned) * learnWeight)
+}
+
+// tokenTimeOf is an engine's own time for a token, or the average of all.
+func (p *Placer) tokenTimeOf(e *engine) time.Duration {
+	if e.tokenTime > 0 {
+		return e.tokenTime
+	}
+	return p.tokenTime
 }
 
 // logs averages the logarithms of outputs, and of what they are to their hints.
--- a/placer/place.go
+++ b/placer/place.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -291,8 +292,27 @@
 }
 
 func (p *Placer) refuse(d *Demand, reason Reason, retryAfter time.Duration) {
+	cause := p.causeOf(d)
 	p.expectReturn(d)
-	p.answer(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter}})
+	p.answer(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter, Cause: cause}})
+}
+
+// causeOf tells what a demand is refused by.
+func (p *Placer) causeOf(d *Demand) Cause {
+	cause := Cause{Returned: p.returned(d)}
+	for i := range p.queues {
+		cause.Waiting += p.queues[i].length()
+	}
+	for _, e := range p.decodes {
+		if e.Leaving || e.removed {
+			continue
+		}
+		cause.Engines++
+		if peak := e.lastPeak; peak > 0 && (cause.Peak == 0 || peak < cause.Peak) {
+			cause.Peak = math.Round(peak*100) / 100
+		}
+	}
+	return cause
 }
 
 // The bounds of the time after which refused callers are asked to return.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,9 @@
 	Hint identifier.Tokens
 	// Hold bounds the time in the queue; zero leaves it to Wait alone.
 	Hold time.Duration
+	// Late tells that the target has been missed already: the caller waits on, and a
+	// late answer is better than none.
+	Late bool
 	// Returning identifies the request when its caller sends it again after a
 	// refusal, which gives it another Request; zero is unknown.
 	Returning uint64
@@ -92,6 +95,20 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Cause is what the placer saw when it refused.
+	Cause Cause
+}
+
+// Cause is what a refusal was decided by.
+type Cause struct {
+	// Waiting counts the demands without a grant, Engines the decode engines that
+	// take work.
+	Waiting, Engines int
+	// Peak is the lowest part of an engine that would be in use at its fullest
+	// moment with the demand; zero where that was not foreseen.
+	Peak float64
+	// Returned tells that the caller had been refused before.
+	Returned bool
 }
 
 // Outcome answers a demand: exactly one of its fields is set.
@@ -107,6 +124,8 @@
 	// Prefilled tells that the prefill ran, Decoded that its result was used.
 	Prefilled bool
 	Decoded   bool
+	// Prefilling is how long the prefill took; zero is unknown.
+	Prefilling time.Duration
 	// Failed names a member that failed the request, or is empty.
 	Failed identifier.Member
 }
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -41,6 +41,7 @@
 	Cancelled       Reason = "cancelled"
 	Overloaded      Reason = "overloaded"
 	AccountLimit    Reason = "account-limit"
+	Leaving         Reason = "leaving"
 )
 
 // Refusal is a request without an answer. It is a value, not an error: the
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -16,9 +16,13 @@
 	metricsPort = "9464"
 	// leaveShare is the part of the grace for which a node that stops still takes
 	// requests; the rest is for finishing them.
-	leaveShare = 0.6
+	leaveShare = 0.5
+	// streamShare is the part after which such a node takes no more streams, which
+	// may last longer than what is left: their callers go to another node at once.
+	streamShare = 0.25
 	// finishShare is when a node that stops cuts what is still open, of the grace.
-	finishShare = 0.95
+	// The rest is for the other services to end.
+	finishShare = 0.9
 	// memoryShare is the part of the memory bound that the garbage collector aims
 	// below; connections' buffers in the kernel take some of the rest.
 	memoryShare = 0.6
--- a/starter/services.go
+++ b/starter/services.go
@@ -148,6 +148,7 @@
 		Node:       settings.Node,
 		DataCentre: settings.DataCentre,
 		Table:      s.tables.current,
+		Streams:    s.takesStreams,
 		Refresh:    s.follower.Refresh,
 		Placer:     s.dispatcher,
 		Backends:   s.backends,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -33,6 +34,8 @@
 	Incarnation identifier.Incarnation
 	// Network carries all connections.
 	Network connector.Network
+	// Tick, if set, is called each second, to update what is counted elsewhere.
+	Tick func()
 	// Metrics serves the exposition; nil serves none.
 	Metrics http.Handler
 	Log     *logger.Logger
@@ -56,8 +59,9 @@
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
 	peers      http.RoundTripper
-	// stopping is closed once the node was told to stop.
+	// stopping is closed once the node was told to stop, at stopped.
 	stopping chan struct{}
+	stopped  atomic.Int64
 }
 
 // New assembles a node that does not run yet.
@@ -91,6 +95,7 @@
 
 // leave tells the fleet and waits until callers have asked for addresses anew.
 func (s *Starter) leave(ctx context.Context) {
+	s.stopped.Store(time.Now().UnixNano())
 	close(s.stopping)
 	keep := time.NewTimer(s.leaveTime())
 	defer keep.Stop()
@@ -113,6 +118,13 @@
 	}
 }
 
+// takesStreams tells whether the node still begins streams.
+func (s *Starter) takesStreams() bool {
+	stopped := s.stopped.Load()
+	grace := time.Duration(float64(s.options.Settings.Grace) * streamShare)
+	return stopped == 0 || time.Since(time.Unix(0, stopped)) < grace
+}
+
 // ready tells whether callers may use the node.
 func (s *Starter) ready() bool {
 	table := s.tables.current()
@@ -148,6 +160,7 @@
 		BodyBytes: s.tables.bodyBytes,
 		Leaving:   s.leaving,
 	})
+	s.supervisor.Register("gauges", &gauges{s})
 	s.supervisor.Register("peers-listener", s.listener("peers-listener", settings.Peers, peers, peerLimits))
 	s.supervisor.Register("registrar", s.registrar)
 	s.supervisor.Register("prober", s.prober)
