Learn each engine's prefill rate, and do not count callers who wait as ahead

Cause, from decision lines that now tell what a refused demand lacked: (1) after a burst new demands were refused at once, by the expected wait, because callers who had come back were counted as ahead of them although they go behind. (2) Prefills were planned at one rate for all engines; the slower ones of a pool were given more than they read, and their requests became late. (3) Pools have more prefill engines than their requests need while decode memory is short.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -211,6 +211,15 @@
 	}
 }
 
+// Prefilled tells how long a grant's prefill took. It does not block.
+func (d *Dispatcher) Prefilled(grant identifier.Grant, took time.Duration) {
+	for _, l := range d.allLinks() {
+		if l.prefilled(grant, took) {
+			return
+		}
+	}
+}
+
 // Progress notes how far the stream of a grant has come. It never blocks.
 func (d *Dispatcher) Progress(grant identifier.Grant, output identifier.Tokens, decoding bool) {
 	for _, l := range d.allLinks() {
--- a/dispatcher/link.go
+++ b/dispatcher/link.go
@@ -31,6 +31,8 @@
 	placer.Held
 	// known tells that the present owner has the grant with its demand.
 	known bool
+	// untold tells that the owner does not know yet how long the prefill took.
+	untold bool
 }
 
 // released is a grant on its way back.
@@ -207,6 +209,19 @@
 	return true
 }
 
+// prefilled notes how long a grant's prefill took. The owner is told with the next
+// batch.
+func (l *link) prefilled(grant identifier.Grant, took time.Duration) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	h := l.held[grant]
+	if h == nil {
+		return false
+	}
+	h.PrefillTook, h.untold = took, true
+	return true
+}
+
 func (l *link) list() []placer.Held {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -262,9 +277,10 @@
 	for i := range l.releases {
 		request.Releases = append(request.Releases, encodeRelease(&l.releases[i]))
 	}
-	if renew {
-		for _, h := range l.held {
+	for _, h := range l.held {
+		if renew || h.untold {
 			request.Renewals = append(request.Renewals, encodeRenewal(h))
+			h.untold = false
 		}
 	}
 	if len(request.Demands)+len(request.Withdrawals)+len(request.Renewals)+len(request.Releases) == 0 {
--- a/dispatcher/owned.go
+++ b/dispatcher/owned.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/placer"
@@ -21,12 +22,7 @@
 
 // Owned lists the shards that this node places for, by pool and index.
 func (d *Dispatcher) Owned() []Owned {
-	d.server.mutex.Lock()
-	shards := make([]*shard, 0, len(d.server.shards))
-	for _, s := range d.server.shards {
-		shards = append(shards, s)
-	}
-	d.server.mutex.Unlock()
+	shards := d.server.all()
 	list := make([]Owned, 0, len(shards))
 	for _, s := range shards {
 		list = append(list, s.describe())
@@ -56,3 +52,35 @@
 func (d *Dispatcher) Shards(pool tabulator.Pool) int {
 	return shardCount(pool, d.options.ShardEngines)
 }
+
+// RoleChanges lists the engines that should change their role, of the shards that
+// this node places for.
+func (d *Dispatcher) RoleChanges(now time.Time) []placer.RoleChange {
+	var list []placer.RoleChange
+	for _, s := range d.server.all() {
+		s.mutex.Lock()
+		list = append(list, s.placer.RoleChanges(now)...)
+		s.mutex.Unlock()
+	}
+	return list
+}
+
+// Changing notes that an engine was told to change its role.
+func (d *Dispatcher) Changing(now time.Time, change placer.RoleChange) {
+	for _, s := range d.server.all() {
+		s.mutex.Lock()
+		s.placer.Changing(now, change)
+		s.mutex.Unlock()
+	}
+}
+
+// all lists the shards that this node places for.
+func (s *server) all() []*shard {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	list := make([]*shard, 0, len(s.shards))
+	for _, known := range s.shards {
+		list = append(list, known)
+	}
+	return list
+}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -163,6 +163,7 @@
 		KVBytesPerToken: pool.KVBytesPerToken,
 		LesserShare:     pool.LesserShare,
 		Foresight:       pool.Foresight,
+		RoleChange:      pool.RoleChange,
 		QueueLimit:      pool.QueueLimit,
 		Lease:           s.options.Lease,
 		OrphanGrace:     s.options.Grace,
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -196,6 +196,7 @@
 		"waiting":        refusal.Cause.Waiting,
 		"engines":        refusal.Cause.Engines,
 		"lowest-peak":    refusal.Cause.Peak,
+		"lacking":        refusal.Cause.Lacking,
 		"returned":       refusal.Cause.Returned,
 		"configuration":  s.configuration,
 	})
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -70,6 +70,8 @@
 		Grant:        string(h.Grant),
 		OutputTokens: int64(h.Output),
 		Decoding:     h.Decoding,
+		// The owner takes it once, however often it is told.
+		PrefillNanoseconds: int64(h.PrefillTook),
 	}
 	if h.known {
 		return message
@@ -93,6 +95,8 @@
 		Output:   identifier.Tokens(message.GetOutputTokens()),
 		Decoding: message.GetDecoding(),
 		Stream:   message.GetStream(),
+
+		PrefillTook: time.Duration(message.GetPrefillNanoseconds()),
 	}, ok
 }
 
@@ -103,6 +107,8 @@
 		Prefilled:    r.result.Prefilled,
 		Decoded:      r.result.Decoded,
 		Failed:       string(r.result.Failed),
+
+		PrefillNanoseconds: int64(r.result.PrefillTook),
 	}
 }
 
@@ -112,6 +118,8 @@
 		Prefilled: message.GetPrefilled(),
 		Decoded:   message.GetDecoded(),
 		Failed:    identifier.Member(message.GetFailed()),
+
+		PrefillTook: time.Duration(message.GetPrefillNanoseconds()),
 	}
 }
 
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -90,6 +90,9 @@
 	fields["prefill"] = placement.Prefill
 	fields["decode"] = placement.Decode
 	fields["waited-ms"] = waited.Milliseconds()
+	fields["prompt"] = c.request.Cost.Prompt
+	fields["limit"] = c.request.Cost.Limit
+	fields["hint"] = c.request.Cost.Hint
 	c.options.Log.Log(eventPlaced, fields)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,8 +23,12 @@
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
-// Placer grants engine memory. router.Placer has the same methods.
-type Placer = router.Placer
+// Placer grants engine memory.
+type Placer interface {
+	router.Placer
+	// Prefilled tells how long a grant's prefill took.
+	Prefilled(grant identifier.Grant, took time.Duration)
+}
 
 // Isolator holds requests that crash the back ends that run them.
 type Isolator = router.Isolator
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -195,6 +195,10 @@
 	source, err := c.options.Backends.Prefill(ctx, c.work(backend))
 	took := time.Since(began)
 	c.engineJudged(backend, err, took)
+	if err == nil {
+		c.result.PrefillTook = took
+		c.options.Placer.Prefilled(c.grant, took)
+	}
 	if err != nil {
 		if ctx.Err() != nil && c.ctx.Err() == nil {
 			// The engine may be well, but is of no use to requests with this target.
--- a/forwarder/table.go
+++ b/forwarder/table.go
@@ -68,6 +68,9 @@
 	EventTokens identifier.Tokens
 	// HandleLife is how long a prefilled prompt waits to be fetched.
 	HandleLife time.Duration
+	// RoleChange is how long an engine takes to change its role; zero engines
+	// cannot.
+	RoleChange time.Duration
 }
 
 // Configuration is what the operators have put in force. It is immutable.
@@ -187,6 +190,17 @@
 	return list
 }
 
+// Engines lists the back ends with a role in a pool of models.
+func (t *Table) Engines() []Backend {
+	var list []Backend
+	for _, backend := range t.Backends {
+		if backend.Role != identifier.Service {
+			list = append(list, backend)
+		}
+	}
+	return list
+}
+
 // Find returns the back end of a name.
 func (t *Table) Find(name identifier.Member) (Backend, bool) {
 	i, found := slices.BinarySearchFunc(t.Backends, name, func(b Backend, n identifier.Member) int {
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -113,6 +113,16 @@
 	lastPeak float64
 	// forecast is the last foreseen use.
 	forecast forecast
+	// rate is the learned rate of prefills in tokens a second; zero is unknown.
+	// alone is the grant whose prefill had the engine to itself so far.
+	rate  float64
+	alone *grant
+	// ordered tells that the engine was told to change its role. Until
+	// changingUntil it gets nothing; then, or once the table says so, it is what it
+	// becomes.
+	ordered       bool
+	becomes       identifier.Role
+	changingUntil time.Time
 	// removed engines left the table but still carry grants.
 	removed bool
 }
@@ -125,7 +135,7 @@
 
 // takes tells whether the engine may get new work at all.
 func (e *engine) takes(now time.Time, d *Demand) bool {
-	if e.Leaving || e.removed || now.Before(e.avoidUntil) || d.Suspect && e.suspects > 0 {
+	if e.Leaving || e.removed || now.Before(e.avoidUntil) || now.Before(e.changingUntil) || d.Suspect && e.suspects > 0 {
 		return false
 	}
 	return e.hasRole() && !avoids(d, e)
@@ -152,16 +162,24 @@
 
 // prefillRate is the rate to plan with: the measured one if it is the lower.
 func (e *engine) prefillRate() identifier.Tokens {
-	rate := e.PrefillRate
-	if rate <= 0 {
-		rate = DefaultPrefillRate
-	}
+	rate := e.configuredRate()
 	if e.load.PrefillRate > 0 && e.load.PrefillRate < rate {
 		rate = e.load.PrefillRate
 	}
+	if e.rate > 0 {
+		rate = identifier.Tokens(e.rate)
+	}
 	return rate
 }
 
+// configuredRate is the rate that the table gives.
+func (e *engine) configuredRate() identifier.Tokens {
+	if e.PrefillRate <= 0 {
+		return DefaultPrefillRate
+	}
+	return e.PrefillRate
+}
+
 func (e *engine) linkRate() identifier.BytesPerSecond {
 	if e.LinkRate <= 0 {
 		return DefaultLinkRate
--- a/placer/events.go
+++ b/placer/events.go
@@ -87,6 +87,7 @@
 	if d.Rank == identifier.Urgent {
 		p.noteUrgent(now, &d)
 	}
+	p.noteDemand(&d)
 	need := p.pieces(&d)
 	if reason, ok := p.admissible(&d, need); !ok {
 		p.refuse(&d, reason, p.settings.Lease)
@@ -95,7 +96,7 @@
 	deadline := now.Add(d.Wait)
 	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d) - p.afterReady())}
 	p.boundHold(now, w)
-	w.within = !p.settings.has(Fairness) || p.withinShare(&d, need)
+	w.within = d.Account == "" || !p.settings.has(Fairness) || p.withinShare(&d, need)
 	if p.settings.has(EarlyRefusal) && !w.returned && p.hopeless(now, w) {
 		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
 		return
@@ -250,12 +251,14 @@
 	if g == nil {
 		return
 	}
+	g.notePrefill(result.PrefillTook)
 	if result.Failed != "" {
 		p.fail(now, result.Failed)
 	} else if result.Decoded && result.Output > 0 {
 		p.outputs(&g.Demand).add(result.Output, p.settings.OutputQuantile)
 		p.outputs(&g.Demand).learn(result.Output, g.Demand.Hint)
 		p.noteOutput(g, result.Output-g.Output, now.Sub(g.told))
+		p.noteFinished(now, g, result.Output)
 	}
 	p.free(now, g)
 }
@@ -313,6 +316,7 @@
 		g.told = now
 		g.decode.forecast.at = time.Time{}
 	}
+	g.notePrefill(h.PrefillTook)
 	g.Output = h.Output
 	g.Decoding = h.Decoding
 	if needed := p.piecesFor(g.Demand.Prompt + h.Output); needed > g.Pieces {
--- a/placer/foresee_test.go
+++ b/placer/foresee_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,15 +31,17 @@
 // load plays requests against a placer and counts what becomes of them. What the
 // engines really hold follows from the requests' true outputs.
 type load struct {
-	t        *testing.T
-	random   *rand.Rand
-	placer   *Placer
-	engines  []Engine
-	now      time.Time
-	sent     int
-	waiting  map[identifier.Request]playedRequest
-	running  map[identifier.Grant]*playedRun
-	slow     map[identifier.Member]float64
+	t       *testing.T
+	random  *rand.Rand
+	placer  *Placer
+	engines []Engine
+	now     time.Time
+	sent    int
+	waiting map[identifier.Request]playedRequest
+	running map[identifier.Grant]*playedRun
+	slow    map[identifier.Member]float64
+	// reads is when the prefill engines have read what they were given.
+	reads    map[identifier.Member]time.Time
 	rate     float64
 	lesser   float64
 	longer   float64
@@ -53,6 +56,7 @@
 	output   float64
 	hash     uint64
 	returned bool
+	asked    time.Time
 }
 
 type playedRun struct {
@@ -60,6 +64,8 @@
 	decode identifier.Member
 	starts time.Time
 	made   float64
+	// read is how long the prefill takes; it is told once it has ended.
+	read time.Duration
 }
 
 type comeback struct {
@@ -71,10 +77,18 @@
 // held more than its memory, of all moments.
 type counts struct {
 	urgent, lesser, placed, placedLesser, refused, late int
-	overflows, moments                                  int
+	// back counts the callers who were refused before.
+	back int
+	// missed counts the placed requests whose prompt was read after their target.
+	missed             int
+	overflows, moments int
 }
 
 func newLoad(t *testing.T, foresight bool) *load {
+	return newLoadOf(t, foresight, 3, loadDecodes)
+}
+
+func newLoadOf(t *testing.T, foresight bool, prefills, decodes int) *load {
 	l := &load{
 		t:       t,
 		random:  rand.New(rand.NewPCG(1, 2)),
@@ -82,15 +96,16 @@
 		waiting: map[identifier.Request]playedRequest{},
 		running: map[identifier.Grant]*playedRun{},
 		slow:    map[identifier.Member]float64{},
+		reads:   map[identifier.Member]time.Time{},
 		longer:  1,
 	}
-	for n := range 3 {
+	for n := range prefills {
 		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("p%d", n)), Role: identifier.Prefill, Pieces: loadMemory / loadPiece, PrefillRate: 55_000, LinkRate: 1e12})
 	}
-	for n := range loadDecodes {
+	for n := range decodes {
 		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("d%d", n)), Role: identifier.Decode, Pieces: loadMemory / loadPiece, LinkRate: 1e12, Slots: 32})
 	}
-	settings := Settings{Issuer: "t", PieceTokens: loadPiece, Foresight: foresight, LesserShare: 0.02, Lease: time.Hour, Rebuild: time.Nanosecond}
+	settings := Settings{Issuer: "t", PieceTokens: loadPiece, Foresight: foresight, LesserShare: 0.02, Lease: time.Hour, Rebuild: time.Nanosecond, RoleChange: 6 * time.Second}
 	l.placer = New(l.now, settings)
 	l.placer.Configure(settings, l.engines)
 	l.now = l.now.Add(time.Second)
@@ -127,12 +142,16 @@
 
 func (l *load) submit(r playedRequest) {
 	l.sent++
+	r.asked = l.now
 	id := identifier.Request(fmt.Sprint(l.sent))
 	if r.rank == identifier.Urgent {
 		l.counts.urgent++
 	} else {
 		l.counts.lesser++
 	}
+	if r.returned {
+		l.counts.back++
+	}
 	l.waiting[id] = r
 	demand := Demand{
 		Request: id, Attempt: 1, Rank: r.rank, Node: "n", Prompt: identifier.Tokens(r.prompt), Limit: 9000,
@@ -156,7 +175,8 @@
 // run lets the streams make tokens, and notes engines that hold too much.
 func (l *load) run() {
 	held := map[identifier.Member]float64{}
-	for grant, r := range l.running {
+	for _, grant := range slices.Sorted(maps.Keys(l.running)) {
+		r := l.running[grant]
 		if l.now.Before(r.starts) {
 			continue
 		}
@@ -164,12 +184,12 @@
 		r.made += loadStep.Seconds() / loadToken.Seconds() / slow
 		if r.made >= r.output {
 			delete(l.running, grant)
-			l.placer.Release(l.now, grant, Result{Output: identifier.Tokens(r.output), Prefilled: true, Decoded: true})
+			l.placer.Release(l.now, grant, Result{Output: identifier.Tokens(r.output), Prefilled: true, Decoded: true, PrefillTook: r.read})
 			continue
 		}
 		held[r.decode] += r.prompt + r.made
 	}
-	for _, e := range l.engines[3:] {
+	for _, e := range l.engines {
 		l.counts.moments++
 		if held[e.Member] > loadMemory {
 			l.counts.overflows++
@@ -184,7 +204,7 @@
 func (l *load) renew() {
 	for _, h := range l.placer.Held() {
 		if r := l.running[h.Grant]; r != nil && r.made > 0 {
-			l.placer.Renew(l.now, Held{Grant: h.Grant, Output: identifier.Tokens(r.made), Decoding: true}, false)
+			l.placer.Renew(l.now, Held{Grant: h.Grant, Output: identifier.Tokens(r.made), Decoding: true, PrefillTook: r.read}, false)
 		}
 	}
 }
@@ -204,7 +224,11 @@
 			}
 			continue
 		}
-		l.running[placed.Grant] = &playedRun{playedRequest: r, decode: placed.Decode, starts: l.now.Add(120 * time.Millisecond)}
+		started := l.read(r, placed)
+		l.running[placed.Grant] = started
+		if started.starts.Sub(r.asked) > loadTarget {
+			l.counts.missed++
+		}
 		switch {
 		case r.returned:
 			l.counts.late++
@@ -216,6 +240,21 @@
 	}
 }
 
+// read has a prefill engine read a prompt, after those that it was given before.
+func (l *load) read(r playedRequest, placed *Placement) *playedRun {
+	begins := later(l.now, l.reads[placed.Prefill])
+	ends := begins.Add(seconds(r.prompt*max(1, l.slow[placed.Prefill]), loadRead))
+	l.reads[placed.Prefill] = ends
+	return &playedRun{playedRequest: r, decode: placed.Decode, starts: ends.Add(loadWay), read: ends.Sub(l.now)}
+}
+
+const (
+	// loadRead is what a prefill engine reads in a second, loadWay the way to the
+	// first token beside it.
+	loadRead = 55_000
+	loadWay  = 20 * time.Millisecond
+)
+
 const (
 	// usualRate fills about half of the engines' memory, burstRate over all of it.
 	usualRate = 11
@@ -355,3 +394,29 @@
 		t.Errorf("%+v", last)
 	}
 }
+
+// TestCallersWhoWaitDoNotRefuseNewOnes has the callers who were refused in a burst
+// come back when it is over: those who wait then go behind new callers, and must not
+// count as ahead of them.
+func TestCallersWhoWaitDoNotRefuseNewOnes(t *testing.T) {
+	l := newLoad(t, true)
+	l.returns = true
+	l.play(usualRate, 20*time.Second)
+	l.play(3*burstRate, 5*time.Second)
+	after := l.play(usualRate, 6*time.Second)
+	if after.late == 0 || float64(after.placed) < 0.9*float64(after.urgent-after.back) {
+		t.Errorf("%+v", after)
+	}
+}
+
+// TestSlowPrefillEngineInBurst has one prefill engine read at half the rate that the
+// table gives: the others get more of a burst's prompts, and few are read too late.
+func TestSlowPrefillEngineInBurst(t *testing.T) {
+	l := newLoad(t, true)
+	l.slow["p0"] = 2
+	l.play(usualRate, 30*time.Second)
+	got := l.play(1.6*usualRate, 10*time.Second)
+	if float64(got.missed) > 0.05*float64(got.placed) {
+		t.Errorf("prompts were read too late: %+v", got)
+	}
+}
--- a/placer/place.go
+++ b/placer/place.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -21,7 +22,7 @@
 		queue := &p.queues[rank]
 		for w := queue.expired(now); w != nil; w = queue.expired(now) {
 			p.dequeue(w)
-			p.refuse(&w.demand, TooLate, p.retryAfter(now, rank))
+			p.refuseFor(&w.demand, TooLate, cmp.Or(w.lacking, LackTurn), p.retryAfter(now, rank))
 		}
 	}
 }
@@ -42,6 +43,9 @@
 	noPrefill
 )
 
+// lacks names what a demand that was not placed waits for.
+var lacks = map[verdict]Lack{noMemory: LackMemory, noTurn: LackTurn, noPrefill: LackPrefill}
+
 // place tries the waiting demands in order of rank. Urgent work goes first,
 // but for lesser work below its minimum share. Once urgent work waits for
 // memory, lesser work beyond its share gets none.
@@ -91,6 +95,7 @@
 			continue
 		}
 		blocked = append(blocked, w)
+		w.lacking = lacks[result]
 		if result == noPrefill {
 			break
 		}
@@ -239,6 +244,7 @@
 
 // grant books a placed demand.
 func (p *Placer) grant(now time.Time, w *waiting, start run, decode *engine) {
+	apart := start.engine.beginAlone(now)
 	start.engine.prefillUntil = start.end
 	start.engine.linkUntil = start.ready
 	if p.isLong(&w.demand, start) {
@@ -259,13 +265,18 @@
 			Pieces:  w.pieces,
 			Stream:  w.demand.Attempt,
 		},
-		prefill: start.engine,
-		decode:  decode,
-		granted: now,
-		ready:   start.ready,
-		told:    start.ready,
-		asked:   w.demand.Attempt,
-		expires: now.Add(p.settings.Lease),
+		prefill:  start.engine,
+		decode:   decode,
+		computes: p.uncached(&w.demand, start.engine),
+		apart:    apart,
+		granted:  now,
+		ready:    start.ready,
+		told:     start.ready,
+		asked:    w.demand.Attempt,
+		expires:  now.Add(p.settings.Lease),
+	}
+	if apart {
+		start.engine.alone = g
 	}
 	p.hold(g)
 	p.answer(&w.demand, Outcome{Placement: p.placement(g)})
@@ -293,7 +304,13 @@
 }
 
 func (p *Placer) refuse(d *Demand, reason Reason, retryAfter time.Duration) {
+	p.refuseFor(d, reason, "", retryAfter)
+}
+
+// refuseFor refuses a demand that lacks something.
+func (p *Placer) refuseFor(d *Demand, reason Reason, lacking Lack, retryAfter time.Duration) {
 	cause := p.causeOf(d)
+	cause.Lacking = lacking
 	p.expectReturn(d)
 	p.answer(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter, Cause: cause}})
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -107,10 +107,25 @@
 	// Peak is the lowest part of an engine that would be in use at its fullest
 	// moment with the demand; zero where that was not foreseen.
 	Peak float64
+	// Lacking is what the demand had to wait for when it was last tried.
+	Lacking Lack
 	// Returned tells that the caller had been refused before.
 	Returned bool
 }
 
+// Lack is what keeps a demand from being placed.
+type Lack string
+
+// What a demand may lack.
+const (
+	// LackMemory: no decode engine has the memory.
+	LackMemory Lack = "decode-memory"
+	// LackPrefill: every prefill engine has enough work ahead.
+	LackPrefill Lack = "prefill"
+	// LackTurn: others of its queue go first.
+	LackTurn Lack = "turn"
+)
+
 // Outcome answers a demand: exactly one of its fields is set.
 type Outcome struct {
 	Placement *Placement
@@ -124,6 +139,8 @@
 	// Prefilled tells that the prefill ran, Decoded that its result was used.
 	Prefilled bool
 	Decoded   bool
+	// PrefillTook is how long the prefill took; zero is unknown.
+	PrefillTook time.Duration
 	// Failed names a member that failed the request, or is empty.
 	Failed identifier.Member
 }
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -20,6 +20,8 @@
 	pieces identifier.Pieces
 	// returned tells that the demand's caller was refused before.
 	returned bool
+	// lacking is what the last try to place the demand found missing.
+	lacking Lack
 	// pausing tells that lesser streams were stopped for the demand.
 	pausing bool
 	// within tells in which heap of its rank the demand stands; index is its
@@ -92,9 +94,11 @@
 	within orderHeap
 	beyond orderHeap
 	late   expiryHeap
-	// withinPieces and pieces are the memory that the demands of accounts
-	// within their share and that all waiting demands need together.
+	// pieces is the memory that all waiting demands need together; freshPieces leaves
+	// out callers that came back, who go after all others, and withinPieces also
+	// those of accounts beyond their share.
 	withinPieces identifier.Pieces
+	freshPieces  identifier.Pieces
 	pieces       identifier.Pieces
 }
 
@@ -148,17 +152,22 @@
 // count adds a demand to the sums, or takes it off.
 func (q *queue) count(w *waiting, pieces identifier.Pieces) {
 	q.pieces += pieces
+	if w.returned {
+		return
+	}
+	q.freshPieces += pieces
 	if w.within {
 		q.withinPieces += pieces
 	}
 }
 
-// ahead is the memory that goes to the demands before a new one.
+// ahead is the memory that goes to the demands before a new one whose caller has
+// not been refused.
 func (q *queue) ahead(within bool) identifier.Pieces {
 	if within {
 		return q.withinPieces
 	}
-	return q.pieces
+	return q.freshPieces
 }
 
 // sacrifice returns a demand of an account beyond its share that may give way
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -91,6 +91,9 @@
 	// which it lets in as others end.
 	Caution   float64
 	SlotSlack float64
+	// RoleChange is how long an engine takes to change its role; zero engines keep
+	// theirs.
+	RoleChange time.Duration
 	// Without leaves elements out.
 	Without Element
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -40,6 +40,8 @@
 	Output identifier.Tokens
 	// Decoding tells that the KV cache has reached the decode engine.
 	Decoding bool
+	// PrefillTook is how long the prefill took; zero is unknown yet.
+	PrefillTook time.Duration
 }
 
 type phase uint8
@@ -62,6 +64,10 @@
 	place   int
 	phase   phase
 	granted time.Time
+	// computes is what the prefill has to compute, and apart tells that it had its
+	// engine to itself, as planned.
+	computes identifier.Tokens
+	apart    bool
 	// ready is when the stream was planned to begin, told when Output was told.
 	ready time.Time
 	told  time.Time
@@ -127,6 +133,11 @@
 	returning map[uint64]struct{}
 	// step is the average time between two tokens that decode engines reported.
 	step time.Duration
+	// mix is what an average request takes, splitSince since when another split of
+	// the engines is better, and splitToPrefill in which direction.
+	mix            mix
+	splitSince     time.Time
+	splitToPrefill bool
 	// blocked is scratch space of place.
 	blocked []*waiting
 	// lapse is when the earliest grant expires, at the latest.
@@ -164,6 +175,9 @@
 			known = &engine{cacheEpoch: 1}
 			p.engines[described.Member] = known
 		}
+		if described.Role == known.becomes {
+			known.changingUntil = time.Time{}
+		}
 		known.Engine = described
 		known.removed = false
 		if described.Role == identifier.Decode {
--- a/tabulator/tabulator.go
+++ b/tabulator/tabulator.go
@@ -65,6 +65,9 @@
 	QueueLimit int `json:"queue-limit,omitempty" toml:"queue-limit,omitempty"`
 	// Foresight grants memory by its foreseen use instead of by reservation.
 	Foresight bool `json:"-" toml:"-"`
+	// RoleChange is how long an engine takes to change its role when the requests
+	// need another split; zero engines keep the role of their row.
+	RoleChange time.Duration `json:"-" toml:"-"`
 	// RepeatableOutput tells that all engines of the pool generate the same tokens
 	// for the same prompt and seed. Only then is an answer whose beginning is known
 	// to its caller alone generated again.
