Have engines change their role where the requests need another split

A change is ordered by whoever has created the claim on that process of the engine in the store, once, so that no two nodes order one engine and no lease has to be kept. Weighed: the orderer's lease, which costs renewals and waits at each change of owner.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -31,6 +31,9 @@
 	// freed is closed when a slot or memory comes free, and then made anew.
 	freed  chan struct{}
 	issued int
+	// orders are those that were accepted, and away tells that one is carried out.
+	orders []StageOrder
+	away   bool
 	// ending is closed by a crash.
 	ending chan struct{}
 }
@@ -50,6 +53,9 @@
 	Work, Prefill, Token time.Duration
 	EventTokens          int
 	HandleLife           time.Duration
+	// Switch is how long a change of the stage takes, and Changed is told of its end.
+	Switch  time.Duration
+	Changed func(stage string)
 	// Find returns the instance at an address, for transfers between engines.
 	Find func(address string) *Instance
 }
@@ -138,6 +144,10 @@
 
 // ServeHTTP answers one request as the platform's pages say.
 func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/order" {
+		i.order(w, r)
+		return
+	}
 	switch {
 	case r.URL.Path == "/health":
 		w.Header().Set("X-Instance-Id", i.options.ID)
@@ -159,7 +169,7 @@
 		decline(w, http.StatusBadRequest)
 		return
 	}
-	if i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
+	if i.isAway() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
 		decline(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -187,7 +197,7 @@
 func (i *Instance) serve(w http.ResponseWriter, r *http.Request, body string) {
 	prompt, output := tokenCounts(r.Header.Get("X-Token-Counts"))
 	prefill := r.Header.Get("X-Stage") == "prefill"
-	if prefill && i.options.Stage == "decode" || !prefill && i.options.Stage == "prefill" {
+	if stage := i.Stage(); prefill && stage == "decode" || !prefill && stage == "prefill" {
 		decline(w, http.StatusMisdirectedRequest)
 		return
 	}
@@ -465,8 +475,8 @@
 		"service": service, "address": i.options.Address, "zone": zone, "version": "v1",
 		"slots": i.options.Slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
 	}
-	if i.options.Stage != "" {
-		entry["stage"] = i.options.Stage
+	if stage := i.Stage(); stage != "" {
+		entry["stage"] = stage
 	}
 	encoded, err := json.Marshal(entry)
 	if err != nil {
--- /dev/null
+++ b/emulator/stage.go
@@ -0,0 +1,73 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// StageOrder is an order to change an instance's stage.
+type StageOrder struct {
+	Op     string `json:"op"`
+	Stage  string `json:"stage"`
+	Holder string `json:"holder"`
+	Fence  int64  `json:"fence"`
+}
+
+// Orders returns the orders that reached the instance and named it.
+func (i *Instance) Orders() []StageOrder {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return slices.Clone(i.orders)
+}
+
+// Stage is what the instance does now.
+func (i *Instance) Stage() string {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.options.Stage
+}
+
+func (i *Instance) isAway() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.away
+}
+
+// order answers a call that changes the instance's stage.
+func (i *Instance) order(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != i.options.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	var order StageOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Op != "stage" || order.Holder == "" || order.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	i.mutex.Lock()
+	i.orders = append(i.orders, order)
+	holds, away := order.Stage == i.options.Stage, i.away
+	i.away = away || !holds
+	i.mutex.Unlock()
+	switch {
+	case holds:
+		w.WriteHeader(http.StatusOK)
+	case away:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		time.AfterFunc(i.options.Switch, func() { i.change(order.Stage) })
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// change ends a change of the stage.
+func (i *Instance) change(stage string) {
+	i.mutex.Lock()
+	i.options.Stage, i.away = stage, false
+	i.mutex.Unlock()
+	if i.options.Changed != nil {
+		i.options.Changed(stage)
+	}
+}
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -153,14 +153,20 @@
 		instance := emulator.NewInstance(emulator.InstanceOptions{
 			ID: id, Address: address, Stage: kind.stage, Slots: 8, Queue: 2, Memory: 20000,
 			Work: 15 * time.Millisecond, Prefill: 20 * time.Microsecond, Token: time.Millisecond,
-			EventTokens: 50, HandleLife: 500 * time.Millisecond, Find: find,
+			EventTokens: 50, HandleLife: 500 * time.Millisecond, Find: find, Switch: 2 * time.Second,
+			Changed: func(string) { f.list(id, kind.service, n) },
 		})
 		f.instances[id] = instance
 		f.serve(ip, address, instance)
-		f.objects.Put("servers", id, instance.Entry(kind.service, []string{"south", "north"}[n%2], "ready"))
+		f.list(id, kind.service, n)
 	}
 }
 
+// list writes an instance's entry.
+func (f *fleet) list(id, service string, n int) {
+	f.objects.Put("servers", id, f.instances[id].Entry(service, []string{"south", "north"}[n%2], "ready"))
+}
+
 // backends returns the ids of a service's instances in a stage.
 func (f *fleet) backends(service, stage string) []string {
 	numbers := map[string][]int{"llm/prefill": {1, 2}, "llm/decode": {3, 4}, "desk/": {5, 6}, "other/": {7}}
@@ -191,7 +197,7 @@
 		"routes":  append(routes, more...),
 		"services": []map[string]any{
 			{"name": "llm", "healthPath": "/health", "maxConns": 100, "engine": map[string]any{
-				"slots": 8, "kvTokens": 20000, "kvTokenBytes": 163840, "linkMbps": 11e6, "stride": 50, "handleTtlS": 0.5,
+				"slots": 8, "kvTokens": 20000, "kvTokenBytes": 163840, "linkMbps": 11e6, "stride": 50, "handleTtlS": 0.5, "stageSwitchS": 2,
 			}},
 			{"name": "desk", "healthPath": "/health", "maxConns": 100},
 			{"name": "other", "healthPath": "/health", "maxConns": 100},
--- /dev/null
+++ b/starter/roles_test.go
@@ -0,0 +1,72 @@
+package starter_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// TestEngineChangesItsRole has answers so long that the pool's two decode engines
+// are the scarce ones: one of the two prefill engines is told to decode, by one node
+// and once, no request fails meanwhile, and it decodes afterwards.
+func TestEngineChangesItsRole(t *testing.T) {
+	run(t, 3, func(t *testing.T, f *fleet) {
+		ctx, stop := context.WithCancel(t.Context())
+		answers := make(chan answer, 1000)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.flow(ctx, 250*time.Millisecond, answers)
+		}()
+		prefills := f.backends("llm", "prefill")
+		decoding := func() (ids []string) {
+			for _, id := range prefills {
+				if f.instances[id].Stage() == "decode" {
+					ids = append(ids, id)
+				}
+			}
+			return ids
+		}
+		f.await(t, 40*time.Second, "an engine decodes", func() bool { return len(decoding()) > 0 })
+		changed := f.instances[decoding()[0]]
+		f.await(t, 10*time.Second, "the engine is used", func() bool { return len(changed.Runs()) > 0 })
+		time.Sleep(10 * time.Second)
+		stop()
+		<-ended
+		close(answers)
+		for a := range answers {
+			if a.status != http.StatusOK || a.cut {
+				t.Errorf("%+v", a)
+			}
+		}
+		for _, id := range prefills {
+			orders := f.instances[id].Orders()
+			if len(orders) > 1 || len(orders) == 1 && orders[0].Stage != "decode" {
+				t.Errorf("%s: %+v", id, orders)
+			}
+		}
+	})
+}
+
+// flow sends quotes through the nodes in turn until ctx ends, and waits for them.
+func (f *fleet) flow(ctx context.Context, gap time.Duration, answers chan<- answer) {
+	open := 0
+	done := make(chan struct{}, 1000)
+	for n := 0; ctx.Err() == nil; n++ {
+		c := quote()
+		c.path += strconv.Itoa(n)
+		c.header.Set("X-Token-Counts", "1000,1500")
+		c.header.Set("X-Length-Hint", "1500")
+		open++
+		go func() {
+			answers <- f.send(f.t.Context(), n%len(f.nodes), c)
+			done <- struct{}{}
+		}()
+		time.Sleep(gap)
+	}
+	for range open {
+		<-done
+	}
+}
--- a/starter/services.go
+++ b/starter/services.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailspool/foxtailspool/prober"
 	"github.com/foxtailspool/foxtailspool/registrar"
 	"github.com/foxtailspool/foxtailspool/storer"
+	"github.com/foxtailspool/foxtailspool/switcher"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
 
@@ -143,6 +144,16 @@
 		Log:          s.options.Log,
 		Scope:        s.options.Scope,
 	})
+	s.switcher = switcher.New(switcher.Options{
+		Self:        settings.Node,
+		Incarnation: s.options.Incarnation,
+		Store:       s.store,
+		Fence:       platform.Fence,
+		Table:       s.table,
+		Placer:      s.dispatcher,
+		Engines:     s.backends,
+		Log:         s.options.Log,
+	})
 	s.isolator = isolator.New(isolator.Options{
 		Broadcast: s.prober.Broadcast,
 		Log:       s.options.Log,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -25,6 +25,7 @@
 	"github.com/foxtailspool/foxtailspool/prober"
 	"github.com/foxtailspool/foxtailspool/registrar"
 	"github.com/foxtailspool/foxtailspool/supervisor"
+	"github.com/foxtailspool/foxtailspool/switcher"
 )
 
 // Options sets up a node.
@@ -56,6 +57,7 @@
 	backends   *platform.Backends
 	dispatcher *dispatcher.Dispatcher
 	isolator   *isolator.Isolator
+	switcher   *switcher.Switcher
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
 	peers      http.RoundTripper
@@ -169,6 +171,7 @@
 	s.supervisor.Register("exchanger", s.exchanger)
 	s.supervisor.Register("dispatcher", s.dispatcher)
 	s.supervisor.Register("forwarder", s.forwarder)
+	s.supervisor.Register("switcher", s.switcher)
 	s.supervisor.Register("readiness-listener", s.listener("readiness-listener", settings.Ready, platform.NewReadiness(s.ready), smallLimits))
 	s.supervisor.Register("directory-listener", s.listener("directory-listener", settings.Directory, platform.NewDirectory(s.addresser), smallLimits))
 	s.supervisor.Register("callers-listener", s.listener("callers-listener", settings.Callers, callers, callerLimits(settings)))
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -123,6 +123,7 @@
 			PieceTokens:     pieceTokens,
 			KVBytesPerToken: pool.TokenBytes,
 			Foresight:       true,
+			RoleChange:      pool.RoleChange,
 			LesserShare:     lesserShare,
 		}
 		for _, backend := range t.backends {
