Pass on what changed of a list, not the whole

Cause: at 300 nodes and 3000 back ends a draining engine got a request 3.73 s after its word, at a bound of 3.7 s: each change of one entry had the readers send the whole list to every node (19 MB/s and 413 MB at the busiest node). Now a node keeps the latest changes of each collection and tells those that the other lacks; a copy that does not come out as it should is asked for whole. Entries that did not change are not parsed again.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -87,13 +87,19 @@
 
 // copied is a node's copy of one collection.
 type copied struct {
+	// listing is sorted by name.
 	listing storer.Listing
+	// history is how the copy came about.
+	history history
 	// digest covers the names and versions of the objects. The store's version
 	// grows with changes of other collections too, so that copies of different
 	// versions may be the same.
 	digest uint64
 	// known tells that the collection was read at least once.
 	known bool
+	// unfit tells that changes of another node did not fit this copy, so that all of
+	// the objects are asked for.
+	unfit bool
 	// confirmed is when the version was last known to be the latest.
 	confirmed time.Time
 }
@@ -274,12 +280,16 @@
 
 // take replaces a copy by a later one and confirms an equal one.
 func (f *Follower) take(kind storer.Kind, listing storer.Listing, confirmed time.Time) {
+	sortObjects(listing.Objects)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	held := f.copies[kind]
-	if held == nil {
-		return
+	if held := f.copies[kind]; held != nil {
+		f.replace(kind, held, listing, confirmed)
 	}
+}
+
+// replace is take with the mutex held.
+func (f *Follower) replace(kind storer.Kind, held *copied, listing storer.Listing, confirmed time.Time) {
 	order := 1
 	if held.known {
 		order = f.options.Compare(listing.Version, held.listing.Version)
@@ -294,8 +304,11 @@
 	if held.known && digest == held.digest {
 		return
 	}
+	if held.known {
+		held.history.add(held.digest, held.listing.Objects, listing.Objects)
+	}
 	held.listing, held.digest = listing, digest
-	held.known = true
+	held.known, held.unfit = true, false
 	close(f.newer)
 	f.newer = make(chan struct{})
 	f.options.Changed(kind, listing)
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -72,13 +72,27 @@
 		}
 		if collection.Changed {
 			changed = true
-			collection.Objects = toWire(own.listing.Objects)
+			own.describe(collection, held[kind])
 		}
 		response.Collections = append(response.Collections, collection)
 	}
 	return response, changed, f.newer
 }
 
+// describe puts into a message what another node lacks: the changes since its copy,
+// or all objects where those are not known.
+func (c *copied) describe(collection *rpc.Collection, theirs *rpc.Held) {
+	if theirs != nil {
+		if lacking, known := c.history.since(theirs.GetDigest()); known {
+			collection.Base = lacking.before
+			collection.Objects = toWire(lacking.stored)
+			collection.Removed = lacking.removed
+			return
+		}
+	}
+	collection.Objects = toWire(c.listing.Objects)
+}
+
 // newerThan tells whether a copy is later than another node's and differs.
 func (f *Follower) newerThan(own *copied, theirs *rpc.Held) bool {
 	if theirs == nil {
@@ -118,16 +132,8 @@
 func (f *Follower) ask(ctx context.Context, member assigner.Member, hold time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, hold+f.options.Timeout)
 	defer cancel()
-	request := &rpc.NewerRequest{HoldMilliseconds: uint32(hold.Milliseconds())}
-	f.mutex.Lock()
-	for kind, own := range f.copies {
-		if own.known {
-			request.Held = append(request.Held, &rpc.Held{Kind: string(kind), Version: string(own.listing.Version), Digest: own.digest})
-		}
-	}
-	f.mutex.Unlock()
 	client := rpc.NewFollowerProtobufClient("http://"+string(member.Peers), &http.Client{Transport: f.options.Peers})
-	response, err := client.Newer(ctx, request)
+	response, err := client.Newer(ctx, f.request(hold))
 	if err != nil {
 		f.options.Log.Log(eventPeerSilent, logger.Fields{"peer": member.Node, "error": err.Error(), "age-ms": f.Age().Milliseconds()})
 		return
@@ -138,11 +144,33 @@
 	}
 }
 
+// request names the copies that this node has.
+func (f *Follower) request(hold time.Duration) *rpc.NewerRequest {
+	request := &rpc.NewerRequest{HoldMilliseconds: uint32(hold.Milliseconds())}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for kind, own := range f.copies {
+		if !own.known {
+			continue
+		}
+		digest := own.digest
+		if own.unfit {
+			digest = 0
+		}
+		request.Held = append(request.Held, &rpc.Held{Kind: string(kind), Version: string(own.listing.Version), Digest: digest})
+	}
+	return request
+}
+
 // heard takes what another node told of one collection.
 func (f *Follower) heard(now time.Time, collection *rpc.Collection) {
 	kind := storer.Kind(collection.GetKind())
 	confirmed := now.Add(-time.Duration(collection.GetAgeMilliseconds()) * time.Millisecond)
 	listing := storer.Listing{Version: storer.Version(collection.GetVersion())}
+	if collection.GetChanged() && collection.GetBase() != 0 {
+		f.advance(kind, collection, confirmed)
+		return
+	}
 	if collection.GetChanged() {
 		listing.Objects = fromWire(kind, collection.GetObjects())
 		f.take(kind, listing, confirmed)
@@ -151,6 +179,26 @@
 	f.confirm(kind, collection.GetDigest(), confirmed)
 }
 
+// advance makes the changes that another node told to the copy that they begin at.
+// A copy that has changed meanwhile, or comes out otherwise than it should, is
+// asked for again.
+func (f *Follower) advance(kind storer.Kind, collection *rpc.Collection, confirmed time.Time) {
+	change := step{stored: fromWire(kind, collection.GetObjects()), removed: collection.GetRemoved()}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	held := f.copies[kind]
+	if held == nil || !held.known || held.digest != collection.GetBase() {
+		return
+	}
+	objects := change.apply(held.listing.Objects)
+	if digestOf(objects) != collection.GetDigest() {
+		f.options.Log.Log(eventNewsUnfit, logger.Fields{"kind": kind, "version": collection.GetVersion()})
+		held.unfit = true
+		return
+	}
+	f.replace(kind, held, storer.Listing{Version: storer.Version(collection.GetVersion()), Objects: objects}, confirmed)
+}
+
 // confirm notes that a copy was still the latest at a time.
 func (f *Follower) confirm(kind storer.Kind, digest uint64, confirmed time.Time) {
 	f.mutex.Lock()
--- a/placer/split.go
+++ b/placer/split.go
@@ -31,18 +31,21 @@
 }
 
 const (
-	// usedShare is the part of an engine that can be kept busy: requests do not come
-	// evenly, and a prefill that waits makes its request late.
-	usedShare = 0.85
+	// decodeShare is the part of a decode engine that can be kept busy, as requests do
+	// not come evenly. prefillShare is that of a prefill engine, where one that waits
+	// is late soon.
+	decodeShare  = 0.85
+	prefillShare = 0.75
 	// splitGain is by how much more another split must serve. A change takes an
 	// engine away for seconds.
 	splitGain = 1.08
 	// splitPatience is how long another split must have been better. Engines that
 	// crash are back within seconds.
 	splitPatience = 2 * time.Second
-	// crashPatience is the same where decode engines would change: a missing prefill
-	// engine may be back before the change is done.
-	crashPatience = 8 * time.Second
+	// crashPatience is the same where decode engines would change: a prefill engine
+	// that crashed leaves the list when it has been silent for some seconds, and is
+	// mostly back soon after.
+	crashPatience = 4 * time.Second
 	// splitSamples is how many requests an average needs.
 	splitSamples = 20
 	// changingShare is the part of a role's engines that may change at once.
@@ -143,7 +146,7 @@
 	for _, e := range p.prefills {
 		total += float64(e.prefillRate())
 	}
-	return seconds(p.mix.prompt.value/usedShare, total/float64(len(p.prefills)))
+	return seconds(p.mix.prompt.value/prefillShare, total/float64(len(p.prefills)))
 }
 
 // decodeTime is the time of an engine that the average answer takes: the time that
@@ -154,7 +157,7 @@
 	if e.Slots > 0 {
 		share = max(share, 1/float64(e.Slots))
 	}
-	return time.Duration(p.mix.held.value * share / usedShare * float64(time.Second))
+	return time.Duration(p.mix.held.value * share / decodeShare * float64(time.Second))
 }
 
 // roleAfter is the role that an engine has, or will have after its change.
--- a/placer/split_test.go
+++ b/placer/split_test.go
@@ -76,7 +76,7 @@
 	l.play(usualRate, 20*time.Second)
 	l.engines[0].Leaving = true
 	l.placer.Configure(l.placer.settings, l.engines)
-	if changes := wanted(l, usualRate, 6*time.Second); len(changes) > 0 {
+	if changes := wanted(l, usualRate, 3*time.Second); len(changes) > 0 {
 		t.Errorf("%+v", changes)
 	}
 }
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -30,9 +30,11 @@
 	mutex         sync.Mutex
 	configuration *forwarder.Configuration
 	backends      []forwarder.Backend
-	listed        bool
-	latest        atomic.Pointer[forwarder.Table]
-	placed        atomic.Pointer[tabulator.Snapshot]
+	// entries are those of the list that backends were read from.
+	entries map[string]entry
+	listed  bool
+	latest  atomic.Pointer[forwarder.Table]
+	placed  atomic.Pointer[tabulator.Snapshot]
 	// empty is a table that routes nothing.
 	empty *forwarder.Table
 }
@@ -96,20 +98,42 @@
 }
 
 func (t *tables) list(listing storer.Listing) {
-	backends, unreadable := platform.ParseBackends(listing)
-	for _, err := range unreadable {
-		t.log.Log(eventBackendUnreadable, logger.Fields{"version": listing.Version, "error": err.Error()})
-	}
+	entries := make(map[string]entry, len(listing.Objects))
+	backends := make([]forwarder.Backend, 0, len(listing.Objects))
 	leaving := 0
-	for _, backend := range backends {
-		if backend.Leaving {
+	for _, object := range listing.Objects {
+		read := t.read(object)
+		entries[object.Name] = read
+		if read.err != nil {
+			t.log.Log(eventBackendUnreadable, logger.Fields{"version": listing.Version, "error": read.err.Error()})
+			continue
+		}
+		backends = append(backends, read.backend)
+		if read.backend.Leaving {
 			leaving++
 		}
 	}
-	t.backends, t.listed = backends, true
+	t.entries, t.backends, t.listed = entries, backends, true
 	t.log.Log(eventListed, logger.Fields{"version": listing.Version, "back-ends": len(backends), "leaving": leaving})
 }
 
+// entry is an entry of the list as it was read in one version.
+type entry struct {
+	version storer.Version
+	backend forwarder.Backend
+	err     error
+}
+
+// read reads an entry, unless it is the one that was read before: of a long list a
+// few change at a time.
+func (t *tables) read(object storer.Object) entry {
+	if known, ok := t.entries[object.Name]; ok && known.version == object.Version {
+		return known
+	}
+	backend, err := platform.ParseBackend(object)
+	return entry{version: object.Version, backend: backend, err: err}
+}
+
 // newSnapshot describes the pools of engines to the dispatcher.
 func (t *tables) newSnapshot() *tabulator.Snapshot {
 	snapshot := &tabulator.Snapshot{Number: t.configuration.Number}
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -36,6 +36,9 @@
 	// leastAge is how long an engine must have been listed before it is ordered:
 	// longer than an order to an earlier process at its address can be under way.
 	leastAge = 6 * time.Second
+	// certainAge is the age by the engine's own word from which on it counts as old
+	// enough, also for a node that has just started: more than clocks differ by.
+	certainAge = 30 * time.Second
 	// orderTimeout bounds one order, orderTries how often it is sent: an engine
 	// answers at once, and a second order of the same node changes nothing.
 	orderTimeout = 700 * time.Millisecond
@@ -112,7 +115,7 @@
 		if !listed || time.Now().Before(s.pausedUntil) {
 			continue
 		}
-		if time.Since(s.seen[claimName(engine)]) < leastAge {
+		if time.Since(s.seen[claimName(engine)]) < leastAge && time.Since(engine.Started) < certainAge {
 			continue
 		}
 		s.change(ctx, engine, change)
--- a/switcher/switcher_test.go
+++ b/switcher/switcher_test.go
@@ -86,7 +86,7 @@
 }
 
 func newWorld() *world {
-	engine := forwarder.Backend{Name: "e", Pool: "llm", Role: identifier.Prefill, Started: time.UnixMilli(1000)}
+	engine := forwarder.Backend{Name: "e", Pool: "llm", Role: identifier.Prefill, Started: time.Now()}
 	return &world{
 		store:   &claims{held: map[string]storer.Object{}},
 		wish:    &wish{change: placer.RoleChange{Member: "e", Role: identifier.Decode}},
@@ -135,7 +135,7 @@
 		w := newWorld()
 		w.run("a", 1, longEnough)
 		w.wish.changing = 0
-		w.backend.Started = time.UnixMilli(9000)
+		w.backend.Started = time.Now()
 		w.run("b", 1, longEnough)
 		if len(w.orders.sent) != 2 || w.orders.sent[1].Holder != "b" {
 			t.Errorf("%+v", w.orders.sent)
