Leave prefill engines more room in the wanted split

Change: prefill engines count as usable to 0.78, decode engines to 0.85, and a gain of 0.04 suffices.

--- a/placer/split.go
+++ b/placer/split.go
@@ -35,17 +35,17 @@
 	// not come evenly. prefillShare is that of a prefill engine, where one that waits
 	// is late soon.
 	decodeShare  = 0.85
-	prefillShare = 0.75
+	prefillShare = 0.78
 	// splitGain is by how much more another split must serve. A change takes an
 	// engine away for seconds.
-	splitGain = 1.08
+	splitGain = 1.04
 	// splitPatience is how long another split must have been better. Engines that
 	// crash are back within seconds.
 	splitPatience = 2 * time.Second
 	// crashPatience is the same where decode engines would change: a prefill engine
 	// that crashed leaves the list when it has been silent for some seconds, and is
 	// mostly back soon after.
-	crashPatience = 4 * time.Second
+	crashPatience = 8 * time.Second
 	// splitSamples is how many requests an average needs.
 	splitSamples = 20
 	// changingShare is the part of a role's engines that may change at once.
