Let decode engines read prompts themselves while prefill engines are busy

Cause: with the lacking resource in the log, a double burst's refusals were for prefill while decode engines were at 0.6 to 0.8 of their memory. A decode engine reads a prompt at half the rate, and its streams pause meanwhile; so only prompts whose pause their gap allows, one at a time with an event and a half between, where the engine stays below 0.85. A pool without any prefill engine is served that way too. With it the wanted split may count prefill engines as usable to 0.9.

--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -164,6 +164,8 @@
 		LesserShare:     pool.LesserShare,
 		Foresight:       pool.Foresight,
 		RoleChange:      pool.RoleChange,
+		DirectRate:      pool.DirectRate,
+		EventTokens:     pool.EventTokens,
 		QueueLimit:      pool.QueueLimit,
 		Lease:           s.options.Lease,
 		OrphanGrace:     s.options.Grace,
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -133,12 +133,8 @@
 
 // start runs one attempt up to the header of its answer.
 func (c *call) start(placement *placer.Placement) (*Reply, error) {
-	if !c.keepsSource() {
-		source, err := c.prefill(placement.Prefill)
-		if err != nil {
-			return nil, err
-		}
-		c.source, c.prefilled = source, time.Now()
+	if err := c.readPrompt(placement); err != nil {
+		return nil, err
 	}
 	c.result.Prefilled = true
 	reply, err := c.decode(placement.Decode, c.source)
@@ -152,6 +148,24 @@
 	return nil, err
 }
 
+// readPrompt has the prompt read for a placement, unless it is there already or its
+// decode engine reads it itself.
+func (c *call) readPrompt(placement *placer.Placement) error {
+	if c.keepsSource() {
+		return nil
+	}
+	c.dropSource()
+	if placement.Prefill == "" {
+		return nil
+	}
+	source, err := c.prefill(placement.Prefill)
+	if err != nil {
+		return err
+	}
+	c.source, c.prefilled = source, time.Now()
+	return nil
+}
+
 // sourceShare is the part of a KV cache's life in which it is still sent on; the
 // rest is for its way.
 const sourceShare = 0.6
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -117,6 +117,9 @@
 	// alone is the grant whose prefill had the engine to itself so far.
 	rate  float64
 	alone *grant
+	// directUntil is when the engine may be given the next prompt to read itself while
+	// it decodes.
+	directUntil time.Time
 	// ordered tells that the engine was told to change its role. Until
 	// changingUntil it gets nothing; then, or once the table says so, it is what it
 	// becomes.
--- a/placer/events.go
+++ b/placer/events.go
@@ -203,7 +203,7 @@
 		fits = fits || e.Pieces >= need
 	}
 	switch {
-	case !prefill || !decode:
+	case !prefill && p.settings.DirectRate <= 0 || !decode:
 		return NoMember, false
 	case !fits:
 		return TooLarge, false
--- a/placer/foresee_test.go
+++ b/placer/foresee_test.go
@@ -77,6 +77,10 @@
 // held more than its memory, of all moments.
 type counts struct {
 	urgent, lesser, placed, placedLesser, refused, late int
+	// direct counts the prompts that decode engines read themselves; longestPause is
+	// how long streams waited for one, leastRest the time between two at an engine.
+	direct                  int
+	longestPause, leastRest time.Duration
 	// back counts the callers who were refused before.
 	back int
 	// missed counts the placed requests whose prompt was read after their target.
@@ -103,7 +107,7 @@
 		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("p%d", n)), Role: identifier.Prefill, Pieces: loadMemory / loadPiece, PrefillRate: 55_000, LinkRate: 1e12})
 	}
 	for n := range decodes {
-		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("d%d", n)), Role: identifier.Decode, Pieces: loadMemory / loadPiece, LinkRate: 1e12, Slots: 32})
+		l.engines = append(l.engines, Engine{Member: identifier.Member(fmt.Sprintf("d%d", n)), Role: identifier.Decode, Pieces: loadMemory / loadPiece, PrefillRate: 50_000, LinkRate: 1e12, Slots: 32})
 	}
 	settings := Settings{Issuer: "t", PieceTokens: loadPiece, Foresight: foresight, LesserShare: 0.02, Lease: time.Hour, Rebuild: time.Nanosecond, RoleChange: 6 * time.Second}
 	l.placer = New(l.now, settings)
@@ -115,7 +119,7 @@
 // play sends requests at a rate for some time and returns what became of those.
 func (l *load) play(rate float64, span time.Duration) counts {
 	l.rate = rate
-	l.counts = counts{}
+	l.counts = counts{leastRest: time.Hour}
 	for until := l.now.Add(span); l.now.Before(until); l.now = l.now.Add(loadStep) {
 		if l.random.Float64() < l.rate*loadStep.Seconds() {
 			l.submit(l.draw())
@@ -177,7 +181,7 @@
 	held := map[identifier.Member]float64{}
 	for _, grant := range slices.Sorted(maps.Keys(l.running)) {
 		r := l.running[grant]
-		if l.now.Before(r.starts) {
+		if l.now.Before(r.starts) || l.now.Before(l.reads[r.decode]) {
 			continue
 		}
 		slow := max(1, l.slow[r.decode])
@@ -242,12 +246,26 @@
 
 // read has a prefill engine read a prompt, after those that it was given before.
 func (l *load) read(r playedRequest, placed *Placement) *playedRun {
+	if placed.Prefill == "" {
+		return l.readDirect(r, placed)
+	}
 	begins := later(l.now, l.reads[placed.Prefill])
 	ends := begins.Add(seconds(r.prompt*max(1, l.slow[placed.Prefill]), loadRead))
 	l.reads[placed.Prefill] = ends
 	return &playedRun{playedRequest: r, decode: placed.Decode, starts: ends.Add(loadWay), read: ends.Sub(l.now)}
 }
 
+// readDirect has a decode engine read a prompt itself at half the rate, while its
+// streams pause.
+func (l *load) readDirect(r playedRequest, placed *Placement) *playedRun {
+	l.counts.direct++
+	pause := seconds(2*r.prompt, loadRead)
+	l.counts.longestPause = max(l.counts.longestPause, pause)
+	l.counts.leastRest = min(l.counts.leastRest, l.now.Sub(l.reads[placed.Decode]))
+	l.reads[placed.Decode] = l.now.Add(pause)
+	return &playedRun{playedRequest: r, decode: placed.Decode, starts: l.now.Add(pause)}
+}
+
 const (
 	// loadRead is what a prefill engine reads in a second, loadWay the way to the
 	// first token beside it.
--- a/placer/place.go
+++ b/placer/place.go
@@ -112,6 +112,10 @@
 func (p *Placer) try(now time.Time, w *waiting) verdict {
 	d := &w.demand
 	start := p.bestPrefill(now, d)
+	waits := start.engine == nil || start.begin.Sub(now) > p.settings.PrefillAhead
+	if waits && p.grantDirect(now, w) {
+		return placed
+	}
 	if start.engine == nil {
 		return noPrefill
 	}
@@ -144,7 +148,8 @@
 	return p.step + handOver
 }
 
-// run is a prefill as it is planned on one engine.
+// run is a prefill as it is planned on one engine; the engine is nil where the decode
+// engine reads the prompt itself.
 type run struct {
 	engine *engine
 	// begin and end are when the prefill runs; its KV cache waits linkWait for
@@ -244,44 +249,50 @@
 
 // grant books a placed demand.
 func (p *Placer) grant(now time.Time, w *waiting, start run, decode *engine) {
-	apart := start.engine.beginAlone(now)
-	start.engine.prefillUntil = start.end
-	start.engine.linkUntil = start.ready
-	if p.isLong(&w.demand, start) {
-		start.engine.longUntil = start.end
-	}
-	decode.linkUntil = later(decode.linkUntil, start.ready)
 	p.served[w.demand.Rank].add(now, w.pieces)
-	for _, prefix := range w.demand.Prefixes {
-		p.index.add(now, start.engine, prefix)
-	}
 	decode.granted += w.pieces
 	g := &grant{
 		Held: Held{
-			Grant:   p.nextGrant(),
-			Demand:  w.demand,
-			Prefill: start.engine.Member,
-			Decode:  decode.Member,
-			Pieces:  w.pieces,
-			Stream:  w.demand.Attempt,
+			Grant:  p.nextGrant(),
+			Demand: w.demand,
+			Decode: decode.Member,
+			Pieces: w.pieces,
+			Stream: w.demand.Attempt,
 		},
-		prefill:  start.engine,
-		decode:   decode,
-		computes: p.uncached(&w.demand, start.engine),
-		apart:    apart,
-		granted:  now,
-		ready:    start.ready,
-		told:     start.ready,
-		asked:    w.demand.Attempt,
-		expires:  now.Add(p.settings.Lease),
+		decode:  decode,
+		granted: now,
+		ready:   start.ready,
+		told:    start.ready,
+		asked:   w.demand.Attempt,
+		expires: now.Add(p.settings.Lease),
 	}
-	if apart {
-		start.engine.alone = g
+	if start.engine != nil {
+		p.bookPrefill(now, g, start)
 	}
 	p.hold(g)
 	p.answer(&w.demand, Outcome{Placement: p.placement(g)})
 }
 
+// bookPrefill books the prefill of a grant on its engine and on both links.
+func (p *Placer) bookPrefill(now time.Time, g *grant, start run) {
+	e := start.engine
+	g.Prefill, g.prefill = e.Member, e
+	g.computes = p.uncached(&g.Demand, e)
+	g.apart = e.beginAlone(now)
+	if g.apart {
+		e.alone = g
+	}
+	e.prefillUntil = start.end
+	e.linkUntil = start.ready
+	if p.isLong(&g.Demand, start) {
+		e.longUntil = start.end
+	}
+	g.decode.linkUntil = later(g.decode.linkUntil, start.ready)
+	for _, prefix := range g.Demand.Prefixes {
+		p.index.add(now, e, prefix)
+	}
+}
+
 func (p *Placer) placement(g *grant) *Placement {
 	return &Placement{
 		Grant:   g.Grant,
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -56,7 +56,8 @@
 
 // Placement is a granted demand.
 type Placement struct {
-	Grant   identifier.Grant
+	Grant identifier.Grant
+	// Prefill is empty where the decode engine reads the prompt itself.
 	Prefill identifier.Member
 	Decode  identifier.Member
 	// Attempt is the attempt that was granted. It is larger than the demand's
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -94,6 +94,11 @@
 	// RoleChange is how long an engine takes to change its role; zero engines keep
 	// theirs.
 	RoleChange time.Duration
+	// DirectRate is the part of a prefill engine's rate at which a decode engine reads
+	// prompts itself; zero ones do not. EventTokens is how many tokens a stream's event
+	// holds.
+	DirectRate  float64
+	EventTokens identifier.Tokens
 	// Without leaves elements out.
 	Without Element
 }
--- a/placer/split.go
+++ b/placer/split.go
@@ -35,7 +35,7 @@
 	// not come evenly. prefillShare is that of a prefill engine, where one that waits
 	// is late soon.
 	decodeShare  = 0.85
-	prefillShare = 0.78
+	prefillShare = 0.9
 	// splitGain is by how much more another split must serve. A change takes an
 	// engine away for seconds.
 	splitGain = 1.04
--- a/starter/roles_test.go
+++ b/starter/roles_test.go
@@ -70,3 +70,18 @@
 		<-done
 	}
 }
+
+// TestNoPrefillEngineListed takes all prefill engines off the list: the decode engines
+// read the prompts themselves.
+func TestNoPrefillEngineListed(t *testing.T) {
+	run(t, 2, func(t *testing.T, f *fleet) {
+		for _, id := range f.backends("llm", "prefill") {
+			f.objects.Remove("servers", id)
+		}
+		time.Sleep(applyBound)
+		got := f.send(t.Context(), 0, quote())
+		if got.status != http.StatusOK || got.cut {
+			t.Errorf("%+v", got)
+		}
+	})
+}
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -148,6 +148,8 @@
 			KVBytesPerToken: pool.TokenBytes,
 			Foresight:       true,
 			RoleChange:      pool.RoleChange,
+			DirectRate:      directRate,
+			EventTokens:     pool.EventTokens,
 			LesserShare:     lesserShare,
 		}
 		for _, backend := range t.backends {
@@ -178,3 +180,7 @@
 // below what the users' sheets give for an idle engine. The platform does not tell it,
 // and times of prefills hold their queueing too, so that it is not learned.
 const prefillRate identifier.Tokens = 50_000
+
+// directRate is the part of a prefill engine's rate at which the platform's decode
+// engines read prompts themselves.
+const directRate = 0.5
--- a/tabulator/tabulator.go
+++ b/tabulator/tabulator.go
@@ -68,6 +68,11 @@
 	// RoleChange is how long an engine takes to change its role when the requests
 	// need another split; zero engines keep the role of their row.
 	RoleChange time.Duration `json:"-" toml:"-"`
+	// DirectRate is the part of a prefill engine's rate at which decode engines read
+	// prompts themselves; zero ones do not. EventTokens is how many tokens an event of
+	// a stream holds.
+	DirectRate  float64           `json:"-" toml:"-"`
+	EventTokens identifier.Tokens `json:"-" toml:"-"`
 	// RepeatableOutput tells that all engines of the pool generate the same tokens
 	// for the same prompt and seed. Only then is an answer whose beginning is known
 	// to its caller alone generated again.
