Refuse callers who came back at once where they would wait too long

Cause: those who returned into a pool that stayed full were held for three seconds and then refused. Change: their wait is worked out from what comes free beyond what new callers ask for.

--- a/placer/drain.go
+++ b/placer/drain.go
@@ -1,17 +1,25 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
-// drainWindow is the time over which the rate of freed memory is averaged.
-const drainWindow = 5 * time.Second
+const (
+	// drainWindow is the time over which the rate of freed memory is averaged.
+	drainWindow = 5 * time.Second
+	// arrivalWindow is that of arriving demands: short, so that the end of a burst is
+	// seen while those that it refused come back.
+	arrivalWindow = time.Second
+)
 
-// drain averages how much memory comes free, with exponential decay.
+// drain averages how much memory comes free or is asked for, with exponential decay.
 type drain struct {
+	// window is the time to average over; zero takes drainWindow.
+	window time.Duration
 	// amount is the decayed sum of freed pieces at last.
 	amount float64
 	last   time.Time
@@ -27,7 +35,7 @@
 	if d.first.IsZero() {
 		d.first, d.last = now, now
 	}
-	d.amount *= math.Exp(-float64(now.Sub(d.last)) / float64(drainWindow))
+	d.amount *= math.Exp(-float64(now.Sub(d.last)) / float64(d.span()))
 	d.last = now
 }
 
@@ -37,8 +45,24 @@
 		return 0
 	}
 	d.decay(now)
-	seen := 1 - math.Exp(-float64(now.Sub(d.first))/float64(drainWindow))
-	return d.amount / drainWindow.Seconds() / seen
+	seen := 1 - math.Exp(-float64(now.Sub(d.first))/float64(d.span()))
+	return d.amount / d.span().Seconds() / seen
+}
+
+func (d *drain) span() time.Duration {
+	return cmp.Or(d.window, drainWindow)
+}
+
+// returnWait is how long a caller who came back will wait: behind all who wait, for
+// what comes free beyond what new callers ask for.
+func (p *Placer) returnWait(now time.Time, rank identifier.Rank) time.Duration {
+	freed := p.drain.rate(now)
+	if freed <= 0 {
+		return 0
+	}
+	const leastPart = 0.05
+	spare := max(freed-p.arriving.rate(now), leastPart*freed)
+	return seconds(float64(p.queues[rank].pieces), spare)
 }
 
 // expectedWait is how long the demands before a new one take to get their
--- a/placer/events.go
+++ b/placer/events.go
@@ -89,6 +89,9 @@
 	}
 	p.noteDemand(&d)
 	need := p.pieces(&d)
+	if !d.Late && !p.returned(&d) {
+		p.arriving.add(now, need)
+	}
 	if reason, ok := p.admissible(&d, need); !ok {
 		p.refuse(&d, reason, p.settings.Lease)
 		return
@@ -97,7 +100,7 @@
 	w := &waiting{demand: d, deadline: deadline, latest: deadline.Add(-p.leastTime(now, &d) - p.afterReady())}
 	p.boundHold(now, w)
 	w.within = d.Account == "" || !p.settings.has(Fairness) || p.withinShare(&d, need)
-	if p.settings.has(EarlyRefusal) && !w.returned && p.hopeless(now, w) {
+	if p.settings.has(EarlyRefusal) && p.hopeless(now, w) {
 		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
 		return
 	}
@@ -186,6 +189,9 @@
 
 // hopeless tells whether a demand's queue will not drain in time.
 func (p *Placer) hopeless(now time.Time, w *waiting) bool {
+	if w.returned {
+		return p.returnWait(now, w.demand.Rank) > returnedHold
+	}
 	return p.expectedWait(now, w).Seconds() > w.demand.Wait.Seconds()*p.settings.RefuseBeyond
 }
 
--- a/placer/foresee_test.go
+++ b/placer/foresee_test.go
@@ -438,3 +438,21 @@
 		t.Errorf("prompts were read too late: %+v", got)
 	}
 }
+
+// TestCallersWhoReturnIntoABurstAreRefusedAtOnce has a burst go on while those whom it
+// refused come back: they cannot be served, and must not be held until they give up.
+func TestCallersWhoReturnIntoABurstAreRefusedAtOnce(t *testing.T) {
+	l := newLoad(t, true)
+	l.returns = true
+	l.play(usualRate, 10*time.Second)
+	l.play(2*burstRate, 12*time.Second)
+	w := &waiting{demand: Demand{Rank: identifier.Urgent, Wait: returnedHold}, returned: true}
+	if !l.placer.hopeless(l.now, w) {
+		t.Error("a caller who came back is held in the middle of a burst")
+	}
+	l.play(0, 4*time.Second)
+	l.play(usualRate/4, time.Second)
+	if l.placer.hopeless(l.now, w) {
+		t.Error("a caller who came back is refused when the burst is over")
+	}
+}
--- a/placer/state.go
+++ b/placer/state.go
@@ -120,6 +120,8 @@
 	// drain is the memory that comes free, served what each rank is granted.
 	drain  drain
 	served [len(identifier.Ranks)]drain
+	// arriving is the memory that demands of new callers ask for.
+	arriving drain
 	// urgent is when an urgent demand last came in, urgentWait the average time
 	// that the last ones had left.
 	urgent     time.Time
@@ -158,6 +160,7 @@
 		strangers:  map[stranger]time.Time{},
 		returning:  map[uint64]struct{}{},
 		tokenTime:  defaultTokenTime,
+		arriving:   drain{window: arrivalWindow},
 		index:      newPrefixIndex(),
 	}
 }
