Avoid engines that decline prompts, and learn the split across owners

Change: an engine that declines a prompt is left alone for a while; the time is worked out from tokens.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -34,6 +34,8 @@
 	// orders are those that were accepted, and away tells that one is carried out.
 	orders []StageOrder
 	away   bool
+	// declined counts the requests that were declined meanwhile.
+	declined int
 	// ending is closed by a crash.
 	ending chan struct{}
 }
@@ -169,7 +171,7 @@
 		decline(w, http.StatusBadRequest)
 		return
 	}
-	if i.isAway() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
+	if i.turnsAway() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
 		decline(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/emulator/stage.go
+++ b/emulator/stage.go
@@ -29,9 +29,27 @@
 	return i.options.Stage
 }
 
-func (i *Instance) isAway() bool {
+// Declined counts the requests that were declined while the stage changed.
+func (i *Instance) Declined() int {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	return i.declined
+}
+
+// SetSwitch sets how long a change of the stage takes.
+func (i *Instance) SetSwitch(takes time.Duration) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.options.Switch = takes
+}
+
+// turnsAway tells whether the instance changes its stage, and counts the request.
+func (i *Instance) turnsAway() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.away {
+		i.declined++
+	}
 	return i.away
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -214,8 +214,9 @@
 		c.options.Placer.Prefilled(c.grant, took)
 	}
 	if err != nil {
-		if ctx.Err() != nil && c.ctx.Err() == nil {
-			// The engine may be well, but is of no use to requests with this target.
+		if ctx.Err() != nil && c.ctx.Err() == nil || errorx.IsOfType(err, Declined) {
+			// The engine may be well, but is of no use to requests with this target, or
+			// changes its role at the word of an earlier owner.
 			c.result.Failed = backend.Name
 		}
 		c.failed(backend, err)
--- a/placer/events.go
+++ b/placer/events.go
@@ -264,7 +264,7 @@
 		p.outputs(&g.Demand).add(result.Output, p.settings.OutputQuantile)
 		p.outputs(&g.Demand).learn(result.Output, g.Demand.Hint)
 		p.noteOutput(g, result.Output-g.Output, now.Sub(g.told))
-		p.noteFinished(now, g, result.Output)
+		p.noteFinished(g, result.Output)
 	}
 	p.free(now, g)
 }
--- a/placer/split.go
+++ b/placer/split.go
@@ -80,10 +80,11 @@
 	p.mix.prompt.add(float64(d.Prompt))
 }
 
-// noteFinished counts a finished request's output and time.
-func (p *Placer) noteFinished(now time.Time, g *grant, output identifier.Tokens) {
+// noteFinished counts a finished request's output, and the time that it takes. That
+// is not measured from the grant, which an earlier owner may have given.
+func (p *Placer) noteFinished(g *grant, output identifier.Tokens) {
 	p.mix.output.add(float64(output))
-	p.mix.held.add(max(0, now.Sub(g.ready).Seconds()))
+	p.mix.held.add(float64(output) * p.tokenTimeOf(g.decode).Seconds())
 }
 
 // RoleChanges returns the engines that should change their role now. Whoever has
--- a/starter/roles_test.go
+++ b/starter/roles_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -85,3 +86,42 @@
 		}
 	})
 }
+
+// TestNewOwnerAvoidsEngineThatChanges has all nodes killed while an engine changes its
+// role: the new owner does not know of the order, and must find out at once.
+func TestNewOwnerAvoidsEngineThatChanges(t *testing.T) {
+	run(t, 2, func(t *testing.T, f *fleet) {
+		id := f.backends("llm", "prefill")[0]
+		f.order(t, id, "decode")
+		f.kill(0)
+		f.kill(1)
+		f.start(0)
+		f.start(1)
+		f.await(t, recoverBound, "the nodes are ready", func() bool { return f.ready() == 2 })
+		before := f.instances[id].Declined()
+		// Together they take less than an engine that declined is left alone for.
+		for range 3 {
+			if got := f.send(t.Context(), 0, quote()); got.status != http.StatusOK {
+				t.Errorf("%+v", got)
+			}
+		}
+		if declined := f.instances[id].Declined() - before; declined > 1 {
+			t.Errorf("the engine declined %d prompts", declined)
+		}
+	})
+}
+
+// order tells an engine to change its role, as an earlier owner did.
+func (f *fleet) order(t *testing.T, id, stage string) {
+	t.Helper()
+	f.instances[id].SetSwitch(time.Minute)
+	address := strings.TrimPrefix(id, "i-")
+	body := strings.NewReader(`{"op":"stage","stage":"` + stage + `","holder":"other","fence":1}`)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/v1/order", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.do(request); got.status != http.StatusAccepted {
+		t.Fatalf("%+v", got)
+	}
+}
