Read a long list's changes from the store, and the whole of it there at a start

Readers themselves read a megabyte each 400 ms. Change: a node without a copy reads the store, page by page; readers of long lists read the changes, and the whole each 1.6 s, as changes may be missed while history is dropped.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -22,6 +23,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
@@ -33,6 +35,9 @@
 // Lister reads collections of the store.
 type Lister interface {
 	List(ctx context.Context, kind storer.Kind) (storer.Listing, error)
+	// Changes returns the changes after a version and the version that they lead to.
+	// It may miss changes for some seconds.
+	Changes(ctx context.Context, kind storer.Kind, after storer.Version) ([]storer.Event, storer.Version, error)
 }
 
 // Options configures a follower. Zero values take the defaults.
@@ -56,7 +61,8 @@
 	Interval time.Duration
 	// Stale is the age of a copy from which on a node looks elsewhere: 900 ms.
 	Stale time.Duration
-	// Timeout bounds one read and one call to a peer, beyond its hold: 400 ms.
+	// Timeout bounds one call to a peer, beyond its hold: 400 ms. The store bounds its
+	// own calls, of which a long list takes several.
 	Timeout time.Duration
 	Log     *logger.Logger
 	Scope   tally.Scope
@@ -100,6 +106,8 @@
 	// unfit tells that changes of another node did not fit this copy, so that all of
 	// the objects are asked for.
 	unfit bool
+	// listed is when the collection was last read whole.
+	listed time.Time
 	// confirmed is when the version was last known to be the latest.
 	confirmed time.Time
 }
@@ -164,6 +172,11 @@
 // readers, then the substitutes, who read by themselves while the readers are
 // behind, then the store, then any other node.
 func (f *Follower) round(ctx context.Context) {
+	if f.missing() && f.read(ctx) {
+		// The whole of a long list is the store's to tell: passed on by two readers to
+		// a fleet that starts, it would take their links for long.
+		return
+	}
 	ranked := f.options.View().Ranked("store-readers", f.options.Readers*(1+substitutes))
 	readers := ranked[:min(f.options.Readers, len(ranked))]
 	reads, substitute := named(readers, f.options.Self), named(ranked, f.options.Self)
@@ -182,6 +195,11 @@
 	f.askAround(ctx)
 }
 
+// missing tells whether a collection was never read.
+func (f *Follower) missing() bool {
+	return f.Age() >= neverConfirmed
+}
+
 // substitutes are how many nodes for each reader read by themselves while the
 // readers are behind.
 const substitutes = 2
@@ -249,21 +267,24 @@
 	}
 }
 
-// read reads all collections and tells whether that worked.
+// read reads all collections and tells whether that worked. Where the store does not
+// answer at all, the first one tells so.
 func (f *Follower) read(ctx context.Context) bool {
 	ok := true
+	began := time.Now()
 	for _, kind := range f.options.Kinds {
 		ok = f.readOne(ctx, kind) && ok
+		if !ok && time.Since(began) >= f.options.Timeout {
+			return false
+		}
 	}
 	return ok
 }
 
 func (f *Follower) readOne(ctx context.Context, kind storer.Kind) bool {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
-	defer cancel()
 	asked := time.Now()
 	f.reads.Inc(1)
-	listing, err := f.options.Store.List(ctx, kind)
+	listing, err := f.fetch(ctx, kind, asked)
 	if err != nil {
 		f.failed.Inc(1)
 		if !f.storeDown.Swap(true) {
@@ -278,6 +299,62 @@
 	return true
 }
 
+const (
+	// longList is how many objects make a list long: reading it whole takes several
+	// calls, and more than its part of a slow link.
+	longList = 250
+	// listInterval is the time between two whole reads of a long list. Between them
+	// only changes are read, which may be missed for a while.
+	listInterval = 1600 * time.Millisecond
+)
+
+// fetch reads a collection: whole, or the changes since the copy of a long list.
+func (f *Follower) fetch(ctx context.Context, kind storer.Kind, now time.Time) (storer.Listing, error) {
+	f.mutex.Lock()
+	held := *f.copies[kind]
+	f.mutex.Unlock()
+	if len(held.listing.Objects) >= longList && now.Sub(held.listed) < listInterval {
+		events, reached, err := f.options.Store.Changes(ctx, kind, held.listing.Version)
+		if err == nil {
+			return storer.Listing{Version: reached, Objects: follow(held.listing.Objects, events, f.options.Compare)}, nil
+		}
+		if !errorx.IsOfType(err, storer.Expired) {
+			return storer.Listing{}, err
+		}
+	}
+	listing, err := f.options.Store.List(ctx, kind)
+	if err == nil {
+		f.mutex.Lock()
+		f.copies[kind].listed = now
+		f.mutex.Unlock()
+	}
+	return listing, err
+}
+
+// follow makes the changes that events tell to a copy. An event that the copy already
+// has, or is later than, changes nothing.
+func follow(objects []storer.Object, events []storer.Event, compare func(a, b storer.Version) int) []storer.Object {
+	if len(events) == 0 {
+		return objects
+	}
+	latest := make(map[string]storer.Object, len(objects))
+	for _, object := range objects {
+		latest[object.Name] = object
+	}
+	for _, event := range events {
+		held, known := latest[event.Object.Name]
+		if known && compare(event.Object.Version, held.Version) < 0 {
+			continue
+		}
+		if event.Change == storer.Deleted {
+			delete(latest, event.Object.Name)
+			continue
+		}
+		latest[event.Object.Name] = event.Object
+	}
+	return slices.Collect(maps.Values(latest))
+}
+
 // take replaces a copy by a later one and confirms an equal one.
 func (f *Follower) take(kind storer.Kind, listing storer.Listing, confirmed time.Time) {
 	sortObjects(listing.Objects)
@@ -302,6 +379,7 @@
 	}
 	digest := digestOf(listing.Objects)
 	if held.known && digest == held.digest {
+		held.listing.Version = listing.Version
 		return
 	}
 	if held.known {
--- a/follower/history.go
+++ b/follower/history.go
@@ -129,6 +129,10 @@
 }
 
 func sortObjects(objects []storer.Object) {
+	if slices.IsSortedFunc(objects, compareNames) {
+		// The objects may be those of a copy, which is not written to.
+		return
+	}
 	slices.SortFunc(objects, compareNames)
 }
 
--- a/follower/history_test.go
+++ b/follower/history_test.go
@@ -70,3 +70,33 @@
 		t.Errorf("%d bytes in %d steps", past.bytes, len(past.steps))
 	}
 }
+
+// TestEventsAreFollowed holds that events lead to the store's collection in whatever
+// state the copy is between them, also where it already has some.
+func TestEventsAreFollowed(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	var last []storer.Object
+	var events []storer.Event
+	copies := [][]storer.Object{nil}
+	at := []int{0}
+	for version := 1; version <= 60; version++ {
+		next := changed(random, last, version)
+		var past history
+		past.add(1, last, next)
+		for _, object := range past.steps[0].stored {
+			events = append(events, storer.Event{Change: storer.Modified, Object: object})
+		}
+		for _, name := range past.steps[0].removed {
+			events = append(events, storer.Event{Change: storer.Deleted, Object: storer.Object{Name: name, Version: storer.Version(fmt.Sprint(version))}})
+		}
+		last = next
+		copies, at = append(copies, last), append(at, len(events))
+	}
+	for range 100 {
+		from := random.IntN(len(copies))
+		early := max(0, at[from]-random.IntN(5))
+		if got := follow(copies[from], events[early:], compareNumbers); digestOf(got) != digestOf(last) {
+			t.Fatalf("copy %d with the events from %d on: %d objects, want %d", from, early, len(got), len(last))
+		}
+	}
+}
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -128,9 +128,17 @@
 	return list
 }
 
+// wholeTime is what a call may take longer while this node has no copy: a whole long
+// list takes a slow link that long.
+const wholeTime = 2 * time.Second
+
 // ask has another node tell what it has that is newer, waiting for it up to hold.
 func (f *Follower) ask(ctx context.Context, member assigner.Member, hold time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, hold+f.options.Timeout)
+	bound := hold + f.options.Timeout
+	if f.missing() {
+		bound += wholeTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	client := rpc.NewFollowerProtobufClient("http://"+string(member.Peers), &http.Client{Transport: f.options.Peers})
 	response, err := client.Newer(ctx, f.request(hold))
