--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -149,6 +150,24 @@
 	return metrics{scope.SubScope("forwarder")}
 }
 
+// rankLimit bounds the ranks that are told apart in labels.
+const rankLimit = 10
+
+// ranked is the scope of a rank.
+func (m metrics) ranked(rank int) tally.Scope {
+	return m.scope.Tagged(map[string]string{"rank": strconv.Itoa(min(max(0, rank), rankLimit-1))})
+}
+
+// firstEvent counts the time from a request's arrival to the first event of its stream.
+func (m metrics) firstEvent(rank int, took time.Duration) {
+	m.ranked(rank).Timer("first-event").Record(took)
+}
+
+// longestPause counts the longest time between two events of a stream that ended well.
+func (m metrics) longestPause(rank int, pause time.Duration) {
+	m.ranked(rank).Timer("longest-pause").Record(pause)
+}
+
 func (m metrics) ended(c *call, refusal *router.Refusal) {
 	outcome, reason := "answered", ""
 	if refusal != nil {
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -28,6 +28,9 @@
 	events eventCounter
 	sent   time.Time
 	ended  bool
+	// latest is when the last event came, longest the longest pause between two.
+	latest  time.Time
+	longest time.Duration
 }
 
 // wholeBody is a body that was read already.
@@ -69,13 +72,27 @@
 func (r *Reply) progress(piece []byte) {
 	before := r.events.count
 	r.events.add(piece)
-	if r.events.count > before && r.call.grant != "" {
+	if r.events.count == before {
+		return
+	}
+	r.time(time.Now(), before)
+	if r.call.grant != "" {
 		output := identifier.Tokens(r.events.count) * r.call.pool.EventTokens
 		r.call.result.Output = output
 		r.call.options.Placer.Progress(r.call.grant, output, true)
 	}
 }
 
+// time notes when events came; before is how many had come earlier.
+func (r *Reply) time(now time.Time, before int) {
+	if before == 0 {
+		r.call.metrics.firstEvent(r.call.route.Rank, now.Sub(r.call.request.Arrived))
+	} else {
+		r.longest = max(r.longest, now.Sub(r.latest))
+	}
+	r.latest = now
+}
+
 // broke ends a stream that its engine cut off, or that has to stop.
 func (r *Reply) broke(cause error) {
 	refusal := r.call.over()
@@ -102,6 +119,7 @@
 	if r.Streaming && refusal == nil {
 		r.call.judge.end(time.Now(), r.backend, verdictOf(r.Status), time.Since(r.sent))
 		r.call.options.Isolator.Finished(r.call.request.Fingerprint)
+		r.call.metrics.longestPause(r.call.route.Rank, r.longest)
 	}
 	r.call.finish(refusal)
 }
--- a/starter/walkthrough_test.go
+++ b/starter/walkthrough_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -112,8 +113,11 @@
 	var group sync.WaitGroup
 	for n := range burst {
 		time.Sleep(10 * time.Millisecond)
+		// Requests that are alike would be taken for one caller who comes back.
+		own := large
+		own.path = fmt.Sprintf("/quote/%d", n)
 		group.Go(func() {
-			got := f.send(context.Background(), n%2, large)
+			got := f.send(context.Background(), n%2, own)
 			f.check(t, got, true)
 			mutex.Lock()
 			defer mutex.Unlock()
