Note the end of a sending in one place, and drop two bounds that nothing reads

The calls of plain services, of engines and of broken streams each judged, logged and looked for a crash by themselves.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -288,6 +288,18 @@
 // maxSends bounds the sendings of one request, declined ones among them.
 const maxSends = 3
 
+// sendingEnded notes how a sending ended in what is believed of its back end. It
+// tells whether the back end has crashed.
+func (c *call) sendingEnded(backend Backend, v verdict, took time.Duration, err error) (crashed bool) {
+	now := time.Now()
+	c.judge.end(now, backend, v, took)
+	c.logJudged(backend, c.judge.look(now, backend, c.table.Pool(backend.Pool, backend.Role)))
+	if v != answered {
+		c.logSending(backend, v, err)
+	}
+	return v == lost && c.suspect(backend)
+}
+
 // suspect checks whether a back end that lost an answer has crashed, and tells
 // the isolator if it has. A connection that broke alone is no crash.
 func (c *call) suspect(backend Backend) (crashed bool) {
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -98,10 +98,7 @@
 	refusal := r.call.over()
 	if refusal == nil {
 		refusal = unknown(router.StreamLost, "the back end broke its answer off")
-		r.call.judge.end(time.Now(), r.backend, lost, time.Since(r.sent))
-		r.call.logSending(r.backend, lost, cause)
-		r.call.logJudged(r.backend, r.call.judge.look(time.Now(), r.backend, r.call.table.Pool(r.backend.Pool, r.backend.Role)))
-		if r.call.suspect(r.backend) {
+		if r.call.sendingEnded(r.backend, lost, time.Since(r.sent), cause) {
 			r.call.result.Failed = r.backend.Name
 		}
 	} else {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -114,14 +114,7 @@
 	if err != nil && ctx.Err() != nil {
 		v = withdrawn
 	}
-	c.judge.end(time.Now(), backend, v, took)
-	c.logJudged(backend, c.judge.look(time.Now(), backend, c.table.Pool(backend.Pool, "")))
-	if v != answered {
-		c.logSending(backend, v, err)
-	}
-	if v == lost {
-		c.suspect(backend)
-	}
+	c.sendingEnded(backend, v, took, err)
 	if v == answered {
 		c.options.Isolator.Finished(c.request.Fingerprint)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -266,12 +266,8 @@
 	if err != nil && c.ctx.Err() != nil {
 		v = withdrawn
 	}
-	c.judge.end(time.Now(), backend, v, took)
-	c.logJudged(backend, c.judge.look(time.Now(), backend, c.table.Pool(backend.Pool, backend.Role)))
-	if err != nil {
-		c.logSending(backend, v, err)
-	}
-	if v == unreached || v == replaced || v == lost && c.suspect(backend) {
+	crashed := c.sendingEnded(backend, v, took, err)
+	if v == unreached || v == replaced || crashed {
 		c.result.Failed = backend.Name
 	}
 }
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -106,8 +106,6 @@
 		Files:       4000,
 		Grace:       8 * time.Second,
 		EntryKeep:   5 * time.Second,
-		Drain:       2 * time.Second,
-		Apply:       applyBound,
 		Retries:     platform.RetryBudget{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
 	}
 }
