--- a/switcher/events.go
+++ b/switcher/events.go
@@ -17,6 +17,8 @@
 		"The platform's store did not answer. The engine keeps its role; the claim is tried again.")
 	eventClaimUnreadable = logger.Define(5205, logrus.WarnLevel, "claim on an engine cannot be read",
 		"The claim is taken as another node's, so that the engine gets no order from this one.")
+	eventClaimKept = logger.Define(5206, logrus.InfoLevel, "claim on a gone engine not removed",
+		"The platform's store did not take the removal of a claim that nobody needs any more; it is tried again.")
 	eventOrderFailed = logger.Define(5204, logrus.WarnLevel, "order to an engine failed",
 		"The engine may or may not change its role; its entry will tell. It is not told again.")
 )
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -39,6 +39,9 @@
 	// certainAge is the age by the engine's own word from which on it counts as old
 	// enough, also for a node that has just started: more than clocks differ by.
 	certainAge = 30 * time.Second
+	// goneTime is how long an engine must be off the list before its claim is removed:
+	// longer than entries that lapsed while the store was away take to come back.
+	goneTime = time.Minute
 	// orderTimeout bounds one order, orderTries how often it is sent: an engine
 	// answers at once, and a second order of the same node changes nothing.
 	orderTimeout = 700 * time.Millisecond
@@ -83,13 +86,22 @@
 	options Options
 	// seen is since when each process of an engine is listed.
 	seen map[string]time.Time
+	// claims are this process's, by name.
+	claims map[string]*claim
 	// pausedUntil is when the store may be asked again after a failure.
 	pausedUntil time.Time
 }
 
+// claim is this process's claim on a process of an engine.
+type claim struct {
+	object storer.Object
+	// listed is when the engine was last on the list.
+	listed time.Time
+}
+
 // New returns a switcher.
 func New(options Options) *Switcher {
-	return &Switcher{options: options, seen: map[string]time.Time{}}
+	return &Switcher{options: options, seen: map[string]time.Time{}, claims: map[string]*claim{}}
 }
 
 // Run looks at the splits until ctx ends.
@@ -110,6 +122,7 @@
 func (s *Switcher) look(ctx context.Context) {
 	table := s.options.Table()
 	s.note(time.Now(), table)
+	s.removeOld(ctx, time.Now())
 	for _, change := range s.options.Placer.RoleChanges(time.Now()) {
 		engine, listed := table.Find(change.Member)
 		if !listed || time.Now().Before(s.pausedUntil) {
@@ -136,6 +149,27 @@
 	s.seen = listed
 }
 
+// removeOld removes the claims on engines that are gone. What fails is tried again at
+// a later look.
+func (s *Switcher) removeOld(ctx context.Context, now time.Time) {
+	for name, held := range s.claims {
+		if _, listed := s.seen[name]; listed {
+			held.listed = now
+			continue
+		}
+		if now.Sub(held.listed) < goneTime || now.Before(s.pausedUntil) {
+			continue
+		}
+		err := s.options.Store.Delete(ctx, held.object)
+		if err != nil && !errorx.IsOfType(err, storer.NotFound) {
+			s.pausedUntil = now.Add(failurePause)
+			s.options.Log.Log(eventClaimKept, logger.Fields{"claim": name, "error": err.Error()})
+			continue
+		}
+		delete(s.claims, name)
+	}
+}
+
 // change claims an engine and tells it to change.
 func (s *Switcher) change(ctx context.Context, engine forwarder.Backend, change placer.RoleChange) {
 	s.log(eventWanted, engine, logger.Fields{
@@ -208,6 +242,7 @@
 	name := claimName(engine)
 	created, err := s.options.Store.Create(ctx, storer.Object{Kind: KindClaim, Name: name, Spec: spec})
 	if err == nil {
+		s.claims[name] = &claim{object: created, listed: time.Now()}
 		return s.options.Fence(created.Version), true, nil
 	}
 	if !errorx.IsOfType(err, storer.Conflict) {
@@ -223,5 +258,8 @@
 		s.log(eventClaimUnreadable, engine, logger.Fields{"error": err.Error()})
 		holder = wireClaim{}
 	}
+	if holder == own {
+		s.claims[name] = &claim{object: known, listed: time.Now()}
+	}
 	return s.options.Fence(known.Version), holder == own, nil
 }
--- a/switcher/switcher_test.go
+++ b/switcher/switcher_test.go
@@ -49,6 +49,11 @@
 	return c.held[name], nil
 }
 
+func (c *claims) Delete(_ context.Context, o storer.Object) error {
+	delete(c.held, o.Name)
+	return nil
+}
+
 // wish asks for one change until it is said to be under way.
 type wish struct {
 	change   placer.RoleChange
@@ -83,6 +88,8 @@
 	wish    *wish
 	orders  *orders
 	backend forwarder.Backend
+	// goneAfter is when the engine leaves the list; zero is never.
+	goneAfter time.Duration
 }
 
 func newWorld() *world {
@@ -98,10 +105,17 @@
 // run lets one node look at the split for some time.
 func (w *world) run(node identifier.Node, incarnation identifier.Incarnation, span time.Duration) {
 	table := forwarder.NewTable(nil, []forwarder.Backend{w.backend}, true)
+	gone := forwarder.NewTable(nil, nil, true)
+	began := time.Now()
 	s := switcher.New(switcher.Options{
 		Self: node, Incarnation: incarnation, Store: w.store, Placer: w.wish, Engines: w.orders, Log: logger.Discard(),
 		Fence: func(storer.Version) identifier.Fence { return 7 },
-		Table: func() *forwarder.Table { return table },
+		Table: func() *forwarder.Table {
+			if w.goneAfter > 0 && time.Since(began) > w.goneAfter {
+				return gone
+			}
+			return table
+		},
 	})
 	ctx, stop := context.WithTimeout(context.Background(), span)
 	defer stop()
@@ -174,3 +188,20 @@
 		}
 	})
 }
+
+func TestClaimOnGoneEngineIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.goneAfter = longEnough
+		w.run("a", 1, longEnough+30*time.Second)
+		if len(w.store.held) != 1 {
+			t.Error("the claim was removed while the engine may come back")
+		}
+		w = newWorld()
+		w.goneAfter = longEnough
+		w.run("a", 1, longEnough+2*time.Minute)
+		if len(w.store.held) != 0 {
+			t.Errorf("%v is left", w.store.held)
+		}
+	})
+}
