Start with the copies of any other node, and give a long list's pages time

Change: a node without a copy asks a few others first, each another few, then the store, whose pages may take 1.5 s; a node with a copy gives up as soon as before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -172,9 +172,7 @@
 // readers, then the substitutes, who read by themselves while the readers are
 // behind, then the store, then any other node.
 func (f *Follower) round(ctx context.Context) {
-	if f.missing() && f.read(ctx) {
-		// The whole of a long list is the store's to tell: passed on by two readers to
-		// a fleet that starts, it would take their links for long.
+	if f.missing() && f.begin(ctx) {
 		return
 	}
 	ranked := f.options.View().Ranked("store-readers", f.options.Readers*(1+substitutes))
@@ -200,6 +198,14 @@
 	return f.Age() >= neverConfirmed
 }
 
+// begin gets the first copies: from a few other nodes, and from the store where those
+// have none either. Every node asks others than the next one does; if all asked the
+// readers, a long list would take those nodes' links for long.
+func (f *Follower) begin(ctx context.Context) bool {
+	f.askAround(ctx)
+	return !f.missing() || f.read(ctx)
+}
+
 // substitutes are how many nodes for each reader read by themselves while the
 // readers are behind.
 const substitutes = 2
@@ -313,6 +319,14 @@
 	f.mutex.Lock()
 	held := *f.copies[kind]
 	f.mutex.Unlock()
+	if held.known {
+		// A copy that is there may be kept current by other nodes: the store does not
+		// get longer than a list of its length takes.
+		bound := f.options.Timeout * time.Duration(1+len(held.listing.Objects)/longList)
+		bounded, cancel := context.WithTimeout(ctx, bound)
+		defer cancel()
+		ctx = bounded
+	}
 	if len(held.listing.Objects) >= longList && now.Sub(held.listed) < listInterval {
 		events, reached, err := f.options.Store.Changes(ctx, kind, held.listing.Version)
 		if err == nil {
--- a/starter/services.go
+++ b/starter/services.go
@@ -26,6 +26,9 @@
 const (
 	// storeTimeout bounds one call to the store, some tens of usual answers long.
 	storeTimeout = 400 * time.Millisecond
+	// pageTimeout bounds one page of a list: when hundreds of nodes start at once and
+	// read a long list, each page comes after about half a second.
+	pageTimeout = 1500 * time.Millisecond
 	// storeConnections is enough for the follower, a read on demand and the
 	// registrar at once.
 	storeConnections = 4
@@ -61,7 +64,7 @@
 func (s *Starter) newStore() {
 	transport := s.options.Network.Transport(connector.Limits{
 		Dial:    storeTimeout,
-		Header:  storeTimeout,
+		Header:  pageTimeout,
 		Idle:    10 * time.Second,
 		PerHost: storeConnections,
 	})
@@ -69,6 +72,8 @@
 		Address:   s.options.Settings.Store,
 		Transport: transport,
 		Timeout:   storeTimeout,
+
+		PageTimeout: pageTimeout,
 	})
 }
 
