--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -213,26 +214,45 @@
 }
 
 func TestLeavingBackEndGetsNothing(t *testing.T) {
+	run(t, 3, leavingBackEndsGetNothing)
+}
+
+// TestLeavingBackEndOfLongList is the same where the list is so long that nodes read
+// and tell its changes only.
+func TestLeavingBackEndOfLongList(t *testing.T) {
 	run(t, 3, func(t *testing.T, f *fleet) {
-		leaving := f.backends("desk", "")[0]
-		gone := f.backends("llm", "decode")[0]
-		f.objects.Put("servers", leaving, f.instances[leaving].Entry("desk", "south", "draining"))
-		f.objects.Remove("servers", gone)
-		time.Sleep(applyBound)
-		before := len(f.instances[leaving].Runs()) + len(f.instances[gone].Runs())
-		for n := range f.nodes {
-			for _, c := range []call{booking(), lookUp(), quote()} {
-				if got := f.send(t.Context(), n, c); got.status != http.StatusOK {
-					t.Errorf("%s: %+v", c.path, got)
-				}
-			}
+		for n := range 300 {
+			id := fmt.Sprintf("i-bulk-%03d", n)
+			f.objects.Put("servers", id, map[string]any{"service": "bulk", "address": fmt.Sprintf("10.130.0.%d:80", n%250+1), "zone": "south", "state": "ready"})
 		}
-		if after := len(f.instances[leaving].Runs()) + len(f.instances[gone].Runs()); after != before {
-			t.Errorf("%d requests went to back ends that leave", after-before)
+		time.Sleep(applyBound)
+		leavingBackEndsGetNothing(t, f)
+		if watches := f.objects.Counts().Watches; watches == 0 {
+			t.Error("no node read changes only")
 		}
 	})
 }
 
+func leavingBackEndsGetNothing(t *testing.T, f *fleet) {
+	t.Helper()
+	leaving := f.backends("desk", "")[0]
+	gone := f.backends("llm", "decode")[0]
+	f.objects.Put("servers", leaving, f.instances[leaving].Entry("desk", "south", "draining"))
+	f.objects.Remove("servers", gone)
+	time.Sleep(applyBound)
+	before := len(f.instances[leaving].Runs()) + len(f.instances[gone].Runs())
+	for n := range f.nodes {
+		for _, c := range []call{booking(), lookUp(), quote()} {
+			if got := f.send(t.Context(), n, c); got.status != http.StatusOK {
+				t.Errorf("%s: %+v", c.path, got)
+			}
+		}
+	}
+	if after := len(f.instances[leaving].Runs()) + len(f.instances[gone].Runs()); after != before {
+		t.Errorf("%d requests went to back ends that leave", after-before)
+	}
+}
+
 // TestAddressOfAnotherBackEnd has a back end's address taken over by another
 // service's before the list tells it.
 func TestAddressOfAnotherBackEnd(t *testing.T) {
