--- a/prober/contact.go
+++ b/prober/contact.go
@@ -81,13 +81,14 @@
 	}
 }
 
-// revive tries to reach one node or address that is not a live member. A node
-// that is alone tries several at once: those beside it may have started alone at
-// the same time, while all others cannot be reached.
+// revive tries to reach nodes or addresses that are no live members, several at once:
+// those that are gone for good must not use up the tries for one that came back. A
+// node that is alone tries again soon: those beside it may have started alone at the
+// same time, while all others cannot be reached.
 func (m *machine) revive(now time.Time) {
-	pause, count := m.options.ReviveAfter, 1
+	pause := m.options.ReviveAfter
 	if len(m.currentNeighbours()) == 0 {
-		pause, count = 2*m.options.Interval, m.options.Helpers
+		pause = 2 * m.options.Interval
 	}
 	m.nextRevive = now.Add(jitter(m.random, pause))
 	strangers := m.strangers()
@@ -95,7 +96,7 @@
 		return
 	}
 	first := m.random.IntN(len(strangers))
-	for i := range min(len(strangers), count) {
+	for i := range min(len(strangers), m.options.Helpers) {
 		stranger := strangers[(first+i)%len(strangers)]
 		m.reach(now, contact{purpose: introduction, method: overNew, target: stranger, repairs: true})
 	}
