--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -87,38 +87,35 @@
 func decodeRenewal(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Renewal) (placer.Held, bool) {
 	demand, ok := decodeDemand(pool, node, message.GetDemand())
 	return placer.Held{
-		Grant:    identifier.Grant(message.GetGrant()),
-		Demand:   demand,
-		Prefill:  identifier.Member(message.GetPrefill()),
-		Decode:   identifier.Member(message.GetDecode()),
-		Pieces:   identifier.Pieces(message.GetPieces()),
-		Output:   identifier.Tokens(message.GetOutputTokens()),
-		Decoding: message.GetDecoding(),
-		Stream:   message.GetStream(),
-
+		Grant:       identifier.Grant(message.GetGrant()),
+		Demand:      demand,
+		Prefill:     identifier.Member(message.GetPrefill()),
+		Decode:      identifier.Member(message.GetDecode()),
+		Pieces:      identifier.Pieces(message.GetPieces()),
+		Output:      identifier.Tokens(message.GetOutputTokens()),
+		Decoding:    message.GetDecoding(),
+		Stream:      message.GetStream(),
 		PrefillTook: time.Duration(message.GetPrefillNanoseconds()),
 	}, ok
 }
 
 func encodeRelease(r *released) *dispatcherrpc.Release {
 	return &dispatcherrpc.Release{
-		Grant:        string(r.grant),
-		OutputTokens: int64(r.result.Output),
-		Prefilled:    r.result.Prefilled,
-		Decoded:      r.result.Decoded,
-		Failed:       string(r.result.Failed),
-
+		Grant:              string(r.grant),
+		OutputTokens:       int64(r.result.Output),
+		Prefilled:          r.result.Prefilled,
+		Decoded:            r.result.Decoded,
+		Failed:             string(r.result.Failed),
 		PrefillNanoseconds: int64(r.result.PrefillTook),
 	}
 }
 
 func decodeRelease(message *dispatcherrpc.Release) (identifier.Grant, placer.Result) {
 	return identifier.Grant(message.GetGrant()), placer.Result{
-		Output:    identifier.Tokens(message.GetOutputTokens()),
-		Prefilled: message.GetPrefilled(),
-		Decoded:   message.GetDecoded(),
-		Failed:    identifier.Member(message.GetFailed()),
-
+		Output:      identifier.Tokens(message.GetOutputTokens()),
+		Prefilled:   message.GetPrefilled(),
+		Decoded:     message.GetDecoded(),
+		Failed:      identifier.Member(message.GetFailed()),
 		PrefillTook: time.Duration(message.GetPrefillNanoseconds()),
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -210,7 +210,6 @@
 	took := time.Since(began)
 	c.engineJudged(backend, err, took)
 	if err == nil {
-		c.result.PrefillTook = took
 		c.options.Placer.Prefilled(c.grant, took)
 	}
 	if err != nil {
--- a/placer/foresee.go
+++ b/placer/foresee.go
@@ -194,26 +194,21 @@
 
 // logs averages the logarithms of outputs, and of what they are to their hints.
 type logs struct {
-	mean, square float64
-	weight       float64
+	values, squares mean
 }
 
-// logWindow is over how many outputs the averages are taken.
-const logWindow = 60
-
 func (l *logs) add(value float64) {
-	l.weight = min(l.weight+1, logWindow)
-	l.mean += (value - l.mean) / l.weight
-	l.square += (value*value - l.square) / l.weight
+	l.values.add(value)
+	l.squares.add(value * value)
 }
 
 // variance is that of what was added, the assumed one until there is enough.
 func (l *logs) variance(assumed float64) float64 {
 	const enough = 16
-	if l.weight < enough {
+	if l.values.weight < enough {
 		return assumed
 	}
-	return max(l.square-l.mean*l.mean, leastSpread*leastSpread)
+	return max(l.squares.value-l.values.value*l.values.value, leastSpread*leastSpread)
 }
 
 // assumedVariance is that of outputs and of hints before enough were seen.
@@ -235,12 +230,12 @@
 // by how exact it has been.
 func (e *estimator) length(hint, limit identifier.Tokens) length {
 	mean, variance := math.Log(float64(unknownOutput)), assumedVariance
-	if e.outputs.weight > 0 {
-		mean, variance = e.outputs.mean, e.outputs.variance(assumedVariance)
+	if e.outputs.values.weight > 0 {
+		mean, variance = e.outputs.values.value, e.outputs.variance(assumedVariance)
 	}
 	if hint > 0 {
-		told, exact := math.Log(float64(hint))+e.hints.mean, e.hints.variance(assumedVariance)
-		if e.outputs.weight == 0 {
+		told, exact := math.Log(float64(hint))+e.hints.values.value, e.hints.variance(assumedVariance)
+		if e.outputs.values.weight == 0 {
 			mean, variance = told, exact
 		} else {
 			mean = (mean*exact + told*variance) / (variance + exact)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -34,11 +34,19 @@
 	readInterval = 30 * time.Second
 )
 
+// Store keeps the nodes' entries; storer.Store tells what its methods do.
+type Store interface {
+	Get(ctx context.Context, kind storer.Kind, name string) (storer.Object, error)
+	List(ctx context.Context, kind storer.Kind) (storer.Listing, error)
+	Create(ctx context.Context, object storer.Object) (storer.Object, error)
+	Update(ctx context.Context, object storer.Object) (storer.Object, error)
+}
+
 // Options sets up a registrar.
 type Options struct {
 	Node    identifier.Node
 	Address identifier.Address
-	Store   storer.Store
+	Store   Store
 	Log     *logger.Logger
 }
 
--- a/starter/services.go
+++ b/starter/services.go
@@ -69,10 +69,9 @@
 		PerHost: storeConnections,
 	})
 	s.store = platform.NewStore(platform.StoreOptions{
-		Address:   s.options.Settings.Store,
-		Transport: transport,
-		Timeout:   storeTimeout,
-
+		Address:     s.options.Settings.Store,
+		Transport:   transport,
+		Timeout:     storeTimeout,
 		PageTimeout: pageTimeout,
 	})
 }
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -61,6 +61,13 @@
 	ChangeRole(ctx context.Context, engine forwarder.Backend, order Order) error
 }
 
+// Store keeps the claims; storer.Store tells what its methods do.
+type Store interface {
+	Get(ctx context.Context, kind storer.Kind, name string) (storer.Object, error)
+	Create(ctx context.Context, object storer.Object) (storer.Object, error)
+	Delete(ctx context.Context, object storer.Object) error
+}
+
 // Order tells an engine what to become, and who says so.
 type Order struct {
 	Role   identifier.Role
@@ -72,7 +79,7 @@
 type Options struct {
 	Self        identifier.Node
 	Incarnation identifier.Incarnation
-	Store       storer.Store
+	Store       Store
 	// Fence is the fencing number that the version of a new claim gives.
 	Fence   func(storer.Version) identifier.Fence
 	Table   func() *forwarder.Table
@@ -86,6 +93,8 @@
 	options Options
 	// seen is since when each process of an engine is listed.
 	seen map[string]time.Time
+	// noted is the table that seen was made from; tables are swapped whole.
+	noted *forwarder.Table
 	// claims are this process's, by name.
 	claims map[string]*claim
 	// pausedUntil is when the store may be asked again after a failure.
@@ -137,6 +146,10 @@
 
 // note remembers since when engines are listed, and forgets those that are gone.
 func (s *Switcher) note(now time.Time, table *forwarder.Table) {
+	if table == s.noted {
+		return
+	}
+	s.noted = table
 	listed := make(map[string]time.Time, len(s.seen))
 	for _, engine := range table.Engines() {
 		name := claimName(engine)
--- a/switcher/switcher_test.go
+++ b/switcher/switcher_test.go
@@ -19,7 +19,6 @@
 // claims is a store of claims. The next creates fail with the errors in failures;
 // an uncertain one takes effect.
 type claims struct {
-	storer.Store
 	held     map[string]storer.Object
 	failures []*errorx.Type
 	calls    int
