--- a/follower/follower.go
+++ b/follower/follower.go
@@ -15,7 +15,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -351,22 +350,24 @@
 	if len(events) == 0 {
 		return objects
 	}
-	latest := make(map[string]storer.Object, len(objects))
-	for _, object := range objects {
-		latest[object.Name] = object
-	}
+	latest := make(map[string]storer.Event, len(events))
 	for _, event := range events {
-		held, known := latest[event.Object.Name]
-		if known && compare(event.Object.Version, held.Version) < 0 {
-			continue
+		latest[event.Object.Name] = event
+	}
+	for _, held := range objects {
+		if event, changed := latest[held.Name]; changed && compare(event.Object.Version, held.Version) < 0 {
+			delete(latest, held.Name)
 		}
+	}
+	var change step
+	for name, event := range latest {
 		if event.Change == storer.Deleted {
-			delete(latest, event.Object.Name)
+			change.removed = append(change.removed, name)
 			continue
 		}
-		latest[event.Object.Name] = event.Object
+		change.stored = append(change.stored, event.Object)
 	}
-	return slices.Collect(maps.Values(latest))
+	return change.apply(objects)
 }
 
 // take replaces a copy by a later one and confirms an equal one.
