Log when a node's copies become stale and fresh, and record their age

Nothing in the logs told how old the configuration or the list of backend servers was that a node worked with: 5300 names failed reads of the store only, and most nodes do not read it. Events 5304 and 5305 say when no source has confirmed the copies for longer than stale-after and how old they became; the metric copy-age has their age after each synchronisation. No logic changes.

--- a/follower/events.go
+++ b/follower/events.go
@@ -15,4 +15,8 @@
 		"The changes that another node sent produced a copy with the wrong digest. The node requests the whole collection.")
 	eventPeerPollFailed = logger.Define(5302, logrus.DebugLevel, "peer poll failed",
 		"Another node did not answer a request for newer copies. The node tries the next source.")
+	eventCopyStale = logger.Define(5304, logrus.WarnLevel, "copy stale",
+		"No source has confirmed the node's copies for a while; the node may not know the latest changes. It says once how old the copies are until they are confirmed again.")
+	eventCopyFresh = logger.Define(5305, logrus.InfoLevel, "copy fresh again",
+		"A source confirmed the copies after they were stale; largest-age-ms is their largest age meanwhile.")
 )
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -110,6 +110,8 @@
 	options           Options
 	storeReads        tally.Counter
 	storeReadFailures tally.Counter
+	// copyAges records the age of the copies after each synchronisation.
+	copyAges tally.Timer
 	// refreshToken holds one token, so that only one on-demand read runs at a time.
 	refreshToken       chan struct{}
 	storeFailureLogged atomic.Bool
@@ -123,6 +125,11 @@
 	// nextStoreRead is when a node that is not a reader may read the store again.
 	nextStoreRead time.Time
 	readBackoff   time.Duration
+
+	// staleSince and staleAge belong to Run: when the copies were found stale, zero while
+	// they are fresh, and their largest age since then.
+	staleSince time.Time
+	staleAge   time.Duration
 }
 
 // New returns a follower without copies.
@@ -136,6 +143,7 @@
 		refreshToken:      make(chan struct{}, 1),
 		copies:            map[storer.Kind]*localCopy{},
 		updated:           make(chan struct{}),
+		copyAges:          scope.Timer("copy-age"),
 	}
 	for _, kind := range options.Kinds {
 		f.copies[kind] = &localCopy{}
@@ -148,6 +156,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		f.syncOnce(ctx)
+		f.logStaleness()
 		pause := time.NewTimer(f.options.ReadInterval - time.Since(began))
 		select {
 		case <-ctx.Done():
