Ask several nodes at once for a newer configuration and list

Callers on the grown deployments were answered by a configuration older than the one that had been confirmed (CONFIG), and requests could go to backend servers that had left (DRAIN).

Cause: a node whose source was stale or silent waited for the next one, up to six in turn, 0.4 s for a stale one and 0.8 s for a silent one, before it read the store itself. The class of fault is a chain of timeouts whose sum is not bounded by what the result is needed for.

Now a node with stale copies reads the store and meanwhile asks a few nodes drawn at random every 100 ms, so that one node that knows a change is enough; a source that failed or was stale is not long-polled for two seconds. The first copies of a starting node come by the same way.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -67,8 +67,9 @@
 	Scope   tally.Scope
 }
 
-// The defaults of Options. With them a change reaches a node whose reader has just
-// failed within ReadInterval + StaleAfter + 2 Timeout, at worst about 2 s.
+// The defaults of Options. With them a change reaches a node whose sources have all just
+// failed within ReadInterval + StaleAfter + Timeout, if the node can read the store or
+// reaches another node that can.
 const (
 	defaultReaders      = 2
 	defaultReadInterval = 400 * time.Millisecond
@@ -125,6 +126,9 @@
 	// nextStoreRead is when a node that is not a reader may read the store again.
 	nextStoreRead time.Time
 	readBackoff   time.Duration
+	// avoidSourceUntil is when a node that did not answer, or whose copies were stale, may
+	// be long-polled again.
+	avoidSourceUntil map[identifier.Node]time.Time
 
 	// staleSince and staleAge belong to Run: when the copies were found stale, zero while
 	// they are fresh, and their largest age since then.
@@ -143,6 +147,7 @@
 		refreshToken:      make(chan struct{}, 1),
 		copies:            map[storer.Kind]*localCopy{},
 		updated:           make(chan struct{}),
+		avoidSourceUntil:  map[identifier.Node]time.Time{},
 		copyAges:          scope.Timer("copy-age"),
 	}
 	for _, kind := range options.Kinds {
@@ -168,40 +173,40 @@
 }
 
 // syncOnce updates the copies once. It first loads missing copies. A reader then reads
-// the store, and polls other nodes if that fails. Any other node tries, in order of
-// cost, the readers, the standbys (which read the store themselves while the readers
-// are stale), the store and other nodes. A standby does not poll the standbys.
+// the store; any other node long-polls a reader, or the next source while the readers are
+// known to be stale or unresponsive. If the copies are stale after that, catchUp follows.
 func (f *Follower) syncOnce(ctx context.Context) {
 	if f.copyMissing() && f.loadInitial(ctx) {
 		return
 	}
-	ranked := f.options.View().OwnerCandidates("store-readers", f.options.Readers*(1+standbysPerReader))
-	readers := ranked[:min(f.options.Readers, len(ranked))]
-	isReader, isStandby := hasNode(readers, f.options.Self), hasNode(ranked, f.options.Self)
-	if isReader {
-		if !f.readStore(ctx) {
-			f.pollOtherPeers(ctx)
+	sources := f.options.View().OwnerCandidates("store-readers", f.options.Readers*(1+standbysPerReader))
+	readers := sources[:min(f.options.Readers, len(sources))]
+	switch {
+	case !hasNode(readers, f.options.Self):
+		f.pollBestSource(ctx, sources)
+		if f.isStale() {
+			f.catchUp(ctx, f.storeReader(sources), sources)
 		}
-		return
-	}
-	if f.pollUntilFresh(ctx, readers) || !isStandby && f.pollUntilFresh(ctx, ranked[len(readers):]) {
-		return
+	case f.isStale():
+		f.catchUp(ctx, f.readStore, sources)
+	case !f.readStore(ctx):
+		f.pollAtOnce(ctx, f.somePeers(nil))
 	}
-	if f.storeReadDue(time.Now()) && f.readWithBackoff(ctx) {
-		return
-	}
-	f.pollOtherPeers(ctx)
 }
 
 func (f *Follower) copyMissing() bool {
 	return f.CopyAge() >= missingCopyAge
 }
 
+func (f *Follower) isStale() bool {
+	return f.CopyAge() >= f.options.StaleAfter
+}
+
 // loadInitial gets the first copies from a few other nodes, or from the store if those
 // have none. It reports whether all copies are loaded. Each node polls different nodes:
 // if all polled the readers, a long list would saturate the readers' links.
 func (f *Follower) loadInitial(ctx context.Context) bool {
-	f.pollOtherPeers(ctx)
+	f.pollAtOnce(ctx, f.somePeers(nil))
 	return !f.copyMissing() || f.readStore(ctx)
 }
 
@@ -212,20 +217,6 @@
 	return slices.ContainsFunc(members, func(m assigner.Member) bool { return m.Node == node })
 }
 
-// pollUntilFresh long-polls members in turn. It reports whether the copies are fresh.
-func (f *Follower) pollUntilFresh(ctx context.Context, members []assigner.Member) bool {
-	for _, member := range members {
-		if ctx.Err() != nil {
-			return false
-		}
-		f.pollPeer(ctx, member, f.options.ReadInterval)
-		if f.CopyAge() < f.options.StaleAfter {
-			return true
-		}
-	}
-	return false
-}
-
 // storeReadDue reports whether the backoff of a node that is not a reader has passed.
 // During an outage of the store only the readers keep reading it at every interval.
 func (f *Follower) storeReadDue(now time.Time) bool {
@@ -252,24 +243,6 @@
 	return false
 }
 
-// pollOtherPeers polls a few other nodes without waiting, until the copies are fresh.
-func (f *Follower) pollOtherPeers(ctx context.Context) {
-	const maxPeers = 3
-	polled := 0
-	for _, member := range f.options.View().OwnerCandidates(string(f.options.Self), len(f.options.View().Members)) {
-		if member.Node == f.options.Self {
-			continue
-		}
-		if polled++; polled > maxPeers || ctx.Err() != nil {
-			return
-		}
-		f.pollPeer(ctx, member, 0)
-		if f.CopyAge() < f.options.StaleAfter {
-			return
-		}
-	}
-}
-
 // readStore reads all collections and reports whether every read succeeded. Once a read has
 // failed and Timeout has passed since the start, it makes no further read: a store that does
 // not answer one read is unlikely to answer the others.
@@ -455,12 +428,10 @@
 	f.mutex.Lock()
 	recent := startedAt.Sub(f.lastRefresh) < minRefreshInterval || f.lastRefresh.After(startedAt)
 	f.mutex.Unlock()
-	if recent || f.CopyAge() < f.options.StaleAfter {
+	if recent || !f.isStale() {
 		return
 	}
-	if !f.readStore(ctx) {
-		f.pollOtherPeers(ctx)
-	}
+	f.catchUp(ctx, f.readStore, nil)
 	f.mutex.Lock()
 	f.lastRefresh = time.Now()
 	f.mutex.Unlock()
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -134,24 +134,31 @@
 const firstCopyExtraTime = 2 * time.Second
 
 // pollPeer requests newer copies from a node and applies them. The node may delay its
-// answer by up to hold.
-func (f *Follower) pollPeer(ctx context.Context, member assigner.Member, hold time.Duration) {
+// answer by up to hold. A node that fails or whose copies are stale is avoided for a while.
+func (f *Follower) pollPeer(parent context.Context, member assigner.Member, hold time.Duration) {
 	timeout := hold + f.options.Timeout
 	if f.copyMissing() {
 		timeout += firstCopyExtraTime
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	client := rpc.NewFollowerProtobufClient("http://"+string(member.PeerAddress), &http.Client{Transport: f.options.PeerTransport})
 	response, err := client.Newer(ctx, f.newerRequest(hold))
+	if parent.Err() != nil {
+		return
+	}
 	if err != nil {
 		f.options.Log.Log(eventPeerPollFailed, logger.Fields{"peer": member.Node, "error": err.Error(), "age-ms": f.CopyAge().Milliseconds()})
+		f.setAvoided(member, true)
 		return
 	}
 	now := time.Now()
+	stale := len(response.GetCollections()) < len(f.options.Kinds)
 	for _, collection := range response.GetCollections() {
 		f.applyCollection(now, collection)
+		stale = stale || time.Duration(collection.GetAgeMilliseconds())*time.Millisecond >= f.options.StaleAfter
 	}
+	f.setAvoided(member, stale)
 }
 
 // newerRequest returns a request with the versions and digests of this node's copies.
