Check the latest list of backend servers before each send

Requests reached backend servers that had said that they leave (DRAIN).

Cause: a request kept the list of its arrival for all its sends, and sent to the engine that the pool's owner had granted without looking whether it leaves. A model request waits for a grant and a prefill of up to two seconds, and the owner's list may be older than the node's, for example while the owner has lost the store. The class of fault is a decision on data of the request's arrival, or of another node, that is acted on later.

Now every pick and every engine of a grant is checked against the node's latest list just before the send; an engine that leaves or is gone makes the request ask for another grant that avoids it (event 6210), with its prefilled prompt. Retries and hedges of plain requests use the latest list as well.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/router"
@@ -31,6 +32,8 @@
 		"Results of real requests make this node prefer other back ends; the fields have the counts of outcomes and faults.")
 	eventHealthy = logger.Define(6209, logrus.InfoLevel, "back end healthy again",
 		"An unhealthy back end recovered and gets requests like the others again.")
+	eventGrantUnused = logger.Define(6210, logrus.InfoLevel, "granted engine not used",
+		"The engine that the pool's owner granted is leaving or not listed on this node; the request is placed again.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
@@ -134,6 +137,13 @@
 	c.options.Log.Log(eventSendFailed, fields)
 }
 
+func (c *call) logGrantUnused(member identifier.Member, why string) {
+	fields := c.logFields()
+	fields["member"] = member
+	fields["why"] = why
+	c.options.Log.Log(eventGrantUnused, fields)
+}
+
 func (c *call) logFreeFailed(source KVSource, err error) {
 	fields := c.logFields()
 	fields["address"] = source.Address
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -280,6 +280,15 @@
 	return Work{Request: c.request, Backend: backend, TimeLeft: time.Until(c.deadline), Rank: c.route.Rank}
 }
 
+// backendTable returns the table with the latest list of back ends. A request may wait
+// for seconds before a send, so it must not use the list of its arrival.
+func (c *call) backendTable() *Table {
+	if table := c.currentTable(); table.Listed {
+		return table
+	}
+	return c.table
+}
+
 // takeRetry takes one retry from the pool's budget. It returns false when the
 // budget or maxSends is used up.
 func (c *call) takeRetry() bool {
@@ -294,7 +303,7 @@
 func (c *call) recordSendResult(backend Backend, result sendResult, took time.Duration, err error) (crashed bool) {
 	now := time.Now()
 	c.balancer.recordResult(now, backend, result, took)
-	c.logHealthChange(backend, c.balancer.updateHealth(now, backend, c.table.Pool(backend.Pool, backend.Role)))
+	c.logHealthChange(backend, c.balancer.updateHealth(now, backend, c.backendTable().Pool(backend.Pool, backend.Role)))
 	if result != answered {
 		c.logSendFailed(backend, result, err)
 	}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -63,7 +63,7 @@
 
 // pickBackend picks the next back end of a request that is not a model request.
 func (c *call) pickBackend() (Backend, *router.Refusal) {
-	backend, ok := c.balancer.pick(time.Now(), c.table.Pool(c.pool.Name, ""), c.tried, c.options.DataCentre, c.rotation.Add(1))
+	backend, ok := c.balancer.pick(time.Now(), c.backendTable().Pool(c.pool.Name, ""), c.tried, c.options.DataCentre, c.rotation.Add(1))
 	if !ok {
 		return Backend{}, notRunRefusal(router.BackendDown, retryAfterBusy, "no back end takes work")
 	}
@@ -154,7 +154,7 @@
 		Send: func(ctx context.Context, try int) (*Reply, error) {
 			backend := first
 			if try > 0 {
-				candidates := c.table.Pool(c.pool.Name, "")
+				candidates := c.backendTable().Pool(c.pool.Name, "")
 				picked, ok := c.balancer.pick(time.Now(), candidates, append(c.tried, first.Name), c.options.DataCentre, c.rotation.Add(1))
 				if !ok {
 					return nil, errBackendFault
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -62,10 +62,15 @@
 	if refusal := c.refusalIfEnded(); refusal != nil {
 		return nil, refusal
 	}
+	return nil, c.refusalWithoutEngine(placementReason(outcome.Refusal.Reason), outcome.Refusal.RetryAfter, "no engine has room in time")
+}
+
+// refusalWithoutEngine returns the refusal of a request for which there is no engine.
+func (c *call) refusalWithoutEngine(reason router.Reason, retryAfter time.Duration, message string) *router.Refusal {
 	if c.possibleRuns > 0 {
-		return nil, unknownRefusal(router.Overloaded, "the answer was lost and no engine has room for another")
+		return unknownRefusal(router.Overloaded, "the answer was lost and no engine has room for another")
 	}
-	return nil, notRunRefusal(placementReason(outcome.Refusal.Reason), outcome.Refusal.RetryAfter, "no engine has room in time")
+	return notRunRefusal(reason, retryAfter, message)
 }
 
 // placementReason converts the placer's reason for a refusal to the one that the caller
@@ -195,9 +200,9 @@
 
 // prefill has an engine compute the prompt. This never counts as a run of the request.
 func (c *call) prefill(member identifier.Member) (KVSource, error) {
-	backend, ok := c.table.Find(member)
-	if !ok {
-		return KVSource{}, c.recordUnlisted(member)
+	backend, err := c.grantedEngine(member)
+	if err != nil {
+		return KVSource{}, err
 	}
 	began := time.Now()
 	c.balancer.countSent(backend)
@@ -237,11 +242,23 @@
 	return time.Duration(float64(c.route.Target) * prefillTimeoutShare)
 }
 
-// recordUnlisted marks an engine as tried and returns the error for an engine that
-// the placer knows but this node's table does not list.
-func (c *call) recordUnlisted(member identifier.Member) error {
+// grantedEngine returns the engine that the placer granted. It fails with Unreached if the
+// engine takes no requests as far as this node knows: the owner of the shard may work
+// with an older list, and the engine may have begun to leave since the grant.
+func (c *call) grantedEngine(member identifier.Member) (Backend, error) {
+	backend, listed := c.backendTable().Find(member)
+	reason := ""
+	switch {
+	case !listed:
+		reason = "is not in this node's list"
+	case backend.Leaving:
+		reason = "is listed as leaving"
+	default:
+		return backend, nil
+	}
+	c.logGrantUnused(member, reason)
 	c.tried = append(c.tried, member)
-	return Unreached.New("engine %s is not in this node's table", member)
+	return Backend{}, Unreached.New("engine %s %s", member, reason)
 }
 
 // recordFailure marks an engine as tried after a failed call.
@@ -270,9 +287,9 @@
 
 // decode sends the request to a decode engine and returns its stream.
 func (c *call) decode(member identifier.Member, source KVSource) (*Reply, error) {
-	backend, ok := c.table.Find(member)
-	if !ok {
-		return nil, c.recordUnlisted(member)
+	backend, err := c.grantedEngine(member)
+	if err != nil {
+		return nil, err
 	}
 	work := c.newWork(backend)
 	work.Source = source
