Send nothing to a backend server that says it leaves or asks for a pause

New on the platform's pages: a leaving backend server says so in all its answers, and one that turns a request away with 503 may say for how long it wants none from that machine. The node ignored both: it went on sending to a server that had said that it leaves until the store listed it so (DRAIN), and sent to one that had asked for a pause again at once (BUDGET).

Now the adapter decodes both into forwarder.Notice, and the balancer keeps them with the statistics of the server's process. Such a server is not picked, not used if granted, and named to the pool's owner as one to avoid. If a whole pool rejects requests, a request is refused at once with the time at which the first pause ends. What an earlier process said, or another server at the same address (421), does not count; what a server said outlasts an entry that the store loses for a while.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -36,6 +36,8 @@
 	switching bool
 	// declined counts the requests declined during stage changes.
 	declined int
+	// arrivals counts the requests of callers, including declined ones.
+	arrivals int
 	// ending is closed and replaced by a crash.
 	ending chan struct{}
 }
@@ -80,6 +82,10 @@
 	Unsigned int
 	// Slow multiplies the duration of work; zero means one.
 	Slow int
+	// Leaving makes all answers say that the instance leaves.
+	Leaving bool
+	// Pause is the Retry-After of declined requests; zero means none.
+	Pause time.Duration
 }
 
 // Run is one request that an instance worked on.
@@ -125,6 +131,13 @@
 	return i.issued
 }
 
+// Arrivals returns how many callers' requests arrived, including declined ones.
+func (i *Instance) Arrivals() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.arrivals
+}
+
 // Used returns the memory that running requests and unexpired handles hold, in tokens.
 func (i *Instance) Used() int {
 	i.mutex.Lock()
@@ -171,13 +184,34 @@
 		decline(w, http.StatusBadRequest)
 		return
 	}
+	i.announce(w)
 	if i.declineDuringSwitch() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
+		i.setPause(w)
 		decline(w, http.StatusServiceUnavailable)
 		return
 	}
 	i.serve(w, r, string(body))
 }
 
+// announce counts an arrival and sets the header of a leaving instance.
+func (i *Instance) announce(w http.ResponseWriter) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.arrivals++
+	if i.faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
+// setPause sets how long the caller of a declined request is asked to stay away.
+func (i *Instance) setPause(w http.ResponseWriter) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.faults.Pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(i.faults.Pause.Seconds(), 'f', -1, 64))
+	}
+}
+
 func decline(w http.ResponseWriter, status int) {
 	w.Header().Set("X-Not-Run", "1")
 	w.WriteHeader(status)
--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -50,6 +50,10 @@
 	unhealthy bool
 	// poolFaultShare is the pool's lowest share of faults at the latest health change.
 	poolFaultShare float64
+	// leavingSince is when the back end first said that it leaves; zero means never.
+	leavingSince time.Time
+	// pausedUntil is until when the back end wants no requests from this node.
+	pausedUntil time.Time
 }
 
 // healthChange is the effect of updateHealth on a back end's health.
@@ -73,7 +77,8 @@
 }
 
 // statsFor returns the statistics of a back end. If the back end has restarted, it
-// clears them except for the in-flight count. The caller must hold the mutex.
+// clears them except for the in-flight count. The backend must come from the current
+// table. The caller must hold the mutex.
 func (b *balancer) statsFor(backend Backend) *backendStats {
 	stats := b.stats[backend.Name]
 	if stats == nil || !stats.started.Equal(backend.Started) {
@@ -87,6 +92,15 @@
 	return stats
 }
 
+// statsOfSent is statsFor for a back end to which a request was sent earlier: the result
+// of a request to an earlier process does not clear the statistics of the present one.
+func (b *balancer) statsOfSent(backend Backend) *backendStats {
+	if stats := b.stats[backend.Name]; stats != nil {
+		return stats
+	}
+	return b.statsFor(backend)
+}
+
 func (r *backendStats) decay(now time.Time) {
 	if !r.decayedAt.IsZero() {
 		factor := math.Exp(-float64(now.Sub(r.decayedAt)) / float64(statsDecayTime))
@@ -129,7 +143,7 @@
 func (b *balancer) recordResult(now time.Time, backend Backend, result sendResult, took time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	r := b.statsFor(backend)
+	r := b.statsOfSent(backend)
 	r.inFlight = max(0, r.inFlight-1)
 	r.decay(now)
 	switch result {
@@ -160,7 +174,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	minFaultShare, minAnswerTime := b.poolBaseline(now, pool)
-	r := b.statsFor(backend)
+	r := b.statsOfSent(backend)
 	unhealthy := now.Before(r.avoidUntil) || r.isFaulty(minFaultShare) || r.isSlow(minAnswerTime)
 	if unhealthy == r.unhealthy {
 		return unchanged
@@ -177,7 +191,7 @@
 func (b *balancer) faultCounts(backend Backend) (outcomes, faults, poolFaultShare float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	r := b.statsFor(backend)
+	r := b.statsOfSent(backend)
 	return math.Round(r.outcomes*10) / 10, math.Round(r.faults*10) / 10, math.Round(r.poolFaultShare*100) / 100
 }
 
@@ -191,22 +205,27 @@
 	return r.answers >= 1 && minAnswerTime > 0 && r.answerTime/r.answers > minAnswerTime*slowFactor
 }
 
-// removeUnlisted drops the statistics of back ends that are not in the table and
-// have no request in flight.
-func (b *balancer) removeUnlisted(table *Table) {
+// leavingMemory is how long the statistics of an unlisted back end that said that it
+// leaves are kept: an entry that the platform has lost for a while comes back.
+const leavingMemory = 5 * time.Minute
+
+// removeUnlisted drops the statistics of back ends that are not in the table, have no
+// request in flight, and have not said lately that they leave.
+func (b *balancer) removeUnlisted(now time.Time, table *Table) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for name, r := range b.stats {
-		if _, listed := table.Find(name); !listed && r.inFlight == 0 {
+		left := !r.leavingSince.IsZero() && now.Sub(r.leavingSince) < leavingMemory
+		if _, listed := table.Find(name); !listed && r.inFlight == 0 && !left {
 			delete(b.stats, name)
 		}
 	}
 }
 
-// pick returns the back end with the lowest cost for one request. It prefers back
-// ends that are not avoided, not tried yet, not faulty, not slow, with few requests
+// pick returns the back end with the lowest cost for one request, among those that accept
+// requests from this node. It prefers back ends that are not avoided, not tried yet, not faulty, not slow, with few requests
 // of this node in flight, and in the given data centre. The value of rotation breaks
-// ties. For an empty list, pick returns false.
+// ties. If none accepts requests, pick returns false.
 func (b *balancer) pick(now time.Time, list []Backend, tried []identifier.Member, dataCentre identifier.DataCentre, rotation uint64) (Backend, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -216,6 +235,9 @@
 	for i := range list {
 		at := (i + int(rotation%uint64(len(list)))) % len(list)
 		backend := list[at]
+		if !b.statsFor(backend).accepts(now) {
+			continue
+		}
 		cost := b.selectionCost(now, backend, minFaultShare, minAnswerTime, dataCentre)
 		for _, name := range tried {
 			if name == backend.Name {
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -33,7 +33,9 @@
 	eventHealthy = logger.Define(6209, logrus.InfoLevel, "back end healthy again",
 		"An unhealthy back end recovered and gets requests like the others again.")
 	eventGrantUnused = logger.Define(6210, logrus.InfoLevel, "granted engine not used",
-		"The engine that the pool's owner granted is leaving or not listed on this node; the request is placed again.")
+		"The engine that the pool's owner granted is leaving or not listed on this node, or wants no requests; the request is placed again.")
+	eventNotice = logger.Define(6211, logrus.InfoLevel, "back end wants no requests",
+		"A back end said that it leaves, or that it wants no requests from this node for pause-ms. It gets none.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
@@ -144,6 +146,13 @@
 	c.options.Log.Log(eventGrantUnused, fields)
 }
 
+func (c *call) logNotice(backend Backend, notice Notice) {
+	c.options.Log.Log(eventNotice, logger.Fields{
+		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool,
+		"leaving": notice.Leaving, "pause-ms": notice.Pause.Milliseconds(),
+	})
+}
+
 func (c *call) logFreeFailed(source KVSource, err error) {
 	fields := c.logFields()
 	fields["address"] = source.Address
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -134,7 +134,7 @@
 func (f *Forwarder) currentTable() *Table {
 	table := f.options.Table()
 	if f.lastTable.Swap(table) != table {
-		f.balancer.removeUnlisted(table)
+		f.balancer.removeUnlisted(time.Now(), table)
 	}
 	return table
 }
@@ -277,7 +277,17 @@
 }
 
 func (c *call) newWork(backend Backend) Work {
-	return Work{Request: c.request, Backend: backend, TimeLeft: time.Until(c.deadline), Rank: c.route.Rank}
+	return Work{
+		Request:  c.request,
+		Backend:  backend,
+		TimeLeft: time.Until(c.deadline),
+		Rank:     c.route.Rank,
+		OnNotice: func(notice Notice) {
+			if c.balancer.recordNotice(time.Now(), backend, notice) {
+				c.logNotice(backend, notice)
+			}
+		},
+	}
 }
 
 // backendTable returns the table with the latest list of back ends. A request may wait
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -56,6 +56,9 @@
 	Source KVSource
 	// NewConnection requires a new connection.
 	NewConnection bool
+	// OnNotice is called with what the back end says of itself, before the call returns
+	// and also if it fails; nil ignores it.
+	OnNotice func(Notice)
 }
 
 // KVSource identifies the KV cache of a prefilled prompt: its engine and the engine's handle.
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -63,9 +63,12 @@
 
 // pickBackend picks the next back end of a request that is not a model request.
 func (c *call) pickBackend() (Backend, *router.Refusal) {
-	backend, ok := c.balancer.pick(time.Now(), c.backendTable().Pool(c.pool.Name, ""), c.tried, c.options.DataCentre, c.rotation.Add(1))
+	now := time.Now()
+	candidates := c.backendTable().Pool(c.pool.Name, "")
+	backend, ok := c.balancer.pick(now, candidates, c.tried, c.options.DataCentre, c.rotation.Add(1))
 	if !ok {
-		return Backend{}, notRunRefusal(router.BackendDown, retryAfterBusy, "no back end takes work")
+		_, pause := c.balancer.rejecting(now, candidates)
+		return Backend{}, notRunRefusal(router.BackendDown, max(pause, retryAfterBusy), "no back end takes work")
 	}
 	return backend, nil
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -50,6 +50,11 @@
 
 // acquireGrant waits for a grant of engine memory. It returns a refusal if there is none.
 func (c *call) acquireGrant() (*placer.Placement, *router.Refusal) {
+	now := time.Now()
+	decodes := c.backendTable().Pool(c.pool.Name, identifier.Decode)
+	if rejecting, pause := c.balancer.rejecting(now, decodes); len(decodes) > 0 && len(rejecting) == len(decodes) {
+		return nil, c.refusalWithoutEngine(router.BackendDown, max(pause, retryAfterBusy), "no engine takes work")
+	}
 	demand := c.newDemand()
 	asked := time.Now()
 	outcome := c.options.Placer.Acquire(c.ctx, demand)
@@ -105,6 +110,7 @@
 	if c.route.Rank == 0 {
 		rank = identifier.Urgent
 	}
+	rejecting, _ := c.balancer.rejecting(time.Now(), c.backendTable().Pool(c.pool.Name, ""))
 	return placer.Demand{
 		Request:          identifier.Request(c.request.Attempt),
 		Attempt:          uint64(time.Now().UnixMilli()),
@@ -123,7 +129,7 @@
 		Prefixes:         cost.Prefixes,
 		NoResume:         true,
 		Suspect:          c.options.Isolator.IsSuspect(c.request.Fingerprint),
-		Avoid:            c.tried,
+		Avoid:            append(rejecting, c.tried...),
 	}
 }
 
@@ -253,6 +259,8 @@
 		reason = "is not in this node's list"
 	case backend.Leaving:
 		reason = "is listed as leaving"
+	case !c.balancer.accepts(time.Now(), backend):
+		reason = "said that it takes no requests"
 	default:
 		return backend, nil
 	}
