Quarantine parts of prompts that crash engine after engine

Cause: the isolator counts crashes by a hash of the whole request. The requests with the part differ in path, body and last part, so each crash had a record of its own and none reached the threshold. The class of fault is a quarantine by an identity that the fault need not have.

Now the isolator also counts, for each part of a prompt that requests can share, the crashes of different engines, or of one engine at different times, since a request with the part last finished. A third crash quarantines the part; of several parts the most specific one, and the crashes that it explains do not count against other parts. Crashes at one moment count once, and an engine that cannot be reached at all says nothing about a part. A quarantined part is tried again after a minute, later after longer. Nodes repeat what is quarantined in turn, so that a node that starts or was cut off learns it in seconds. Requests that wait for an engine are checked again before each send. Event 3103 names the parts in flight at a crash, 3104 the quarantined part.

TestDeadlyPartStopsCrashingEngines failed before (0 of 50 sound requests served, and crashes without end).

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -60,6 +60,8 @@
 	// Switch is the duration of a stage change; Changed, if set, is called at its end.
 	Switch  time.Duration
 	Changed func(stage string)
+	// Crashed is called when a request has crashed the instance. It must not block.
+	Crashed func()
 	// Find returns the instance at an address, for transfers between engines.
 	Find func(address string) *Instance
 }
@@ -82,6 +84,9 @@
 	Unsigned int
 	// Slow multiplies the duration of work; zero means one.
 	Slow int
+	// DeadlyPart is the id of a part of a prompt. An answer to a request with it crashes
+	// the instance as it begins, and InstanceOptions.Crashed is called.
+	DeadlyPart string
 	// Leaving makes all answers say that the instance leaves.
 	Leaving bool
 	// Pause is the Retry-After of declined requests; zero means none.
@@ -407,6 +412,11 @@
 	header.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	header.Set("X-Server-Seal", i.options.ID)
 	header.Set("Content-Type", "text/event-stream")
+	if i.isDeadly(r) {
+		i.Crash()
+		i.options.Crashed()
+		panic(http.ErrAbortHandler)
+	}
 	truncate := i.takeFault(func(f *InstanceFaults) *int { return &f.Truncate })
 	flush := http.NewResponseController(w)
 	for made := 0; made < output; made += i.options.EventTokens {
@@ -423,6 +433,12 @@
 	i.markDone(run)
 }
 
+func (i *Instance) isDeadly(r *http.Request) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.faults.DeadlyPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), i.faults.DeadlyPart+":")
+}
+
 func (i *Instance) grow(tokens int) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/placer"
@@ -31,7 +32,21 @@
 }
 
 // Isolator refuses requests that crash the back ends that run them.
-type Isolator = router.Isolator
+type Isolator interface {
+	// IsQuarantined reports whether requests with a fingerprint are refused.
+	IsQuarantined(fingerprint uint64) bool
+	// HasQuarantinedPart reports whether requests with one of these parts are refused.
+	HasQuarantinedPart(parts []isolator.Part) bool
+	// IsSuspect reports whether a request was in flight at a crash.
+	IsSuspect(fingerprint uint64) bool
+	// ReportFinished and ReportPartsFinished clear a request that was answered completely.
+	ReportFinished(fingerprint uint64)
+	ReportPartsFinished(parts []isolator.Part)
+	// ReportCrash reports a request in flight at a back end that cannot be reached,
+	// ReportEngineCrash one in flight when an engine's process ended.
+	ReportCrash(member identifier.Member, fingerprints []uint64)
+	ReportEngineCrash(crash isolator.Crash)
+}
 
 // Reacher checks whether a back end accepts connections.
 type Reacher interface {
@@ -231,8 +246,8 @@
 	if time.Until(c.deadline) <= 0 {
 		return nil, notRunRefusal(router.TimedOut, 0, "the request's deadline has passed")
 	}
-	if c.options.Isolator.IsQuarantined(c.request.Fingerprint) {
-		return nil, notRunRefusal(router.Quarantined, 0, "this request crashed several back ends and is held")
+	if c.isQuarantined() {
+		return nil, notRunRefusal(router.Quarantined, 0, quarantinedMessage)
 	}
 	if c.pool.Model && !c.options.AcceptsStreams() {
 		return nil, notRunRefusal(router.Leaving, retryAfterLeaving, "this node stops")
@@ -247,6 +262,12 @@
 	return c.runOnce()
 }
 
+const quarantinedMessage = "this request, or a part of its prompt, crashed several back ends"
+
+func (c *call) isQuarantined() bool {
+	return c.options.Isolator.IsQuarantined(c.request.Fingerprint) || c.options.Isolator.HasQuarantinedPart(c.request.Cost.parts())
+}
+
 // finish ends the call: it releases the grant and the KV cache, and records the
 // outcome. A nil refusal means that the request was answered.
 func (c *call) finish(refusal *router.Refusal) {
@@ -328,7 +349,16 @@
 	if err := c.options.Reacher.Reach(ctx, backend); err == nil {
 		return false
 	}
-	c.options.Isolator.ReportCrash(backend.Name, []uint64{c.request.Fingerprint})
+	if ctx.Err() != nil {
+		// The host is silent, so its process may live.
+		c.options.Isolator.ReportCrash(backend.Name, []uint64{c.request.Fingerprint})
+		return true
+	}
+	c.options.Isolator.ReportEngineCrash(isolator.Crash{
+		Member:      backend.Name,
+		Fingerprint: c.request.Fingerprint,
+		Parts:       c.request.Cost.parts(),
+	})
 	return true
 }
 
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -114,6 +114,9 @@
 	if r.Streaming && refusal == nil {
 		r.call.balancer.recordResult(time.Now(), r.backend, resultOfStatus(r.Status), time.Since(r.sentAt))
 		r.call.options.Isolator.ReportFinished(r.call.request.Fingerprint)
+		if resultOfStatus(r.Status) == answered {
+			r.call.options.Isolator.ReportPartsFinished(r.call.request.Cost.parts())
+		}
 		r.call.metrics.recordLongestPause(r.call.route.Rank, r.longestPause)
 	}
 	r.call.finish(refusal)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -39,10 +40,19 @@
 	Limit identifier.Tokens
 	// Hint is the caller's estimate of the output; zero means none.
 	Hint identifier.Tokens
-	// Prefixes are hashes of the prompt's leading parts, shortest first.
+	// Prefixes are the ids of the prompt's parts that other requests can share, from the
+	// first on.
 	Prefixes []uint64
 }
 
+func (c Cost) parts() []isolator.Part {
+	parts := make([]isolator.Part, 0, len(c.Prefixes))
+	for _, id := range c.Prefixes {
+		parts = append(parts, isolator.Part(id))
+	}
+	return parts
+}
+
 // Work is one send of a request to one back end.
 type Work struct {
 	Request *Request
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -19,6 +20,9 @@
 		if refusal != nil {
 			return nil, refusal
 		}
+		if c.isQuarantined() {
+			return nil, c.quarantinedRefusal()
+		}
 		reply, err := c.startAttempt(placement)
 		if err == nil {
 			c.kvSource = KVSource{}
@@ -28,6 +32,9 @@
 		if refusal := c.refusalIfEnded(); refusal != nil {
 			return nil, refusal
 		}
+		if errors.Is(err, errQuarantined) {
+			return nil, c.quarantinedRefusal()
+		}
 		if c.possibleRuns > 0 && (!c.route.Resumable || c.possibleRuns >= c.route.Backends) {
 			c.logDecision(eventNotResent, "it may have run, and may run only once", err)
 			return nil, unknownRefusal(router.AnswerLost, "the answer of the engine was lost")
@@ -40,6 +47,16 @@
 	}
 }
 
+// errQuarantined ends an attempt whose request was quarantined during its prefill.
+var errQuarantined = errors.New("the request is quarantined")
+
+func (c *call) quarantinedRefusal() *router.Refusal {
+	if c.possibleRuns > 0 {
+		return unknownRefusal(router.Quarantined, quarantinedMessage)
+	}
+	return notRunRefusal(router.Quarantined, 0, quarantinedMessage)
+}
+
 // exhaustedRefusal returns the refusal of a request whose retry budget or tries are used up.
 func (c *call) exhaustedRefusal() *router.Refusal {
 	if c.possibleRuns > 0 {
@@ -146,6 +163,9 @@
 		return nil, err
 	}
 	c.grantResult.Prefilled = true
+	if c.isQuarantined() {
+		return nil, errQuarantined
+	}
 	reply, err := c.decode(placement.Decode, c.kvSource)
 	if err == nil {
 		c.grantResult.Decoded = true
@@ -253,7 +273,7 @@
 // with an older list, and the engine may have begun to leave since the grant.
 func (c *call) grantedEngine(member identifier.Member) (Backend, error) {
 	backend, listed := c.backendTable().Find(member)
-	reason := ""
+	var reason string
 	switch {
 	case !listed:
 		reason = "is not in this node's list"
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -6,6 +6,10 @@
 // A request in flight at one crash only is a suspect. It may run again, preferably
 // where no other suspect runs, so that the next crash identifies the cause. A
 // suspect that finishes is cleared.
+//
+// Requests that have nothing else in common can also crash engines by one part of their
+// prompts. A part that was in flight at several crashes, without a request with it that
+// finished in between, is quarantined like a request.
 package isolator
 
 import (
@@ -36,8 +40,11 @@
 	Repeat time.Duration
 	// Capacity bounds the remembered requests. The oldest are evicted first.
 	Capacity int
-	Log      *logger.Logger
-	Scope    tally.Scope
+	// Nodes returns the number of live nodes, which take turns in repeating what is
+	// quarantined; nil means one.
+	Nodes func() int
+	Log   *logger.Logger
+	Scope tally.Scope
 }
 
 // Defaults of Options.
@@ -67,6 +74,8 @@
 	mutex          sync.Mutex
 	// records has the requests in flight at crashes, by fingerprint.
 	records map[uint64]*requestRecord
+	// parts has the parts of the prompts in flight at crashes.
+	parts map[Part]*partRecord
 }
 
 // requestRecord is the crash history of one request.
@@ -89,6 +98,10 @@
 	// time because the nodes' clocks differ.
 	AgeMilliseconds int64 `json:"age-milliseconds"`
 	Finished        bool  `json:"finished,omitempty"`
+	// Prompt makes the message one about parts of a prompt instead of requests.
+	Prompt *wireParts `json:"prompt,omitempty"`
+	// Verdict makes the message one about a quarantined part.
+	Verdict *wireVerdict `json:"verdict,omitempty"`
 }
 
 // New returns an isolator without records.
@@ -102,6 +115,9 @@
 	if options.Capacity == 0 {
 		options.Capacity = defaultCapacity
 	}
+	if options.Nodes == nil {
+		options.Nodes = func() int { return 1 }
+	}
 	if options.Log == nil {
 		options.Log = logger.Discard()
 	}
@@ -117,18 +133,25 @@
 		refusalCounter: scope.Counter("held"),
 		crashCounter:   scope.Counter("crashes"),
 		records:        map[uint64]*requestRecord{},
+		parts:          map[Part]*partRecord{},
 	}
 }
 
-// Run broadcasts this node's crash reports again every Options.Repeat, and removes
-// expired records, until ctx ends.
+// Run broadcasts this node's crash reports again every Options.Repeat, and which parts
+// are quarantined in turn with the other nodes, and removes expired records, until ctx
+// ends.
 func (i *Isolator) Run(ctx context.Context) error {
 	ticker := time.NewTicker(i.options.Repeat)
 	defer ticker.Stop()
+	verdicts := time.NewTimer(i.verdictDelay())
+	defer verdicts.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-verdicts.C:
+			i.broadcastVerdicts()
+			verdicts.Reset(i.verdictDelay())
 		case <-ticker.C:
 			for _, message := range i.localCrashMessages() {
 				i.broadcast(message)
@@ -208,6 +231,14 @@
 		return
 	}
 	i.removeExpired()
+	if message.Verdict != nil {
+		i.applyVerdict(message.Verdict)
+		return
+	}
+	if message.Prompt != nil {
+		i.applyParts(message.Prompt, at, message.Finished)
+		return
+	}
 	for _, fingerprint := range message.Fingerprints {
 		if message.Finished {
 			i.recordFinish(fingerprint, at)
@@ -265,6 +296,11 @@
 			delete(i.records, fingerprint)
 		}
 	}
+	for part, r := range i.parts {
+		if time.Since(r.lastCrash) > i.options.Expiry {
+			delete(i.parts, part)
+		}
+	}
 }
 
 // evictIfFull removes a record if there are Options.Capacity records: the one with the
--- a/server/services.go
+++ b/server/services.go
@@ -220,6 +220,7 @@
 	})
 	s.isolator = isolator.New(isolator.Options{
 		Broadcast: s.prober.Broadcast,
+		Nodes:     func() int { return len(s.prober.View().Live()) },
 		Log:       s.options.Log,
 		Scope:     s.options.Scope,
 	})
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -41,12 +42,15 @@
 	objects              *emulator.Objects
 	instances            map[string]*emulator.Instance
 	nodes                []*testNode
+	cleanupsMutex        sync.Mutex
 	cleanups             []func()
 	client               *http.Client
 	sentCount            atomic.Int64
 	configurationVersion int
 	// logs receives the logs of all nodes.
 	logs io.Writer
+	// restarts are the instances that start again.
+	restarts sync.WaitGroup
 }
 
 // testNode is a node of the fleet and its latest process.
@@ -119,6 +123,8 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ErrorLog: nil}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
+	f.cleanupsMutex.Lock()
+	defer f.cleanupsMutex.Unlock()
 	f.cleanups = append(f.cleanups, func() {
 		_ = server.Close()
 		<-served
@@ -153,6 +159,7 @@
 			Work: 15 * time.Millisecond, Prefill: 20 * time.Microsecond, Token: time.Millisecond,
 			EventTokens: 50, HandleLife: 500 * time.Millisecond, Find: findInstance, Switch: 2 * time.Second,
 			Changed: func(string) { f.putBackend(id, kind.service, n) },
+			Crashed: func() { f.restartInstance(ip, id) },
 		})
 		f.instances[id] = instance
 		f.serve(ip, address, instance)
@@ -160,6 +167,18 @@
 	}
 }
 
+// instanceRestartTime is how long a crashed instance refuses connections.
+const instanceRestartTime = 2 * time.Second
+
+// restartInstance ends an instance's process and starts it again after a while.
+func (f *fleet) restartInstance(ip, id string) {
+	f.network.Kill(ip)
+	f.restarts.Go(func() {
+		time.Sleep(instanceRestartTime)
+		f.serve(ip, strings.TrimPrefix(id, "i-"), f.instances[id])
+	})
+}
+
 func (f *fleet) putBackend(id, service string, n int) {
 	f.objects.Put("servers", id, f.instances[id].Entry(service, []string{"south", "north"}[n%2], "ready"))
 }
@@ -226,6 +245,7 @@
 }
 
 func (f *fleet) close() {
+	f.restarts.Wait()
 	f.network.Heal()
 	for _, n := range f.nodes {
 		n.stop()
