Take an unframed stream that its engine broke off for incomplete

Cause: reading a body to the end of its connection succeeds wherever the connection is closed. Now a stream that has no event or ends inside one is broken off, and the end of an unframed answer counts only if its back end still accepts connections: a process that crashes closes its connections too. A stream that is found broken off closes the caller's connection and is checked for a crash, as others are.

TestCutUnframedStreamReachesCallerAsTruncated failed before in all four cases (status 200, complete). It passes now, with TestUnframedAnswersAreComplete, which also passed before.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -84,6 +84,13 @@
 	Unsigned int
 	// Slow multiplies the duration of work; zero means one.
 	Slow int
+	// Unframed makes answers end with their connections, without a length or chunks.
+	Unframed bool
+	// CutAfter, of an unframed stream, is the number of bytes after which the connection is
+	// closed; zero means at its end.
+	CutAfter int
+	// CutCrashes makes the instance's process end when it closes the connection.
+	CutCrashes bool
 	// DeadlyPart is the id of a part of a prompt. An answer to a request with it crashes
 	// the instance as it begins, and InstanceOptions.Crashed is called.
 	DeadlyPart string
@@ -417,6 +424,12 @@
 		i.options.Crashed()
 		panic(http.ErrAbortHandler)
 	}
+	if unframed, cutAfter := i.isUnframed(); unframed {
+		i.writeUnframed(w, eventsOf(r.Header.Get("X-Attempt-Id"), output/i.options.EventTokens), cutAfter)
+		i.markDone(run)
+		i.crashAtCut()
+		return
+	}
 	truncate := i.takeFault(func(f *InstanceFaults) *int { return &f.Truncate })
 	flush := http.NewResponseController(w)
 	for made := 0; made < output; made += i.options.EventTokens {
@@ -486,6 +499,11 @@
 	if !i.takeFault(func(f *InstanceFaults) *int { return &f.Unsigned }) {
 		header.Set("X-Server-Seal", i.options.ID)
 	}
+	if unframed, cutAfter := i.isUnframed(); unframed {
+		i.writeUnframed(w, answer, cutAfter)
+		i.crashAtCut()
+		return
+	}
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
 	switch {
 	case i.takeFault(func(f *InstanceFaults) *int { return &f.Truncate }):
@@ -504,6 +522,44 @@
 	_, _ = io.WriteString(w, answer) //nolint:gosec // No browser reads it.
 }
 
+func (i *Instance) isUnframed() (unframed bool, cutAfter int) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.faults.Unframed, i.faults.CutAfter
+}
+
+// writeUnframed answers 200 with the header so far and a body that ends with the
+// connection.
+func (i *Instance) writeUnframed(w http.ResponseWriter, body string, cutAfter int) {
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	for name := range w.Header() {
+		head.WriteString(name + ": " + w.Header().Get(name) + "\r\n")
+	}
+	if cutAfter > 0 {
+		body = body[:min(cutAfter, len(body))]
+	}
+	writeRaw(w, head.String()+"\r\n"+body)
+}
+
+func (i *Instance) crashAtCut() {
+	i.mutex.Lock()
+	crashes := i.faults.CutCrashes
+	i.mutex.Unlock()
+	if crashes {
+		i.options.Crashed()
+	}
+}
+
+// eventsOf returns a stream of count events that name the attempt.
+func eventsOf(attempt string, count int) string {
+	var stream strings.Builder
+	for n := range count {
+		_, _ = fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", n+1, attempt)
+	}
+	return stream.String()
+}
+
 // writeRaw writes content to the connection in place of an HTTP answer and closes it.
 func writeRaw(w http.ResponseWriter, content string) {
 	connection, _, err := http.NewResponseController(w).Hijack()
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -161,6 +161,7 @@
 				Status:           response.StatusCode,
 				Header:           response.Header,
 				Length:           response.ContentLength,
+				Framed:           response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 				Echoed:           echoed != "",
 				answer:           response,
 				connection:       c,
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -12,6 +12,9 @@
 	Header http.Header
 	// Length is the body's length in bytes; negative means unknown until its end.
 	Length int64
+	// Framed reports whether the answer says where its body ends. The body of another one
+	// ends with its connection, also if its server has crashed.
+	Framed bool
 	// Echoed reports whether the answer carries the request's id.
 	Echoed bool
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -362,6 +362,13 @@
 	return true
 }
 
-// crashCheckTimeout bounds the connection attempt of checkCrash. It can be short
+// isReachable reports whether a back end accepts connections.
+func (c *call) isReachable(backend Backend) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), crashCheckTimeout)
+	defer cancel()
+	return c.options.Reacher.Reach(ctx, backend) == nil
+}
+
+// crashCheckTimeout bounds the connection attempt after a lost answer. It can be short
 // because the host of a crashed process refuses connections at once.
 const crashCheckTimeout = 300 * time.Millisecond
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -25,6 +25,7 @@
 	backend Backend
 	// body is the answer's body, either buffered or read from the back end.
 	body         Body
+	framed       bool
 	events       eventCounter
 	sentAt       time.Time
 	finished     bool
@@ -58,6 +59,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if errors.Is(err, io.EOF) && r.endsEarly() {
+		err = errStreamCut
+	}
 	if errors.Is(err, io.EOF) {
 		r.finish(nil)
 		return n, io.EOF
@@ -66,6 +70,17 @@
 	return n, err
 }
 
+var errStreamCut = errors.New("the stream ended inside an event, without one, or with its engine")
+
+// endsEarly reports whether a stream that ended without an error is incomplete: it has no
+// event or ends inside one, or only its connection marks its end and the engine is gone.
+func (r *Reply) endsEarly() bool {
+	if !r.Streaming || r.finished || r.Status >= http.StatusMultipleChoices {
+		return false
+	}
+	return r.events.count == 0 || r.events.insideEvent() || !r.framed && !r.call.isReachable(r.backend)
+}
+
 // recordProgress counts the events of a piece and reports the tokens so far to the placer.
 func (r *Reply) recordProgress(piece []byte) {
 	earlierEvents := r.events.count
@@ -149,6 +164,8 @@
 	eventHasLine bool
 }
 
+func (c *eventCounter) insideEvent() bool { return c.lineHasText || c.eventHasLine }
+
 func (c *eventCounter) add(piece []byte) {
 	for _, b := range piece {
 		switch {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -77,12 +77,16 @@
 	Handle  string
 }
 
-// Answer is a back end's answer. Reading Body returns io.EOF only after a complete body.
+// Answer is a back end's answer. Reading Body returns io.EOF only after a complete body, as
+// far as the answer's framing tells.
 type Answer struct {
 	Status int
 	Header http.Header
 	// Length is the body's length in bytes, or negative if unknown.
 	Length int64
+	// Framed means that the answer says where its body ends. The body of another one ends
+	// with its connection, also if the back end has crashed.
+	Framed bool
 	Body   Body
 }
 
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -100,6 +100,8 @@
 		body, err = answer.Body.ReadAll(maxAnswerBytes)
 		if err != nil {
 			err = Lost.Wrap(err, "answer of %s", backend.Name)
+		} else if !answer.Framed && !c.isReachable(backend) {
+			err = Lost.New("%s ended with its answer", backend.Name)
 		}
 	}
 	c.recordResult(ctx, backend, answer, err, time.Since(began))
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -339,6 +339,7 @@
 		Header:    answer.Header,
 		Length:    answer.Length,
 		Streaming: true,
+		framed:    answer.Framed,
 		backend:   backend,
 		body:      answer.Body,
 		sentAt:    sent,
