--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -542,15 +542,21 @@
 	writeRaw(w, head.String()+"\r\n"+body)
 }
 
+// crashAtCut ends the instance's process once the end of the connection has been seen: a
+// crashed process closes its connections before its host refuses new ones.
 func (i *Instance) crashAtCut() {
 	i.mutex.Lock()
 	crashes := i.faults.CutCrashes
 	i.mutex.Unlock()
 	if crashes {
+		time.Sleep(crashDelay)
 		i.options.Crashed()
 	}
 }
 
+// crashDelay is longer than the delay of one packet, and shorter than that of two.
+const crashDelay = 1500 * time.Microsecond
+
 // eventsOf returns a stream of count events that name the attempt.
 func eventsOf(attempt string, count int) string {
 	var stream strings.Builder
