--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -84,6 +84,14 @@
 	Unsigned int
 	// Slow multiplies the duration of work; zero means one.
 	Slow int
+	// StaleRefusals is how many requests run and are answered with a refusal that names no
+	// request.
+	StaleRefusals int
+	// EndlessHeads and EndlessRefusals are how many requests are answered with a head, or a
+	// refusal's body, that does not end before the connection is closed.
+	EndlessHeads, EndlessRefusals int
+	// EndlessBodies is how many plain requests run and are answered with an endless body.
+	EndlessBodies int
 	// Unframed makes answers end with their connections, without a length or chunks.
 	Unframed bool
 	// CutAfter, of an unframed stream, is the number of bytes after which the connection is
@@ -193,13 +201,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	if r.Header.Get("X-Attempt-Id") == "" {
-		decline(w, http.StatusBadRequest)
+		decline(w, r, http.StatusBadRequest)
 		return
 	}
 	i.announce(w)
+	if i.writeEndless(w) {
+		return
+	}
 	if i.declineDuringSwitch() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
 		i.setPause(w)
-		decline(w, http.StatusServiceUnavailable)
+		decline(w, r, http.StatusServiceUnavailable)
 		return
 	}
 	i.serve(w, r, string(body))
@@ -224,7 +235,10 @@
 	}
 }
 
-func decline(w http.ResponseWriter, status int) {
+func decline(w http.ResponseWriter, r *http.Request, status int) {
+	if attempt := r.Header.Get("X-Attempt-Id"); attempt != "" {
+		w.Header().Set("X-Attempt-Id", attempt)
+	}
 	w.Header().Set("X-Not-Run", "1")
 	w.WriteHeader(status)
 }
@@ -246,7 +260,7 @@
 	prompt, output := tokenCounts(r.Header.Get("X-Token-Counts"))
 	prefill := r.Header.Get("X-Stage") == "prefill"
 	if stage := i.Stage(); prefill && stage == "decode" || !prefill && stage == "prefill" {
-		decline(w, http.StatusMisdirectedRequest)
+		decline(w, r, http.StatusMisdirectedRequest)
 		return
 	}
 	ctx, cancel := i.context(r)
@@ -256,7 +270,7 @@
 		memory = prompt
 	}
 	if !i.begin(ctx, memory) {
-		decline(w, http.StatusServiceUnavailable)
+		decline(w, r, http.StatusServiceUnavailable)
 		return
 	}
 	switch {
@@ -405,7 +419,7 @@
 func (i *Instance) decode(ctx context.Context, w http.ResponseWriter, r *http.Request, body string, prompt, output int) {
 	if !i.fetchKV(r) {
 		i.end(prompt)
-		decline(w, http.StatusServiceUnavailable)
+		decline(w, r, http.StatusServiceUnavailable)
 		return
 	}
 	if r.Header.Get("X-Kv-Source") == "" && !pause(ctx, i.slowedDuration(2*time.Duration(prompt)*i.options.Prefill)) {
@@ -494,6 +508,14 @@
 		writeRaw(w, "\x00\x01 this is no answer\r\n\r\n")
 		return
 	}
+	if i.takeFault(func(f *InstanceFaults) *int { return &f.StaleRefusals }) {
+		writeRaw(w, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	if i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessBodies }) {
+		dripRaw(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Server-Seal: "+i.options.ID+"\r\n\r\n", largePiece)
+		return
+	}
 	header := w.Header()
 	header.Set("X-Attempt-Id", attempt)
 	if !i.takeFault(func(f *InstanceFaults) *int { return &f.Unsigned }) {
@@ -576,6 +598,39 @@
 	_ = connection.Close()
 }
 
+// writeEndless answers without end if a fault says so, and reports whether one did.
+func (i *Instance) writeEndless(w http.ResponseWriter) bool {
+	switch {
+	case i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessHeads }):
+		dripRaw(w, "HTTP/1.1 200 OK\r\nNoise: ", largePiece)
+	case i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessRefusals }):
+		dripRaw(w, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n", smallPiece)
+	default:
+		return false
+	}
+	return true
+}
+
+// The pieces of endless bytes, written each millisecond.
+const (
+	largePiece = 4 << 10
+	smallPiece = 16
+)
+
+// dripRaw writes a beginning and then bytes without end, until the peer closes.
+func dripRaw(w http.ResponseWriter, beginning string, pieceBytes int) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = connection.Close() }()
+	_, err = io.WriteString(connection, beginning)
+	for err == nil {
+		time.Sleep(time.Millisecond)
+		_, err = io.WriteString(connection, strings.Repeat("x", pieceBytes))
+	}
+}
+
 func tokenCounts(text string) (prompt, output int) {
 	first, second, _ := strings.Cut(text, ",")
 	prompt, _ = strconv.Atoi(first)
