Take a refusal on a kept connection only if it names the request

As operators of other systems report: a faulty backend server wrote an earlier refusal once more on a kept connection. Callers could be told 'not run, try again' for a booking that ran (REFUSED), or it ran at a second server (TWICE).

This could happen here. Cause: an answer without the request's id was taken for the present request's, and one that says 'not run' for a proof. The class of fault is a proof that is not bound to what it proves. On a new connection such an answer can only be the request's own; on one that has carried other exchanges it may be theirs, and then counts as a lost answer.

TestEarlierRefusalOnKeptConnection failed before: the booking ran three times, at two servers. It passes now.

--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -163,6 +163,7 @@
 				Length:           response.ContentLength,
 				Framed:           response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 				Echoed:           echoed != "",
+				Reused:           c.hasExchanged,
 				answer:           response,
 				connection:       c,
 				requestTruncated: writeError != nil,
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -17,6 +17,9 @@
 	Framed bool
 	// Echoed reports whether the answer carries the request's id.
 	Echoed bool
+	// Reused reports whether the connection has carried other exchanges before, so that an
+	// answer without an id may be one of theirs.
+	Reused bool
 
 	answer     *http.Response
 	connection *connection
--- a/starter/endless_test.go
+++ b/starter/endless_test.go
@@ -59,6 +59,25 @@
 	})
 }
 
+// TestEarlierRefusalOnKeptConnection guards against an earlier refusal that a back end
+// writes once more: the caller must not be told that the request has not run, and no other
+// back end may run it.
+func TestEarlierRefusalOnKeptConnection(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		for range 4 {
+			f.send(t.Context(), 0, booking())
+		}
+		for _, id := range f.instanceIDs("desk", "") {
+			f.instances[id].SetFaults(emulator.InstanceFaults{StaleRefusals: 1})
+		}
+		got := f.send(t.Context(), 0, booking())
+		f.checkResponse(t, got, true)
+		if got.status != http.StatusBadGateway {
+			t.Errorf("status %d", got.status)
+		}
+	})
+}
+
 // TestBrokenStreamIsNotContinuedByAnError checks that nothing follows the events of a
 // stream that broke off, and that it does not look complete.
 func TestBrokenStreamIsNotContinuedByAnError(t *testing.T) {
