--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -156,6 +156,8 @@
 
 func book(ctx context.Context, client *http.Client, to, key, body string, first bool) answer {
 	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/bookings", strings.NewReader(body))
+	// Without GetBody http.Transport does not send the request again by itself.
+	request.GetBody = nil
 	request.Header.Set("Idempotency-Key", key)
 	if first {
 		request.Header.Set("Idempotency-Key-First", "true")
