--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -223,9 +223,9 @@
 }
 
 // pick returns the back end with the lowest cost for one request, among those that accept
-// requests from this node. It prefers back ends that are not avoided, not tried yet, not faulty, not slow, with few requests
-// of this node in flight, and in the given data centre. The value of rotation breaks
-// ties. If none accepts requests, pick returns false.
+// requests from this node. It prefers back ends that are not avoided, not tried yet, not
+// faulty, not slow, with few requests of this node in flight, and in the given data
+// centre. The value of rotation breaks ties. If none accepts requests, pick returns false.
 func (b *balancer) pick(now time.Time, list []Backend, tried []identifier.Member, dataCentre identifier.DataCentre, rotation uint64) (Backend, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
