Take only a refused connection for the end of an unframed answer's process

An answer without framing counted as cut off also if its back end did not accept a connection within 300 ms, as a back end whose queue of connections is full may do after a complete answer: callers would have got a whole answer as a broken one. Only a host that refuses connections shows that the process has ended. Found on reading the change; the tests of unframed answers pass.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -362,11 +362,12 @@
 	return true
 }
 
-// isReachable reports whether a back end accepts connections.
-func (c *call) isReachable(backend Backend) bool {
+// hasEnded reports whether a back end's host refuses connections, as it does once the
+// process has ended. A host that is busy or silent does not refuse them.
+func (c *call) hasEnded(backend Backend) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), crashCheckTimeout)
 	defer cancel()
-	return c.options.Reacher.Reach(ctx, backend) == nil
+	return c.options.Reacher.Reach(ctx, backend) != nil && ctx.Err() == nil
 }
 
 // crashCheckTimeout bounds the connection attempt after a lost answer. It can be short
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -78,7 +78,7 @@
 	if !r.Streaming || r.finished || r.Status >= http.StatusMultipleChoices {
 		return false
 	}
-	return r.events.count == 0 || r.events.insideEvent() || !r.framed && !r.call.isReachable(r.backend)
+	return r.events.count == 0 || r.events.insideEvent() || !r.framed && r.call.hasEnded(r.backend)
 }
 
 // recordProgress counts the events of a piece and reports the tokens so far to the placer.
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -100,7 +100,7 @@
 		body, err = answer.Body.ReadAll(maxAnswerBytes)
 		if err != nil {
 			err = Lost.Wrap(err, "answer of %s", backend.Name)
-		} else if !answer.Framed && !c.isReachable(backend) {
+		} else if !answer.Framed && c.hasEnded(backend) {
 			err = Lost.New("%s ended with its answer", backend.Name)
 		}
 	}
