--- a/follower/follower.go
+++ b/follower/follower.go
@@ -159,6 +159,9 @@
 	storeReadFailures tally.Counter
 	// copyAges records the age of the copies after each synchronisation.
 	copyAges tally.Timer
+	// sentBytes and receivedBytes count the objects in messages between nodes, in bytes.
+	sentBytes     tally.Counter
+	receivedBytes tally.Counter
 	// refreshToken holds one token, so that only one on-demand read runs at a time.
 	refreshToken       chan struct{}
 	storeFailureLogged atomic.Bool
@@ -201,6 +204,8 @@
 		updated:           make(chan struct{}),
 		avoidSourceUntil:  map[identifier.Node]time.Time{},
 		copyAges:          scope.Timer("copy-age"),
+		sentBytes:         scope.Counter("peer-bytes-sent"),
+		receivedBytes:     scope.Counter("peer-bytes-received"),
 	}
 	for _, kind := range options.Kinds {
 		f.copies[kind] = &localCopy{}
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -41,6 +41,7 @@
 	for {
 		response, changed, updated := s.follower.changesSince(held)
 		if changed {
+			s.follower.sentBytes.Inc(objectBytes(response))
 			return response, nil
 		}
 		select {
@@ -135,6 +136,17 @@
 	return list
 }
 
+// objectBytes returns the size of the objects in a response.
+func objectBytes(response *rpc.NewerResponse) int64 {
+	total := int64(0)
+	for _, collection := range response.GetCollections() {
+		for _, object := range collection.GetObjects() {
+			total += int64(len(object.GetSpec()) + len(object.GetStatus()))
+		}
+	}
+	return total
+}
+
 // firstCopyExtraTime extends the timeout of a call while this node lacks a copy: a full
 // long list takes that long on a slow link.
 const firstCopyExtraTime = 2 * time.Second
@@ -159,6 +171,7 @@
 		f.setAvoided(member, true)
 		return false
 	}
+	f.receivedBytes.Inc(objectBytes(response))
 	now := time.Now()
 	stale := len(response.GetCollections()) < len(f.options.Kinds)
 	for _, collection := range response.GetCollections() {
--- a/starter/events.go
+++ b/starter/events.go
@@ -10,7 +10,7 @@
 	eventLeaveUnconfirmed = logger.Define(7100, logrus.WarnLevel, "leave not confirmed",
 		"No other node confirmed that this node is leaving; they detect it once it is gone.")
 	eventConfigurationApplied = logger.Define(7101, logrus.InfoLevel, "configuration applied",
-		"This node now uses a later configuration of the operators.")
+		"This node now uses a later configuration of the operators; decode-ms is how long it took to decode.")
 	eventConfigurationInvalid = logger.Define(7102, logrus.ErrorLevel, "invalid configuration ignored",
 		"The configuration in the store could not be parsed; the last valid one stays in use.")
 	eventBackendsApplied = logger.Define(7103, logrus.InfoLevel, "back ends updated",
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/foxtailspool/foxtailspool/forwarder"
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -88,6 +89,7 @@
 // applyConfiguration replaces the configuration if the listing has one with a higher
 // number. An invalid one is logged and ignored. The caller must hold mutex.
 func (t *tables) applyConfiguration(listing storer.Listing) {
+	began := time.Now()
 	configuration, err := platform.ParseConfiguration(listing)
 	if err != nil {
 		t.log.Log(eventConfigurationInvalid, logger.Fields{"version": listing.Version, "error": err.Error()})
@@ -97,7 +99,10 @@
 		return
 	}
 	t.configuration = configuration
-	t.log.Log(eventConfigurationApplied, logger.Fields{"configuration": configuration.Number, "version": listing.Version})
+	t.log.Log(eventConfigurationApplied, logger.Fields{
+		"configuration": configuration.Number, "version": listing.Version,
+		"bytes": listing.SizeBytes(), "decode-ms": time.Since(began).Milliseconds(),
+	})
 }
 
 func (t *tables) applyBackends(listing storer.Listing) {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -55,6 +55,15 @@
 	Version Version
 }
 
+// SizeBytes returns the size of the objects' content.
+func (l Listing) SizeBytes() int {
+	total := 0
+	for _, object := range l.Objects {
+		total += len(object.Spec) + len(object.Status)
+	}
+	return total
+}
+
 // Change is the type of a watch event.
 type Change string
 
