--- a/emulator/connection.go
+++ b/emulator/connection.go
@@ -58,6 +58,21 @@
 	return len(data), nil
 }
 
+// awaitFailure returns after a time, or earlier if the pipe has failed or is closed.
+func (h *pipe) awaitFailure(span time.Duration) {
+	until := time.Now().Add(span)
+	for {
+		h.mutex.Lock()
+		ended, wake := h.failure != nil || h.closed, h.wake
+		h.mutex.Unlock()
+		left := time.Until(until)
+		if ended || left <= 0 {
+			return
+		}
+		await(wake, left)
+	}
+}
+
 // readResult is the result of a non-blocking read: a count, an error, or what to wait for.
 type readResult struct {
 	count   int
@@ -106,8 +121,8 @@
 	link          *link
 	in, out       *pipe
 	local, remote string
-	// delay returns the one-way delay of what this end sends.
-	delay func() time.Duration
+	// reserve reserves the links for bytes that this end sends.
+	reserve func(byteCount int) passage
 
 	mutex    sync.Mutex
 	deadline time.Time
@@ -154,15 +169,26 @@
 	}
 }
 
-// Write queues data for the other end and never blocks.
+// Write queues data for the other end. It blocks only while more than sendWindow bytes wait
+// for a link of limited rate.
 func (c *memoryConn) Write(data []byte) (int, error) {
-	c.mutex.Lock()
-	closed := c.closed
-	c.mutex.Unlock()
-	if closed {
-		return 0, net.ErrClosed
+	written := 0
+	for {
+		c.mutex.Lock()
+		closed := c.closed
+		c.mutex.Unlock()
+		if closed {
+			return written, net.ErrClosed
+		}
+		chunk := data[written:min(len(data), written+sendWindow)]
+		reserved := c.reserve(len(chunk))
+		count, err := c.out.write(chunk, reserved.delay)
+		written += count
+		if err != nil || written == len(data) {
+			return written, err
+		}
+		c.out.awaitFailure(reserved.queued)
 	}
-	return c.out.write(data, c.delay())
 }
 
 // Close closes both directions.
@@ -193,7 +219,7 @@
 // RemoteAddr returns the other end's address.
 func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr(c.remote) }
 
-// SetDeadline sets the read deadline; writes never block.
+// SetDeadline sets the read deadline; writes have none.
 func (c *memoryConn) SetDeadline(deadline time.Time) error {
 	return c.SetReadDeadline(deadline)
 }
@@ -207,5 +233,5 @@
 	return nil
 }
 
-// SetWriteDeadline does nothing: writes never block.
+// SetWriteDeadline does nothing.
 func (c *memoryConn) SetWriteDeadline(time.Time) error { return nil }
--- a/emulator/network.go
+++ b/emulator/network.go
@@ -28,6 +28,8 @@
 	// can no longer dial or listen.
 	generations map[string]int
 	slow        map[string]time.Duration
+	// hostLinks holds the hosts whose link has a limited rate.
+	hostLinks map[string]*hostLink
 }
 
 type direction struct {
@@ -51,6 +53,7 @@
 
 		generations: map[string]int{},
 		slow:        map[string]time.Duration{},
+		hostLinks:   map[string]*hostLink{},
 	}
 }
 
@@ -115,8 +118,8 @@
 		return nil, refusedDial()
 	}
 	opened := &link{client: from, server: to, toServer: newPipe(), toClient: newPipe()}
-	near := &memoryConn{network: n, link: opened, in: opened.toClient, out: opened.toServer, local: from, remote: address, delay: n.delayFunc(from, to)}
-	far := &memoryConn{network: n, link: opened, in: opened.toServer, out: opened.toClient, local: address, remote: from, delay: n.delayFunc(to, from)}
+	near := &memoryConn{network: n, link: opened, in: opened.toClient, out: opened.toServer, local: from, remote: address, reserve: n.passageFunc(from, to)}
+	far := &memoryConn{network: n, link: opened, in: opened.toServer, out: opened.toClient, local: address, remote: from, reserve: n.passageFunc(to, from)}
 	n.mutex.Lock()
 	n.links[opened] = struct{}{}
 	n.mutex.Unlock()
@@ -135,14 +138,6 @@
 	return n.latency + n.slow[from] + n.slow[to]
 }
 
-func (n *Network) delayFunc(from, to string) func() time.Duration {
-	return func() time.Duration {
-		n.mutex.Lock()
-		defer n.mutex.Unlock()
-		return n.delay(from, to)
-	}
-}
-
 func (n *Network) removeLink(closed *link) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
