Send large objects between nodes once, as references and changes

What callers saw: for up to a minute and more after 1,400 routes were added to the configuration, most nodes of a large deployment routed by an older one, answered 404 on new routes, and sent requests to back ends that had said seconds ago that they were leaving.

Cause: every answer to a long poll held the whole configuration, 260 KB. The node that reads the store sent it to each node that polled it, over a link of 10 Mbit/s; calls timed out and were repeated. Nodes with stale copies asked three others each 100 ms, and each of those sent it again. News of back ends shared the messages and the links. Reads of the store had a timeout of 0.4 s for any size and took the whole each time.

Change: an answer names a large object by its version and size. A node requests its content once, compressed against the version that it has. A node sends four contents at once and refers others to nodes that have got it, so the number of holders grows by a factor in each round. Readers read the changes of a large object and verify the whole in the background, and a read may go on for two seconds once its answer has begun. Nodes of an earlier release still get whole objects.

--- a/follower/events.go
+++ b/follower/events.go
@@ -6,6 +6,9 @@
 	"github.com/foxtailspool/foxtailspool/logger"
 )
 
+// fieldVersion is the field of a collection's or object's version.
+const fieldVersion = "version"
+
 var (
 	eventStoreReadFailed = logger.Define(5300, logrus.WarnLevel, "store read failed",
 		"A read of the platform's store failed. The node keeps using its copies and polls other nodes.")
@@ -19,6 +22,12 @@
 		"No source has confirmed the node's copies for a while; the node may not know the latest changes. It says once how old the copies are until they are confirmed again.")
 	eventCopyFresh = logger.Define(5305, logrus.InfoLevel, "copy fresh again",
 		"A source confirmed the copies after they were stale; largest-age-ms is their largest age meanwhile.")
+	eventContentReceived = logger.Define(5308, logrus.InfoLevel, "large content received",
+		"The node has the content of a large object that another node announced wait-ms before.")
+	eventContentFailed = logger.Define(5309, logrus.WarnLevel, "large content not received",
+		"Another node did not send the content of a large object, or it could not be decoded. The node asks others.")
+	eventVerifyFailed = logger.Define(5310, logrus.WarnLevel, "large collection not verified",
+		"A read of a whole collection with a large object failed. The node goes on reading its changes.")
 	eventStoreRestored = logger.Define(5306, logrus.WarnLevel, "store restored",
 		"The platform's store was restored from a backup. Its latest changes are undone until they are written again; version is that of the first listing since, held-version that of the copy that it replaces.")
 	eventRestoredListing = logger.Define(5307, logrus.InfoLevel, "restored listing merged",
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -18,6 +18,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -148,6 +149,8 @@
 	// needsFullList is set when a delta did not produce the peer's digest.
 	needsFullList bool
 	lastFullRead  time.Time
+	// fullReadTime is how long verifyCopy took last.
+	fullReadTime time.Duration
 	// confirmedAt is when the version was last known to be the latest.
 	confirmedAt time.Time
 }
@@ -165,6 +168,8 @@
 	// refreshToken holds one token, so that only one on-demand read runs at a time.
 	refreshToken       chan struct{}
 	storeFailureLogged atomic.Bool
+	// isReader is whether this node was a reader at the last synchronisation.
+	isReader atomic.Bool
 
 	// mutex guards the fields below.
 	mutex  sync.Mutex
@@ -184,6 +189,12 @@
 	// avoidSourceUntil is when a node that did not answer, or whose copies were stale, may
 	// be long-polled again.
 	avoidSourceUntil map[identifier.Node]time.Time
+	// pending holds the announced copies that lack contents. wanted has a token if there may
+	// be one that runContents does not know.
+	pending map[storer.Kind]*pendingCopy
+	wanted  chan struct{}
+
+	contents *contentSender
 
 	// staleSince and staleAge belong to Run: when the copies were found stale, zero while
 	// they are fresh, and their largest age since then.
@@ -203,6 +214,9 @@
 		copies:            map[storer.Kind]*localCopy{},
 		updated:           make(chan struct{}),
 		avoidSourceUntil:  map[identifier.Node]time.Time{},
+		pending:           map[storer.Kind]*pendingCopy{},
+		wanted:            make(chan struct{}, 1),
+		contents:          newContentSender(),
 		copyAges:          scope.Timer("copy-age"),
 		sentBytes:         scope.Counter("peer-bytes-sent"),
 		receivedBytes:     scope.Counter("peer-bytes-received"),
@@ -215,6 +229,14 @@
 
 // Run keeps the copies current until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	ended := make(chan struct{}, 2)
+	for _, loop := range []func(context.Context){f.runContents, f.verifyLarge} {
+		go func() {
+			loop(ctx)
+			ended <- struct{}{}
+		}()
+		defer func() { <-ended }()
+	}
 	joined := f.options.Joined
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -237,6 +259,7 @@
 // syncOnce updates the copies once, and what this node retains beyond them.
 func (f *Follower) syncOnce(ctx context.Context) {
 	reader := f.syncCopies(ctx)
+	f.isReader.Store(reader)
 	f.exchangeRetained(ctx, reader)
 	f.mergeAfterLapse()
 }
@@ -270,8 +293,18 @@
 	return f.CopyAge() >= missingCopyAge
 }
 
+// isStale reports whether this node may not know the latest version of a collection, or has
+// waited too long for its contents.
 func (f *Follower) isStale() bool {
-	return f.CopyAge() >= f.options.StaleAfter
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	for kind := range f.copies {
+		if f.knownAge(kind, now) >= f.options.StaleAfter {
+			return true
+		}
+	}
+	return false
 }
 
 // loadInitial gets the first copies from a few other nodes, or from the store if those
@@ -315,17 +348,16 @@
 	return false
 }
 
-// readStore reads all collections and reports whether every read succeeded. Once a read has
-// failed and Timeout has passed since the start, it makes no further read: a store that does
-// not answer one read is unlikely to answer the others.
+// readStore reads all collections at once and reports whether every read succeeded. A large
+// one thus does not hold up the others.
 func (f *Follower) readStore(ctx context.Context) bool {
-	ok := true
-	began := time.Now()
+	succeeded := make(chan bool, len(f.options.Kinds))
 	for _, kind := range f.options.Kinds {
-		ok = f.readCollection(ctx, kind) && ok
-		if !ok && time.Since(began) >= f.options.Timeout {
-			return false
-		}
+		go func() { succeeded <- f.readCollection(ctx, kind) }()
+	}
+	ok := true
+	for range f.options.Kinds {
+		ok = <-succeeded && ok
 	}
 	return ok
 }
@@ -342,7 +374,7 @@
 		return false
 	}
 	if f.storeFailureLogged.Swap(false) {
-		f.options.Log.Log(eventStoreReadRecovered, logger.Fields{"kind": kind, "version": listing.Version})
+		f.options.Log.Log(eventStoreReadRecovered, logger.Fields{"kind": kind, fieldVersion: listing.Version})
 	}
 	f.update(kind, listing, startedAt)
 	return true
@@ -352,13 +384,18 @@
 	// longListObjects is the number of objects from which a list counts as long:
 	// reading it whole takes several calls and too much of a slow link.
 	longListObjects = 250
-	// fullReadInterval is the time between two full reads of a long list. Reads in
-	// between fetch only changes, which can miss some for a while.
+	// fullReadInterval is the time between two full reads of a long list, and the shortest
+	// between two of a collection with a large object. Reads in between fetch only changes,
+	// which can miss some for a while.
 	fullReadInterval = 1600 * time.Millisecond
+	// maxContentTime is how much longer a read may take once the answer has begun. An object
+	// of 1 MB takes 0.8 s over a link of 10 Mbit/s.
+	maxContentTime = 2 * time.Second
 )
 
-// fetch reads a collection from the store: all of it, or for a long list the changes
-// since the copy's version. It does a full read if that version has expired.
+// fetch reads a collection from the store: all of it, or for a long list or a large object
+// the changes since the copy's version. It does a full read if that version has expired, and
+// of a long list each fullReadInterval; verifyLarge does those of large objects.
 func (f *Follower) fetch(ctx context.Context, kind storer.Kind, now time.Time) (storer.Listing, error) {
 	f.mutex.Lock()
 	current := *f.copies[kind]
@@ -367,12 +404,13 @@
 		// Other nodes may keep an existing copy current, so the store gets no more time
 		// than a list of this length takes. Only the store's timeouts limit a first
 		// read.
-		timeout := f.options.Timeout * time.Duration(1+len(current.listing.Objects)/longListObjects)
-		bounded, cancel := context.WithTimeout(ctx, timeout)
+		limit := f.options.Timeout * time.Duration(1+len(current.listing.Objects)/longListObjects)
+		bounded, cancel := boundAnswer(ctx, limit, maxContentTime)
 		defer cancel()
 		ctx = bounded
 	}
-	if len(current.listing.Objects) >= longListObjects && now.Sub(current.lastFullRead) < fullReadInterval {
+	recent := now.Sub(current.lastFullRead) < fullReadInterval
+	if current.isLarge() || recent && len(current.listing.Objects) >= longListObjects {
 		events, reached, err := f.options.Store.Changes(ctx, kind, current.listing.Version)
 		if err == nil {
 			return storer.Listing{Version: reached, Objects: applyEvents(current.listing.Objects, events, f.options.Compare)}, nil
@@ -383,13 +421,34 @@
 	}
 	listing, err := f.options.Store.List(ctx, kind)
 	if err == nil {
-		f.mutex.Lock()
-		f.copies[kind].lastFullRead = now
-		f.mutex.Unlock()
+		f.setFullRead(kind, now)
 	}
 	return listing, err
 }
 
+func (f *Follower) setFullRead(kind storer.Kind, at time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.copies[kind].lastFullRead = at
+}
+
+// isLarge reports whether the copy has a large object.
+func (c *localCopy) isLarge() bool {
+	return slices.ContainsFunc(c.listing.Objects, func(o storer.Object) bool { return len(o.Spec) >= largeContentBytes })
+}
+
+// boundAnswer returns a context that ends unless an answer begins within the first duration,
+// and at the latest after both.
+func boundAnswer(ctx context.Context, first, rest time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, first+rest)
+	timer := time.AfterFunc(first, cancel)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { timer.Stop() }})
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // applyEvents returns objects with the events applied. An event that is not newer than
 // the copy's object of that name has no effect.
 func applyEvents(objects []storer.Object, events []storer.Event, compare func(a, b storer.Version) int) []storer.Object {
@@ -472,7 +531,7 @@
 	if f.generationKnown {
 		f.options.Log.Log(eventStoreRestored, logger.Fields{
 			"kind": kind, "generation": generation, "held-generation": f.generation,
-			"version": version, "held-version": current.listing.Version,
+			fieldVersion: version, "held-version": current.listing.Version,
 		})
 		f.restored = true
 	}
--- a/follower/retained.go
+++ b/follower/retained.go
@@ -45,6 +45,8 @@
 
 func retainedKind(kind storer.Kind) string { return string(kind) + retainedSuffix }
 
+func isRetainedKind(kind string) bool { return strings.HasSuffix(kind, retainedSuffix) }
+
 // isRestoredBy reports whether a listing is of a later generation than the copy.
 func (f *Follower) isRestoredBy(current *localCopy, listing storer.Listing) bool {
 	return current.loaded && f.options.GenerationOf(listing.Version) > f.options.GenerationOf(current.listing.Version)
@@ -393,7 +395,7 @@
 		}
 	}
 	f.options.Log.Log(eventRestoredListing, logger.Fields{
-		"kind": kind, "version": current.listing.Version, "objects": len(current.listing.Objects),
+		"kind": kind, fieldVersion: current.listing.Version, "objects": len(current.listing.Objects),
 		"later": len(entries) - removedCount, "removed": removedCount,
 	})
 }
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -21,7 +21,9 @@
 	server := rpc.NewFollowerServer(&peerServer{f})
 	bounded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
-		server.ServeHTTP(w, r)
+		slot := &sendSlot{release: func() {}}
+		defer func() { slot.release() }()
+		server.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), sendKey{}, slot)))
 	})
 	return server.PathPrefix(), bounded
 }
@@ -40,16 +42,19 @@
 	defer cancel()
 	for {
 		response, changed, updated := s.follower.changesSince(held)
-		if changed {
-			s.follower.sentBytes.Inc(objectBytes(response))
-			return response, nil
+		if !changed {
+			select {
+			case <-updated:
+				continue
+			case <-ctx.Done():
+				response, _, _ = s.follower.changesSince(held)
+			}
 		}
-		select {
-		case <-updated:
-		case <-ctx.Done():
-			response, _, _ = s.follower.changesSince(held)
-			return response, nil
+		if request.GetAcceptsReferences() {
+			replaceByReferences(response)
 		}
+		s.follower.sentBytes.Inc(objectBytes(response))
+		return response, nil
 	}
 }
 
@@ -175,7 +180,7 @@
 	now := time.Now()
 	stale := len(response.GetCollections()) < len(f.options.Kinds)
 	for _, collection := range response.GetCollections() {
-		f.applyCollection(now, collection)
+		f.receiveCollection(now, collection, member.Node)
 		stale = stale || time.Duration(collection.GetAgeMilliseconds())*time.Millisecond >= f.options.StaleAfter
 	}
 	f.setAvoided(member, stale)
@@ -184,7 +189,7 @@
 
 // newerRequest returns a request with the versions and digests of this node's copies.
 func (f *Follower) newerRequest(hold time.Duration) *rpc.NewerRequest {
-	request := &rpc.NewerRequest{HoldMilliseconds: uint32(hold.Milliseconds())}
+	request := &rpc.NewerRequest{HoldMilliseconds: uint32(hold.Milliseconds()), AcceptsReferences: true}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for kind, own := range f.copies {
@@ -209,7 +214,11 @@
 		return
 	}
 	kind := storer.Kind(collection.GetKind())
-	confirmedAt := now.Add(-time.Duration(collection.GetAgeMilliseconds()) * time.Millisecond)
+	f.applyConfirmed(kind, collection, now.Add(-time.Duration(collection.GetAgeMilliseconds())*time.Millisecond))
+}
+
+// applyConfirmed applies a collection that was the latest at confirmedAt.
+func (f *Follower) applyConfirmed(kind storer.Kind, collection *rpc.Collection, confirmedAt time.Time) {
 	listing := storer.Listing{Version: storer.Version(collection.GetVersion())}
 	if collection.GetChanged() && collection.GetBase() != 0 {
 		f.applyDelta(kind, collection, confirmedAt)
@@ -236,7 +245,7 @@
 	}
 	objects := changes.apply(current.listing.Objects)
 	if objectsDigest(objects) != collection.GetDigest() {
-		f.options.Log.Log(eventDigestMismatch, logger.Fields{"kind": kind, "version": collection.GetVersion()})
+		f.options.Log.Log(eventDigestMismatch, logger.Fields{"kind": kind, fieldVersion: collection.GetVersion()})
 		current.needsFullList = true
 		return
 	}
