Keep the time limit of a page of the store at 1.5 s

It is also how long a starting node waits for a silent store before it tries again, so that it missed the others within discoveryTimeout.

An object of 1 MB takes 0.8 s on the slowest links, so 1.5 s are enough.

--- a/starter/services.go
+++ b/starter/services.go
@@ -29,8 +29,9 @@
 	storeTimeout = 400 * time.Millisecond
 	// storePageTimeout bounds the read of one page of a list: when hundreds of nodes start
 	// at once and read a long list, each page takes about half a second. An object of 1 MB
-	// takes 0.8 s over a link of 10 Mbit/s.
-	storePageTimeout = 2500 * time.Millisecond
+	// takes 0.8 s over a link of 10 Mbit/s. A node that starts while the store is silent waits
+	// as long before it tries again, and must find the others within discoveryTimeout.
+	storePageTimeout = 1500 * time.Millisecond
 	// maxStoreConnections lets the follower, a read on demand and the registrar use the
 	// store at the same time.
 	maxStoreConnections = 4
