Log the rates that back ends name, and show that they are exceeded

Nothing read how many requests a second a back end in need takes from all nodes together. No decision depends on it yet.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -40,6 +40,8 @@
 	declined int
 	// arrivals counts the requests of callers, including declined ones.
 	arrivals int
+	// limitedArrivals are the times of the arrivals while the faults had a Limit.
+	limitedArrivals []time.Time
 	// ending is closed and replaced by a crash.
 	ending chan struct{}
 }
@@ -110,6 +112,9 @@
 	Leaving bool
 	// Pause is the Retry-After of declined requests; zero means none.
 	Pause time.Duration
+	// Limit, unless zero, is the number of requests a second that all answers say the instance
+	// takes from all nodes together.
+	Limit float64
 }
 
 // Run is one request that an instance worked on.
@@ -173,6 +178,13 @@
 	return i.arrivals
 }
 
+// LimitedArrivals returns when callers' requests arrived while the faults had a Limit.
+func (i *Instance) LimitedArrivals() []time.Time {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return slices.Clone(i.limitedArrivals)
+}
+
 // Used returns the memory that running requests and unexpired handles hold, in tokens.
 func (i *Instance) Used() int {
 	i.mutex.Lock()
@@ -231,11 +243,15 @@
 	i.serve(w, r, string(body))
 }
 
-// announce counts an arrival and sets the header of a leaving instance.
+// announce records an arrival and sets the header of an instance that leaves or has a limit.
 func (i *Instance) announce(w http.ResponseWriter, attempt string) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.arrivals++
+	if i.faults.Limit > 0 {
+		i.limitedArrivals = append(i.limitedArrivals, time.Now())
+		w.Header().Set("Server-Limit", strconv.FormatFloat(i.faults.Limit, 'f', -1, 64))
+	}
 	if _, known := i.runsByAttempt[attempt]; !known {
 		i.runsByAttempt[attempt] = nil
 	}
--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -54,6 +54,10 @@
 	leavingSince time.Time
 	// pausedUntil is until when the back end wants no requests from this node.
 	pausedUntil time.Time
+	// namedRate is the latest rate that the back end has named; zero means none.
+	namedRate float64
+	// sent counts the requests that this node has sent to the back end.
+	sent int
 }
 
 // healthChange is the effect of updateHealth on a back end's health.
@@ -116,7 +120,9 @@
 func (b *balancer) countSent(backend Backend) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.statsFor(backend).inFlight++
+	r := b.statsFor(backend)
+	r.inFlight++
+	r.sent++
 }
 
 // sendResult is the result of one send to a back end.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -346,6 +346,9 @@
 			if c.balancer.recordNotice(time.Now(), backend, notice) {
 				c.logNotice(backend, notice)
 			}
+			if sent, isNew := c.balancer.recordRate(backend, notice.Rate); isNew {
+				c.logRate(backend, notice.Rate, sent)
+			}
 		},
 	}
 }
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -12,6 +12,9 @@
 	Leaving bool
 	// Pause is how long the back end wants no requests from this node; zero means none.
 	Pause time.Duration
+	// Rate is how many requests a second the back end takes from all nodes together; zero
+	// means that it has not named a limit.
+	Rate float64
 }
 
 // recordNotice records what a back end says of itself. It reports whether that is new.
@@ -32,6 +35,17 @@
 	return accepted && !r.accepts(now)
 }
 
+// recordRate records the rate that a back end names. It reports how many requests this node
+// has sent to it, and whether the rate is a new one.
+func (b *balancer) recordRate(backend Backend, rate float64) (sent int, isNew bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	r := b.statsOfSent(backend)
+	isNew = rate != 0 && rate != r.namedRate
+	r.namedRate = rate
+	return r.sent, isNew
+}
+
 // accepts reports whether the back end takes requests from this node as far as it said.
 func (r *backendStats) accepts(now time.Time) bool {
 	return r.leavingSince.IsZero() && !now.Before(r.pausedUntil)
