Keep to the request rates that back ends name, all nodes together

What callers saw: a back end that said how many requests a second it takes from all nodes together got several times that. What it could not take was late or failed, while other back ends of its pool had room.

Cause: nothing read the rate. A part of it for each node alone would not do: one request a second is 0.011 for each of 89 nodes, and a first request from each exceeds the limit at once.

Change: the nodes choose the senders of a limited back end by rendezvous hashing, two more than the requests a second that it takes; each sends its equal part, and the others nothing. Every send counts, also retries, hedges and prefills. A node that hears a rate tells the others, in order by a sequence number, so that they need not hear it themselves. Nodes that leave are no senders; lost ones keep their part for eight seconds, as they may have lost only the others, and a node that has lost most others takes over nothing. Requests go to other back ends, or are refused at once.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -116,12 +116,29 @@
 			candidates = append(candidates, member)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(score(b.Node, shard), score(a.Node, shard)), cmp.Compare(b.Node, a.Node))
-	})
+	sortByScore(candidates, shard)
 	return candidates[:min(limit, len(candidates))]
 }
 
+// Ranked returns up to limit of the eligible members, whether they can own shards or not, in
+// the order of their rendezvous scores for a key.
+func (v *View) Ranked(key string, limit int, eligible func(Member) bool) []Member {
+	var ranked []Member
+	for _, member := range v.Members {
+		if eligible(member) {
+			ranked = append(ranked, member)
+		}
+	}
+	sortByScore(ranked, key)
+	return ranked[:min(limit, len(ranked))]
+}
+
+func sortByScore(members []Member, key string) {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(score(b.Node, key), score(a.Node, key)), cmp.Compare(b.Node, a.Node))
+	})
+}
+
 func (v *View) ownerAmong(shard string, eligible func(Member) bool) Member {
 	best, bestScore := v.Self, uint64(0)
 	for _, member := range v.Members {
@@ -135,6 +152,9 @@
 	return best
 }
 
+// CanOwnShards reports whether Self is eligible to own shards.
+func (v *View) CanOwnShards() bool { return v.canOwn(v.Self) }
+
 // canOwn reports whether a member is eligible to own shards.
 func (v *View) canOwn(m Member) bool {
 	if v.Suspended && m.Node == v.Self.Node {
--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -54,8 +54,6 @@
 	leavingSince time.Time
 	// pausedUntil is until when the back end wants no requests from this node.
 	pausedUntil time.Time
-	// namedRate is the latest rate that the back end has named; zero means none.
-	namedRate float64
 	// sent counts the requests that this node has sent to the back end.
 	sent int
 }
@@ -72,12 +70,20 @@
 // balancer keeps statistics of all back ends and picks one for each request. It
 // uses only the times passed to it, never the clock.
 type balancer struct {
-	mutex sync.Mutex
-	stats map[identifier.Member]*backendStats
+	quotas Quotas
+	mutex  sync.Mutex
+	stats  map[identifier.Member]*backendStats
 }
 
-func newBalancer() *balancer {
-	return &balancer{stats: map[identifier.Member]*backendStats{}}
+func newBalancer(quotas Quotas) *balancer {
+	return &balancer{quotas: quotas, stats: map[identifier.Member]*backendStats{}}
+}
+
+// sentCount returns how many requests this node has sent to a back end.
+func (b *balancer) sentCount(backend Backend) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.statsOfSent(backend).sent
 }
 
 // statsFor returns the statistics of a back end. If the back end has restarted, it
@@ -231,7 +237,8 @@
 // pick returns the back end with the lowest cost for one request, among those that accept
 // requests from this node. It prefers back ends that are not avoided, not tried yet, not
 // faulty, not slow, with few requests of this node in flight, and in the given data
-// centre. The value of rotation breaks ties. If none accepts requests, pick returns false.
+// centre. The value of rotation breaks ties. The request counts against the rate that the
+// back end has named. If none accepts requests, pick returns false.
 func (b *balancer) pick(now time.Time, list []Backend, tried []identifier.Member, dataCentre identifier.DataCentre, rotation uint64) (Backend, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -241,10 +248,14 @@
 	for i := range list {
 		at := (i + int(rotation%uint64(len(list)))) % len(list)
 		backend := list[at]
-		if !b.statsFor(backend).accepts(now) {
+		allowance := b.quotas.Allowance(now, backend.Name, backend.Started)
+		if !b.statsFor(backend).accepts(now) || !allowance.Now() {
 			continue
 		}
 		cost := b.selectionCost(now, backend, minFaultShare, minAnswerTime, dataCentre)
+		if allowance.Limited {
+			cost -= limitedBonus
+		}
 		for _, name := range tried {
 			if name == backend.Name {
 				cost += triedCost
@@ -254,7 +265,7 @@
 			best, bestCost = at, cost
 		}
 	}
-	if best < 0 {
+	if best < 0 || !b.quotas.Take(now, list[best].Name, list[best].Started) {
 		return Backend{}, false
 	}
 	return list[best], true
@@ -267,6 +278,9 @@
 	faultyCost  = 100
 	slowCost    = 10
 	remoteCost  = 0.5
+	// limitedBonus makes a node use its share of a limited back end, whose answers tell when
+	// the limit ends. It exceeds the cost of the few requests that the share allows at once.
+	limitedBonus = 3
 )
 
 // selectionCost returns the cost of a back end without triedCost. The caller must
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -35,7 +35,7 @@
 	eventGrantUnused = logger.Define(6210, logrus.InfoLevel, "granted engine not used",
 		"The engine that the pool's owner granted is leaving or not listed on this node, or wants no requests; the request is placed again.")
 	eventRate = logger.Define(6212, logrus.InfoLevel, "back end names a rate",
-		"A back end says how many requests a second it takes from all nodes together, or another number than before; sent is how many this node has sent it so far.")
+		"A back end says how many requests a second it takes from all nodes together, or a different number than before; zero means that it no longer does. sent is how many this node has sent it so far.")
 	eventNotice = logger.Define(6211, logrus.InfoLevel, "back end wants no requests",
 		"A back end said that it leaves, or that it wants no requests from this node for pause-ms. It gets none.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
@@ -155,7 +155,7 @@
 	})
 }
 
-// logRate logs a rate that the back end has not named before.
+// logRate logs a rate that is news.
 func (c *call) logRate(backend Backend, rate float64, sent int) {
 	c.options.Log.Log(eventRate, logger.Fields{
 		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -72,8 +72,10 @@
 	Isolator Isolator
 	// Budgets limits the retries and hedges of each pool.
 	Budgets *limiter.Limiter
-	Log     *logger.Logger
-	Scope   tally.Scope
+	// Quotas limits the requests to back ends that name a rate; nil means that none does.
+	Quotas Quotas
+	Log    *logger.Logger
+	Scope  tally.Scope
 }
 
 // Stop holds the limits of a node that stops.
@@ -114,10 +116,13 @@
 	if options.Stopping == nil {
 		options.Stopping = context.Background()
 	}
+	if options.Quotas == nil {
+		options.Quotas = unlimited{}
+	}
 	if options.Refresh == nil {
 		options.Refresh = func(context.Context) {}
 	}
-	return &Forwarder{options: options, balancer: newBalancer(), freeQueue: make(chan KVSource, maxQueuedFrees), metrics: newMetrics(options.Scope)}
+	return &Forwarder{options: options, balancer: newBalancer(options.Quotas), freeQueue: make(chan KVSource, maxQueuedFrees), metrics: newMetrics(options.Scope)}
 }
 
 // InFlight returns the number of requests in progress.
@@ -337,17 +342,19 @@
 }
 
 func (c *call) newWork(backend Backend) Work {
+	sentAt := time.Now()
 	return Work{
 		Request:  c.request,
 		Backend:  backend,
 		TimeLeft: time.Until(c.deadline),
 		Rank:     c.route.Rank,
 		OnNotice: func(notice Notice) {
-			if c.balancer.recordNotice(time.Now(), backend, notice) {
+			now := time.Now()
+			if c.balancer.recordNotice(now, backend, notice) {
 				c.logNotice(backend, notice)
 			}
-			if sent, isNew := c.balancer.recordRate(backend, notice.Rate); isNew {
-				c.logRate(backend, notice.Rate, sent)
+			if c.options.Quotas.Named(now, sentAt, backend.Name, backend.Started, notice.Rate) {
+				c.logRate(backend, notice.Rate, c.balancer.sentCount(backend))
 			}
 		},
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -4,8 +4,32 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 )
 
+// Quotas divides the rates that back ends name among the nodes. process is the start of a
+// back end's process.
+type Quotas interface {
+	// Named records that an answer to a request sent at sentAt named a rate, or none if it is
+	// zero, and reports whether that is news.
+	Named(now, sentAt time.Time, member identifier.Member, process time.Time, rate float64) (isNew bool)
+	// Take takes one request from this node's share, or returns false if none is left.
+	Take(now time.Time, member identifier.Member, process time.Time) bool
+	// Allowance returns what this node may send.
+	Allowance(now time.Time, member identifier.Member, process time.Time) limiter.Allowance
+}
+
+// unlimited implements Quotas without limits.
+type unlimited struct{}
+
+func (unlimited) Named(_, _ time.Time, _ identifier.Member, _ time.Time, _ float64) bool {
+	return false
+}
+func (unlimited) Take(time.Time, identifier.Member, time.Time) bool { return true }
+func (unlimited) Allowance(time.Time, identifier.Member, time.Time) limiter.Allowance {
+	return limiter.Allowance{}
+}
+
 // Notice is what a back end says of itself beside an answer.
 type Notice struct {
 	// Leaving means that the back end shuts down and will reject requests soon.
@@ -35,17 +59,6 @@
 	return accepted && !r.accepts(now)
 }
 
-// recordRate records the rate that a back end names. It reports how many requests this node
-// has sent to it, and whether the rate is a new one.
-func (b *balancer) recordRate(backend Backend, rate float64) (sent int, isNew bool) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	r := b.statsOfSent(backend)
-	isNew = rate != 0 && rate != r.namedRate
-	r.namedRate = rate
-	return r.sent, isNew
-}
-
 // accepts reports whether the back end takes requests from this node as far as it said.
 func (r *backendStats) accepts(now time.Time) bool {
 	return r.leavingSince.IsZero() && !now.Before(r.pausedUntil)
@@ -58,18 +71,20 @@
 	return b.statsFor(backend).accepts(now)
 }
 
-// rejecting returns the members of a list that take no requests from this node, and how
-// long it takes until the first of them ends its pause; zero if none pauses.
+// rejecting returns the members of a list that take no request from this node now, and how
+// long it takes until the first of them does; zero if that is not known.
 func (b *balancer) rejecting(now time.Time, list []Backend) (members []identifier.Member, shortestPause time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, backend := range list {
 		r := b.statsFor(backend)
-		if r.accepts(now) {
+		allowance := b.quotas.Allowance(now, backend.Name, backend.Started)
+		if r.accepts(now) && allowance.Now() {
 			continue
 		}
 		members = append(members, backend.Name)
-		if pause := r.pausedUntil.Sub(now); r.leavingSince.IsZero() && (shortestPause == 0 || pause < shortestPause) {
+		pause := max(allowance.Wait, r.pausedUntil.Sub(now))
+		if !allowance.Never && r.leavingSince.IsZero() && (shortestPause == 0 || pause < shortestPause) {
 			shortestPause = pause
 		}
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -159,6 +159,9 @@
 
 // startAttempt runs one attempt until the header of its answer arrives.
 func (c *call) startAttempt(placement *placer.Placement) (*Reply, error) {
+	if err := c.takeQuotas(placement); err != nil {
+		return nil, err
+	}
 	if err := c.ensurePrefilled(placement); err != nil {
 		return nil, err
 	}
@@ -177,6 +180,25 @@
 	return nil, err
 }
 
+// takeQuotas takes a request from the quota of each engine that the attempt will send to. It
+// fails with Unreached if there is none.
+func (c *call) takeQuotas(placement *placer.Placement) error {
+	members := []identifier.Member{placement.Decode}
+	if placement.Prefill != "" && !c.canReuseKV() {
+		members = append(members, placement.Prefill)
+	}
+	now := time.Now()
+	for _, member := range members {
+		backend, listed := c.backendTable().Find(member)
+		if listed && !c.options.Quotas.Take(now, member, backend.Started) {
+			c.logGrantUnused(member, "has a quota that is used up")
+			c.tried = append(c.tried, member)
+			return Unreached.New("engine %s has a quota that is used up", member)
+		}
+	}
+	return nil
+}
+
 // ensurePrefilled has the prompt computed for a placement, unless an earlier KV cache
 // is still usable or the decode engine computes the prompt itself.
 func (c *call) ensurePrefilled(placement *placer.Placement) error {
--- a/starter/limit_test.go
+++ b/starter/limit_test.go
@@ -89,7 +89,7 @@
 	runFleet(t, 6, func(t *testing.T, f *fleet) {
 		limited := []string{f.instanceIDs("desk", "")[0], f.instanceIDs("llm", "prefill")[0], f.instanceIDs("llm", "decode")[0]}
 		f.setLimits(limit, limited...)
-		stop := f.load(t, 20*time.Millisecond, nil, booking, quote, lookUp)
+		stop := f.load(t, 20*time.Millisecond, nil, booking, quote, lookUp, booking, lookUp)
 		time.Sleep(20 * time.Second)
 		statuses := stop()
 		for _, id := range limited {
--- a/starter/services.go
+++ b/starter/services.go
@@ -196,6 +196,13 @@
 		Scope:     s.options.Scope,
 	})
 	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
+	s.quotas = limiter.NewQuotas(limiter.QuotaOptions{
+		View:      s.prober.View,
+		Broadcast: s.prober.Broadcast,
+		Log:       s.options.Log,
+		Scope:     s.options.Scope,
+	})
+	s.prober.Subscribe(limiter.QuotaTopic, s.quotas.Receive)
 	s.forwarder = forwarder.New(forwarder.Options{
 		DataCentre: settings.DataCentre,
 		Table:      s.routingTable,
@@ -207,6 +214,7 @@
 		Reacher:    s.backends,
 		Isolator:   s.isolator,
 		Budgets:    limiter.New(s.retryBudget(settings.RetryBudget)),
+		Quotas:     s.quotas,
 		Log:        s.options.Log,
 		Scope:      s.options.Scope,
 	})
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailspool/foxtailspool/forwarder"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/platform"
 	"github.com/foxtailspool/foxtailspool/prober"
@@ -57,6 +58,7 @@
 	backends   *platform.Backends
 	dispatcher *dispatcher.Dispatcher
 	isolator   *isolator.Isolator
+	quotas     *limiter.Quotas
 	switcher   *switcher.Switcher
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
