--- a/follower/content_test.go
+++ b/follower/content_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,16 +113,16 @@
 
 // deafStore has one large object whose changes its Changes does not report.
 type deafStore struct {
-	version, lists int
+	version, lists atomic.Int64
 }
 
 func (s *deafStore) List(context.Context, storer.Kind) (storer.Listing, error) {
-	s.lists++
-	return largeListing(s.version, 1000), nil
+	s.lists.Add(1)
+	return largeListing(int(s.version.Load()), 1000), nil
 }
 
 func (s *deafStore) Changes(context.Context, storer.Kind, storer.Version) ([]storer.Event, storer.Version, error) {
-	return nil, storer.Version(fmt.Sprint(s.version + 1)), nil
+	return nil, storer.Version(fmt.Sprint(s.version.Load() + 1)), nil
 }
 
 // TestReaderVerifiesLargeObject guards against a large configuration that stays as it was
@@ -129,7 +130,8 @@
 // interval.
 func TestReaderVerifiesLargeObject(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &deafStore{version: 2}
+		store := &deafStore{}
+		store.version.Store(2)
 		f := newTestFollower()
 		f.options.Store = store
 		ctx, stop := context.WithCancel(t.Context())
@@ -141,18 +143,42 @@
 			defer close(ended)
 			f.verifyLarge(ctx)
 		}()
-		store.version = 5
+		store.version.Store(5)
 		for range 25 {
 			f.readStore(ctx)
 			time.Sleep(f.options.ReadInterval)
 		}
+		stop()
+		<-ended
 		if got := f.copies[testKind].listing.Objects[0].Version; got != "5" {
 			t.Errorf("the copy has version %s", got)
 		}
-		if store.lists > 8 {
-			t.Errorf("%d whole reads in 10 s", store.lists)
+		if lists := store.lists.Load(); lists > 8 {
+			t.Errorf("%d whole reads in 10 s", lists)
+		}
+	})
+}
+
+// TestRefreshAwaitsPendingContent guards against a request that is denied a route although its
+// node has been told of a later configuration, whose content is on its way.
+func TestRefreshAwaitsPendingContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFollower()
+		f.update(testKind, largeListing(2, 1000), time.Now())
+		announced := &rpc.Collection{
+			Kind: string(testKind), Version: "5", Changed: true, Digest: 7,
+			Objects: []*rpc.Object{{Name: "main", Version: "5", ContentBytes: 50000}},
+		}
+		f.receiveCollection(time.Now(), announced, "b")
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { f.update(testKind, largeListing(5, 1200), time.Now()) })
+		f.Refresh(t.Context())
+		if waited := time.Since(began); waited != 100*time.Millisecond || f.copies[testKind].listing.Version != "5" {
+			t.Errorf("version %s after %v", f.copies[testKind].listing.Version, waited)
+		}
+		f.Refresh(t.Context())
+		if waited := time.Since(began); waited != 100*time.Millisecond {
+			t.Errorf("waited %v although nothing is pending", waited)
 		}
-		stop()
-		<-ended
 	})
 }
--- a/placer/role_split.go
+++ b/placer/role_split.go
@@ -110,16 +110,7 @@
 	if p.settings.RoleChangeTime <= 0 || p.averageRequest.prompt.samples < minSplitSamples || p.averageRequest.decodeSeconds.samples < minSplitSamples {
 		return SplitReason{}, false
 	}
-	var reason SplitReason
-	for _, e := range p.sortedEngines {
-		switch {
-		case e.Draining || e.removed || e.Rate > 0:
-		case e.roleAfterChange(now) == identifier.Prefill:
-			reason.Prefills++
-		default:
-			reason.Decodes++
-		}
-	}
+	reason := p.presentSplit(now)
 	if reason.Prefills == 0 || reason.Decodes == 0 || len(p.prefills) == 0 || len(p.decodes) == 0 {
 		return reason, false
 	}
@@ -134,6 +125,21 @@
 	return reason, true
 }
 
+// presentSplit counts the engines of each role that take all the requests that they can.
+func (p *Placer) presentSplit(now time.Time) SplitReason {
+	var present SplitReason
+	for _, e := range p.sortedEngines {
+		switch {
+		case e.Draining || e.removed || e.Rate > 0:
+		case e.roleAfterChange(now) == identifier.Prefill:
+			present.Prefills++
+		default:
+			present.Decodes++
+		}
+	}
+	return present
+}
+
 // throughput returns how many requests a second a number of prefill engines allows.
 func (r SplitReason) throughput(prefills int) float64 {
 	decodes := r.Prefills + r.Decodes - prefills
