Wait for a configuration on its way before denying a route

What callers could see: 404 on a route that has just been added, from a node that knows that there is a later configuration and waits for its content.

Cause: the read on demand compares ages only, and the copy is not old yet.

Change: it waits for the pending content, at most as long as for a read. TestRefreshAwaitsPendingContent fails without the wait.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -574,9 +574,13 @@
 const minRefreshInterval = 150 * time.Millisecond
 
 // Refresh reads the store, or polls other nodes if that fails, unless the copies are
-// fresh or were just refreshed. It returns once the read is done or ctx ends.
+// fresh or were just refreshed. It returns once the read is done or ctx ends. While contents
+// of a later version are on their way, it waits for those instead.
 func (f *Follower) Refresh(ctx context.Context) {
 	startedAt := time.Now()
+	if f.awaitPending(ctx) {
+		return
+	}
 	select {
 	case f.refreshToken <- struct{}{}:
 		defer func() { <-f.refreshToken }()
--- a/follower/pending.go
+++ b/follower/pending.go
@@ -298,13 +298,21 @@
 	return min(age, now.Sub(pending.confirmedAt))
 }
 
-// IsOutdated reports whether this node knows that a later version of a collection exists than
-// that of its copy.
-func (f *Follower) IsOutdated() bool {
+// awaitPending waits until a pending copy has been applied or ctx ends. It returns false at once
+// if none is pending.
+func (f *Follower) awaitPending(ctx context.Context) bool {
 	for _, kind := range f.options.Kinds {
-		if f.currentPending(kind) != nil {
-			return true
+		f.mutex.Lock()
+		updated := f.updated
+		f.mutex.Unlock()
+		if f.currentPending(kind) == nil {
+			continue
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
 		}
+		return true
 	}
 	return false
 }
