--- a/starter/soak_operator_test.go
+++ b/starter/soak_operator_test.go
@@ -25,6 +25,8 @@
 	// that it then writes.
 	isStoreDown bool
 	next        string
+	// extraRoutes is the number of routes for no request.
+	extraRoutes int
 }
 
 type configurationAck struct {
@@ -80,6 +82,7 @@
 	for _, ack := range append(p.acks, configurationAck{version: version}) {
 		routes = append(routes, route(fmt.Sprint("probe-", ack.version), probePrefix(ack.version), "safe", "other", 3*time.Second))
 	}
+	routes = append(routes, manyRoutes(p.extraRoutes)...)
 	p.newest = p.fleet.newConfiguration(service, routes...)
 	p.fleet.objects.Put("config", "main", p.newest)
 	p.acks = append(p.acks, configurationAck{version: version, service: service, from: time.Now()})
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -25,7 +25,7 @@
 )
 
 var (
-	soakSeeds     = flag.Int("soak-seeds", int(soakKindCount), "number of seeds to run")
+	soakSeeds     = flag.Int("soak-seeds", int(earlierKindCount), "number of seeds to run")
 	soakFirstSeed = flag.Uint64("soak-first", 1, "first seed to run")
 	soakNodes     = flag.Int("soak-nodes", 4, "number of nodes for each seed")
 	soakRace      = flag.Bool("soak-race", false, "build the nodes with the race detector")
@@ -58,9 +58,28 @@
 	// restoredSoak lets the store come back from older copies, beside ends of nodes, planned
 	// work and back ends that join and leave.
 	restoredSoak
+	// limitedSoak lets back ends name rates and the configuration grow by many routes, beside
+	// ends of nodes, planned work and back ends that join and leave.
+	limitedSoak
 	soakKindCount
+	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed.
+	earlierKindCount = limitedSoak
 )
 
+// firstLimitedSeed is the first seed that may be of a kind from limitedSoak on: earlier seeds
+// keep the kind with which they were run.
+const firstLimitedSeed = 300_000
+
+// coverageSeeds run always: the first of each kind that the default seeds do not have.
+var coverageSeeds = []uint64{firstLimitedSeed + 3}
+
+func kindOfSeed(seed uint64) soakKind {
+	if seed < firstLimitedSeed {
+		return soakKind(seed) % earlierKindCount
+	}
+	return soakKind(seed) % soakKindCount
+}
+
 // TestSoak runs real node processes against an emulated store and back ends and injects
 // external faults, in an order given by the seed. Meanwhile callers compare the responses
 // with what the back ends ran.
@@ -69,7 +88,7 @@
 		t.Skip("starts real processes and takes several seconds")
 	}
 	binary := buildBinary(t)
-	seeds := append([]uint64{}, regressionSeeds...)
+	seeds := slices.Concat(regressionSeeds, coverageSeeds)
 	for n := range *soakSeeds {
 		if seed := *soakFirstSeed + uint64(n); !slices.Contains(seeds, seed) {
 			seeds = append(seeds, seed)
@@ -135,6 +154,8 @@
 	disturbances map[string][]*disturbance
 	// copies has the backups of the store, oldest first.
 	copies []storeCopy
+	// limits has the rates that back ends have named.
+	limits map[*soakBackend]float64
 }
 
 // disturbance is a time during which a node or the store is disturbed.
@@ -239,7 +260,7 @@
 
 func newSoakRun(t *testing.T, binary string, seed uint64) *soakRun {
 	s := &soakRun{
-		t: t, seed: seed, kind: soakKind(seed) % soakKindCount, disturbances: map[string][]*disturbance{}, failures: map[string]int{}, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
+		t: t, seed: seed, kind: kindOfSeed(seed), disturbances: map[string][]*disturbance{}, limits: map[*soakBackend]float64{}, failures: map[string]int{}, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
 		backendProxies: map[string]*proxy{},
 		fleet:          &fleet{t: t, objects: emulator.NewObjects(), instances: map[string]*emulator.Instance{}, logs: io.Discard, capacity: soakCapacity()},
 	}
@@ -385,6 +406,8 @@
 	case s.kind == restoredSoak && chance == 3:
 		s.kill(s.random.IntN(len(s.processes)))
 		return func() {}
+	case s.kind == limitedSoak && chance < 4:
+		return s.startLimit()
 	case s.kind == mixedSoak && chance < 4:
 		return s.startOutage()
 	default:
@@ -516,6 +539,7 @@
 		cleanUp()
 	}
 	s.checkLogsForCrashes()
+	s.checkLimits()
 }
 
 // checkLogsForCrashes fails the seed's test if a node panicked, crashed or had a data race.
