Share the bucket of a rate between the limiter and the placer

Both saved up requests with the same arithmetic. No decision changes: the tests of both packages and of limits and restores in starter pass.

--- a/follower/pending.go
+++ b/follower/pending.go
@@ -143,11 +143,11 @@
 	collection := cloneCollection(pending.collection)
 	if f.resolveReferences(collection, contents) {
 		f.applyComplete(kind, collection, confirmedAt)
+		f.options.Log.Log(eventContentReceived, logger.Fields{
+			"kind": kind, fieldVersion: collection.GetVersion(), "wait-ms": time.Since(pending.since).Milliseconds(),
+		})
 	}
 	f.dropPending(kind, pending)
-	f.options.Log.Log(eventContentReceived, logger.Fields{
-		"kind": kind, fieldVersion: collection.GetVersion(), "wait-ms": time.Since(pending.since).Milliseconds(),
-	})
 }
 
 // applyComplete applies a collection, or retained objects, without references.
@@ -234,8 +234,8 @@
 	return nil
 }
 
-// decodeResponse returns the content of a response. A node that no longer has the base does
-// not offer it as one in its next request.
+// decodeResponse returns the content of a response. It fails if this node no longer has the
+// base, which the next request then does not name.
 func (f *Follower) decodeResponse(kind storer.Kind, object *rpc.Object, response *rpc.ContentResponse) ([]byte, error) {
 	f.receivedBytes.Inc(int64(len(response.GetCompressed())))
 	var base []byte
--- a/limiter/quotas.go
+++ b/limiter/quotas.go
@@ -23,8 +23,6 @@
 	// send to it. Each sender may save up one request, so that fewer senders make bursts
 	// smaller, and more spread the requests better over the nodes.
 	extraSenders = 2
-	// maxSavedTime limits the requests that a node saves up to those of this time, or one.
-	maxSavedTime = 250 * time.Millisecond
 	// seatTime is how long a lost node still counts as a sender: it may have lost only the
 	// other nodes, and go on sending.
 	seatTime = 8 * time.Second
@@ -87,10 +85,8 @@
 	// told is the rate that nodes last told one another, at toldAt.
 	told   float64
 	toldAt time.Time
-	// saved is the number of requests that this node may send now; it was last raised at
-	// savedAt.
-	saved   float64
-	savedAt time.Time
+	// bucket has the requests that this node may send.
+	bucket Bucket
 	// share is this node's part of the rate, chosen by view at sharedAt.
 	share    float64
 	view     *assigner.View
@@ -220,7 +216,8 @@
 // set sets the rate. A node has saved up nothing when a rate begins.
 func (k *quota) set(now time.Time, rate float64) {
 	if k.rate == 0 || rate == 0 {
-		k.saved, k.savedAt = 0, now
+		k.bucket = Bucket{}
+		k.bucket.Refill(now, 0)
 	}
 	if k.rate != rate {
 		k.rate, k.view = rate, nil
@@ -247,11 +244,11 @@
 		return true
 	}
 	q.save(now, member, known)
-	if known.saved < 1 {
+	if !known.bucket.Ready() {
 		q.refused.Inc(1)
 		return false
 	}
-	known.saved--
+	known.bucket.Take()
 	return true
 }
 
@@ -279,11 +276,11 @@
 	q.save(now, member, known)
 	allowance := Allowance{Limited: true}
 	switch {
-	case known.saved >= 1:
+	case known.bucket.Ready():
 	case known.share <= 0:
 		allowance.Never = true
 	default:
-		allowance.Wait = time.Duration((1 - known.saved) / known.share * float64(time.Second))
+		allowance.Wait = known.bucket.Wait(known.share)
 	}
 	return allowance
 }
@@ -352,9 +349,7 @@
 		known.share = q.shareOf(now, view, member, known.rate)
 		known.view, known.sharedAt = view, now
 	}
-	limit := max(1, known.share*maxSavedTime.Seconds())
-	known.saved = min(known.saved+now.Sub(known.savedAt).Seconds()*known.share, limit)
-	known.savedAt = now
+	known.bucket.Refill(now, known.share)
 }
 
 // shareOf returns this node's part of a rate, in requests a second. The caller must hold the
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 )
 
 // Engine is the configuration of one engine of a shard, from the pools table.
@@ -130,10 +131,8 @@
 	roleChangeUntil time.Time
 	// removed engines are no longer configured but still have grants.
 	removed bool
-	// saved is the number of requests that an engine with a Rate takes now; it was last
-	// raised at savedAt.
-	saved   float64
-	savedAt time.Time
+	// quota has the requests that an engine with a Rate takes now.
+	quota limiter.Bucket
 }
 
 // freedMemory is memory that one grant freed.
--- a/placer/state.go
+++ b/placer/state.go
@@ -174,7 +174,7 @@
 		if configured.Role == known.nextRole {
 			known.roleChangeUntil = time.Time{}
 		}
-		known.setRate(configured.Rate)
+		known.prepareRate(configured.Rate)
 		known.Engine = configured
 		known.removed = false
 		if configured.Role == identifier.Decode {
