Count only nodes lost lately when a node may be cut off

What callers could see: a limited back end gets less than it takes after most nodes of a fleet were replaced within an hour.

Cause: a node that has lost most others does not take over their parts, and lost nodes stay in the membership view for an hour.

Change: only those lost within the last minute count. With the earlier rule TestQuotaAfterReplacements fails.

--- a/limiter/quotas.go
+++ b/limiter/quotas.go
@@ -26,6 +26,8 @@
 	// seatTime is how long a lost node still counts as a sender: it may have lost only the
 	// other nodes, and go on sending.
 	seatTime = 8 * time.Second
+	// cutOffTime is how long ago a node may have lost others for them to count as lost at once.
+	cutOffTime = time.Minute
 	// quotaLifetime is how long a rate holds that no answer and no node has confirmed. The
 	// senders notice its end at their next answer.
 	quotaLifetime = time.Minute
@@ -296,16 +298,24 @@
 	}
 	view := q.options.View()
 	q.noteLost(now, view)
-	if q.isCutOff(view) {
+	if q.isCutOff(now, view) {
 		return known.rate / float64(len(view.Members))
 	}
 	return known.rate
 }
 
-// isCutOff reports whether this node has lost most others, and so has most likely been cut off
-// from them. The caller must hold the mutex.
-func (q *Quotas) isCutOff(view *assigner.View) bool {
-	return 2*len(q.lostSince) > len(view.Members)
+// isCutOff reports whether this node has lately lost most others, and so has most likely been
+// cut off from them. The caller must hold the mutex.
+func (q *Quotas) isCutOff(now time.Time, view *assigner.View) bool {
+	lost, lostEarlier := 0, 0
+	for _, since := range q.lostSince {
+		if now.Sub(since) < cutOffTime {
+			lost++
+		} else {
+			lostEarlier++
+		}
+	}
+	return 2*lost > len(view.Members)-lostEarlier
 }
 
 // Run calls OnChange when this node has lost most others or found them again, and when rates
@@ -339,7 +349,7 @@
 			count++
 		}
 	}
-	return q.isCutOff(view), count
+	return q.isCutOff(now, view), count
 }
 
 // save raises the requests that this node may send. The caller must hold the mutex.
@@ -359,7 +369,7 @@
 		return 0
 	}
 	q.noteLost(now, view)
-	cutOff := q.isCutOff(view)
+	cutOff := q.isCutOff(now, view)
 	senders := view.Ranked("quota/"+string(member), int(rate)+extraSenders, func(m assigner.Member) bool {
 		switch m.State {
 		case assigner.Alive, assigner.Suspect:
--- a/limiter/quotas_test.go
+++ b/limiter/quotas_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// TestQuotaAfterReplacements guards against nodes that take themselves for cut off because most
+// nodes that they remember have been replaced over time.
+func TestQuotaAfterReplacements(t *testing.T) {
+	const rate = 4.0
+	f := newQuotaFleet(20)
+	now := time.Now()
+	f.quotas[19].Named(now, now, "m", time.Time{}, rate)
+	f.tell()
+	for n := range 14 {
+		f.states[n] = assigner.Dead
+	}
+	f.publish()
+	alive := func(n int) bool { return n >= 14 }
+	f.takeAll(&now, time.Second, "m", alive)
+	now = now.Add(2 * time.Minute)
+	for _, q := range f.quotas {
+		q.Named(now, now, "m", time.Time{}, rate)
+	}
+	f.takeAll(&now, 2*time.Second, "m", alive)
+	if got := float64(f.takeAll(&now, 8*time.Second, "m", alive)); got < 8*rate*0.8 {
+		t.Errorf("the remaining nodes took %v in 8 s at %g a second", got, rate)
+	}
+	if got := f.quotas[19].OwnerRate(now, "m", time.Time{}); got != rate {
+		t.Errorf("an owner may place %g a second, want %g", got, rate)
+	}
+}
+
 // TestQuotaEnds guards against nodes that keep to a limit that has ended, or forget one that
 // holds because messages arrive in another order or an old answer comes late.
 func TestQuotaEnds(t *testing.T) {
