Let strong VMs own shards and read the store

Cause: owners were chosen by hash alone.

Change: a node announces with its membership record what its VM can carry, limited by its processor or its link. Owners and readers are chosen by hash among the members with at least half of the largest capacity; the others follow if those are lost. Nodes of unknown capacity are equal, as before.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -33,7 +33,10 @@
 	PeerAddress identifier.Address
 	// CallerAddress is where the node serves callers.
 	CallerAddress identifier.Address
-	State         State
+	// Capacity is what the node's VM can carry for the fleet; zero means unknown. It does
+	// not change within one incarnation.
+	Capacity identifier.Capacity
+	State    State
 	// Configuration is the highest number of a configuration snapshot that the
 	// node has announced as in force. It can be out of date, and never decreases
 	// within one incarnation.
@@ -74,9 +77,12 @@
 	return live
 }
 
-// Owner returns the owner of a shard: the alive or suspect member with the highest
-// rendezvous score. Suspects keep their shards, so that a short suspicion moves no
-// shard. If no member can own a shard, Owner returns Self.
+// Owner returns the owner of a shard: of the strong members that are alive or suspect, the
+// one with the highest rendezvous score. Suspects keep their shards, so that a short
+// suspicion moves no shard. If no member can own a shard, Owner returns Self.
+//
+// A member is strong if its capacity is at least strongShare of the largest. The work of an
+// owner grows with the fleet, and the VMs of a fleet differ in their processors and links.
 func (v *View) Owner(shard string) Member {
 	return v.ownerAmong(shard, func(Member) bool { return true })
 }
@@ -99,7 +105,8 @@
 }
 
 // OwnerCandidates returns up to limit members in the order in which they would own
-// a shard: the current owner, then its successor if the owner is lost, and so on.
+// a shard: the current owner, then its successor if the owner is lost, and so on. The members
+// that are not strong follow the strong ones.
 func (v *View) OwnerCandidates(shard string, limit int) []Member {
 	return v.candidatesAmong(shard, limit, func(Member) bool { return true })
 }
@@ -116,8 +123,33 @@
 			candidates = append(candidates, member)
 		}
 	}
-	sortByScore(candidates, shard)
-	return candidates[:min(limit, len(candidates))]
+	minCapacity := strongCapacity(candidates)
+	strong, weak := candidates[:0:0], candidates[:0:0]
+	for _, member := range candidates {
+		if member.Capacity >= minCapacity {
+			strong = append(strong, member)
+		} else {
+			weak = append(weak, member)
+		}
+	}
+	sortByScore(strong, shard)
+	if len(strong) < limit {
+		sortByScore(weak, shard)
+		strong = append(strong, weak...)
+	}
+	return strong[:min(limit, len(strong))]
+}
+
+// strongShare is the share of the largest capacity that makes a member strong.
+const strongShare = 0.5
+
+// strongCapacity returns the capacity from which a member is strong among the given ones.
+func strongCapacity(members []Member) identifier.Capacity {
+	var largest identifier.Capacity
+	for i := range members {
+		largest = max(largest, members[i].Capacity)
+	}
+	return identifier.Capacity(strongShare * float64(largest))
 }
 
 // Ranked returns up to limit of the eligible members, whether they can own shards or not, in
@@ -134,15 +166,26 @@
 }
 
 func sortByScore(members []Member, key string) {
+	scores := make(map[identifier.Node]uint64, len(members))
+	for i := range members {
+		scores[members[i].Node] = score(members[i].Node, key)
+	}
 	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(score(b.Node, key), score(a.Node, key)), cmp.Compare(b.Node, a.Node))
+		return cmp.Or(cmp.Compare(scores[b.Node], scores[a.Node]), cmp.Compare(b.Node, a.Node))
 	})
 }
 
 func (v *View) ownerAmong(shard string, eligible func(Member) bool) Member {
+	var largest identifier.Capacity
+	for _, member := range v.Members {
+		if member.Capacity > largest && v.canOwn(member) && eligible(member) {
+			largest = member.Capacity
+		}
+	}
+	minCapacity := identifier.Capacity(strongShare * float64(largest))
 	best, bestScore := v.Self, uint64(0)
 	for _, member := range v.Members {
-		if !v.canOwn(member) || !eligible(member) {
+		if member.Capacity < minCapacity || !v.canOwn(member) || !eligible(member) {
 			continue
 		}
 		if score := score(member.Node, shard); score >= bestScore {
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -18,6 +18,7 @@
 			Node:       identifier.Node(fmt.Sprint("n", i)),
 			DataCentre: identifier.DataCentre(fmt.Sprint("dc", i%3)),
 			State:      rapid.SampledFrom(states).Draw(t, "state"),
+			Capacity:   rapid.SampledFrom([]identifier.Capacity{0, 192, 800}).Draw(t, "capacity"),
 		})
 	}
 	view.Self = view.Members[0]
@@ -63,3 +64,40 @@
 		}
 	})
 }
+
+// TestStrongMembersOwnShards guards against owners on VMs that can't carry the work of a
+// large fleet: with six strong VMs of 68, hashing alone put the only owner on a weak one.
+func TestStrongMembersOwnShards(t *testing.T) {
+	view := &assigner.View{}
+	for i := range 68 {
+		member := assigner.Member{Node: identifier.Node(fmt.Sprint("n", i)), State: assigner.Alive, Capacity: 192}
+		if i%12 == 0 {
+			member.Capacity = 800
+		}
+		view.Members = append(view.Members, member)
+	}
+	view.Self = view.Members[1]
+	owners := map[identifier.Node]bool{}
+	for shard := range 100 {
+		name := fmt.Sprint("shard-", shard)
+		owner := view.Owner(name)
+		owners[owner.Node] = true
+		candidates := view.OwnerCandidates(name, 10)
+		for i, candidate := range candidates {
+			if strong := candidate.Capacity == 800; strong != (i < 6) {
+				t.Errorf("%s: candidate %d has the capacity %d", name, i, candidate.Capacity)
+			}
+		}
+	}
+	if len(owners) != 6 {
+		t.Errorf("%d nodes own the shards, want the six strong ones", len(owners))
+	}
+	for i := range view.Members {
+		if view.Members[i].Capacity == 800 {
+			view.Members[i].State = assigner.Dead
+		}
+	}
+	if owner := view.Owner("shard-0"); owner.Capacity != 192 {
+		t.Errorf("%+v owns a shard after all strong members have died", owner)
+	}
+}
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -63,6 +63,10 @@
 // BytesPerSecond is the transfer rate of a link.
 type BytesPerSecond int64
 
+// Capacity is how much a VM can carry for the fleet, in hundredths of what an owner of a
+// shard of usual size needs.
+type Capacity uint32
+
 // Rank orders work: urgent work goes before lesser work.
 type Rank uint8
 
--- a/prober/wire.go
+++ b/prober/wire.go
@@ -68,6 +68,7 @@
 		Peers:         string(r.member.PeerAddress),
 		Callers:       string(r.member.CallerAddress),
 		Configuration: uint64(r.member.Configuration),
+		Capacity:      uint32(r.member.Capacity),
 	}
 }
 
@@ -80,6 +81,7 @@
 			PeerAddress:   identifier.Address(wire.GetPeers()),
 			CallerAddress: identifier.Address(wire.GetCallers()),
 			Configuration: identifier.Configuration(wire.GetConfiguration()),
+			Capacity:      identifier.Capacity(wire.GetCapacity()),
 		},
 		revision: wire.GetRevision(),
 		health:   health(wire.GetHealth()),
--- /dev/null
+++ b/prober/wire_test.go
@@ -0,0 +1,22 @@
+package prober
+
+import (
+	"testing"
+
+	"github.com/foxtailspool/foxtailspool/assigner"
+)
+
+// TestRecordOnWire checks that a record arrives as it was sent, with the capacity by which
+// all nodes choose the same owners.
+func TestRecordOnWire(t *testing.T) {
+	sent := record{
+		member: assigner.Member{
+			Node: "n1", Incarnation: 7, DataCentre: "south", PeerAddress: "10.1.0.1:7660", CallerAddress: "10.1.0.1:8144",
+			Capacity: 192, Configuration: 3,
+		},
+		revision: 2, health: suspect, leaving: true,
+	}
+	if received := recordFromWire(recordToWire(sent)); received != sent {
+		t.Errorf("sent %+v, received %+v", sent, received)
+	}
+}
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"math"
 	"net"
 	"time"
 
@@ -33,6 +34,10 @@
 	// memoryLimitShare is the fraction of Settings.MemoryBytes, the process's memory bound, that is
 	// the Go runtime's soft memory limit; the kernel's connection buffers take some of the rest.
 	memoryLimitShare = 0.6
+	// ownerCores and ownerLinkRate are what the owner of a shard of usual size needs: a tenth
+	// of a core and 5 Mbit/s (docs/CAPACITY.md).
+	ownerCores                              = 0.1
+	ownerLinkRate identifier.BytesPerSecond = 625_000
 	// callerFileShare is the fraction of the file descriptors for callers' connections.
 	callerFileShare = 0.5
 )
@@ -103,6 +108,14 @@
 	return int64(float64(settings.MemoryBytes) * memoryLimitShare)
 }
 
+// ownerCapacity returns what the VM can carry for the fleet, limited by its processor or its
+// link, whichever is scarcer; zero if one is unknown.
+func ownerCapacity(settings platform.Settings) identifier.Capacity {
+	byProcessor := settings.Cores / ownerCores
+	byLink := float64(settings.LinkRate) / float64(ownerLinkRate)
+	return identifier.Capacity(min(100*min(byProcessor, byLink), math.MaxUint32))
+}
+
 // metricsAddress returns settings.PeerAddress with port metricsPort, or unchanged if malformed.
 func metricsAddress(settings platform.Settings) identifier.Address {
 	host, _, err := net.SplitHostPort(string(settings.PeerAddress))
--- a/starter/limits_test.go
+++ b/starter/limits_test.go
@@ -5,9 +5,28 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/platform"
 )
 
+// TestOwnerCapacity checks that a VM's scarcer resource limits what it can carry.
+func TestOwnerCapacity(t *testing.T) {
+	for _, test := range []struct {
+		cores float64
+		link  identifier.BytesPerSecond
+		want  identifier.Capacity
+	}{
+		{0.8, 25_000_000, 800},
+		{0.8, 1_250_000, 200},
+		{0.192, 25_000_000, 192},
+		{0.192, 0, 0},
+	} {
+		if got := ownerCapacity(platform.Settings{Cores: test.cores, LinkRate: test.link}); got != test.want {
+			t.Errorf("%v cores, %v bytes a second: %d, want %d", test.cores, test.link, got, test.want)
+		}
+	}
+}
+
 // TestStopLimitsUseSteadyClock guards against long requests that a stopping node accepts and
 // cuts because the time of day has jumped back.
 func TestStopLimitsUseSteadyClock(t *testing.T) {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -155,6 +155,7 @@
 		DataCentre:    settings.DataCentre,
 		PeerAddress:   settings.PeerAddress,
 		CallerAddress: settings.CallerAddress,
+		Capacity:      ownerCapacity(settings),
 		State:         assigner.Alive,
 	}
 }
