--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -84,6 +84,8 @@
 	Pieces identifier.Pieces `json:"held-pieces"`
 	// WaitingUrgent counts the queued requests of rank urgent.
 	WaitingUrgent int `json:"waiting-urgent"`
+	// WaitingNormal counts the queued requests of rank normal.
+	WaitingNormal int `json:"waiting-normal"`
 	// WaitingLesser counts the queued requests of rank lesser.
 	WaitingLesser int `json:"waiting-lesser"`
 }
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -65,7 +65,7 @@
 		r.addRow(p.Name, p.Kind, p.Grants, p.Pieces)
 	}
 	r.addBlankLine()
-	r.addRow("SHARD", "OWNER", "HELD GRANTS", "HELD PIECES", "WAITING URGENT", "WAITING LESSER")
+	r.addRow("SHARD", "OWNER", "HELD GRANTS", "HELD PIECES", "WAITING URGENT", "WAITING NORMAL", "WAITING LESSER")
 	for _, p := range status.Pools {
 		for _, s := range p.Shards {
 			printShard(r, p, s)
@@ -76,8 +76,8 @@
 func printShard(r *rowPrinter, pool administrator.Pool, shard administrator.Shard) {
 	name := fmt.Sprintf("%s/%d", pool.Name, shard.Index)
 	if placing := shard.Placing; placing != nil {
-		r.addRow(name, shard.Owner, placing.Grants, placing.Pieces, placing.WaitingUrgent, placing.WaitingLesser)
+		r.addRow(name, shard.Owner, placing.Grants, placing.Pieces, placing.WaitingUrgent, placing.WaitingNormal, placing.WaitingLesser)
 		return
 	}
-	r.addRow(name, shard.Owner, "-", "-", "-", "-")
+	r.addRow(name, shard.Owner, "-", "-", "-", "-", "-")
 }
--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -264,7 +264,7 @@
 }
 
 // benchShard returns a shard that isn't running; the benchmark passes in the time.
-func benchShard(b *testing.B, engines int) *shard {
+func benchShard(b testing.TB, engines int) *shard {
 	b.Helper()
 	owner := newBenchOwner(engines)
 	owner.server.startShard = func(*shard) {}
--- a/dispatcher/client.go
+++ b/dispatcher/client.go
@@ -45,6 +45,7 @@
 	id      shardID
 	options Options
 	metrics metrics
+	owners  *ownerCache
 	// localServer is called instead of a peer while this node is the owner.
 	localServer dispatcherrpc.Dispatcher
 	// wake, of capacity 1, triggers an exchange.
@@ -68,12 +69,13 @@
 	fallback     fallback
 }
 
-func newShardClient(id shardID, options Options, local dispatcherrpc.Dispatcher, m metrics) *shardClient {
+func newShardClient(id shardID, options Options, local dispatcherrpc.Dispatcher, owners *ownerCache, m metrics) *shardClient {
 	return &shardClient{
 		id:          id,
 		options:     options,
 		metrics:     m,
 		localServer: local,
+		owners:      owners,
 		wake:        make(chan struct{}, 1),
 		collectWake: make(chan struct{}, 1),
 		waiting:     map[identifier.Request]*submission{},
@@ -297,7 +299,7 @@
 // followOwner sets owner and peer from the view. It reports whether the owner
 // changed; if so, everything is sent again. The caller must hold the mutex.
 func (c *shardClient) followOwner(view *assigner.View) bool {
-	owner := view.Owner(c.id.String())
+	owner := c.owners.ownerOf(view, c.id)
 	if c.peer != nil && owner.Node == c.owner.Node && owner.Incarnation == c.owner.Incarnation && owner.PeerAddress == c.owner.PeerAddress {
 		return false
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -249,7 +249,7 @@
 	if existing := d.clients[id]; existing != nil {
 		return existing
 	}
-	created := newShardClient(id, d.options, d.server, d.metrics)
+	created := newShardClient(id, d.options, d.server, d.server.owners, d.metrics)
 	d.clients[id] = created
 	if d.startClient != nil {
 		d.startClient(created)
--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/foxtailspool/foxtailspool/dispatcher/dispatcherrpc"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
@@ -14,8 +16,9 @@
 
 // fallback places requests while the owner is unreachable. It picks engines by
 // power of two choices, using the last reports and this node's share of each
-// engine, which is the engine's memory divided by the number of nodes. It is
-// guarded by the mutex of its shardClient.
+// engine, which is the engine's memory divided by the number of nodes. Where that is
+// less than a request needs, each engine serves only as many nodes as it has room for
+// requests. It is guarded by the mutex of its shardClient.
 type fallback struct {
 	issuedGrants uint64
 	// freePieces is the free memory that each engine last reported, adjusted for
@@ -116,7 +119,7 @@
 			if c.fallback.canPrefill(member) {
 				prefills = append(prefills, member)
 			}
-		case c.fallback.canDecode(member, pieces, nodeCount):
+		case c.fallback.canDecode(c.options.Self, member, pieces, nodeCount):
 			decodes = append(decodes, member)
 		}
 	}
@@ -153,13 +156,24 @@
 }
 
 // canDecode reports whether a request fits into an engine's headroom. A request
-// larger than this node's share also fits if the node has no other request there.
-func (f *fallback) canDecode(member tabulator.Member, pieces identifier.Pieces, nodeCount int) bool {
+// larger than this node's share also fits if the engine is one of those that serve the node,
+// and the node has no other request there.
+func (f *fallback) canDecode(node identifier.Node, member tabulator.Member, pieces identifier.Pieces, nodeCount int) bool {
 	if f.headroom(member, nodeCount) >= pieces {
 		return true
 	}
 	free, known := f.freePieces[member.Name]
-	return f.placedPieces[member.Name] == 0 && member.Pieces >= pieces && (!known || free >= pieces)
+	fits := f.placedPieces[member.Name] == 0 && member.Pieces >= pieces && (!known || free >= pieces)
+	return fits && servesAlone(member, node, pieces, nodeCount)
+}
+
+// servesAlone reports whether a node may place a request on an engine without the owner
+// although its share of the engine is smaller. On average it holds for as many nodes as the
+// engine has room for requests, so that nodes that all lose the owner don't fill the engines
+// many times over.
+func servesAlone(member tabulator.Member, node identifier.Node, pieces identifier.Pieces, nodeCount int) bool {
+	room := uint64(member.Pieces / pieces)
+	return xxhash.Sum64String(string(member.Name)+"/"+string(node))%uint64(nodeCount) < room
 }
 
 // pickDecode picks two engines at random and returns the one with more headroom.
--- a/dispatcher/faults_test.go
+++ b/dispatcher/faults_test.go
@@ -394,3 +394,66 @@
 		stopNodes(others...)
 	})
 }
+
+// TestNodesWithoutOwnerShareEngines guards against engines that nodes without an owner fill
+// many times over: in a fleet of 68 nodes, each of them placed a request on each engine of
+// which its share was less than one.
+func TestNodesWithoutOwnerShareEngines(t *testing.T) {
+	const nodes, room = 68, 7
+	total := 0
+	for engine := range 39 {
+		member := tabulator.Member{Name: identifier.Member(fmt.Sprint("d", engine)), Role: identifier.Decode, Pieces: 103}
+		for node := range nodes {
+			fresh := newFallback()
+			if fresh.canDecode(identifier.Node(fmt.Sprint("n", node)), member, member.Pieces/room, nodes) {
+				total++
+			}
+		}
+	}
+	if average := float64(total) / 39; average > 1.3*room || average < 0.7*room {
+		t.Errorf("an engine with room for %d requests serves %.1f nodes", room, average)
+	}
+}
+
+// TestReplacedEnginesKeepShards has the engines of a pool of the largest size for one shard
+// replaced one after the other. Each replacement used to move half of the pool to another
+// owner and back.
+func TestReplacedEnginesKeepShards(t *testing.T) {
+	var pool tabulator.Pool
+	for i := range 64 {
+		role := identifier.Decode
+		if i%3 == 0 {
+			role = identifier.Prefill
+		}
+		pool.Members = append(pool.Members, tabulator.Member{Name: identifier.Member(fmt.Sprint("e", i)), Role: role})
+	}
+	for i := range 64 {
+		pool.Members[i].Leaving = true
+		replacement := tabulator.Member{Name: identifier.Member(fmt.Sprint("r", i)), Role: pool.Members[i].Role}
+		pool.Members = append(pool.Members, replacement)
+		if count := shardCount(pool, 64); count != 1 {
+			t.Fatalf("%d shards while engine %d is replaced", count, i)
+		}
+		pool.Members[i] = replacement
+		pool.Members = pool.Members[:64]
+	}
+}
+
+// TestOwnerPlacesPartOfTheTime checks that an owner whose last placement took long takes in
+// demands without placing them until its goroutine may place again.
+func TestOwnerPlacesPartOfTheTime(t *testing.T) {
+	sh := benchShard(t, 24)
+	now := time.Now()
+	sh.nextPlacing = now.Add(time.Second)
+	demand := newDemand("r1", 1)
+	request := benchRequest()
+	request.Demands = append(request.Demands, encodeDemand(&demand, time.Second))
+	response, err := sh.exchange(now, request)
+	if err != nil || len(response.GetDecisions()) != 0 || sh.placer.Waiting() != 1 {
+		t.Fatalf("%v, %v, %d waiting", response, err, sh.placer.Waiting())
+	}
+	sh.advance(now.Add(time.Second))
+	if decisions, _ := sh.takeDecisions(identifier.Node(request.GetNode())); len(decisions) != 1 {
+		t.Errorf("placed %v", decisions)
+	}
+}
--- a/dispatcher/roles_test.go
+++ b/dispatcher/roles_test.go
@@ -17,7 +17,11 @@
 		{Name: "drains-to-decode", Role: identifier.Decode, Pieces: 20},
 		{Name: "tells-nothing", Role: identifier.Decode, Pieces: 20},
 	}
-	owner := &shard{members: map[identifier.Member]tabulator.Member{}, loads: map[identifier.Member]placer.Load{}}
+	owner := &shard{
+		members: map[identifier.Member]tabulator.Member{}, loads: map[identifier.Member]placer.Load{},
+		placer: placer.New(time.Unix(0, 0), placer.Settings{}),
+	}
+	owner.placer.Configure(placer.Settings{}, placerEngines(members))
 	for _, member := range members {
 		owner.members[member.Name] = member
 	}
@@ -27,7 +31,7 @@
 	owner.loads["tells-nothing"] = placer.Load{TakenAt: now, Free: 20}
 	f := newFallback()
 	f.setReports(now, owner.memoryReports())
-	if f.canPrefill(members[0]) || f.canDecode(members[1], 1, 1) || !f.canDecode(members[2], 1, 1) {
+	if f.canPrefill(members[0]) || f.canDecode("n1", members[1], 1, 1) || !f.canDecode("n1", members[2], 1, 1) {
 		t.Errorf("wrong engines accepted; free pieces by engine: %v", f.freePieces)
 	}
 }
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -27,12 +27,13 @@
 	shards map[shardID]*shard
 	// startShard starts a shard's goroutine; it is nil while run is not running.
 	startShard func(*shard)
+	owners     *ownerCache
 	// generation keeps grant IDs unique when a shard is opened again.
 	generation int
 }
 
 func newServer(options Options, m metrics) *server {
-	return &server{options: options, metrics: m, shards: map[shardID]*shard{}}
+	return &server{options: options, metrics: m, shards: map[shardID]*shard{}, owners: &ownerCache{}}
 }
 
 // run opens shards as this node becomes their owner, until ctx ends.
@@ -77,7 +78,7 @@
 }
 
 func (s *server) owns(view *assigner.View, id shardID) bool {
-	return view.Owner(id.String()).Node == s.options.Self
+	return s.owners.ownerOf(view, id).Node == s.options.Self
 }
 
 // openShard returns a shard, which it creates and starts if there is none. It
@@ -157,7 +158,7 @@
 }
 
 func (s *server) placerSettings(issuer string, pool tabulator.Pool) placer.Settings {
-	return placer.Settings{
+	settings := placer.Settings{
 		Issuer:               issuer,
 		PieceTokens:          pool.PieceTokens,
 		KVBytesPerToken:      pool.KVBytesPerToken,
@@ -172,4 +173,9 @@
 		CancelRetry:          s.options.EngineTimeout,
 		RebuildTime:          s.options.RebuildPeriod,
 	}
+	if s.options.OnRevoked == nil {
+		// No node would stop a stream whose grant is revoked.
+		settings.DisabledFeatures |= placer.Preemption
+	}
+	return settings
 }
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -45,6 +45,10 @@
 	snapshot *tabulator.Snapshot
 	members  map[identifier.Member]tabulator.Member
 	outboxes map[identifier.Node]*outbox
+	// nextPlacing is when the placer may be advanced again. It keeps placing, which takes
+	// longest when the engines are full, to a part of the node's processor time, so that
+	// the owner answers the other nodes even then.
+	nextPlacing time.Time
 	// cancelOrders are the cancels that run has not started yet.
 	cancelOrders    []placer.Cancellation
 	cancelsInFlight map[identifier.Grant]bool
@@ -107,18 +111,29 @@
 	defer s.mutex.Unlock()
 	s.applyConfiguration()
 	s.expireLostNodes(now, view)
-	s.placer.Advance(now)
-	s.distribute()
+	s.place(now)
 	owned := s.server.owns(view, s.id)
 	if !owned && len(s.cancelOrders) == 0 && len(s.cancelsInFlight) == 0 {
 		return 0, true
 	}
-	if s.placer.QueueLength(identifier.Urgent)+s.placer.QueueLength(identifier.Lesser) > 0 {
-		return s.options.Tick, false
+	if s.placer.Waiting() > 0 {
+		return max(s.options.Tick, time.Until(s.nextPlacing)), false
 	}
 	return idleAdvanceInterval, false
 }
 
+// placingShare is the largest part of the time in which an owner places demands.
+const placingShare = 0.25
+
+// place advances the placer and passes on its decisions. The caller must hold the mutex.
+func (s *shard) place(now time.Time) {
+	began := time.Now()
+	s.placer.Advance(now)
+	s.distribute()
+	took := time.Since(began)
+	s.nextPlacing = now.Add(time.Duration(float64(took) / placingShare))
+}
+
 // applyConfiguration applies the current snapshot unless it is older than the
 // one in use. The caller must hold the mutex.
 func (s *shard) applyConfiguration() {
@@ -243,17 +258,22 @@
 		return nil, twirp.NewError(twirp.FailedPrecondition, "the node was replaced")
 	}
 	response := &dispatcherrpc.ExchangeResponse{}
+	idle := s.placer.Waiting() == 0
 	s.applyReleases(now, request)
 	s.applyRenewals(now, node, request, response)
 	s.submitDemands(now, node, request)
-	s.placer.Advance(now)
-	s.distribute()
+	if !now.Before(s.nextPlacing) {
+		s.place(now)
+	}
+	if idle && s.placer.Waiting() > 0 {
+		// From now on, run has to advance the placer more often.
+		s.signal()
+	}
 	response.Decisions, box.decisions = box.decisions, nil
 	if now.Sub(box.reportsSentAt) >= reportInterval {
 		response.Reports = s.memoryReports()
 		box.reportsSentAt = now
 	}
-	s.signal()
 	return response, nil
 }
 
@@ -269,7 +289,7 @@
 
 func (s *shard) applyRenewals(now time.Time, node identifier.Node, request *dispatcherrpc.ExchangeRequest, response *dispatcherrpc.ExchangeResponse) {
 	for _, message := range request.GetRenewals() {
-		held, _ := decodeRenewal(s.id.pool, node, message)
+		held := decodeRenewal(s.id.pool, node, message)
 		switch s.placer.Renew(now, held, message.GetDemand() != nil) {
 		case placer.Renewed:
 		case placer.Unknown:
@@ -282,9 +302,7 @@
 
 func (s *shard) submitDemands(now time.Time, node identifier.Node, request *dispatcherrpc.ExchangeRequest) {
 	for _, message := range request.GetDemands() {
-		if demand, ok := decodeDemand(s.id.pool, node, message); ok {
-			s.placer.Submit(now, demand)
-		}
+		s.placer.Submit(now, decodeDemand(s.id.pool, node, message))
 	}
 }
 
@@ -301,13 +319,14 @@
 	return list
 }
 
-// freePieces returns an engine's free memory for new work. It is zero while the
-// engine's role differs from the role in the pools table.
+// freePieces returns an engine's free memory for new work: what it reports, or what the
+// grants leave if that is less. It is zero while the engine's role differs from the role in
+// the pools table.
 func (s *shard) freePieces(name identifier.Member, load placer.Load) identifier.Pieces {
 	if load.Role != "" && load.Role != s.members[name].Role {
 		return 0
 	}
-	return load.Free
+	return min(load.Free, s.placer.UnreservedPieces(name))
 }
 
 // waitForDecisions waits up to MaxCollectWait for decisions for a node. It fails
--- a/dispatcher/shards.go
+++ b/dispatcher/shards.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"sort"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/tabulator"
@@ -21,17 +23,45 @@
 	return fmt.Sprintf("placement/%s/%d", s.pool, s.index)
 }
 
+// ownerCache holds the owners of shards in the latest view that was asked for, because each
+// call of another node needs one and its choice takes time for each member.
+type ownerCache struct {
+	mutex  sync.Mutex
+	view   *assigner.View
+	owners map[shardID]assigner.Member
+}
+
+func (c *ownerCache) ownerOf(view *assigner.View, id shardID) assigner.Member {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.view != view {
+		c.view, c.owners = view, map[shardID]assigner.Member{}
+	}
+	owner, known := c.owners[id]
+	if !known {
+		owner = view.Owner(id.String())
+		c.owners[id] = owner
+	}
+	return owner
+}
+
 // shardCount returns the number of shards of a pool. Each shard needs engines of
-// both roles, so shards can have more than perShard engines.
+// both roles, so shards can have more than perShard engines. Members that leave do not
+// count: while the engines of a pool are replaced one after the other, its shards and their
+// owners stay the same.
 func shardCount(pool tabulator.Pool, perShard int) int {
-	prefills := 0
+	prefills, decodes := 0, 0
 	for _, member := range pool.Members {
-		if member.Role == identifier.Prefill {
+		switch {
+		case member.Leaving:
+		case member.Role == identifier.Prefill:
 			prefills++
+		default:
+			decodes++
 		}
 	}
-	shards := (len(pool.Members) + perShard - 1) / perShard
-	return max(1, min(shards, prefills, len(pool.Members)-prefills))
+	shards := (prefills + decodes + perShard - 1) / perShard
+	return max(1, min(shards, prefills, decodes))
 }
 
 // shardMembers returns the members of one shard, or nil if the pool has shrunk and
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -35,14 +35,14 @@
 	return message
 }
 
-// decodeDemand decodes a demand. It returns false if the rank is unknown.
-func decodeDemand(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Demand) (placer.Demand, bool) {
+// decodeDemand decodes a demand. A rank that this version does not have becomes the least urgent.
+func decodeDemand(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Demand) placer.Demand {
 	d := placer.Demand{
 		Request:          identifier.Request(message.GetRequest()),
 		Attempt:          message.GetAttempt(),
 		Pool:             pool,
 		Route:            identifier.Route(message.GetRoute()),
-		Rank:             identifier.Rank(message.GetRank()),
+		Rank:             identifier.Rank(min(message.GetRank(), uint32(identifier.Lesser))),
 		Account:          identifier.Account(message.GetAccount()),
 		Node:             node,
 		DataCentre:       identifier.DataCentre(message.GetDataCentre()),
@@ -61,7 +61,7 @@
 	for _, member := range message.GetAvoid() {
 		d.Avoid = append(d.Avoid, identifier.Member(member))
 	}
-	return d, int(message.GetRank()) < len(identifier.Ranks)
+	return d
 }
 
 // encodeRenewal encodes a grant's progress, and the whole grant if the owner
@@ -85,11 +85,10 @@
 	return message
 }
 
-func decodeRenewal(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Renewal) (placer.HeldGrant, bool) {
-	demand, ok := decodeDemand(pool, node, message.GetDemand())
+func decodeRenewal(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Renewal) placer.HeldGrant {
 	return placer.HeldGrant{
 		Grant:       identifier.Grant(message.GetGrant()),
-		Demand:      demand,
+		Demand:      decodeDemand(pool, node, message.GetDemand()),
 		Prefill:     identifier.Member(message.GetPrefill()),
 		Decode:      identifier.Member(message.GetDecode()),
 		Pieces:      identifier.Pieces(message.GetPieces()),
@@ -97,7 +96,7 @@
 		Decoding:    message.GetDecoding(),
 		Stream:      message.GetStream(),
 		PrefillTime: time.Duration(message.GetPrefillNanoseconds()),
-	}, ok
+	}
 }
 
 func encodeRelease(r *pendingRelease) *dispatcherrpc.Release {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -123,17 +123,13 @@
 
 func (c *call) newDemand() placer.Demand {
 	cost := c.request.Cost
-	rank := identifier.Lesser
-	if c.route.Rank == 0 {
-		rank = identifier.Urgent
-	}
 	rejecting, _ := c.balancer.rejecting(time.Now(), c.backendTable().Pool(c.pool.Name, ""))
 	return placer.Demand{
 		Request:          identifier.Request(c.request.Attempt),
 		Attempt:          uint64(time.Now().UnixMilli()),
 		Pool:             c.pool.Name,
 		Route:            c.route.Name,
-		Rank:             rank,
+		Rank:             identifier.Rank(min(max(0, c.route.Rank), int(identifier.Lesser))),
 		DataCentre:       c.options.DataCentre,
 		Prompt:           max(1, cost.Prompt),
 		MaxOutput:        cost.Limit,
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -67,19 +67,20 @@
 // shard of usual size needs.
 type Capacity uint32
 
-// Rank orders work: urgent work goes before lesser work.
+// Rank orders work: urgent work goes before normal work, and that before lesser work.
 type Rank uint8
 
 // The ranks, urgent first.
 const (
 	Urgent Rank = iota
+	Normal
 	Lesser
 )
 
 // Ranks lists all ranks, urgent first.
-var Ranks = [...]Rank{Urgent, Lesser}
+var Ranks = [...]Rank{Urgent, Normal, Lesser}
 
-var rankNames = [...]string{Urgent: "urgent", Lesser: "lesser"}
+var rankNames = [...]string{Urgent: "urgent", Normal: "normal", Lesser: "lesser"}
 
 // String returns the rank's name as written in the tables.
 func (r Rank) String() string {
@@ -102,7 +103,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("unknown rank %q, want urgent or lesser", text)
+	return fmt.Errorf("unknown rank %q, want urgent, normal or lesser", text)
 }
 
 // UnmarshalJSON parses a rank's name from a JSON string.
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -143,6 +143,9 @@
 // scheduleArrivals starts the random, bursty arrivals of a rank, which last until runLength.
 func (r *run) scheduleArrivals(rank identifier.Rank) {
 	mean := r.setting.capacity() * r.scenario.load * r.setting.traffic[rank].fraction
+	if mean == 0 {
+		return
+	}
 	bursting := false
 	toggle := func() {}
 	toggle = func() {
--- a/measurer/sharded.go
+++ b/measurer/sharded.go
@@ -83,7 +83,7 @@
 	for _, g := range grants {
 		held += g.Pieces
 	}
-	waiting := s.placer.QueueLength(identifier.Urgent) + s.placer.QueueLength(identifier.Lesser)
+	waiting := s.placer.Waiting()
 	awaitedPieces := float64(waiting) * float64(held) / float64(max(1, len(grants)))
 	return (float64(capacity-held) - awaitedPieces) / float64(capacity)
 }
@@ -139,7 +139,7 @@
 	{
 		Name: "target", nodes: 47, prefillEngines: 8, decodeEngines: 88, decodePieces: 28, lesserShare: 0.15,
 		dataCentres: []identifier.DataCentre{"a", "b", "c"},
-		traffic: [2]traffic{
+		traffic: [len(identifier.Ranks)]traffic{
 			identifier.Urgent: targetTraffic(0.3),
 			identifier.Lesser: targetTraffic(0.7),
 		},
--- a/measurer/workload.go
+++ b/measurer/workload.go
@@ -70,7 +70,7 @@
 	{
 		Name: "abazhur", nodes: 8, prefillEngines: 3, decodeEngines: 6, decodePieces: 60, lesserShare: 0.15,
 		dataCentres: []identifier.DataCentre{"plovdiv", "stara-zagora", "haskovo"},
-		traffic: [2]traffic{
+		traffic: [len(identifier.Ranks)]traffic{
 			identifier.Urgent: {
 				fraction:         0.3,
 				prompts:          lengthDistribution{median: 1800, sigma: 0.9, least: 30, most: 9000},
@@ -88,7 +88,7 @@
 	{
 		Name: "hidalgo", nodes: 6, prefillEngines: 4, decodeEngines: 8, decodePieces: 85, lesserShare: 0.15,
 		dataCentres: []identifier.DataCentre{"heredia", "cartago", "alajuela"},
-		traffic: [2]traffic{
+		traffic: [len(identifier.Ranks)]traffic{
 			identifier.Urgent: {
 				fraction:         0.4,
 				prompts:          lengthDistribution{median: 4000, sigma: 0.9, least: 50, most: 25_000},
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -41,10 +41,16 @@
 
 // forecast is an engine's forecast use, computed at the time at; zero means outdated.
 type forecast struct {
-	at     time.Time
+	at time.Time
+	// number orders the forecasts of all engines by the time of their computation.
+	number uint64
 	points [len(forecastOffsets)]forecastPoint
 }
 
+// forecastLifetime is how long a forecast is used while the grants of its engine and their
+// progress stay the same.
+const forecastLifetime = 50 * time.Millisecond
+
 // outputDistribution is the distribution of an output's length in tokens: log-normal, cut
 // off at the limit, where zero means no limit.
 type outputDistribution struct {
@@ -52,25 +58,72 @@
 	limit              float64
 }
 
-// survival returns the probability that an output is at least as long as tokens.
-func (l outputDistribution) survival(tokens float64) float64 {
-	if l.limit > 0 && tokens >= l.limit {
+// survivor tells how likely an output that has some tokens reaches a longer length.
+type survivor struct {
+	outputDistribution
+	// shift, in standard deviations, moves the distribution of an output that is longer than
+	// the distribution allows for, which has not ended all the same.
+	shift float64
+	// reached is the probability that an output has got as long as this one.
+	reached float64
+}
+
+// maxDeviations is how many standard deviations beyond the mean the distribution still says
+// when an output ends.
+const maxDeviations = 3
+
+// survivorAt returns the survivor of an output that has the generated tokens.
+func (l outputDistribution) survivorAt(generated float64) survivor {
+	if generated < 1 {
+		return survivor{l, 0, 1}
+	}
+	deviations := l.deviations(generated)
+	shift := max(0, deviations-maxDeviations)
+	return survivor{l, shift, normalTail(deviations - shift)}
+}
+
+// reaches returns the probability that the output gets at least as long as tokens.
+func (s survivor) reaches(tokens float64) float64 {
+	if s.limit > 0 && tokens >= s.limit {
 		return 0
 	}
 	if tokens < 1 {
 		return 1
 	}
-	return math.Erfc((math.Log(tokens)-l.logMean)/l.logSpread/math.Sqrt2) / 2
+	return min(1, normalTail(s.deviations(tokens)-s.shift)/s.reached)
+}
+
+// deviations returns how many standard deviations a length is above the mean of the logarithms.
+func (l outputDistribution) deviations(tokens float64) float64 {
+	return (math.Log(tokens) - l.logMean) / l.logSpread
 }
 
-// conditionalSurvival returns the probability that an output reaches the longer length if
-// it already has the generated tokens.
-func (l outputDistribution) conditionalSurvival(generated, longer float64) float64 {
-	reachProbability := l.survival(generated)
-	if reachProbability < 1e-6 {
+const (
+	// tailRange is the number of standard deviations, either way, for which normalTail has a
+	// table, and tailSteps the number of its entries for each.
+	tailRange = 6
+	tailSteps = 64
+)
+
+var tailTable = func() (table [2*tailRange*tailSteps + 2]float64) {
+	for i := range table {
+		table[i] = math.Erfc((float64(i)/tailSteps-tailRange)/math.Sqrt2) / 2
+	}
+	return table
+}()
+
+// normalTail returns the probability that a standard normal variable exceeds x. An owner in a
+// burst needs it some hundred thousand times a second.
+func normalTail(x float64) float64 {
+	at := (x + tailRange) * tailSteps
+	switch {
+	case at <= 0:
+		return 1
+	case at >= 2*tailRange*tailSteps:
 		return 0
 	}
-	return min(1, l.survival(longer)/reachProbability)
+	i := int(at)
+	return tailTable[i] + (tailTable[i+1]-tailTable[i])*(at-float64(i))
 }
 
 // generatedTokens estimates how many tokens a grant's stream has generated, from the last
@@ -86,10 +139,11 @@
 // addRequest adds the use of one request: its prompt, and an output that has the
 // generated tokens and continues after startsIn.
 func (f *forecast) addRequest(prompt float64, output outputDistribution, generated float64, startsIn time.Duration, tokenTime time.Duration) {
+	survivor := output.survivorAt(generated)
 	for i := range f.points {
 		ahead := forecastOffsets[i] - max(0, startsIn)
-		tokens := generated + max(0, ahead.Seconds()/tokenTime.Seconds())
-		running := output.conditionalSurvival(generated, tokens)
+		tokens := generated + max(0, float64(ahead)/float64(tokenTime))
+		running := survivor.reaches(tokens)
 		memory := prompt + tokens
 		m := &f.points[i]
 		m.mean += running * memory
@@ -98,12 +152,14 @@
 	}
 }
 
-// forecastOf returns an engine's forecast for now, computed at most once for each time.
+// forecastOf returns an engine's forecast, which is computed again if it is outdated or older
+// than forecastLifetime.
 func (p *Placer) forecastOf(now time.Time, e *engine) *forecast {
-	if e.forecast.at.Equal(now) {
+	if now.Sub(e.forecast.at) < forecastLifetime {
 		return &e.forecast
 	}
-	e.forecast = forecast{at: now}
+	p.latestForecast++
+	e.forecast = forecast{at: now, number: p.latestForecast}
 	for _, g := range e.grants {
 		p.addGrantTo(now, &e.forecast, g)
 	}
@@ -140,12 +196,13 @@
 }
 
 // decodeByForecast returns the decode engine with the lowest forecast peak use, with a
-// bonus for the prefill engine's data centre, or nil if the demand fits on none.
+// bonus for the prefill engine's data centre, or nil if the demand fits on none. A demand that
+// fitted on none is tried again only on engines that have a later forecast.
 func (p *Placer) decodeByForecast(now time.Time, w *waitingDemand, plan prefillPlan) *engine {
 	var best *engine
 	lowestPeak := math.Inf(1)
 	for _, e := range p.decodes {
-		if !e.accepts(now, &w.demand) {
+		if !e.accepts(now, &w.demand) || p.forecastOf(now, e).number <= w.triedForecast {
 			continue
 		}
 		peak := p.peakUse(now, w, e, plan.ready)
@@ -160,6 +217,9 @@
 			best, lowestPeak = e, peak
 		}
 	}
+	if best == nil {
+		w.triedForecast = p.latestForecast
+	}
 	return best
 }
 
--- a/placer/forecast_test.go
+++ b/placer/forecast_test.go
@@ -43,10 +43,13 @@
 	readingUntil   map[identifier.Member]time.Time
 	rate           float64
 	lesserShare    float64
+	normalShare    float64
 	outputFactor   float64
 	retryRefused   bool
 	pendingRetries []pendingRetry
 	counts         counts
+	// submittedByRank and placedByRank count the requests of each rank since the last run began.
+	submittedByRank, placedByRank [len(identifier.Ranks)]float64
 }
 
 type simRequest struct {
@@ -118,6 +121,8 @@
 // run sends requests at a rate per second for some time and returns their outcomes.
 func (s *simulation) run(rate float64, span time.Duration) counts {
 	s.rate = rate
+	clear(s.submittedByRank[:])
+	clear(s.placedByRank[:])
 	s.counts = counts{shortestGap: time.Hour}
 	for until := s.now.Add(span); s.now.Before(until); s.now = s.now.Add(simStep) {
 		if s.random.Float64() < s.rate*simStep.Seconds() {
@@ -133,8 +138,11 @@
 
 func (s *simulation) drawRequest() simRequest {
 	r := simRequest{prompt: s.drawLength(simMeanPrompt), output: min(9000, s.drawLength(simMeanOutput)*s.outputFactor), retryKey: s.random.Uint64() | 1}
-	if s.random.Float64() < s.lesserShare {
+	switch drawn := s.random.Float64(); {
+	case drawn < s.lesserShare:
 		r.rank = identifier.Lesser
+	case drawn < s.lesserShare+s.normalShare:
+		r.rank = identifier.Normal
 	}
 	return r
 }
@@ -147,6 +155,7 @@
 	s.submitted++
 	r.submittedAt = s.now
 	id := identifier.Request(fmt.Sprint(s.submitted))
+	s.submittedByRank[r.rank]++
 	if r.rank == identifier.Urgent {
 		s.counts.urgent++
 	} else {
@@ -227,6 +236,7 @@
 			}
 			continue
 		}
+		s.placedByRank[r.rank]++
 		started := s.startStream(r, placed)
 		s.running[placed.Grant] = started
 		if started.startsAt.Sub(r.submittedAt) > simFirstTokenTarget {
@@ -456,3 +466,64 @@
 		t.Error("a retry is refused after the burst is over")
 	}
 }
+
+// TestThreeRanksInBurst has a burst of three ranks that the engines can't serve. Normal work
+// used to be placed like lesser work: it must come after urgent work, before lesser work, and
+// neither may starve.
+func TestThreeRanksInBurst(t *testing.T) {
+	s := newSimulation(t, true)
+	s.normalShare, s.lesserShare = 0.3, 0.4
+	s.run(normalRate, 20*time.Second)
+	s.run(1.5*burstRate, 20*time.Second)
+	var served [len(identifier.Ranks)]float64
+	for _, rank := range identifier.Ranks {
+		served[rank] = s.placedByRank[rank] / s.submittedByRank[rank]
+	}
+	urgent, normal, lesser := served[identifier.Urgent], served[identifier.Normal], served[identifier.Lesser]
+	if urgent < 0.9 || normal > urgent || normal < 1.5*lesser || lesser < 0.02 {
+		t.Errorf("served %.2f of urgent, %.2f of normal and %.2f of lesser work", urgent, normal, lesser)
+	}
+}
+
+// TestBlockedDemandsWaitForChange checks that a demand that fitted on no engine is tried again
+// only on engines whose forecast has changed. In a burst, an owner spent half of a small VM's
+// processor time on trying the same demands on the same engines at each call of a node.
+func TestBlockedDemandsWaitForChange(t *testing.T) {
+	s := newSimulation(t, true)
+	s.run(3*burstRate, 5*time.Second)
+	if s.placer.Waiting() == 0 {
+		t.Fatal("no demand waits")
+	}
+	s.placer.Advance(s.now)
+	s.placer.TakeDecisions()
+	const untried = -1
+	for _, e := range s.placer.decodes {
+		e.lastPeakUse = untried
+	}
+	s.placer.Advance(s.now.Add(time.Millisecond))
+	for _, e := range s.placer.decodes {
+		if e.lastPeakUse != untried {
+			t.Errorf("%s was tried again", e.Member)
+		}
+	}
+	var anyGrant *grant
+	for _, anyGrant = range s.placer.grants {
+		break
+	}
+	s.placer.freeGrant(s.now, anyGrant)
+	s.placer.Advance(s.now.Add(2 * time.Millisecond))
+	if anyGrant.decode.lastPeakUse == untried {
+		t.Errorf("%s was not tried again after it had freed memory", anyGrant.decode.Member)
+	}
+}
+
+// TestLongOutputsKeepTheirMemory guards against a stream that counts as ended because its
+// output is far longer than expected, although its engine still holds its memory.
+func TestLongOutputsKeepTheirMemory(t *testing.T) {
+	expected := outputDistribution{logMean: math.Log(800), logSpread: minLogSpread}
+	var f forecast
+	f.addRequest(3000, expected, 4000, 0, time.Millisecond)
+	if first := f.points[0]; first.running < 0.5 || first.mean < 0.5*7000 {
+		t.Errorf("%+v", first)
+	}
+}
--- a/placer/long_prefill.go
+++ b/placer/long_prefill.go
@@ -17,10 +17,10 @@
 	urgentSamples = 16
 )
 
-// isLongPrefill reports whether a planned prefill is lesser work that would make urgent
-// demands wait too long, because prefills are not preempted.
+// isLongPrefill reports whether a planned prefill is not urgent and would make urgent demands
+// wait too long, because prefills are not preempted.
 func (p *Placer) isLongPrefill(d *Demand, plan prefillPlan) bool {
-	return d.Rank == identifier.Lesser && plan.end.Sub(plan.begin).Seconds() > p.averageUrgentBudget.Seconds()*p.settings.LongPrefillRatio
+	return d.Rank != identifier.Urgent && plan.end.Sub(plan.begin).Seconds() > p.averageUrgentBudget.Seconds()*p.settings.LongPrefillRatio
 }
 
 func (p *Placer) mayRunLongPrefill(now time.Time, chosen *engine) bool {
--- a/placer/place.go
+++ b/placer/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -44,36 +45,59 @@
 // blockersByResult maps the results that leave a demand in its queue to what blocks it.
 var blockersByResult = map[placeResult]Blocker{noMemory: BlockerMemory, noLongPrefillSlot: BlockerTurn, noPrefill: BlockerPrefill}
 
-// place tries the waiting demands. Lesser work below its minimum share goes first, then
-// urgent work, then the remaining lesser work. While a demand of one step waits for an
-// engine, the later steps grant nothing.
+// place tries the waiting demands. The ranks below urgent that have less than their minimum
+// share go first, then all ranks, the most urgent first. While a demand of one step waits for
+// an engine, the later steps grant nothing.
 func (p *Placer) place(now time.Time) {
-	if !p.placeFromQueue(now, identifier.Lesser, p.lesserBelowShare) {
-		return
+	for _, rank := range slices.Backward(identifier.Ranks[identifier.Urgent+1:]) {
+		if !p.placeFromQueue(now, rank, func() bool { return p.isBelowShare(rank) }) {
+			return
+		}
 	}
 	if !p.placeFromQueue(now, identifier.Urgent, always) {
 		return
 	}
-	p.placeFromQueue(now, identifier.Lesser, func() bool { return p.hasHeadroom(now) })
+	for _, rank := range identifier.Ranks[identifier.Urgent+1:] {
+		if !p.placeFromQueue(now, rank, func() bool { return p.hasHeadroom(now, rank) }) {
+			return
+		}
+	}
 }
 
 func always() bool { return true }
 
-// hasHeadroom reports whether the free memory covers what urgent work is granted in
-// HeadroomTime, so that the next urgent burst finds memory without a preemption.
-func (p *Placer) hasHeadroom(now time.Time) bool {
+// hasHeadroom reports whether the free memory covers what work of more urgent ranks is
+// granted in HeadroomTime, so that its next burst finds memory without a preemption.
+func (p *Placer) hasHeadroom(now time.Time, rank identifier.Rank) bool {
 	if p.settings.UseForecast || !p.settings.enabled(Headroom) {
 		// With UseForecast the forecast limits lesser work. Counted by reservations,
 		// there would never be any headroom.
 		return true
 	}
-	free := p.decodeCapacity - p.usedByRank[identifier.Urgent] - p.usedByRank[identifier.Lesser]
-	rate := p.grantedRates[identifier.Urgent].perSecond(now)
-	return float64(free) >= rate*p.settings.HeadroomTime.Seconds()
+	return float64(p.unreservedPieces()) >= p.moreUrgentRate(now, rank)*p.settings.HeadroomTime.Seconds()
+}
+
+// unreservedPieces returns the decode memory that no grant reserves.
+func (p *Placer) unreservedPieces() identifier.Pieces {
+	free := p.decodeCapacity
+	for _, used := range p.usedByRank {
+		free -= used
+	}
+	return free
+}
+
+// moreUrgentRate returns the memory, in pieces a second, that more urgent ranks are granted.
+func (p *Placer) moreUrgentRate(now time.Time, rank identifier.Rank) float64 {
+	rate := 0.0
+	for _, above := range identifier.Ranks[:rank] {
+		rate += p.grantedRates[above].perSecond(now)
+	}
+	return rate
 }
 
-func (p *Placer) lesserBelowShare() bool {
-	return float64(p.usedByRank[identifier.Lesser]) < p.settings.LesserShare*float64(p.decodeCapacity)
+// isBelowShare reports whether a rank below urgent has less than its minimum share.
+func (p *Placer) isBelowShare(rank identifier.Rank) bool {
+	return float64(p.usedByRank[rank]) < p.settings.LesserShare*float64(p.decodeCapacity)
 }
 
 // placeFromQueue tries one rank's demands in order while mayPlace returns true and fewer
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,8 +3,8 @@
 // It has no transport, clock or goroutines: callers pass in events and the current time,
 // and collect the decisions.
 //
-// Demands wait in one queue for each rank. Urgent demands go first, but lesser work keeps
-// a minimum share of the decode memory. In a queue, accounts within their fair share go
+// Demands wait in one queue for each rank. Urgent demands go first, but every other rank
+// keeps a minimum share of the decode memory. In a queue, accounts within their fair share go
 // first, then earlier deadlines. A grant is a lease that its node renews, and a later
 // attempt of the same request can take it over.
 package placer
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -24,6 +24,9 @@
 	isRetry bool
 	// blockedBy is what blocked the demand at its last try.
 	blockedBy Blocker
+	// triedForecast is the latest forecast with which the demand fitted on no decode engine;
+	// zero before its first try.
+	triedForecast uint64
 	// hasPreempted reports that lesser streams were preempted for the demand.
 	hasPreempted bool
 	// withinShare tells which heap of its queue holds the demand.
--- a/placer/rates.go
+++ b/placer/rates.go
@@ -66,14 +66,14 @@
 }
 
 // expectedWait returns how long the demands ahead of a new one are expected to wait for
-// their memory. Urgent work gets all memory that is freed; lesser work gets what urgent
-// work leaves, or its minimum share if that is more.
+// their memory. Urgent work gets all memory that is freed; any other rank gets what more
+// urgent ones leave, or its minimum share if that is more.
 func (p *Placer) expectedWait(now time.Time, w *waitingDemand) time.Duration {
 	rank := w.demand.Rank
 	ahead := p.queues[rank].piecesAhead(w.withinShare)
 	rate := p.freedRate.perSecond(now)
-	if rank == identifier.Lesser {
-		rate = max(rate-p.grantedRates[identifier.Urgent].perSecond(now), rate*p.settings.LesserShare)
+	if rank != identifier.Urgent {
+		rate = max(rate-p.moreUrgentRate(now, rank), rate*p.settings.LesserShare)
 	}
 	if ahead == 0 || rate <= 0 {
 		return 0
--- a/placer/settings.go
+++ b/placer/settings.go
@@ -37,8 +37,8 @@
 	PieceTokens identifier.Tokens
 	// KVBytesPerToken is the size of the KV cache of one token, for planning transfers.
 	KVBytesPerToken int64
-	// LesserShare is the minimum share of decode memory, from 0 to 1, that goes to lesser
-	// work while it has demand.
+	// LesserShare is the minimum share of decode memory, from 0 to 1, that each rank below
+	// urgent gets while it has demand.
 	LesserShare float64
 	// QueueLimit is the largest number of queued demands in each rank.
 	QueueLimit int
--- a/placer/state.go
+++ b/placer/state.go
@@ -135,6 +135,8 @@
 	betterSplitSince           time.Time
 	betterSplitHasMorePrefills bool
 	blockedScratch             []*waitingDemand
+	// latestForecast is the number of the latest forecast of any engine.
+	latestForecast uint64
 	// nextExpiry is at or before the next expiry of a grant; zero means no expiry.
 	nextExpiry time.Time
 }
@@ -226,6 +228,20 @@
 	return p.queues[rank].length()
 }
 
+// UnreservedPieces returns the memory of an engine that no grant reserves.
+func (p *Placer) UnreservedPieces(member identifier.Member) identifier.Pieces {
+	e := p.engines[member]
+	if e == nil {
+		return 0
+	}
+	return max(0, e.Pieces-e.used)
+}
+
+// Waiting returns the number of queued demands of all ranks.
+func (p *Placer) Waiting() int {
+	return len(p.queued)
+}
+
 // isRebuilding reports whether grants of an earlier owner may still be unknown.
 func (p *Placer) isRebuilding(now time.Time) bool {
 	return now.Sub(p.started) < p.settings.RebuildTime
@@ -336,7 +352,7 @@
 // SpareMemoryShare returns the free decode memory minus what the queued demands need, as
 // a fraction of the capacity. It is negative if they need more than is free.
 func (p *Placer) SpareMemoryShare() float64 {
-	spare := p.decodeCapacity - p.usedByRank[identifier.Urgent] - p.usedByRank[identifier.Lesser]
+	spare := p.unreservedPieces()
 	for i := range p.queues {
 		spare -= p.queues[i].pieces
 	}
--- a/server/operators.go
+++ b/server/operators.go
@@ -76,6 +76,7 @@
 	summary := &administrator.ShardPlacement{
 		Grants:        len(owned.Grants),
 		WaitingUrgent: owned.Waiting[identifier.Urgent],
+		WaitingNormal: owned.Waiting[identifier.Normal],
 		WaitingLesser: owned.Waiting[identifier.Lesser],
 	}
 	for _, held := range owned.Grants {
--- a/starter/services.go
+++ b/starter/services.go
@@ -69,8 +69,9 @@
 	// The rest covers nodes that other nodes do not count yet when they split it.
 	retryBudgetShare = 0.8
 	// maxShardEngines is the largest number of engines in one shard. One owner of a
-	// whole pool keeps more of the pool in use than two owners of half a pool each.
-	maxShardEngines = 64
+	// whole pool keeps more of the pool in use than two owners of half a pool each, and a
+	// pool near the limit would get other owners whenever engines are added.
+	maxShardEngines = 160
 	// loadReportInterval is the time between two load reports of an engine to its shard's
 	// owner. A report costs as much as a probe. Unlike grants, it shows that an engine is
 	// slow or unreachable.
