Take a copy of a recent restore as no proof against a removal

After the next restore it took that copy for proof that the back end had come back, and ignored what the other nodes know of its removal.

Ruled out: load; the node had joined and had been told by three nodes.

Change: a copy shows that an object was there after its removal only if both are of one generation of the store, or if nothing of a backup was left in the copy.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -141,8 +141,9 @@
 	merged       []storer.Object
 	mergedDigest uint64
 	// beforeRestore is what merged was when the first listing of the listing's generation
-	// arrived.
+	// arrived. beforeLapsed tells whether all of it had been written since an earlier restore.
 	beforeRestore []storer.Object
+	beforeLapsed  bool
 	// generationSince is when the first listing of the listing's generation arrived.
 	generationSince time.Time
 	loaded          bool
@@ -495,7 +496,7 @@
 	if order < 0 {
 		return
 	}
-	age := current.age(time.Now())
+	age, lapsed := current.age(time.Now()), f.hasLapsed(current)
 	if confirmedAt.After(current.confirmedAt) {
 		current.confirmedAt = confirmedAt
 	}
@@ -506,7 +507,7 @@
 		return
 	}
 	if first || restored {
-		current.generationSince, current.beforeRestore = time.Now(), current.merged
+		current.generationSince, current.beforeRestore, current.beforeLapsed = time.Now(), current.merged, lapsed
 	}
 	if !first {
 		f.retainBefore(kind, current, age, listing)
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -382,3 +382,32 @@
 		}
 	})
 }
+
+// TestCopyOfRecentRestoreForgetsNoRemoval guards against a back end that is used again although
+// it had left: a node that starts after a restore has its entry from the backup, and ignored
+// what the others know of its removal after the next restore.
+func TestCopyOfRecentRestoreForgetsNoRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var passed, passedStarted storer.Listing
+		f, started := newRetainingFollower(&passed), newRetainingFollower(&passedStarted)
+		f.update(testKind, listingWith("1.10", "a=1", "b=1"), time.Now())
+		f.update(testKind, listingWith("1.12", "a=1"), time.Now())
+		time.Sleep(100 * time.Millisecond)
+		for _, version := range []storer.Version{"2.11", "3.11"} {
+			f.update(testKind, listingWith(version, "a=1", "b=1"), time.Now())
+			started.update(testKind, listingWith(version, "a=1", "b=1"), time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		held := map[storer.Kind]*rpc.Held{}
+		for _, h := range started.newerRequest(0).GetHeld() {
+			held[storer.Kind(h.GetKind())] = h
+		}
+		answer, _, _ := f.changesSince(held)
+		for _, c := range answer.GetCollections() {
+			started.applyCollection(time.Now(), c)
+		}
+		if got := describe(passedStarted); got != "a=1" {
+			t.Errorf("after the answer of a node that knows of the removal: %s", got)
+		}
+	})
+}
--- a/follower/retained.go
+++ b/follower/retained.go
@@ -290,7 +290,7 @@
 		if !f.isEarlier(current, entry) || known && !f.isLater(kind, entry, held) || !entry.removed && !f.mayHold(kind, object, listed, isListed, age) {
 			continue
 		}
-		if before, had := findObject(current.beforeRestore, object.Name); entry.removed && had && f.options.Compare(before.Version, object.Version) > 0 {
+		if entry.removed && f.wasThereLater(current, object) {
 			// The steady clock stands still in a suspended peer, so it took an old copy for recent.
 			continue
 		}
@@ -302,6 +302,17 @@
 	}
 }
 
+// wasThereLater reports whether the copy before the latest restore shows that an object was in
+// the store after it had been removed with the given version. A copy of an earlier generation
+// shows that only if nothing of its backup was left in it.
+func (f *Follower) wasThereLater(current *localCopy, removed storer.Object) bool {
+	before, had := findObject(current.beforeRestore, removed.Name)
+	if !had || f.options.Compare(before.Version, removed.Version) <= 0 {
+		return false
+	}
+	return current.beforeLapsed || f.options.GenerationOf(before.Version) == f.options.GenerationOf(removed.Version)
+}
+
 // isLater reports whether retained entry a is later than b.
 func (f *Follower) isLater(kind storer.Kind, a, b retained) bool {
 	generationA, generationB := f.options.GenerationOf(a.object.Version), f.options.GenerationOf(b.object.Version)
