Start nodes with a tenth of the store's list reads

Change: the list of nodes is read as a stale listing, which costs a tenth, where that shows other nodes and this one; a restarted node keeps its entry without a write. A node that is no source waits up to a second for the copies of other nodes before it reads the store.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -273,7 +273,7 @@
 	if f.copyMissing() && f.loadInitial(ctx) {
 		return false
 	}
-	sources := f.options.View().OwnerCandidates("store-readers", f.options.Readers*(1+standbysPerReader))
+	sources := f.sources()
 	readers := sources[:min(f.options.Readers, len(sources))]
 	reader = hasNode(readers, f.options.Self)
 	switch {
@@ -308,12 +308,54 @@
 	return false
 }
 
+// initialPatience is how long a node that is not a source waits for the copies of other nodes
+// before it reads the store. When a fleet starts, the sources have theirs sooner.
+const initialPatience = time.Second
+
 // loadInitial gets the first copies from a few other nodes, or from the store if those
 // have none. It reports whether all copies are loaded. Each node polls different nodes:
 // if all polled the readers, a long list would saturate the readers' links.
 func (f *Follower) loadInitial(ctx context.Context) bool {
-	f.pollAtOnce(ctx, f.somePeers(nil))
-	return !f.copyMissing() || f.readStore(ctx)
+	f.awaitJoined(ctx)
+	for began := time.Now(); ctx.Err() == nil; sleep(ctx, askInterval) {
+		sources := f.sources()
+		f.pollAtOnce(ctx, f.somePeers(sources))
+		if !f.copyMissing() {
+			return true
+		}
+		if time.Since(began) >= initialPatience || hasNode(sources, f.options.Self) {
+			break
+		}
+	}
+	return f.readStore(ctx)
+}
+
+// awaitJoined waits up to initialPatience until this node knows others that it can ask.
+func (f *Follower) awaitJoined(ctx context.Context) {
+	if f.options.Joined == nil {
+		return
+	}
+	timer := time.NewTimer(initialPatience)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.options.Joined:
+	}
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// sources returns the nodes that read the store, and their standbys.
+func (f *Follower) sources() []assigner.Member {
+	return f.options.View().OwnerCandidates("store-readers", f.options.Readers*(1+standbysPerReader))
 }
 
 // standbysPerReader is how many nodes per reader read the store if readers are stale.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -50,12 +50,16 @@
 	// readInterval is the time between later reads. Nodes that start later contact the
 	// running nodes themselves, so these reads only serve to rejoin a partitioned fleet.
 	readInterval = 30 * time.Second
+	// maxStaleness is how old a stale listing may be.
+	maxStaleness = 5 * time.Second
 )
 
 // Store keeps the nodes' entries. Its methods behave like those of storer.Store.
 type Store interface {
 	Get(ctx context.Context, kind storer.Kind, name string) (storer.Object, error)
 	List(ctx context.Context, kind storer.Kind) (storer.Listing, error)
+	// ListStale is like List, at a fraction of the cost. The listing may be seconds old.
+	ListStale(ctx context.Context, kind storer.Kind) (storer.Listing, error)
 	Create(ctx context.Context, object storer.Object) (storer.Object, error)
 	Update(ctx context.Context, object storer.Object) (storer.Object, error)
 }
@@ -88,6 +92,8 @@
 	generation storer.Generation
 	// entryMissing is set if the last read of the list lacked the node's own entry.
 	entryMissing bool
+	// writtenAt is when the node's own entry was last written.
+	writtenAt time.Time
 	// rereads is how often the list was read again since the start or the last restore, and
 	// maxRereads how often it is before readInterval applies.
 	rereads, maxRereads int
@@ -138,15 +144,21 @@
 
 // Run writes the node's entry and reads the list until ctx ends.
 func (r *Registrar) Run(ctx context.Context) error {
-	// If this fails, the entry is missing in the list that is read next.
-	r.attempt(ctx, r.writeEntry)
-	for ctx.Err() == nil {
+	if listing, ok := r.listStale(ctx); ok && r.hasOwnEntry(listing) {
+		// A restarted node has the entry of its earlier run.
+		r.applyListing(listing, false)
+	} else {
+		// If this fails, the entry is missing in the list that is read next.
+		r.attempt(ctx, r.writeEntry)
 		r.retryUntilDone(ctx, r.readPeerAddresses)
+	}
+	for ctx.Err() == nil {
 		if r.entryMissing && ctx.Err() == nil {
 			r.options.Log.Log(eventEntryMissing, logger.Fields{"generation": r.generation})
 			r.retryUntilDone(ctx, r.writeEntry)
 		}
 		r.waitForNextRead(ctx)
+		r.retryUntilDone(ctx, r.readPeerAddresses)
 	}
 	return nil
 }
@@ -219,6 +231,9 @@
 	}
 	entry := storer.Object{Kind: KindNode, Name: string(r.options.Node), Spec: spec}
 	_, err = r.options.Store.Create(ctx, entry)
+	if err == nil {
+		r.writtenAt = time.Now()
+	}
 	if !errorx.IsOfType(err, storer.Conflict) {
 		return err
 	}
@@ -235,27 +250,57 @@
 	return err
 }
 
-// readPeerAddresses stores the addresses of the other nodes, and whether the node's own
-// entry is missing. It logs and skips an entry
-// that cannot be decoded or has no address.
+// listStale returns a listing that may be seconds old, or false if it can't be used: the call
+// failed, or the store was ever restored and the listing may be from before.
+func (r *Registrar) listStale(ctx context.Context) (storer.Listing, bool) {
+	if r.generation > firstGeneration {
+		return storer.Listing{}, false
+	}
+	listing, err := r.options.Store.ListStale(ctx, KindNode)
+	return listing, err == nil && r.options.Generation(listing.Version) <= firstGeneration
+}
+
+// hasOwnEntry reports whether a listing has this node's entry with its address.
+func (r *Registrar) hasOwnEntry(listing storer.Listing) bool {
+	for _, object := range listing.Objects {
+		var node nodeEntry
+		if object.Name == string(r.options.Node) {
+			return json.Unmarshal(object.Spec, &node) == nil && node.Peers == r.options.Address
+		}
+	}
+	return false
+}
+
+// readPeerAddresses reads the list of nodes. A stale listing suffices if it has other nodes
+// and this one, unless this one was written so recently that the listing may be older.
 func (r *Registrar) readPeerAddresses(ctx context.Context) error {
+	listing, ok := r.listStale(ctx)
+	hasOwn := ok && r.hasOwnEntry(listing)
+	writtenLately := !r.entryMissing && time.Since(r.writtenAt) < maxStaleness
+	if ok && (hasOwn && len(listing.Objects) > 1 || !hasOwn && writtenLately && len(listing.Objects) > 0) {
+		r.applyListing(listing, false)
+		return nil
+	}
 	listing, err := r.options.Store.List(ctx, KindNode)
-	if err != nil {
-		return err
+	if err == nil {
+		r.applyListing(listing, !r.hasOwnEntry(listing))
 	}
+	return err
+}
+
+// applyListing stores the addresses of the other nodes, and whether the node's own entry is
+// missing. It logs and skips an entry that cannot be decoded or has no address.
+func (r *Registrar) applyListing(listing storer.Listing, ownMissing bool) {
 	addresses := []identifier.Address{}
 	wasMissing := r.entryMissing
-	r.entryMissing = true
+	r.entryMissing = ownMissing
 	for _, object := range listing.Objects {
 		var node nodeEntry
 		if err := json.Unmarshal(object.Spec, &node); err != nil || node.Peers == "" {
 			r.options.Log.Log(eventUnreadable, logger.Fields{"entry": object.Name})
 			continue
 		}
-		switch {
-		case object.Name == string(r.options.Node):
-			r.entryMissing = node.Peers != r.options.Address
-		case node.Peers != r.options.Address:
+		if object.Name != string(r.options.Node) && node.Peers != r.options.Address {
 			addresses = append(addresses, node.Peers)
 		}
 	}
@@ -268,5 +313,4 @@
 	if len(addresses) > 0 || r.generation == firstGeneration || r.rereads >= discoveryRereads {
 		r.discovered.Store(true)
 	}
-	return nil
 }
--- a/registrar/restore_test.go
+++ b/registrar/restore_test.go
@@ -31,6 +31,9 @@
 	objects    map[string]storer.Object
 	writes     []time.Time
 	reads      int
+	staleReads int
+	// emptyStale makes stale listings empty.
+	emptyStale bool
 	// refusesWrites makes all writes fail.
 	refusesWrites bool
 }
@@ -93,6 +96,20 @@
 	return listing, nil
 }
 
+// ListStale returns the listing before any write while emptyStale is set.
+func (e *entryStore) ListStale(context.Context, storer.Kind) (storer.Listing, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.staleReads++
+	listing := storer.Listing{Version: e.version()}
+	for _, o := range e.objects {
+		if !e.emptyStale {
+			listing.Objects = append(listing.Objects, o)
+		}
+	}
+	return listing, nil
+}
+
 func (e *entryStore) Create(_ context.Context, o storer.Object) (storer.Object, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -300,3 +317,38 @@
 		}
 	})
 }
+
+// TestFleetStartsWithFewCalls guards against starts that cost three full reads of the list
+// for each node: stale listings cost a tenth.
+func TestFleetStartsWithFewCalls(t *testing.T) {
+	const nodes = 295
+	for _, emptyStale := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newEntryStore(1)
+			store.emptyStale = emptyStale
+			var running []*registrar.Registrar
+			for n := range nodes {
+				r, stop := store.start(n)
+				defer stop()
+				running = append(running, r)
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(20 * time.Second)
+			for n, r := range running {
+				if n > 0 && (r.DiscoveryPending() || len(r.PeerAddresses()) < n) {
+					t.Fatalf("node %d knows %d others", n, len(r.PeerAddresses()))
+				}
+			}
+			if !emptyStale && store.reads > nodes/10 {
+				t.Errorf("%d full reads of the list", store.reads)
+			}
+			writes := len(store.writes)
+			r, stop := store.start(7)
+			defer stop()
+			time.Sleep(5 * time.Second)
+			if again := len(store.writes) - writes; !emptyStale && again > 0 || len(r.PeerAddresses()) != nodes-1 {
+				t.Errorf("a restarted node made %d writes and knows %d others", again, len(r.PeerAddresses()))
+			}
+		})
+	}
+}
