Avoid engines and back ends that take work and don't do it

A node counts a request without an answer after twice its target against the back end and avoids it for a second.

--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -16,6 +16,10 @@
 	// avoidAfterLost is how long a back end is avoided after a lost answer. The time is
 	// short because the loss may not recur.
 	avoidAfterLost = 300 * time.Millisecond
+	// avoidAfterSilent is how long a back end is avoided after a request that it left without
+	// an answer. At hundreds of nodes a node sends a back end a request in some seconds, so
+	// that it can't wait for several.
+	avoidAfterSilent = time.Second
 	// avoidAfterReplaced is how long a back end is avoided after another took its address.
 	// The old back end is gone, and the list of back ends drops it within seconds.
 	avoidAfterReplaced = 5 * time.Second
@@ -147,6 +151,8 @@
 	lost
 	// unreached: no connection could be opened.
 	unreached
+	// silent: no answer had begun when the request ended, long after its target.
+	silent
 	// withdrawn: the caller or this node cancelled the request.
 	withdrawn
 )
@@ -173,6 +179,10 @@
 		r.outcomes++
 		r.faults++
 		r.avoidUntil = now.Add(avoidAfterLost)
+	case silent:
+		r.outcomes++
+		r.faults++
+		r.avoidUntil = now.Add(avoidAfterSilent)
 	case replaced:
 		r.avoidUntil = now.Add(avoidAfterReplaced)
 	case unreached:
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -43,7 +43,7 @@
 )
 
 var sendResultNames = [...]string{
-	answered: "answered", faulted: "faulted", declined: "declined", replaced: "replaced", lost: "lost", unreached: "unreached", withdrawn: "withdrawn",
+	answered: "answered", faulted: "faulted", declined: "declined", replaced: "replaced", lost: "lost", unreached: "unreached", silent: "silent", withdrawn: "withdrawn",
 }
 
 func (r sendResult) String() string { return sendResultNames[r] }
--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -120,6 +120,34 @@
 	})
 }
 
+// TestSilentBackendIsAvoided guards against a back end that takes requests and never answers:
+// a node used to learn nothing from requests that ended at their deadline. A caller that leaves
+// early says nothing about the back end.
+func TestSilentBackendIsAvoided(t *testing.T) {
+	for _, test := range []struct {
+		waited  time.Duration
+		avoided bool
+	}{{time.Second, false}, {3 * time.Second, true}} {
+		f := &fakeFleet{table: testTable()}
+		forwarder := New(Options{Table: func() *Table { return f.table }, Backends: f, Reacher: f, Isolator: isolator.New(isolator.Options{})})
+		route, _ := f.table.Configuration.Match("", "/book")
+		c := &call{Forwarder: forwarder, request: &Request{Attempt: "a", Arrived: time.Now()}, route: route, table: f.table}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		desks := f.table.Pool("desk", "")
+		forwarder.balancer.countSent(desks[0])
+		c.recordResult(ctx, desks[0], nil, Lost.New("deadline"), test.waited)
+		picked := map[identifier.Member]bool{}
+		for rotation := range uint64(20) {
+			backend, _ := forwarder.balancer.pick(time.Now(), desks, nil, "", rotation)
+			picked[backend.Name] = true
+		}
+		if picked[desks[0].Name] == test.avoided {
+			t.Errorf("after %s without an answer, picked %v", test.waited, picked)
+		}
+	}
+}
+
 // TestRetryUsesLatestList guards against a retry at a back end that has left since the
 // request arrived.
 func TestRetryUsesLatestList(t *testing.T) {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -118,6 +118,9 @@
 	}
 	if err != nil && ctx.Err() != nil {
 		result = withdrawn
+		if took >= c.silentAfter() {
+			result = silent
+		}
 	}
 	c.recordSendResult(backend, result, took, err)
 	if result == answered {
@@ -125,6 +128,18 @@
 	}
 }
 
+const (
+	// silentTargets is after how many times its route's target a request without an answer
+	// shows that its back end is silent, and minSilence the shortest such time.
+	silentTargets = 2
+	minSilence    = 250 * time.Millisecond
+)
+
+// silentAfter returns how long a request must have waited to show that its back end is silent.
+func (c *call) silentAfter() time.Duration {
+	return max(minSilence, silentTargets*c.route.Target)
+}
+
 func resultOfError(err error) sendResult {
 	switch {
 	case errorx.IsOfType(err, Unreached):
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -122,6 +122,9 @@
 	learnedPrefillRate float64
 	// solePrefill is the grant whose prefill has the engine to itself so far.
 	solePrefill *grant
+	// handOverFailures is the moving share of this engine's prefilled prompts that no decode
+	// engine used.
+	handOverFailures movingAverage
 	// noLocalPrefillUntil is when this decode engine may read the next prompt itself.
 	noLocalPrefillUntil time.Time
 	roleChangeOrdered   bool
--- a/placer/events.go
+++ b/placer/events.go
@@ -258,6 +258,9 @@
 		return
 	}
 	g.learnPrefillRate(result.PrefillTime)
+	if result.FailedMember == "" && result.Prefilled {
+		p.learnHandOver(now, g.prefill, result.Decoded)
+	}
 	if result.FailedMember != "" {
 		p.startCooldown(now, result.FailedMember)
 	} else if result.Decoded && result.Output > 0 {
@@ -325,6 +328,7 @@
 	g.learnPrefillRate(h.PrefillTime)
 	g.Output = h.Output
 	g.Decoding = h.Decoding
+	p.avoidSilent(now, g)
 	if needed := p.piecesFor(g.Demand.Prompt + h.Output); needed > g.Pieces {
 		p.resizeGrant(g, needed)
 	}
--- a/placer/state.go
+++ b/placer/state.go
@@ -130,6 +130,8 @@
 	refusedCallers  map[uint64]struct{}
 	averageStepTime time.Duration
 	averageRequest  requestAverages
+	// handOverFailures is the moving share of all prefilled prompts that no decode engine used.
+	handOverFailures movingAverage
 	// betterSplitSince is when another split of the engines became better than the
 	// present one; zero means that none is better.
 	betterSplitSince           time.Time
