Push rumours at a bounded rate, and read an absent store less often at the start

Nodes that evicted a rumour also took it for a new one later.

Change: a round of pushes that only rumours cause counts for two and a half, messages carry 24 rumours instead of 8, each is sent 6 instead of 12 times, and the ids of evicted rumours are kept. A node without copies that is no source doubles the pause between its reads.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -314,7 +314,8 @@
 
 // loadInitial gets the first copies from a few other nodes, or from the store if those
 // have none. It reports whether all copies are loaded. Each node polls different nodes:
-// if all polled the readers, a long list would saturate the readers' links.
+// if all polled the readers, a long list would saturate the readers' links. While the store
+// is away, nodes that are no sources read it less and less often.
 func (f *Follower) loadInitial(ctx context.Context) bool {
 	f.awaitJoined(ctx)
 	for began := time.Now(); ctx.Err() == nil; sleep(ctx, askInterval) {
@@ -323,11 +324,14 @@
 		if !f.copyMissing() {
 			return true
 		}
-		if time.Since(began) >= initialPatience || hasNode(sources, f.options.Self) {
-			break
+		if hasNode(sources, f.options.Self) {
+			return f.readStore(ctx)
+		}
+		if time.Since(began) >= initialPatience && f.storeReadDue(time.Now()) {
+			return f.readWithBackoff(ctx)
 		}
 	}
-	return f.readStore(ctx)
+	return false
 }
 
 // awaitJoined waits up to initialPatience until this node knows others that it can ask.
--- a/prober/contact.go
+++ b/prober/contact.go
@@ -162,11 +162,15 @@
 
 // pushUpdates sends pending updates to all neighbours at once, if a push round is left.
 func (m *stateMachine) pushUpdates(now time.Time) {
-	if !m.pushDue || m.pushRounds < 1 {
+	cost := 1.0
+	if !m.pushDue {
+		cost = rumourPushCost
+	}
+	if !m.pushDue && !m.rumourPushDue || m.pushRounds < cost {
 		return
 	}
-	m.pushDue = false
-	m.pushRounds--
+	m.pushDue, m.rumourPushDue = false, false
+	m.pushRounds -= cost
 	for _, node := range m.currentNeighbours() {
 		m.probeNode(now, node)
 	}
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -37,7 +37,7 @@
 			composed.configurations = append(composed.configurations, runConfigurationOf(held))
 		}
 	}
-	for _, id := range m.rumourQueue.next(maxMessageRumours, m.maxTransmissions()) {
+	for _, id := range m.rumourQueue.next(maxMessageRumours, m.maxRumourTransmissions()) {
 		if r, ok := m.rumours.outgoing(now, id); ok {
 			composed.rumours = append(composed.rumours, r)
 		}
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -10,9 +10,14 @@
 	"github.com/foxtailspool/foxtailspool/logger"
 )
 
-// maxPushRounds is how many rounds of pushed updates may start in a burst, and how many
-// more are allowed per Options.Interval.
-const maxPushRounds = 4
+const (
+	// maxPushRounds is how many rounds of pushed updates may start in a burst, and how many
+	// more are allowed per Options.Interval.
+	maxPushRounds = 4
+	// rumourPushCost is for how many of them a round counts that only rumours have caused. A
+	// round calls all neighbours, and rumours come by the hundred when engines crash.
+	rumourPushCost = 2.5
+)
 
 // stateMachine makes all membership decisions. Its methods take the current time, which
 // must never decrease. They collect the resulting actions and events in out. stateMachine
@@ -64,6 +69,8 @@
 	// pushRounds is how many rounds of pushed updates may start now.
 	pushRounds float64
 	pushDue    bool
+	// rumourPushDue is set while rumours, and nothing else, wait to be pushed.
+	rumourPushDue bool
 
 	startedAt time.Time
 	// mayStartAloneAt is when the node may start alone although seeds have not answered:
@@ -373,7 +380,14 @@
 	}
 	m.out.newRumours = append(m.out.newRumours, r)
 	m.rumourQueue.add(r.id)
-	m.pushDue = true
+	m.rumourPushDue = true
+}
+
+// maxRumourTransmissions returns how many messages of this node carry one rumour: one to each
+// neighbour and some more. Rumours come by the hundred when engines crash, and a comparison of
+// digests repairs what gets lost.
+func (m *stateMachine) maxRumourTransmissions() int {
+	return m.options.Neighbours + 2
 }
 
 // maxTransmissions returns how many messages of this node carry one update. It grows
--- a/prober/message.go
+++ b/prober/message.go
@@ -11,7 +11,7 @@
 const (
 	maxMessageRecords        = 48
 	maxMessageConfigurations = 128
-	maxMessageRumours        = 8
+	maxMessageRumours        = 24
 	// maxRepairRecords limits the records sent for one request. The next one gets the rest.
 	maxRepairRecords = 512
 	maxRepairRumours = 64
--- a/prober/rumour.go
+++ b/prober/rumour.go
@@ -6,7 +6,7 @@
 
 // Limits on the rumours of one node.
 const (
-	maxRumours     = 256
+	maxRumours     = 1024
 	maxRumourBytes = 512
 	// rumourIDRetention is how long an ID is kept after its rumour expired.
 	rumourIDRetention  = 30 * time.Second
@@ -29,18 +29,26 @@
 	expiresAt time.Time
 }
 
+// rumourStore holds at most maxRumours rumours. The IDs of those that it evicts are in
+// evicted for as long as other nodes may pass them on, so that they don't come back as new.
 type rumourStore struct {
-	byID map[uint64]storedRumour
+	byID    map[uint64]storedRumour
+	evicted map[uint64]time.Time
 }
 
+// maxEvicted limits the IDs of evicted rumours.
+const maxEvicted = 8 * maxRumours
+
 func newRumourStore() *rumourStore {
-	return &rumourStore{byID: map[uint64]storedRumour{}}
+	return &rumourStore{byID: map[uint64]storedRumour{}, evicted: map[uint64]time.Time{}}
 }
 
 // add stores a rumour and reports whether it is new. It rejects expired and oversized
 // rumours. A full store evicts the rumour that expires first.
 func (s *rumourStore) add(now time.Time, r rumour) bool {
-	if _, seen := s.byID[r.id]; seen || r.remaining <= 0 || len(r.payload) > maxRumourBytes {
+	_, seen := s.byID[r.id]
+	_, evicted := s.evicted[r.id]
+	if seen || evicted || r.remaining <= 0 || len(r.payload) > maxRumourBytes {
 		return false
 	}
 	if len(s.byID) >= maxRumours {
@@ -59,6 +67,9 @@
 		}
 	}
 	delete(s.byID, first)
+	if len(s.evicted) < maxEvicted {
+		s.evicted[first] = ends
+	}
 }
 
 // outgoing returns a rumour to send, and false if it is unknown or close to its expiry.
@@ -79,6 +90,11 @@
 			delete(s.byID, id)
 		}
 	}
+	for id, expiresAt := range s.evicted {
+		if now.Sub(expiresAt) > rumourIDRetention {
+			delete(s.evicted, id)
+		}
+	}
 }
 
 // digest returns a hash of the rumours that do not expire within rumourIDRetention.
@@ -93,10 +109,13 @@
 }
 
 func (s *rumourStore) ids() []uint64 {
-	ids := make([]uint64, 0, len(s.byID))
+	ids := make([]uint64, 0, len(s.byID)+len(s.evicted))
 	for id := range s.byID {
 		ids = append(ids, id)
 	}
+	for id := range s.evicted {
+		ids = append(ids, id)
+	}
 	return ids
 }
 
--- a/prober/rumour_test.go
+++ b/prober/rumour_test.go
@@ -1,6 +1,7 @@
 package prober
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,3 +54,39 @@
 		}
 	})
 }
+
+// TestManyRumoursCalmDown has a fleet pass on more rumours than a node keeps, as when many
+// engines crash with requests in flight. Nodes that evicted a rumour took it for a new one when
+// another node sent it, so that all passed on rumours without end.
+func TestManyRumoursCalmDown(t *testing.T) {
+	const rumours = 400
+	f := newFleet(64, 3, 1, Options{Interval: 500 * time.Millisecond})
+	f.runUntil(time.Minute, f.converged)
+	f.run(30 * time.Second)
+	f.messages = 0
+	f.run(20 * time.Second)
+	idle := f.messages
+	f.messages = 0
+	for n := range rumours {
+		node := f.nodes[n%len(f.nodes)]
+		f.runOn(node, func() { node.machine.broadcast(f.now, "topic", fmt.Appendf(nil, "rumour-%d", n)) })
+		f.run(10 * time.Millisecond)
+	}
+	f.run(6 * time.Second)
+	during := f.messages
+	for n := range rumours {
+		if got := f.receivedRumours[fmt.Sprint("rumour-", n)]; got < len(f.nodes) {
+			t.Errorf("rumour %d has reached %d nodes", n, got)
+			break
+		}
+	}
+	f.messages = 0
+	f.run(20 * time.Second)
+	t.Logf("messages in 20 s: %d before, %d afterwards; %d in the 10 s of the rumours", idle, f.messages, during)
+	if float64(f.messages) > 1.2*float64(idle) {
+		t.Errorf("%d messages in 20 s after the rumours, %d before", f.messages, idle)
+	}
+	if perNode := float64(during) / 2 / float64(len(f.nodes)) / 10; perNode > 16 {
+		t.Errorf("%.1f calls a second at each node while the rumours spread", perNode)
+	}
+}
