--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,17 +143,27 @@
 		var reports [][]byte
 		observer := New(Options{Broadcast: func(_ string, payload []byte) { reports = append(reports, payload) }})
 		observer.ReportCrash("engine-1", []uint64{7})
+		var mutex sync.Mutex
 		repeated := 0
 		var repeatedAt []time.Time
+		count := func(own bool) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			if own {
+				repeatedAt = append(repeatedAt, time.Now())
+			} else {
+				repeated++
+			}
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 20)
 		for range 20 {
-			other := New(Options{Broadcast: func(string, []byte) { repeated++ }})
+			other := New(Options{Broadcast: func(string, []byte) { count(false) }})
 			other.Receive(reports[0])
 			go func() { ended <- other.Run(ctx) }()
 		}
 		for range 20 {
-			own := New(Options{Broadcast: func(string, []byte) { repeatedAt = append(repeatedAt, time.Now()) }})
+			own := New(Options{Broadcast: func(string, []byte) { count(true) }})
 			own.ReportCrash("engine-2", []uint64{8})
 			go func() { ended <- own.Run(ctx) }()
 		}
--- a/registrar/restore_test.go
+++ b/registrar/restore_test.go
@@ -134,6 +134,13 @@
 	return o, nil
 }
 
+// calls returns the numbers of full reads of the list and of writes.
+func (e *entryStore) calls() (reads, writes int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.reads, len(e.writes)
+}
+
 // start runs the registrar of node n until the returned function is called.
 func (e *entryStore) start(n int) (r *registrar.Registrar, stop func()) {
 	r = registrar.New(registrar.Options{
@@ -339,14 +346,15 @@
 					t.Fatalf("node %d knows %d others", n, len(r.PeerAddresses()))
 				}
 			}
-			if !emptyStale && store.reads > nodes/10 {
-				t.Errorf("%d full reads of the list", store.reads)
+			reads, writes := store.calls()
+			if !emptyStale && reads > nodes/10 {
+				t.Errorf("%d full reads of the list", reads)
 			}
-			writes := len(store.writes)
 			r, stop := store.start(7)
 			defer stop()
 			time.Sleep(5 * time.Second)
-			if again := len(store.writes) - writes; !emptyStale && again > 0 || len(r.PeerAddresses()) != nodes-1 {
+			_, writesNow := store.calls()
+			if again := writesNow - writes; !emptyStale && again > 0 || len(r.PeerAddresses()) != nodes-1 {
 				t.Errorf("a restarted node made %d writes and knows %d others", again, len(r.PeerAddresses()))
 			}
 		})
