Review, case 1: a booking that has run is answered 503

A server's own 503 without X-Not-Run reaches the client, whom it promises that the booking has not run; the client sends it again and is charged twice.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # the disruption. Needs the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/foxtailspool ] && [ -x target/review-standins ] || { echo "not built"; exit 2; }
-REVIEW_PROGRAM="$PWD/target/foxtailspool" exec target/review-standins idle "$PWD/review/1/record.txt"
+REVIEW_PROGRAM="$PWD/target/foxtailspool" exec target/review-standins refused "$PWD/review/1/record.txt"
