--- a/review/standins/fleet.go
+++ b/review/standins/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package standins
 
 import (
 	"bufio"
@@ -111,9 +111,11 @@
 		"dataDir": nil, "discovery": "platform", "entry": "directory", "heartbeatMs": 1200,
 		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine", "platform"},
 		"faultTolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0},
-		"bounds": map[string]any{"seedLagS": 3, "addrReuseS": 2, "stableWindowMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8,
+		"bounds": map[string]any{
+			"seedLagS": 3, "addrReuseS": 2, "stableWindowMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8,
 			"lossSlackMs": 200, "configApplyMs": 2000, "downgradeSlackMs": 250, "maxStretchMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
-			"budgetSlack": 56, "recoverS": 12, "transitMs": 120, "reuseWindowS": 3.2, "fenceChecked": false, "leaseMs": 3000, "thawMs": 300, "ttl_max_s": 5},
+			"budgetSlack": 56, "recoverS": 12, "transitMs": 120, "reuseWindowS": 3.2, "fenceChecked": false, "leaseMs": 3000, "thawMs": 300, "ttl_max_s": 5,
+		},
 		"platform": map[string]any{"address": f.ip(1) + ":8142", "form": "objects", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000},
 	})
 	if err != nil {
