--- a/review/standins/part_test.go
+++ b/review/standins/part_test.go
@@ -19,8 +19,9 @@
 	partRate = 3
 	// Sound requests ask for short answers first, and for long ones from partLongFrom on.
 	partLongFrom = 10 * time.Second
-	// Requests with the part that crashes engines come once a second from partFrom on.
+	// Requests with the part that crashes engines come each two seconds from partFrom on.
 	partFrom    = 14 * time.Second
+	partEvery   = 2
 	partTraffic = 55 * time.Second
 	// partRestart is after how long an engine that has crashed is back.
 	partRestart = 3 * time.Second
@@ -111,7 +112,7 @@
 		result := &request{at: time.Now()}
 		sound = append(sound, result)
 		send(n, firstPart, tokens, result)
-		if trouble && time.Since(began) >= partFrom && n%partRate == 0 {
+		if trouble && time.Since(began) >= partFrom && n%(partEvery*partRate) == 0 {
 			poisoned++
 			send(1000+n, firstPart+","+deadlyPart, tokens, nil)
 		}
