Let idle connections make room for new ones, and end them as configured

Cause: netutil.LimitListener accepts nothing at its limit until a connection ends, no idle one was closed for a new one, and idle ones were kept for a constant minute. The configuration's limits for callers' headers, header time and idle time were decoded and used nowhere.

Evidence: the last caller that was answered on a new connection was the 2,049th, which with the case's kept connection is MaxConnections of the listener; the process had 2,068 of 4,100 descriptors open; readiness checks and the kept connection were served all the while; the hang ended 60 s after the first connections were opened.

connector.Server now knows which connections wait for a request, in order. At the limit a new one takes the place of the longest waiting; if none waits, the new one is closed at once, so that its caller tries another node. Nothing is read from a connection once it is chosen, so no request is cut. Timeouts of the callers' and the directory's listeners follow the configuration, and headers above the configured size get 431. Event 1016 and two gauges show a full listener.

The same on related paths: all listeners are of this type (directory, readiness, peers, metrics, foxtailspool serve). The callers' listener no longer has a body limit of its own below a configured one.

--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -50,7 +50,7 @@
 		durationKey(fullName("read-timeout"), &l.ReadTimeout, "30s", minDuration, maxDuration, "The wait for a request's header and body together."),
 		durationKey(fullName("write-timeout"), &l.WriteTimeout, "10s", minDuration, maxDuration, "The wait for one write; a stream may last longer."),
 		durationKey(fullName("idle-timeout"), &l.IdleTimeout, "2m", minDuration, maxDuration, "How long an unused connection is kept."),
-		countKey(fullName("max-connections"), &l.MaxConnections, "2048", 1<<20, "Open connections at once."),
+		countKey(fullName("max-connections"), &l.MaxConnections, "2048", 1<<20, "Open connections at once. At the limit, the one that has waited longest for a request is closed for a new one."),
 		countKey(fullName("max-streams"), &l.MaxStreams, "250", 1<<16, "Requests at once on one HTTP/2 connection."),
 		sizeKey(fullName("max-header-size"), &l.MaxHeaderSize, "16KiB", Kibibyte, Mebibyte, "A request's header."),
 		sizeKey(fullName("max-body-size"), &l.MaxBodySize, "4MiB", Kibibyte, Gibibyte, "A request's body."),
--- /dev/null
+++ b/connector/connections.go
@@ -0,0 +1,258 @@
+package connector
+
+import (
+	"bytes"
+	"container/list"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Timeouts bound how long a client may leave a connection without progress. A zero field
+// means no bound.
+type Timeouts struct {
+	// Header bounds the time from a request's first byte, or from the opening of a connection
+	// that has not sent one, to the end of its header.
+	Header time.Duration
+	// Idle bounds the time between two requests.
+	Idle time.Duration
+}
+
+// connections holds the open connections of a server. When there are too many, a new
+// connection takes the place of the one that has waited longest for a request.
+type connections struct {
+	limit int
+
+	mutex sync.Mutex
+	open  int
+	// waiting has the connections from which no byte of a request has arrived since they were
+	// opened or last answered, the longest waiting first.
+	waiting list.List
+	// reading has the connections from which a part of a header has arrived.
+	reading map[*trackedConn]bool
+	// displaced and refused count the connections closed since the last call of takeCounts:
+	// those closed for newer ones, and those closed because no connection was waiting.
+	displaced, refused int
+}
+
+// trackedConn is a connection of a server. The mutex of its table guards the fields from
+// element on.
+type trackedConn struct {
+	net.Conn
+	table *connections
+	// writeTimeout bounds each write.
+	writeTimeout time.Duration
+
+	// element is the connection's place in waiting, nil while it is not there.
+	element *list.Element
+	// since is when the connection began to wait, or its header to arrive.
+	since time.Time
+	// answered is set once a request has been answered.
+	answered bool
+	// isHTTP2 excludes a connection from reading: its frames need not belong to requests.
+	isHTTP2 bool
+	closed  bool
+}
+
+func newConnections(limit int) *connections {
+	return &connections{limit: limit, reading: map[*trackedConn]bool{}}
+}
+
+// add tracks an accepted connection. It closes another connection to make room, or the
+// accepted one if no other is waiting, and reports whether the accepted one stays open.
+func (t *connections) add(accepted net.Conn, writeTimeout time.Duration) (*trackedConn, bool) {
+	t.mutex.Lock()
+	var displaced *trackedConn
+	if t.open >= t.limit {
+		first := t.waiting.Front()
+		if first == nil {
+			t.refused++
+			t.mutex.Unlock()
+			_ = accepted.Close()
+			return nil, false
+		}
+		displaced = first.Value.(*trackedConn)
+		t.displaced++
+		t.forget(displaced)
+	}
+	c := &trackedConn{Conn: accepted, table: t, writeTimeout: writeTimeout}
+	t.open++
+	t.wait(c, time.Now())
+	t.mutex.Unlock()
+	if displaced != nil {
+		_ = displaced.Close()
+	}
+	return c, true
+}
+
+// wait adds a connection to waiting. The caller must hold the mutex.
+func (t *connections) wait(c *trackedConn, now time.Time) {
+	t.leavePhase(c)
+	c.since = now
+	c.element = t.waiting.PushBack(c)
+}
+
+// leavePhase removes a connection from waiting and reading. The caller must hold the mutex.
+func (t *connections) leavePhase(c *trackedConn) {
+	if c.element != nil {
+		t.waiting.Remove(c.element)
+		c.element = nil
+	}
+	delete(t.reading, c)
+}
+
+// forget stops counting a connection, from which nothing can be read any more. The caller must
+// hold the mutex.
+func (t *connections) forget(c *trackedConn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	t.open--
+	t.leavePhase(c)
+}
+
+// stateChanged follows a connection's requests. It is the ConnState hook of an http.Server.
+func (t *connections) stateChanged(connection net.Conn, state http.ConnState) {
+	if secured, ok := connection.(*tls.Conn); ok {
+		connection = secured.NetConn()
+	}
+	c, ok := connection.(*trackedConn)
+	if !ok {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	switch {
+	case c.closed:
+	case state == http.StateIdle:
+		c.answered = true
+		t.wait(c, time.Now())
+	case state == http.StateActive, state == http.StateHijacked:
+		t.leavePhase(c)
+	}
+}
+
+// http2Preface begins each connection of HTTP/2.
+var http2Preface = []byte("PRI * HTTP/2")
+
+// Read reads from the connection and notes that a header has begun to arrive.
+func (c *trackedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n == 0 {
+		return n, err
+	}
+	c.table.mutex.Lock()
+	defer c.table.mutex.Unlock()
+	if c.closed {
+		// A request that is not read can be sent again elsewhere.
+		return 0, net.ErrClosed
+	}
+	if c.element == nil || c.isHTTP2 {
+		return n, err
+	}
+	if !c.answered && bytes.HasPrefix(buffer[:n], http2Preface) {
+		c.isHTTP2 = true
+		return n, err
+	}
+	c.table.leavePhase(c)
+	c.table.reading[c] = true
+	// The header of a connection's first request counts from its opening.
+	if c.answered {
+		c.since = time.Now()
+	}
+	return n, err
+}
+
+// Write writes to the connection within the write timeout.
+func (c *trackedConn) Write(content []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(content)
+}
+
+// CloseWrite closes the connection for writing, so that a peer which still sends can read an
+// early answer.
+func (c *trackedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.table.mutex.Lock()
+	c.table.forget(c)
+	c.table.mutex.Unlock()
+	return c.Conn.Close()
+}
+
+// closeExpired closes the connections that have exceeded a timeout.
+func (t *connections) closeExpired(now time.Time, timeouts Timeouts) {
+	for _, c := range t.expired(now, timeouts) {
+		_ = c.Close()
+	}
+}
+
+// expired returns the connections that have exceeded a timeout. They take no more requests.
+func (t *connections) expired(now time.Time, timeouts Timeouts) []*trackedConn {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	exceeds := func(c *trackedConn, timeout time.Duration) bool { return timeout > 0 && now.Sub(c.since) >= timeout }
+	var list []*trackedConn
+	for element := t.waiting.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*trackedConn)
+		if c.answered && exceeds(c, timeouts.Idle) || !c.answered && exceeds(c, timeouts.Header) {
+			list = append(list, c)
+		}
+	}
+	for c := range t.reading {
+		if exceeds(c, timeouts.Header) {
+			list = append(list, c)
+		}
+	}
+	for _, c := range list {
+		t.forget(c)
+	}
+	return list
+}
+
+// counts returns the number of open connections, and of those that wait for a request.
+func (t *connections) counts() (open, waiting int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.open, t.waiting.Len()
+}
+
+// takeCounts returns and resets the numbers of displaced and refused connections.
+func (t *connections) takeCounts() (displaced, refused int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	displaced, refused = t.displaced, t.refused
+	t.displaced, t.refused = 0, 0
+	return displaced, refused
+}
+
+// trackedListener accepts connections into a table.
+type trackedListener struct {
+	net.Listener
+	table        *connections
+	writeTimeout time.Duration
+}
+
+// Accept returns the next connection that stays open.
+func (l trackedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, open := l.table.add(accepted, l.writeTimeout); open {
+			return c, nil
+		}
+	}
+}
--- a/connector/events.go
+++ b/connector/events.go
@@ -16,6 +16,8 @@
 		"Requests were still open when the finish timeout expired, and their connections were closed. Raise drain.finish-timeout to let them complete.")
 	EventConnectionFailed = logger.Define(1013, logrus.DebugLevel, "connection failed",
 		"A connection failed in its TLS handshake or because of a protocol error of the other side.")
+	EventConnectionsFull = logger.Define(1016, logrus.WarnLevel, "connections closed at the limit",
+		"A listener had as many connections as it may. In the last second, displaced ones that waited for a request were closed for newer ones, and refused ones were closed at once because none waited. Clients leave connections open, or there are too few nodes.")
 	EventTLSReloaded = logger.Define(1014, logrus.InfoLevel, "certificates reloaded",
 		"A TLS file changed; new connections use its new content.")
 	EventTLSReloadFailed = logger.Define(1015, logrus.ErrorLevel, "certificates refused",
--- a/connector/server.go
+++ b/connector/server.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
 )
@@ -35,7 +33,8 @@
 	IdleTimeout  time.Duration
 	// FinishTimeout bounds the wait for open requests when the server shuts down.
 	FinishTimeout time.Duration
-	// MaxConnections bounds the open connections; further ones wait to be accepted.
+	// MaxConnections bounds the open connections. At the bound, a new connection takes the
+	// place of the one that has waited longest for a request, and is closed if none waits.
 	MaxConnections int
 	// MaxStreams bounds the concurrent requests on one HTTP/2 connection.
 	MaxStreams     int
@@ -52,6 +51,10 @@
 	Address identifier.Address
 	Network Network
 	Limits  ServerLimits
+	// Timeouts, if set, returns the present timeouts for clients, in place of
+	// ReadHeaderTimeout and IdleTimeout of Limits. They are checked each second, and must
+	// not be set together with TLS.
+	Timeouts func() Timeouts
 	// TLS holds the certificates; nil serves without TLS.
 	TLS     *TLS
 	Handler http.Handler
@@ -60,15 +63,16 @@
 
 // Server is an HTTP server at one address. The supervisor runs it as a service.
 type Server struct {
-	options  ServerOptions
-	http     *http.Server
-	listener net.Listener
+	options     ServerOptions
+	http        *http.Server
+	listener    net.Listener
+	connections *connections
 }
 
 // NewServer returns a server that is not listening yet.
 func NewServer(options ServerOptions) *Server {
 	limits := options.Limits
-	s := &Server{options: options}
+	s := &Server{options: options, connections: newConnections(limits.MaxConnections)}
 	s.http = &http.Server{
 		Handler:           limitBody(options.Handler, limits.MaxBodyBytes),
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
@@ -78,6 +82,11 @@
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams},
 		ErrorLog:          log.New(errorWriter{options}, "", 0),
+		ConnState:         s.connections.stateChanged,
+	}
+	if options.Timeouts != nil {
+		// Negative values disable net/http's own timeouts, which can't change.
+		s.http.ReadHeaderTimeout, s.http.IdleTimeout = -1, -1
 	}
 	s.http.Protocols.SetHTTP1(true)
 	s.http.Protocols.SetHTTP2(true)
@@ -96,8 +105,7 @@
 		return ListenFailed.Wrap(err, "%s listener at %s", s.options.Name, s.options.Address)
 	}
 	s.options.Log.Log(EventListening, s.fields(nil))
-	limited := netutil.LimitListener(listener, s.options.Limits.MaxConnections)
-	s.listener = writeLimitListener{limited, s.options.Limits.WriteTimeout}
+	s.listener = trackedListener{listener, s.connections, s.options.Limits.WriteTimeout}
 	return nil
 }
 
@@ -110,6 +118,10 @@
 			return err
 		}
 	}
+	watchCtx, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
+	watched := make(chan struct{})
+	go func() { defer close(watched); s.watchConnections(watchCtx) }()
+	defer func() { stopWatching(); <-watched }()
 	served := make(chan error, 1)
 	go func() { served <- s.serve() }()
 	select {
@@ -139,6 +151,41 @@
 	}
 }
 
+// watchInterval is the time between two checks of the connections.
+const watchInterval = time.Second
+
+// watchConnections closes connections that exceed Options.Timeouts, and logs how many were
+// closed because of MaxConnections, until ctx ends.
+func (s *Server) watchConnections(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if s.options.Timeouts != nil {
+				s.connections.closeExpired(now, s.options.Timeouts())
+			}
+			s.logFull()
+		}
+	}
+}
+
+func (s *Server) logFull() {
+	displaced, refused := s.connections.takeCounts()
+	if displaced == 0 && refused == 0 {
+		return
+	}
+	fields := s.fields(nil)
+	fields["open"], fields["waiting"] = s.connections.counts()
+	fields["displaced"], fields["refused"] = displaced, refused
+	s.options.Log.Log(EventConnectionsFull, fields)
+}
+
+// Connections returns the number of open connections, and of those that wait for a request.
+func (s *Server) Connections() (open, waiting int) { return s.connections.counts() }
+
 func (s *Server) fields(err error) logger.Fields {
 	fields := logger.Fields{"listener": s.options.Name, "address": s.options.Address, "tls": s.options.TLS != nil}
 	if err != nil {
@@ -154,32 +201,6 @@
 	})
 }
 
-// writeLimitListener sets a deadline for each write on its connections.
-type writeLimitListener struct {
-	net.Listener
-	limit time.Duration
-}
-
-func (l writeLimitListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return writeLimitConn{connection, l.limit}, nil
-}
-
-type writeLimitConn struct {
-	net.Conn
-	limit time.Duration
-}
-
-func (c writeLimitConn) Write(content []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.limit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(content)
-}
-
 // errorWriter converts the log lines of net/http to events.
 type errorWriter struct {
 	options ServerOptions
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -26,6 +26,7 @@
 	NoRoute         Reason = "no-route"
 	Malformed       Reason = "malformed"
 	TooLarge        Reason = "too-large"
+	HeaderTooLarge  Reason = "header-too-large"
 	KeyMissing      Reason = "idempotency-key-missing"
 	KeyReused       Reason = "idempotency-key-reused"
 	KeyTooOld       Reason = "idempotency-key-too-old"
--- a/starter/gauges.go
+++ b/starter/gauges.go
@@ -30,6 +30,9 @@
 	scope := s.options.Scope
 	scope.Gauge("store-copy-age-seconds").Update(s.follower.CopyAge().Seconds())
 	scope.Gauge("requests-running").Update(float64(s.forwarder.InFlight()))
+	open, waiting := s.callersListener.Connections()
+	scope.Gauge("caller-connections").Update(float64(open))
+	scope.Gauge("caller-connections-waiting").Update(float64(waiting))
 	table := s.tables.currentTable()
 	if table.Configuration != nil {
 		scope.Gauge("configuration-number").Update(float64(table.Configuration.Number))
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -12,8 +12,13 @@
 )
 
 const (
-	// defaultMaxBodyBytes limits request bodies if no configuration does.
-	defaultMaxBodyBytes = 4 << 20
+	// defaultMaxBodyBytes, defaultHeaderTimeout and defaultIdleTimeout limit what callers send,
+	// and for how long they send nothing, if no configuration does.
+	defaultMaxBodyBytes  = 4 << 20
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	// maxHeaderBytes limits the header of a caller's request; a configuration can lower it.
+	maxHeaderBytes = 64 << 10
 	// metricsPort is the port of the metrics endpoint; keep it equal in deploy/system.toml.
 	metricsPort = "9464"
 	// acceptGraceShare is the fraction of the grace period for which a stopping node accepts
@@ -68,19 +73,20 @@
 	MaxBodyBytes:      64 << 10,
 }
 
-// callerLimits returns the limits of the listener for callers. Its timeouts exceed
-// those of any configuration; platform.CallerHandler enforces the configured body limit.
+// callerLimits returns the limits of the listener for callers that no configuration changes.
+// platform.CallerHandler enforces the configured sizes, and tables.callerTimeouts has the
+// configured timeouts.
 func callerLimits(settings platform.Settings) connector.ServerLimits {
 	return connector.ServerLimits{
-		ReadHeaderTimeout: 10 * time.Second,
+		ReadHeaderTimeout: defaultHeaderTimeout,
 		ReadTimeout:       60 * time.Second,
 		WriteTimeout:      10 * time.Second,
-		IdleTimeout:       60 * time.Second,
+		IdleTimeout:       defaultIdleTimeout,
 		FinishTimeout:     time.Duration(float64(settings.TerminationGrace) * (finishGraceShare - acceptGraceShare)),
 		MaxConnections:    max(100, int(float64(settings.MaxOpenFiles)*callerFileShare)),
 		MaxStreams:        100,
-		MaxHeaderBytes:    64 << 10,
-		MaxBodyBytes:      defaultMaxBodyBytes,
+		MaxHeaderBytes:    maxHeaderBytes,
+		MaxBodyBytes:      math.MaxInt64,
 	}
 }
 
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -63,6 +63,8 @@
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
 	peers      http.RoundTripper
+	// callersListener is the listener for callers' requests.
+	callersListener *connector.Server
 	// tablesUsable is set once the node has joined the fleet and asked other nodes.
 	tablesUsable atomic.Bool
 	// stopRequested is closed when the node is told to stop.
@@ -173,12 +175,13 @@
 		peerMux.Handle(path, handler)
 	}
 	callerHandler := platform.NewCallerHandler(platform.CallerHandlerOptions{
-		Forwarder:    s.forwarder,
-		MaxBodyBytes: s.tables.maxBodyBytes,
-		Draining:     s.isStopping,
+		Forwarder: s.forwarder,
+		Limits:    s.tables.callerLimits,
+		Draining:  s.isStopping,
 	})
+	s.callersListener = s.newListener("callers-listener", settings.CallerAddress, callerHandler, callerLimits(settings), s.tables.callerTimeouts)
 	s.supervisor.Register("gauges", &gaugeUpdater{s})
-	s.supervisor.Register("peers-listener", s.newListener("peers-listener", settings.PeerAddress, peerMux, peerLimits))
+	s.supervisor.Register("peers-listener", s.newListener("peers-listener", settings.PeerAddress, peerMux, peerLimits, nil))
 	s.supervisor.Register("registrar", s.registrar)
 	s.supervisor.Register("prober", s.prober)
 	s.supervisor.Register("follower", s.follower)
@@ -188,21 +191,23 @@
 	s.supervisor.Register("dispatcher", s.dispatcher)
 	s.supervisor.Register("forwarder", s.forwarder)
 	s.supervisor.Register("switcher", s.switcher)
-	s.supervisor.Register("readiness-listener", s.newListener("readiness-listener", settings.ReadinessAddress, platform.NewReadinessHandler(s.isReady), auxiliaryLimits))
-	s.supervisor.Register("directory-listener", s.newListener("directory-listener", settings.DirectoryAddress, platform.NewDirectoryHandler(s.addresser), auxiliaryLimits))
-	s.supervisor.Register("callers-listener", s.newListener("callers-listener", settings.CallerAddress, callerHandler, callerLimits(settings)))
+	s.supervisor.Register("readiness-listener", s.newListener("readiness-listener", settings.ReadinessAddress, platform.NewReadinessHandler(s.isReady), auxiliaryLimits, nil))
+	s.supervisor.Register("directory-listener", s.newListener("directory-listener", settings.DirectoryAddress, platform.NewDirectoryHandler(s.addresser), auxiliaryLimits, s.tables.callerTimeouts))
+	s.supervisor.Register("callers-listener", s.callersListener)
 	if s.options.Metrics != nil {
-		s.supervisor.Register("metrics-listener", s.newListener("metrics-listener", metricsAddress(settings), s.options.Metrics, auxiliaryLimits))
+		s.supervisor.Register("metrics-listener", s.newListener("metrics-listener", metricsAddress(settings), s.options.Metrics, auxiliaryLimits, nil))
 	}
 }
 
-func (s *Starter) newListener(name string, address identifier.Address, handler http.Handler, limits connector.ServerLimits) *connector.Server {
+// newListener returns a listener. timeouts returns those of its clients, if they can change.
+func (s *Starter) newListener(name string, address identifier.Address, handler http.Handler, limits connector.ServerLimits, timeouts func() connector.Timeouts) *connector.Server {
 	return connector.NewServer(connector.ServerOptions{
-		Name:    name,
-		Address: address,
-		Network: s.options.Network,
-		Handler: handler,
-		Log:     s.options.Log,
-		Limits:  limits,
+		Name:     name,
+		Address:  address,
+		Network:  s.options.Network,
+		Handler:  handler,
+		Log:      s.options.Log,
+		Limits:   limits,
+		Timeouts: timeouts,
 	})
 }
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/forwarder"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
@@ -63,12 +64,24 @@
 	return t.latestSnapshot.Load()
 }
 
-// maxBodyBytes returns the limit on the bodies of callers' requests, in bytes.
-func (t *tables) maxBodyBytes() int64 {
-	if c := t.currentTable().Configuration; c != nil && c.Limits.BodyBytes > 0 {
-		return c.Limits.BodyBytes
+// callerLimits returns what callers may send, with defaults for what the configuration leaves
+// open.
+func (t *tables) callerLimits() forwarder.Limits {
+	var limits forwarder.Limits
+	if c := t.currentTable().Configuration; c != nil {
+		limits = c.Limits
 	}
-	return defaultMaxBodyBytes
+	limits.BodyBytes = cmp.Or(limits.BodyBytes, defaultMaxBodyBytes)
+	limits.HeaderBytes = cmp.Or(limits.HeaderBytes, maxHeaderBytes)
+	limits.HeaderTimeout = cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout)
+	limits.IdleTimeout = cmp.Or(limits.IdleTimeout, defaultIdleTimeout)
+	return limits
+}
+
+// callerTimeouts returns the timeouts of callers' connections.
+func (t *tables) callerTimeouts() connector.Timeouts {
+	limits := t.callerLimits()
+	return connector.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 }
 
 // applyListing rebuilds the routing table and the snapshot from a newer listing of kind.
