Bound the bytes of requests, answers and connections of a process

Cause: each request had a bound and the process had none. A stream's body was held until the stream ended, though it could not be sent again, and each send copied it twice.

Fixed shares of the process's memory are for requests, for answers that are read whole and for callers' connections. A model request's body is dropped when its answer has begun, and large bodies are sent without a copy.

--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 )
 
 const (
@@ -51,24 +53,29 @@
 	}
 }
 
-// boundedReader fails with errHeaderTooLong after budget bytes; negative means no limit.
+// boundedReader bounds the bytes of a header: it fails with errHeaderTooLong after budget
+// bytes, where a negative budget means no limit, and with limiter.ErrNoMemory if the lease has
+// no room for a header of unusual size.
 type boundedReader struct {
 	source io.Reader
 	budget int
+	lease  *limiter.Lease
 }
 
 var errHeaderTooLong = errors.New("the header of the answer is too long")
 
 func (r *boundedReader) Read(buffer []byte) (int, error) {
+	if r.budget < 0 {
+		return r.source.Read(buffer)
+	}
 	if r.budget == 0 {
 		return 0, errHeaderTooLong
 	}
-	if r.budget > 0 && len(buffer) > r.budget {
-		buffer = buffer[:r.budget]
-	}
+	buffer = buffer[:min(len(buffer), r.budget)]
 	n, err := r.source.Read(buffer)
-	if r.budget > 0 {
-		r.budget -= n
+	r.budget -= n
+	if unusual := min(n, maxHeaderBytes-usualHeaderBytes-r.budget); unusual > 0 && !r.lease.Grow(int64(unusual)*parsedHeaderFactor) {
+		return n, limiter.ErrNoMemory
 	}
 	return n, err
 }
@@ -106,12 +113,22 @@
 	if c.stopAbort != nil {
 		c.stopAbort()
 	}
+	c.endLease()
 	_ = c.Close()
 }
 
+// endLease gives back the memory of the header of the present answer.
+func (c *connection) endLease() {
+	if c.source.lease != nil {
+		c.source.lease.Release()
+		c.source.lease = nil
+	}
+}
+
 // release ends an exchange whose answer was read in full. It puts the connection into
 // the idle pool if it can carry another request, and closes it otherwise.
 func (c *connection) release(response *http.Response) {
+	c.endLease()
 	if !c.stopAbort() || response.Close {
 		_ = c.Close()
 		return
@@ -144,7 +161,7 @@
 // roundTrip writes a request and reads the header of its answer. It skips answers that
 // carry the id of another request.
 func (c *connection) roundTrip(request Request) (*Response, error) {
-	written, writeError := c.Write(request.encode())
+	written, writeError := request.writeTo(c.Conn)
 	if writeError != nil && written == 0 {
 		return nil, NotSent.Wrap(writeError, "send to %s", c.address)
 	}
@@ -179,6 +196,8 @@
 
 // readHeader reads the header of the next answer that is not provisional (1xx).
 func (c *connection) readHeader(method string) (*http.Response, error) {
+	c.endLease()
+	c.source.lease = c.exchanger.options.Memory.NewLease()
 	c.source.budget = maxHeaderBytes
 	defer func() { c.source.budget = -1 }()
 	for {
@@ -188,6 +207,9 @@
 			return nil, c.classifyReadError(err)
 		}
 		if response.StatusCode >= http.StatusOK {
+			if maxHeaderBytes-c.source.budget-c.reader.Buffered() <= usualHeaderBytes {
+				c.endLease() // The rest of what was read is of the body.
+			}
 			return response, nil
 		}
 	}
@@ -205,10 +227,25 @@
 	}
 }
 
-// encode returns the whole request, so that one write sends it.
-func (r Request) encode() []byte {
-	var text strings.Builder
-	text.Grow(len(r.Target) + len(r.Body) + 1024)
+// maxCopiedBody is the size up to which a body is copied behind its header, so that one write
+// sends both.
+const maxCopiedBody = 16 << 10
+
+// writeTo sends the whole request and returns the number of bytes sent.
+func (r Request) writeTo(w io.Writer) (int64, error) {
+	head := r.encodeHead()
+	if len(r.Body) <= maxCopiedBody {
+		n, err := w.Write(append(head, r.Body...))
+		return int64(n), err
+	}
+	buffers := net.Buffers{head, r.Body}
+	return buffers.WriteTo(w)
+}
+
+// encodeHead returns the request line and the header.
+func (r Request) encodeHead() []byte {
+	var text bytes.Buffer
+	text.Grow(len(r.Target) + min(len(r.Body), maxCopiedBody) + 1024)
 	text.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	names := make([]string, 0, len(r.Header))
 	for name := range r.Header {
@@ -224,6 +261,5 @@
 		text.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	text.WriteString("\r\n")
-	text.Write(r.Body)
-	return []byte(text.String())
+	return text.Bytes()
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 )
 
 // Errors is the namespace of this package's error types.
@@ -50,6 +51,10 @@
 	defaultMaxIdlePerAddress = 16
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
+	// usualHeaderBytes is the size up to which headers take nothing from Options.Memory, and
+	// parsedHeaderFactor the memory of a parsed header of short fields for each of its bytes.
+	usualHeaderBytes   = 4 << 10
+	parsedHeaderFactor = 16
 	// keepAliveShare is the share of a server's Keep-Alive timeout for which an idle
 	// connection is kept, so that the server does not close it during a request.
 	keepAliveShare = 0.7
@@ -67,6 +72,9 @@
 	MaxIdlePerAddress int
 	// EchoHeader is the name of the header with the request's id, which answers repeat.
 	EchoHeader string
+	// Memory bounds the bytes of the headers of answers; nil means no bound besides that of
+	// each one.
+	Memory *limiter.Memory
 	// Scope receives the metrics; nil discards them.
 	Scope tally.Scope
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -74,8 +74,10 @@
 	Budgets *limiter.Limiter
 	// Quotas limits the requests to back ends that name a rate; nil means that none does.
 	Quotas Quotas
-	Log    *logger.Logger
-	Scope  tally.Scope
+	// Answers limits the bytes of answers that are read whole; nil means no limit.
+	Answers *limiter.Memory
+	Log     *logger.Logger
+	Scope   tally.Scope
 }
 
 // Stop holds the limits of a node that stops.
@@ -164,6 +166,7 @@
 	}
 	call.outliveStop()
 	reply.call = call
+	call.releaseBody()
 	return reply, nil
 }
 
@@ -215,6 +218,8 @@
 	prefilledAt time.Time
 	// sends counts the sends that reached a back end.
 	sends int
+	// answers has the bytes of the answers that are read whole.
+	answers *limiter.Lease
 }
 
 // defaultTimeout applies when neither caller nor route sets a timeout.
@@ -228,7 +233,7 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	c := &call{Forwarder: f, request: request, route: route, table: table, deadline: request.Arrived.Add(timeout)}
+	c := &call{Forwarder: f, request: request, route: route, table: table, deadline: request.Arrived.Add(timeout), answers: f.options.Answers.NewLease()}
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	c.outliveStop = context.AfterFunc(f.options.Stopping, func() { cancelCause(errNodeStops) })
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
@@ -306,6 +311,19 @@
 	return c.options.Isolator.IsQuarantined(c.request.Fingerprint) || c.options.Isolator.HasQuarantinedPart(c.request.Cost.parts())
 }
 
+// releaseBody drops the body of a model request whose answer has begun, as streams last long.
+// Tries of other requests may still use it.
+func (c *call) releaseBody() {
+	if !c.pool.Model {
+		return
+	}
+	size := cap(c.request.Body)
+	c.request.Body = nil
+	if c.request.Memory != nil {
+		c.request.Memory.Shrink(int64(size))
+	}
+}
+
 // finish ends the call: it releases the grant and the KV cache, and records the
 // outcome. A nil refusal means that the request was answered.
 func (c *call) finish(refusal *router.Refusal) {
@@ -316,6 +334,7 @@
 		c.options.Placer.Release(c.grant, c.grantResult)
 		c.grant = ""
 	}
+	c.answers.Release()
 	c.running.Add(-1)
 	c.metrics.recordEnd(c, refusal)
 	c.logEnd(refusal)
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -35,8 +35,7 @@
 
 type bufferedBody struct{ *bytes.Reader }
 
-func (b bufferedBody) ReadAll(int64) ([]byte, error) { return io.ReadAll(b.Reader) }
-func (bufferedBody) Close()                          {}
+func (bufferedBody) Close() {}
 
 // newBufferedReply returns a reply whose whole body is in memory.
 func newBufferedReply(backend Backend, answer *Answer, body []byte) *Reply {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -22,7 +23,11 @@
 	Target string
 	Path   string
 	Header http.Header
-	Body   []byte
+	// Body is nil once no send of a model request can follow.
+	Body []byte
+	// Memory has the bytes of Body and of the request's own state; nil means that they are not
+	// limited. The forwarder gives those of Body back when it drops Body.
+	Memory *limiter.Lease
 	// Arrived is when the request's header was read.
 	Arrived time.Time
 	// Timeout is how long the caller waits, counted from Arrived; zero means unknown.
@@ -93,8 +98,6 @@
 // Body is the body of an answer.
 type Body interface {
 	Read(buffer []byte) (int, error)
-	// ReadAll reads the whole body and fails above limit bytes.
-	ReadAll(limit int64) ([]byte, error)
 	// Close cancels the answer if the body was not read to its end.
 	Close()
 }
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -97,9 +97,9 @@
 	answer, err := c.options.Backends.Send(ctx, work)
 	var body []byte
 	if err == nil {
-		body, err = answer.Body.ReadAll(maxAnswerBytes)
+		body, err = c.readAnswer(backend, answer)
 		if err != nil {
-			err = Lost.Wrap(err, "answer of %s", backend.Name)
+			answer.Body.Close()
 		} else if !answer.Framed && c.hasEnded(backend) {
 			err = Lost.New("%s ended with its answer", backend.Name)
 		}
@@ -111,6 +111,16 @@
 	return newBufferedReply(backend, answer, body), nil
 }
 
+// readAnswer reads the whole body of an answer. It fails with Lost if the body is truncated or
+// too long, or the memory for answers is in use.
+func (c *call) readAnswer(backend Backend, answer *Answer) ([]byte, error) {
+	body, err := c.answers.ReadAll(answer.Body, answer.Length, maxAnswerBytes)
+	if err != nil {
+		return nil, Lost.Wrap(err, "answer of %s", backend.Name)
+	}
+	return body, nil
+}
+
 func (c *call) recordResult(ctx context.Context, backend Backend, answer *Answer, err error, took time.Duration) {
 	result := resultOfError(err)
 	if err == nil {
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -39,10 +39,20 @@
 	// memoryLimitShare is the fraction of Settings.MemoryBytes, the process's memory bound, that is
 	// the Go runtime's soft memory limit; the kernel's connection buffers take some of the rest.
 	memoryLimitShare = 0.6
+	// requestMemoryShare, answerMemoryShare and connectionMemoryShare are the fractions of
+	// Settings.MemoryBytes for the bodies and the state of callers' requests, for answers that
+	// are read whole, and for callers' connections. The rest is for all else.
+	requestMemoryShare    = 0.2
+	answerMemoryShare     = 0.15
+	connectionMemoryShare = 0.2
+	// connectionBytes is the memory of a caller's connection that waits for a request.
+	connectionBytes = 24 << 10
 	// ownerCores and ownerLinkRate are what the owner of a shard of usual size needs: a tenth
 	// of a core and 5 Mbit/s (docs/CAPACITY.md).
 	ownerCores                              = 0.1
 	ownerLinkRate identifier.BytesPerSecond = 625_000
+	// minCallerConnections applies if the settings allow fewer.
+	minCallerConnections = 100
 	// callerFileShare is the fraction of the file descriptors for callers' connections.
 	callerFileShare = 0.5
 )
@@ -83,13 +93,29 @@
 		WriteTimeout:      10 * time.Second,
 		IdleTimeout:       defaultIdleTimeout,
 		FinishTimeout:     time.Duration(float64(settings.TerminationGrace) * (finishGraceShare - acceptGraceShare)),
-		MaxConnections:    max(100, int(float64(settings.MaxOpenFiles)*callerFileShare)),
+		MaxConnections:    maxCallerConnections(settings),
 		MaxStreams:        100,
 		MaxHeaderBytes:    maxHeaderBytes,
 		MaxBodyBytes:      math.MaxInt64,
 	}
 }
 
+// maxCallerConnections returns the number of callers' connections that the process has file
+// descriptors and memory for.
+func maxCallerConnections(settings platform.Settings) int {
+	byFiles := int(float64(settings.MaxOpenFiles) * callerFileShare)
+	byMemory := int(memoryShare(settings, connectionMemoryShare) / connectionBytes)
+	if byMemory <= 0 {
+		return max(minCallerConnections, byFiles)
+	}
+	return max(minCallerConnections, min(byFiles, byMemory))
+}
+
+// memoryShare returns a fraction of the process's memory, in bytes; zero if that is unknown.
+func memoryShare(settings platform.Settings, share float64) int64 {
+	return int64(float64(settings.MemoryBytes) * share)
+}
+
 // stopLimits returns the limits for requests of a node that was told to stop, or the zero
 // Stop before.
 func (s *Starter) stopLimits() forwarder.Stop {
@@ -111,7 +137,7 @@
 
 // MemoryLimit returns the Go runtime's memory limit, in bytes.
 func MemoryLimit(settings platform.Settings) int64 {
-	return int64(float64(settings.MemoryBytes) * memoryLimitShare)
+	return memoryShare(settings, memoryLimitShare)
 }
 
 // ownerCapacity returns what the VM can carry for the fleet, limited by its processor or its
--- a/starter/services.go
+++ b/starter/services.go
@@ -162,9 +162,11 @@
 
 func (s *Starter) createForwarding() {
 	settings := s.options.Settings
+	s.answers = limiter.NewMemory(limiter.MemoryOptions{Name: "answers", Limit: memoryShare(settings, answerMemoryShare), Scope: s.options.Scope})
 	s.exchanger = exchanger.New(exchanger.Options{
 		Dial:       s.options.Network.Dial,
 		EchoHeader: platform.HeaderAttempt,
+		Memory:     s.answers,
 		Scope:      s.options.Scope,
 	})
 	s.backends = platform.NewBackends(s.exchanger)
@@ -220,6 +222,7 @@
 		Isolator:   s.isolator,
 		Budgets:    limiter.New(s.retryBudget(settings.RetryBudget)),
 		Quotas:     s.quotas,
+		Answers:    s.answers,
 		Log:        s.options.Log,
 		Scope:      s.options.Scope,
 	})
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -63,6 +63,8 @@
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
 	peers      http.RoundTripper
+	// answers has the answers of back ends that are read whole.
+	answers *limiter.Memory
 	// callersListener is the listener for callers' requests.
 	callersListener *connector.Server
 	// tablesUsable is set once the node has joined the fleet and asked other nodes.
@@ -177,6 +179,7 @@
 	callerHandler := platform.NewCallerHandler(platform.CallerHandlerOptions{
 		Forwarder: s.forwarder,
 		Limits:    s.tables.callerLimits,
+		Memory:    limiter.NewMemory(limiter.MemoryOptions{Name: "requests", Limit: memoryShare(settings, requestMemoryShare), Scope: s.options.Scope}),
 		Draining:  s.isStopping,
 	})
 	s.callersListener = s.newListener("callers-listener", settings.CallerAddress, callerHandler, callerLimits(settings), s.tables.callerTimeouts)
