Answer a stream's request that fails between its head and first event

Cause: a stream was taken for an answer as soon as its head was there. The status was set, but net/http sends it with the first byte only, and every failed read after that aborted the connection.

A stream is an answer now once its first event is complete. Before that it fails like an attempt without a head: 504 at the timeout or deadline, 502 if the engine breaks off, the node stops or 64 KiB hold no event, and another engine where the route allows it. An engine's failure is read whole before it is passed on.

--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -107,6 +107,11 @@
 	CutAfter int
 	// CutCrashes makes the instance's process end when it closes the connection.
 	CutCrashes bool
+	// HeadLead is how long before its first event the head of a stream is sent; zero means
+	// together with it. CutHeads is how many streams are broken off after the head, and
+	// EndlessStreams how many have a body without end and without an event.
+	HeadLead                 time.Duration
+	CutHeads, EndlessStreams int
 	// DeadlyPart is the id of a part of a prompt. An answer to a request with it crashes
 	// the instance as it begins, and InstanceOptions.Crashed is called.
 	DeadlyPart string
@@ -480,6 +485,9 @@
 		i.crashAtCut()
 		return
 	}
+	if !i.sendHead(ctx, w) {
+		panic(http.ErrAbortHandler)
+	}
 	truncate := i.takeFault(func(f *InstanceFaults) *int { return &f.Truncate })
 	if !truncate && i.takeFault(func(f *InstanceFaults) *int { return &f.Errors }) {
 		i.markDone(run)
@@ -502,6 +510,29 @@
 	i.markDone(run)
 }
 
+// sendHead sends the head of a stream early if a fault says so. It returns false if the stream
+// ends with its head.
+func (i *Instance) sendHead(ctx context.Context, w http.ResponseWriter) bool {
+	i.mutex.Lock()
+	lead := i.faults.HeadLead
+	i.mutex.Unlock()
+	cut := i.takeFault(func(f *InstanceFaults) *int { return &f.CutHeads })
+	endless := i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessStreams })
+	if lead == 0 && !cut && !endless {
+		return true
+	}
+	flush := http.NewResponseController(w)
+	if err := flush.Flush(); err != nil || cut || !pause(ctx, lead) {
+		return false
+	}
+	for endless {
+		if _, err := io.WriteString(w, strings.Repeat("x", largePiece)); err != nil || flush.Flush() != nil || !pause(ctx, time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 func (i *Instance) isDeadly(r *http.Request) bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -165,7 +165,6 @@
 		return nil, refusal
 	}
 	call.outliveStop()
-	reply.call = call
 	call.releaseBody()
 	return reply, nil
 }
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -24,10 +25,15 @@
 	call    *call
 	backend Backend
 	// body is the answer's body, either buffered or read from the back end.
-	body         Body
-	framed       bool
-	events       eventCounter
-	sentAt       time.Time
+	body   Body
+	framed bool
+	events eventCounter
+	sentAt time.Time
+	// begun is what Read has not returned yet of the beginSize bytes that awaitFirstEvent has
+	// read; beginError is the error of its last read, or nil.
+	begun        []byte
+	beginSize    int
+	beginError   error
 	finished     bool
 	lastEventAt  time.Time
 	longestPause time.Duration
@@ -38,23 +44,76 @@
 func (bufferedBody) Close() {}
 
 // newBufferedReply returns a reply whose whole body is in memory.
-func newBufferedReply(backend Backend, answer *Answer, body []byte) *Reply {
+func (c *call) newBufferedReply(backend Backend, answer *Answer, body []byte) *Reply {
 	return &Reply{
 		Status:  answer.Status,
 		Header:  answer.Header,
 		Length:  int64(len(body)),
+		call:    c,
 		backend: backend,
 		body:    bufferedBody{bytes.NewReader(body)},
 	}
 }
 
-// Read reads the body. It returns io.EOF only after a complete body. After any other
-// error, the body that is sent to the caller must not look complete.
-func (r *Reply) Read(buffer []byte) (int, error) {
+const (
+	// beginReadBytes holds a typical first event with some of the next ones.
+	beginReadBytes = 4 << 10
+	// maxFirstEventBytes bounds what precedes the end of a stream's first event.
+	maxFirstEventBytes = 64 << 10
+)
+
+// awaitFirstEvent reads a stream until its first event is complete. Up to then nothing of the
+// answer has reached the caller, who can get another one or a refusal in its place. It fails
+// with Lost if the stream ends before.
+func (r *Reply) awaitFirstEvent() error {
+	buffer := make([]byte, beginReadBytes)
+	for r.events.count == 0 {
+		n, err := r.body.Read(buffer)
+		r.recordProgress(buffer[:n])
+		if !r.call.answers.Grow(int64(n)) {
+			return Lost.Wrap(limiter.ErrNoMemory, "stream of %s", r.backend.Name)
+		}
+		r.begun = append(r.begun, buffer[:n]...)
+		r.beginSize += n
+		switch {
+		case r.events.count > 0:
+			r.beginError = err
+		case errors.Is(err, io.EOF):
+			return Lost.Wrap(errStreamCut, "stream of %s", r.backend.Name)
+		case err != nil:
+			return Lost.Wrap(err, "stream of %s", r.backend.Name)
+		case len(r.begun) > maxFirstEventBytes:
+			return Lost.New("stream of %s: no event in %d bytes", r.backend.Name, len(r.begun))
+		}
+	}
+	return nil
+}
+
+// readBody reads what awaitFirstEvent has left, and then the body.
+func (r *Reply) readBody(buffer []byte) (int, error) {
+	if len(r.begun) > 0 {
+		n := copy(buffer, r.begun)
+		r.begun = r.begun[n:]
+		if len(r.begun) == 0 {
+			r.begun = nil
+			r.call.answers.Shrink(int64(r.beginSize))
+		}
+		return n, nil
+	}
+	if r.beginError != nil {
+		return 0, r.beginError
+	}
 	n, err := r.body.Read(buffer)
 	if r.Streaming {
 		r.recordProgress(buffer[:n])
 	}
+	return n, err
+}
+
+// Read reads the body. It returns io.EOF only after a complete body. After any other
+// error, the body that is sent to the caller must not look complete.
+func (r *Reply) Read(buffer []byte) (int, error) {
+	n, err := r.readBody(buffer)
 	if err == nil {
 		return n, nil
 	}
@@ -71,13 +130,13 @@
 
 var errStreamCut = errors.New("the stream ended inside an event, without one, or with its engine")
 
-// endsEarly reports whether a stream that ended without an error is incomplete: it has no
-// event or ends inside one, or only its connection marks its end and the engine is gone.
+// endsEarly reports whether a stream that ended without an error is incomplete: it ends inside
+// an event, or only its connection marks its end and the engine is gone.
 func (r *Reply) endsEarly() bool {
-	if !r.Streaming || r.finished || r.Status >= http.StatusMultipleChoices {
+	if !r.Streaming || r.finished {
 		return false
 	}
-	return r.events.count == 0 || r.events.insideEvent() || !r.framed && r.call.hasEnded(r.backend)
+	return r.events.insideEvent() || !r.framed && r.call.hasEnded(r.backend)
 }
 
 // recordProgress counts the events of a piece and reports the tokens so far to the placer.
@@ -126,16 +185,21 @@
 	}
 	r.finished = true
 	if r.Streaming && refusal == nil {
-		r.call.balancer.recordResult(time.Now(), r.backend, resultOfStatus(r.Status), time.Since(r.sentAt))
-		r.call.options.Isolator.ReportFinished(r.call.request.Fingerprint)
-		if resultOfStatus(r.Status) == answered {
-			r.call.options.Isolator.ReportPartsFinished(r.call.request.Cost.parts())
-		}
+		r.call.recordModelAnswer(r.backend, r.Status, time.Since(r.sentAt))
 		r.call.metrics.recordLongestPause(r.call.route.Rank, r.longestPause)
 	}
 	r.call.finish(refusal)
 }
 
+// recordModelAnswer records that an engine has answered in full.
+func (c *call) recordModelAnswer(backend Backend, status int, took time.Duration) {
+	c.balancer.recordResult(time.Now(), backend, resultOfStatus(status), took)
+	c.options.Isolator.ReportFinished(c.request.Fingerprint)
+	if resultOfStatus(status) == answered {
+		c.options.Isolator.ReportPartsFinished(c.request.Cost.parts())
+	}
+}
+
 // Close cancels an unfinished answer. It may be called more than once.
 func (r *Reply) Close() {
 	if r.finished {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newBufferedReply(backend, answer, body), nil
+	return c.newBufferedReply(backend, answer, body), nil
 }
 
 // readAnswer reads the whole body of an answer. It fails with Lost if the body is truncated or
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -153,7 +154,7 @@
 	}
 }
 
-// startAttempt runs one attempt until the header of its answer arrives.
+// startAttempt runs one attempt until its answer has begun.
 func (c *call) startAttempt(placement *placer.Placement) (*Reply, error) {
 	if placement.Alone {
 		if err := c.takeQuotas(placement); err != nil {
@@ -333,7 +334,7 @@
 	}
 }
 
-// decode sends the request to a decode engine and returns its stream.
+// decode sends the request to a decode engine and returns its answer, which has begun.
 func (c *call) decode(member identifier.Member, source KVSource) (*Reply, error) {
 	backend, err := c.grantedEngine(member)
 	if err != nil {
@@ -343,7 +344,7 @@
 	work.Source = source
 	sent := time.Now()
 	c.balancer.countSent(backend)
-	answer, err := c.options.Backends.Send(c.ctx, work)
+	reply, err := c.sendToDecode(backend, work, sent)
 	if err != nil {
 		c.recordEngineResult(backend, err, time.Since(sent))
 		if !provenNotRun(err) {
@@ -354,14 +355,39 @@
 	}
 	c.sends++
 	c.possibleRuns++
-	return &Reply{
+	return reply, nil
+}
+
+// sendToDecode sends the request and returns the engine's answer once it has begun: a stream
+// with its first event, or a failure with its whole body.
+func (c *call) sendToDecode(backend Backend, work Work, sent time.Time) (*Reply, error) {
+	answer, err := c.options.Backends.Send(c.ctx, work)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status >= http.StatusMultipleChoices {
+		body, err := c.readAnswer(backend, answer)
+		if err != nil {
+			answer.Body.Close()
+			return nil, err
+		}
+		c.recordModelAnswer(backend, answer.Status, time.Since(sent))
+		return c.newBufferedReply(backend, answer, body), nil
+	}
+	reply := &Reply{
 		Status:    answer.Status,
 		Header:    answer.Header,
 		Length:    answer.Length,
 		Streaming: true,
+		call:      c,
 		framed:    answer.Framed,
 		backend:   backend,
 		body:      answer.Body,
 		sentAt:    sent,
-	}, nil
+	}
+	if err := reply.awaitFirstEvent(); err != nil {
+		answer.Body.Close()
+		return nil, err
+	}
+	return reply, nil
 }
