Bound what a process keeps of answers without end

Another operator reported a machine that ran out of memory on bytes without end of a faulty engine, so that the requests of its other clients ended.

A buffer of the announced size is taken only when 64 KiB have come. foxtailspool serve has bounds for JSON answers and headers, and two settings for the bodies and answers that it holds at once.

The emulator has all forms.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -128,6 +128,9 @@
 
 // Requests sets the limits and retries of callers' requests.
 type Requests struct {
+	// MaxHeldBodies and MaxHeldAnswers limit the bytes of all requests' bodies, and of all
+	// answers of services, that the node holds at once.
+	MaxHeldBodies, MaxHeldAnswers Bytes
 	// MaxInFlight limits the requests in flight at the node.
 	MaxInFlight int
 	// MaxInFlightPerAccount limits the requests in flight of one client account,
--- a/configurator/keys.go
+++ b/configurator/keys.go
@@ -103,6 +103,8 @@
 
 func requestKeys(r *Requests) []Key {
 	return []Key{
+		sizeKey("requests.max-held-bodies", &r.MaxHeldBodies, "256MiB", Mebibyte, 64*Gibibyte, "The bodies of all requests that the node holds at once. A request whose body has no room is refused."),
+		sizeKey("requests.max-held-answers", &r.MaxHeldAnswers, "256MiB", Mebibyte, 64*Gibibyte, "The answers of services that the node holds at once. An answer that has no room is lost."),
 		countKey("requests.max-in-flight", &r.MaxInFlight, "1024", 1<<20, "Requests that the node serves at once."),
 		optionalCountKey("requests.max-in-flight-per-account", &r.MaxInFlightPerAccount, 1<<20, "Requests of one account that the node serves at once, by `X-Account`; callers without one count as one account. At most max-in-flight; a quarter of it when empty."),
 		durationKey("requests.max-timeout", &r.MaxTimeout, "5m", minDuration, maxDuration, "The longest time of a request: the timeout of routes that set none, and the bound on those that set a longer one."),
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -95,6 +95,9 @@
 	return &readCountingConn{Conn: opened}, nil
 }
 
+// maxResponseHeaderBytes bounds the header of an answer.
+const maxResponseHeaderBytes = 64 << 10
+
 // Transport returns an HTTP transport that connects through the network.
 func (n Network) Transport(limits Limits) *http.Transport {
 	transport := &http.Transport{
@@ -109,7 +112,9 @@
 		MaxConnsPerHost:       limits.MaxConnectionsPerHost,
 		MaxIdleConnsPerHost:   limits.MaxConnectionsPerHost,
 		DisableCompression:    true,
-		Protocols:             new(http.Protocols),
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		Protocols:              new(http.Protocols),
 	}
 	transport.Protocols.SetHTTP1(limits.PingInterval <= 0)
 	if limits.PingInterval > 0 {
--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -98,6 +98,9 @@
 	EndlessHeads, EndlessRefusals int
 	// OrderDelay, unless zero, leaves orders unanswered and carries them out that much later.
 	OrderDelay time.Duration
+	// EndlessAnswers is how many requests are answered without an end in EndlessForm.
+	EndlessAnswers int
+	EndlessForm    EndlessForm
 	// EndlessBodies is how many plain requests run and are answered with an endless body.
 	EndlessBodies int
 	// Unframed makes answers end with their connections, without a length or chunks.
@@ -124,10 +127,15 @@
 	Limit float64
 }
 
+// recordedBodyBytes bounds what a Run keeps of a body.
+const recordedBodyBytes = 256 << 10
+
 // Run is one request that an instance worked on.
 type Run struct {
-	Attempt, Method, Target, Body string
-	Header                        http.Header
+	Attempt, Method, Target string
+	// Body is the request's body, or its beginning.
+	Body   string
+	Header http.Header
 	// Done is set if the work was completed.
 	Done bool
 }
@@ -239,7 +247,7 @@
 		return
 	}
 	i.announce(w, r.Header.Get("X-Attempt-Id"))
-	if i.writeEndless(w) {
+	if i.writeEndless(w, r.Header.Get("X-Attempt-Id")) {
 		return
 	}
 	if i.declineDuringSwitch() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
@@ -553,7 +561,7 @@
 		Attempt: r.Header.Get("X-Attempt-Id"),
 		Method:  r.Method,
 		Target:  r.RequestURI,
-		Body:    body,
+		Body:    strings.Clone(body[:min(len(body), recordedBodyBytes)]),
 		Header:  r.Header.Clone(),
 	})
 	run := len(i.runs) - 1
@@ -589,7 +597,7 @@
 		return
 	}
 	if i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessBodies }) {
-		dripRaw(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Server-Seal: "+i.options.ID+"\r\n\r\n", largePiece)
+		dripRaw(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Server-Seal: "+i.options.ID+"\r\n\r\n", repeated(largePiece))
 		return
 	}
 	header := w.Header()
@@ -681,39 +689,6 @@
 	_ = connection.Close()
 }
 
-// writeEndless answers without end if a fault says so, and reports whether one did.
-func (i *Instance) writeEndless(w http.ResponseWriter) bool {
-	switch {
-	case i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessHeads }):
-		dripRaw(w, "HTTP/1.1 200 OK\r\nNoise: ", largePiece)
-	case i.takeFault(func(f *InstanceFaults) *int { return &f.EndlessRefusals }):
-		dripRaw(w, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n", smallPiece)
-	default:
-		return false
-	}
-	return true
-}
-
-// The pieces of endless bytes, written each millisecond.
-const (
-	largePiece = 4 << 10
-	smallPiece = 16
-)
-
-// dripRaw writes a beginning and then bytes without end, until the peer closes.
-func dripRaw(w http.ResponseWriter, beginning string, pieceBytes int) {
-	connection, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer func() { _ = connection.Close() }()
-	_, err = io.WriteString(connection, beginning)
-	for err == nil {
-		time.Sleep(time.Millisecond)
-		_, err = io.WriteString(connection, strings.Repeat("x", pieceBytes))
-	}
-}
-
 func tokenCounts(text string) (prompt, output int) {
 	first, second, _ := strings.Cut(text, ",")
 	prompt, _ = strconv.Atoi(first)
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -60,11 +60,17 @@
 	source io.Reader
 	budget int
 	lease  *limiter.Lease
+	// failure is returned by all reads after the one that it ended: net/textproto overlooks
+	// errors of its look-ahead.
+	failure error
 }
 
 var errHeaderTooLong = errors.New("the header of the answer is too long")
 
 func (r *boundedReader) Read(buffer []byte) (int, error) {
+	if r.failure != nil {
+		return 0, r.failure
+	}
 	if r.budget < 0 {
 		return r.source.Read(buffer)
 	}
@@ -75,7 +81,8 @@
 	n, err := r.source.Read(buffer)
 	r.budget -= n
 	if unusual := min(n, maxHeaderBytes-usualHeaderBytes-r.budget); unusual > 0 && !r.lease.Grow(int64(unusual)*parsedHeaderFactor) {
-		return n, limiter.ErrNoMemory
+		r.failure = limiter.ErrNoMemory
+		return n, r.failure
 	}
 	return n, err
 }
@@ -119,10 +126,8 @@
 
 // endLease gives back the memory of the header of the present answer.
 func (c *connection) endLease() {
-	if c.source.lease != nil {
-		c.source.lease.Release()
-		c.source.lease = nil
-	}
+	c.source.lease.Release()
+	c.source.lease = nil
 }
 
 // release ends an exchange whose answer was read in full. It puts the connection into
@@ -177,7 +182,7 @@
 			return &Response{
 				Status:           response.StatusCode,
 				Header:           response.Header,
-				Length:           response.ContentLength,
+				Length:           bodyLength(response),
 				Framed:           response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 				Echoed:           echoed != "",
 				Reused:           c.hasExchanged,
@@ -194,6 +199,15 @@
 	return nil, InvalidAnswer.New("%s sent answers to other requests only", c.address)
 }
 
+// bodyLength returns the length of an answer's body. An answer to HEAD names the length of a
+// body that it does not have.
+func bodyLength(response *http.Response) int64 {
+	if response.Body == http.NoBody {
+		return 0
+	}
+	return response.ContentLength
+}
+
 // readHeader reads the header of the next answer that is not provisional (1xx).
 func (c *connection) readHeader(method string) (*http.Response, error) {
 	c.endLease()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -318,9 +318,7 @@
 	}
 	size := cap(c.request.Body)
 	c.request.Body = nil
-	if c.request.Memory != nil {
-		c.request.Memory.Shrink(int64(size))
-	}
+	c.request.Memory.Shrink(int64(size))
 }
 
 // finish ends the call: it releases the grant and the KV cache, and records the
--- a/invoker/control.go
+++ b/invoker/control.go
@@ -150,7 +150,7 @@
 		return answer, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := decodeJSON(response.Body, &answer); err != nil {
 		return answer, AnswerLost.Wrap(err, "%s%s", member.Name, path)
 	}
 	return answer, nil
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -217,12 +217,20 @@
 	var answer struct {
 		KV json.RawMessage `json:"kv_transfer_params"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := decodeJSON(response.Body, &answer); err != nil {
 		return KV{}, AnswerLost.Wrap(err, "prefill at %s", member.Name)
 	}
 	return KV{parameters: answer.KV}, nil
 }
 
+// maxJSONBytes bounds the JSON answers of engines.
+const maxJSONBytes = 1 << 20
+
+// decodeJSON decodes an engine's answer of at most maxJSONBytes.
+func decodeJSON(body io.Reader, target any) error {
+	return json.NewDecoder(io.LimitReader(body, maxJSONBytes)).Decode(target)
+}
+
 // Decode imports a KV cache and opens the stream of the answer. The end of ctx closes
 // the connection, but the engine continues to generate until Cancel.
 func (i *Invoker) Decode(ctx context.Context, member tabulator.Member, work Work, kv KV) (*Stream, error) {
--- a/invoker/service.go
+++ b/invoker/service.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
 
@@ -19,6 +19,8 @@
 	Body   []byte
 	// Key is the Idempotency-Key; empty on calls that are safe to repeat.
 	Key identifier.Key
+	// Memory has the bytes of the answer; nil means that they are not limited.
+	Memory *limiter.Lease
 	// NewConnection sends the call on a new connection, because a pooled one may be dead.
 	NewConnection bool
 }
@@ -55,12 +57,13 @@
 		return Reply{}, classifyCallError(err, member.Name)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, i.options.MaxAnswerBytes+1))
+	length := response.ContentLength
+	if call.Method == http.MethodHead {
+		length = 0 // It is the length of a body that the answer does not have.
+	}
+	body, err := call.Memory.ReadAll(response.Body, length, i.options.MaxAnswerBytes)
 	if err != nil {
 		return Reply{}, AnswerLost.Wrap(err, "answer of %s", member.Name)
 	}
-	if int64(len(body)) > i.options.MaxAnswerBytes {
-		return Reply{}, AnswerLost.New("answer of %s is larger than %d bytes", member.Name, i.options.MaxAnswerBytes)
-	}
 	return Reply{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/limiter/memory.go
+++ b/limiter/memory.go
@@ -58,7 +58,8 @@
 	largeFactor = 2
 )
 
-// Lease is what one holder has of a Memory. It is safe for concurrent use.
+// Lease is what one holder has of a Memory. It is safe for concurrent use. A nil lease has no
+// limit.
 type Lease struct {
 	memory *Memory
 	// held is guarded by the memory's mutex.
@@ -66,18 +67,21 @@
 	released bool
 }
 
-// NewLease returns an empty lease, to be released. The lease of a nil Memory has no limit.
+// NewLease returns an empty lease, to be released. A nil Memory returns a nil lease.
 func (m *Memory) NewLease() *Lease {
+	if m == nil || m.options.Limit <= 0 {
+		return nil
+	}
 	return &Lease{memory: m}
 }
 
 // Grow adds bytes to the lease. It returns false, and adds nothing, if the lease was released
 // or would leave too little to others.
 func (l *Lease) Grow(bytes int64) bool {
-	m := l.memory
-	if m == nil || m.options.Limit <= 0 {
+	if l == nil {
 		return true
 	}
+	m := l.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if l.released || !m.hasRoom(l.held, bytes) {
@@ -104,10 +108,10 @@
 
 // Shrink gives bytes back, at most those of the lease.
 func (l *Lease) Shrink(bytes int64) {
-	m := l.memory
-	if m == nil {
+	if l == nil {
 		return
 	}
+	m := l.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	bytes = min(bytes, l.held)
@@ -118,10 +122,10 @@
 
 // Release gives all bytes back. The lease can't grow again.
 func (l *Lease) Release() {
-	m := l.memory
-	if m == nil {
+	if l == nil {
 		return
 	}
+	m := l.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	l.released = true
@@ -130,8 +134,12 @@
 	m.used.Update(float64(m.held))
 }
 
-// minReadBytes is the first size of the buffer for content of unknown length.
-const minReadBytes = 2 << 10
+const (
+	// minReadBytes is the first size of the buffer for content of unknown length.
+	minReadBytes = 2 << 10
+	// trustedBytes is what ReadAll takes for content of known length before any of it is there.
+	trustedBytes = 64 << 10
+)
 
 // ReadAll reads all content into memory of the lease. size is the expected length, negative if
 // it is unknown. It fails with ErrTooLong beyond limit bytes, with ErrNoMemory if the lease
@@ -140,34 +148,30 @@
 	if size > limit {
 		return nil, ErrTooLong
 	}
+	first := min(size, trustedBytes)
 	if size < 0 {
-		size = min(minReadBytes, limit)
+		first = min(minReadBytes, limit)
 	}
-	if !l.Grow(size) {
+	if !l.Grow(first) {
 		return nil, ErrNoMemory
 	}
-	content := make([]byte, 0, size)
+	content := make([]byte, 0, first)
 	var probe [1]byte
 	for {
+		free := content[len(content):cap(content)]
+		if len(free) == 0 {
+			// The content may end here, so that its buffer is large enough.
+			free = probe[:]
+		}
+		n, err := reader.Read(free)
 		if len(content) < cap(content) {
-			n, err := reader.Read(content[len(content):cap(content)])
 			content = content[:len(content)+n]
-			if errors.Is(err, io.EOF) {
-				return content, nil
+		} else if n > 0 {
+			enlarged, failure := l.enlarge(content, size, limit)
+			if failure != nil {
+				return nil, failure
 			}
-			if err != nil {
-				return nil, err
-			}
-			continue
-		}
-		// The content may end here, so that a buffer of its size is enough.
-		n, err := reader.Read(probe[:])
-		if n > 0 {
-			grown, growError := l.enlarge(content, limit)
-			if growError != nil {
-				return nil, growError
-			}
-			content = append(grown, probe[0])
+			content = append(enlarged, probe[0])
 		}
 		if errors.Is(err, io.EOF) {
 			return content, nil
@@ -178,14 +182,19 @@
 	}
 }
 
-// enlarge returns content in a buffer of twice the size, up to limit bytes.
-func (l *Lease) enlarge(content []byte, limit int64) ([]byte, error) {
-	added := min(max(int64(cap(content)), minReadBytes), limit-int64(cap(content)))
-	if added <= 0 {
+// enlarge returns content in a buffer of the expected size, or else of twice the present one,
+// up to limit bytes.
+func (l *Lease) enlarge(content []byte, size, limit int64) ([]byte, error) {
+	present := int64(cap(content))
+	larger := min(2*max(present, minReadBytes), limit)
+	if size > present {
+		larger = size
+	}
+	if larger <= present {
 		return nil, ErrTooLong
 	}
-	if !l.Grow(added) {
+	if !l.Grow(larger - present) {
 		return nil, ErrNoMemory
 	}
-	return append(make([]byte, 0, int64(cap(content))+added), content...), nil
+	return append(make([]byte, 0, larger), content...), nil
 }
--- a/receiver/call.go
+++ b/receiver/call.go
@@ -42,6 +42,7 @@
 			Header: forwardedHeaders(request.Header),
 			Body:   body,
 			Key:    identifier.Key(key),
+			Memory: leasesOf(request.Context()).answer,
 		},
 		Issued:      issued,
 		First:       isFirstSend(request.Header),
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -98,9 +99,17 @@
 
 // readBody reads a request's body of at most Options.MaxBodyBytes.
 func (r *Receiver) readBody(request *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, r.options.MaxBodyBytes))
+	body, err := leasesOf(request.Context()).body.ReadAll(request.Body, request.ContentLength, r.options.MaxBodyBytes)
+	if errors.Is(err, limiter.ErrNoMemory) {
+		return nil, refusalError{&router.Refusal{
+			Outcome:    outcomeFromHeader(request.Header),
+			Reason:     router.Overloaded,
+			Message:    "the bodies of other requests fill this node's memory",
+			RetryAfter: r.options.RetryAfter,
+		}}
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.Is(err, limiter.ErrTooLong) || errors.As(err, &tooLarge) {
 		return nil, refusalError{&router.Refusal{
 			Outcome: router.NotRun,
 			Reason:  router.TooLarge,
--- /dev/null
+++ b/receiver/memory.go
@@ -0,0 +1,31 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/foxtailspool/foxtailspool/limiter"
+)
+
+// leases are what a request has of Options.Bodies and Options.Answers.
+type leases struct {
+	body, answer *limiter.Lease
+}
+
+type leasesKey struct{}
+
+// withLeases gives a request leases, and releases them when it has been answered.
+func (r *Receiver) withLeases(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		held := leases{body: r.options.Bodies.NewLease(), answer: r.options.Answers.NewLease()}
+		defer held.body.Release()
+		defer held.answer.Release()
+		next.ServeHTTP(w, request.WithContext(context.WithValue(request.Context(), leasesKey{}, held)))
+	})
+}
+
+// leasesOf returns the leases of the request with a context; they have no limit without one.
+func leasesOf(ctx context.Context) leases {
+	held, _ := ctx.Value(leasesKey{}).(leases)
+	return held
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -42,6 +42,9 @@
 	UnreadyReason func() router.Reason
 	// MaxBodyBytes limits the size of a request's body.
 	MaxBodyBytes int64
+	// Bodies and Answers bound the bytes of all requests' bodies, and of all answers of
+	// services; nil means no bound.
+	Bodies, Answers *limiter.Memory
 	// MaxInFlight limits the requests in flight at this node.
 	MaxInFlight int
 	// MaxInFlightPerAccount limits the requests of one account in flight, from 1 to
@@ -76,11 +79,11 @@
 		slots:   make(chan struct{}, options.MaxInFlight),
 	}
 	r.accounts = limiter.NewAccounts(limiter.AccountsOptions{Limit: options.MaxInFlightPerAccount, OnLimitReached: r.logAccountLimit})
-	complete := r.limitAccountInFlight(r.limitInFlight(newHandler(r, "complete", r.decodeCompletion, r.complete, encodeCompletion)))
+	complete := r.limitAccountInFlight(r.limitInFlight(r.withLeases(newHandler(r, "complete", r.decodeCompletion, r.complete, encodeCompletion))))
 	r.mux.Handle("POST /v1/completions", complete)
 	r.mux.Handle("POST /v1/chat/completions", complete)
 	r.mux.Handle("GET /v1/entries", r.limitInFlight(newHandler(r, "entries", decodeEntries, r.entries, encodeEntries)))
-	r.mux.Handle("/", r.limitAccountInFlight(r.limitInFlight(newHandler(r, "call", r.decodeCall, r.call, encodeCall))))
+	r.mux.Handle("/", r.limitAccountInFlight(r.limitInFlight(r.withLeases(newHandler(r, "call", r.decodeCall, r.call, encodeCall)))))
 	return r
 }
 
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/receiver"
 	"github.com/foxtailspool/foxtailspool/router"
@@ -135,6 +136,28 @@
 	close(blocking.release)
 }
 
+// TestBodiesShareMemory guards against bodies that are each within the limit and together fill
+// the node's memory: one that has no room is refused as not run, and has room later.
+func TestBodiesShareMemory(t *testing.T) {
+	blocking := newBlockingRouter()
+	handler := receiver.New(receiver.Options{
+		Router: blocking, Addresser: blocking, MaxBodyBytes: 1 << 10, MaxInFlight: maxInFlight, MaxInFlightPerAccount: maxInFlight,
+		Bodies:     limiter.NewMemory(limiter.MemoryOptions{Limit: 40}),
+		RetryAfter: time.Second, Log: logger.New(io.Discard, logrus.WarnLevel, nil), Scope: tally.NoopScope,
+	})
+	answers := make(chan callerAnswer, 1)
+	go func() { answers <- send(handler, "/call", account("dealer")) }()
+	<-blocking.entered
+	if got := send(handler, "/call", account("conservator")); got != (callerAnswer{http.StatusServiceUnavailable, router.NotRun, router.Overloaded, "1"}) {
+		t.Errorf("a second body: %+v", got)
+	}
+	close(blocking.release)
+	<-answers
+	if got := send(handler, "/call", account("conservator")); got.status != http.StatusOK {
+		t.Errorf("after the first one: %+v", got)
+	}
+}
+
 // When a resend is refused before it is routed, its outcome must be unknown rather
 // than not-run, because an earlier send of it may have run.
 func TestRefusedResendOutcome(t *testing.T) {
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
 	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/orderer"
 	"github.com/foxtailspool/foxtailspool/prober"
@@ -175,6 +176,8 @@
 		Addresser:             s.addresser,
 		UnreadyReason:         s.unreadyReason,
 		MaxBodyBytes:          int64(settings.Callers.MaxBodySize),
+		Bodies:                limiter.NewMemory(limiter.MemoryOptions{Name: "requests", Limit: int64(settings.Requests.MaxHeldBodies), Scope: s.options.Scope}),
+		Answers:               limiter.NewMemory(limiter.MemoryOptions{Name: "answers", Limit: int64(settings.Requests.MaxHeldAnswers), Scope: s.options.Scope}),
 		MaxInFlight:           settings.Requests.MaxInFlight,
 		MaxInFlightPerAccount: settings.Requests.MaxInFlightPerAccount,
 		RetryAfter:            settings.Requests.RetryAfter,
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -1,6 +1,7 @@
 package starter_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -51,6 +52,8 @@
 	configurationVersion int
 	// capacity multiplies the capacity that a configuration gives the back ends; zero means one.
 	capacity int
+	// maxBodyBytes is the limit on bodies of each configuration; zero means 100,000.
+	maxBodyBytes int
 	// extraServices are further services of each configuration.
 	extraServices []map[string]any
 	// configuration is the latest configuration that was stored.
@@ -232,7 +235,7 @@
 			{"name": "desk", "healthPath": "/health", "maxConns": 100 * capacity},
 			{"name": "other", "healthPath": "/health", "maxConns": 100 * capacity},
 		}, f.extraServices...),
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": cmp.Or(f.maxBodyBytes, 100000), "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 }
 
--- a/starter/soak_callers_test.go
+++ b/starter/soak_callers_test.go
@@ -204,6 +204,9 @@
 	if s.kind == plannedSoak && o.truncated {
 		s.checkCut(o)
 	}
+	if s.kind == strainedSoak {
+		s.checkAnswered(o)
+	}
 	s.checkVersion(o)
 	s.checkLeft(o)
 }
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -61,23 +61,36 @@
 	// limitedSoak lets back ends name rates and the configuration grow by many routes, beside
 	// ends of nodes, planned work and back ends that join and leave.
 	limitedSoak
+	// strainedSoak lets back ends fail with statuses that promise that a request has not run,
+	// send heads before events and bytes without end, and callers stay idle or send large
+	// bodies, beside ends of nodes and planned work.
+	strainedSoak
 	soakKindCount
-	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed.
-	earlierKindCount = limitedSoak
+	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed, and
+	// unstrainedKindCount that of those below firstStrainedSeed.
+	earlierKindCount    = limitedSoak
+	unstrainedKindCount = strainedSoak
 )
 
-// firstLimitedSeed is the first seed that may be of a kind from limitedSoak on: earlier seeds
-// keep the kind with which they were run.
-const firstLimitedSeed = 300_000
+// firstLimitedSeed and firstStrainedSeed are the first seeds that may be of a kind from
+// limitedSoak or strainedSoak on: earlier seeds keep the kind with which they were run.
+const (
+	firstLimitedSeed  = 300_000
+	firstStrainedSeed = 400_000
+)
 
 // coverageSeeds run always: the first of each kind that the default seeds do not have.
-var coverageSeeds = []uint64{firstLimitedSeed + 3}
+var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4}
 
 func kindOfSeed(seed uint64) soakKind {
-	if seed < firstLimitedSeed {
+	switch {
+	case seed < firstLimitedSeed:
 		return soakKind(seed) % earlierKindCount
+	case seed < firstStrainedSeed:
+		return soakKind(seed) % unstrainedKindCount
+	default:
+		return soakKind(seed) % soakKindCount
 	}
-	return soakKind(seed) % soakKindCount
 }
 
 // TestSoak runs real node processes against an emulated store and back ends and injects
@@ -156,6 +169,10 @@
 	copies []storeCopy
 	// limits has the rates that back ends have named.
 	limits map[*soakBackend]float64
+	// peakMemory is the most memory of a process that watchMemory has seen, in megabytes.
+	peakMemory int
+	// crowded is set while idle callers crowd a node.
+	crowded bool
 }
 
 // disturbance is a time during which a node or the store is disturbed.
@@ -246,6 +263,7 @@
 	copier := make(chan struct{})
 	s.takeCopy()
 	s.background.Go(func() { s.keepCopies(copier) })
+	s.background.Go(func() { s.watchMemory(copier) })
 	s.injectFaults()
 	close(copier)
 	s.background.Wait()
@@ -264,6 +282,9 @@
 		backendProxies: map[string]*proxy{},
 		fleet:          &fleet{t: t, objects: emulator.NewObjects(), instances: map[string]*emulator.Instance{}, logs: io.Discard, capacity: soakCapacity()},
 	}
+	if s.kind == strainedSoak {
+		s.fleet.maxBodyBytes = soakMaxBodyBytes
+	}
 	s.operator = &operator{fleet: s.fleet}
 	s.fleet.extraServices = []map[string]any{{"name": "slow", "healthPath": "/health", "maxConns": 100 * s.fleet.capacity}}
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Second, DisableCompression: true}
@@ -408,6 +429,8 @@
 		return func() {}
 	case s.kind == limitedSoak && chance < 4:
 		return s.startLimit()
+	case s.kind == strainedSoak && chance < 5:
+		return s.startStrain()
 	case s.kind == mixedSoak && chance < 4:
 		return s.startOutage()
 	default:
