--- a/connector/connector.go
+++ b/connector/connector.go
@@ -112,10 +112,9 @@
 		MaxConnsPerHost:       limits.MaxConnectionsPerHost,
 		MaxIdleConnsPerHost:   limits.MaxConnectionsPerHost,
 		DisableCompression:    true,
-
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		Protocols:              new(http.Protocols),
+		Protocols:             new(http.Protocols),
 	}
+	transport.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	transport.Protocols.SetHTTP1(limits.PingInterval <= 0)
 	if limits.PingInterval > 0 {
 		transport.Protocols.SetHTTP2(true)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -311,7 +311,7 @@
 }
 
 // releaseBody drops the body of a model request whose answer has begun, as streams last long.
-// Tries of other requests may still use it.
+// The slower try of a hedged request may still send its body, so others keep theirs.
 func (c *call) releaseBody() {
 	if !c.pool.Model {
 		return
--- a/starter/endless_memory_test.go
+++ b/starter/endless_memory_test.go
@@ -24,9 +24,6 @@
 // requests of all callers: it stays within its memory, each request has its answer in time,
 // and requests of a sound service are served.
 func TestEndlessAnswersBesideSoundRequests(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts real processes and takes several seconds")
-	}
 	s := newSoakRun(t, buildBinary(t), endlessSeed)
 	s.kind = strainedSoak
 	defer s.close()
