Take comments of a stream for no events

Cause: eventCounter took any lines that end with an empty one for an event, so that a stream with comments only had begun, and counted their tokens.

TestCommentsAreNoEvents fails without the change (": ping": 1 event).

--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -220,11 +220,13 @@
 }
 
 // eventCounter counts the events of a text/event-stream that arrives in pieces of
-// any size. An event ends at an empty line.
+// any size. An event ends at an empty line. Lines that begin with a colon are comments, which
+// servers send to keep a connection open; without another line they are no event.
 type eventCounter struct {
-	count        int
-	lineHasText  bool
-	eventHasLine bool
+	count         int
+	lineHasText   bool
+	lineIsComment bool
+	eventHasLine  bool
 }
 
 func (c *eventCounter) insideEvent() bool { return c.lineHasText || c.eventHasLine }
@@ -234,9 +236,11 @@
 		switch {
 		case b == '\r':
 		case b != '\n':
+			c.lineIsComment = c.lineIsComment || !c.lineHasText && b == ':'
 			c.lineHasText = true
 		case c.lineHasText:
-			c.lineHasText, c.eventHasLine = false, true
+			c.eventHasLine = c.eventHasLine || !c.lineIsComment
+			c.lineHasText, c.lineIsComment = false, false
 		case c.eventHasLine:
 			c.eventHasLine = false
 			c.count++
--- a/forwarder/reply_test.go
+++ b/forwarder/reply_test.go
@@ -27,3 +27,17 @@
 		}
 	})
 }
+
+// TestCommentsAreNoEvents guards against a stream that is taken for begun because its engine
+// keeps the connection open with comments.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for text, want := range map[string]int{
+		": ping\n\n": 0, ":\n\n:\n\n": 0, ": ping\n\ndata: x\n\n": 1, ": ping\ndata: x\n\n": 1, "data: x\n: ping\n\n": 1, "data::\n\n": 1,
+	} {
+		counter := eventCounter{}
+		counter.add([]byte(text))
+		if counter.count != want || counter.insideEvent() {
+			t.Errorf("%q: %d events, inside one: %v", text, counter.count, counter.insideEvent())
+		}
+	}
+}
