--- a/connector/connections.go
+++ b/connector/connections.go
@@ -66,14 +66,13 @@
 	t.mutex.Lock()
 	var displaced *trackedConn
 	if t.open >= t.limit {
-		first := t.waiting.Front()
-		if first == nil {
+		displaced = t.displaceable(time.Now())
+		if displaced == nil {
 			t.refused++
 			t.mutex.Unlock()
 			_ = accepted.Close()
 			return nil, false
 		}
-		displaced = first.Value.(*trackedConn)
 		t.displaced++
 		t.forget(displaced)
 	}
@@ -87,6 +86,24 @@
 	return c, true
 }
 
+// slowHeader is after how long a header that has not ended makes room for a new connection.
+const slowHeader = time.Second
+
+// displaceable returns the connection that has waited longest for a request, or else for the end
+// of a slow header; nil if there is none. The caller must hold the mutex.
+func (t *connections) displaceable(now time.Time) *trackedConn {
+	if first := t.waiting.Front(); first != nil {
+		return first.Value.(*trackedConn)
+	}
+	var slowest *trackedConn
+	for c := range t.reading {
+		if now.Sub(c.since) >= slowHeader && (slowest == nil || c.since.Before(slowest.since)) {
+			slowest = c
+		}
+	}
+	return slowest
+}
+
 // wait adds a connection to waiting. The caller must hold the mutex.
 func (t *connections) wait(c *trackedConn, now time.Time) {
 	t.leavePhase(c)
--- a/connector/connections_test.go
+++ b/connector/connections_test.go
@@ -115,6 +115,29 @@
 	})
 }
 
+// TestSlowHeaderMakesRoom guards against a listener that clients fill by headers that do not end.
+func TestSlowHeaderMakesRoom(t *testing.T) {
+	runWithTimeouts(t, func() connector.Timeouts { return connector.Timeouts{Header: time.Hour} }, func(t *testing.T, pipes *pipeNetwork) {
+		slow := []keptConn{dialKept(t, pipes), dialKept(t, pipes)}
+		for _, c := range slow {
+			if _, err := io.WriteString(c, "GET / HTT"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if early := dialKept(t, pipes); early.isOpen() {
+			t.Error("a header that has just begun made room")
+		}
+		time.Sleep(2 * time.Second)
+		if status := dialKept(t, pipes).get("/"); status != http.StatusOK {
+			t.Errorf("status %d", status)
+		}
+		if slow[0].isOpen() || !slow[1].isOpen() {
+			t.Errorf("open: first slow header %v, second %v", slow[0].isOpen(), slow[1].isOpen())
+		}
+	})
+}
+
 // TestBusyConnectionsAreKept guards against a request that is cut, or a new connection that
 // hangs, when all connections of a full listener carry requests.
 func TestBusyConnectionsAreKept(t *testing.T) {
--- a/starter/idle_callers_test.go
+++ b/starter/idle_callers_test.go
@@ -124,3 +124,21 @@
 		}
 	})
 }
+
+// TestBodyIsAwaitedUntilItsDeadline guards against a body that stops on its way and holds its
+// connection and memory for a minute: its caller is answered when it stops waiting.
+func TestBodyIsAwaitedUntilItsDeadline(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		connection, err := f.network.Host(callerIP).Dial(t.Context(), "tcp", string(f.nodes[0].settings.CallerAddress))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		began := time.Now()
+		_, _ = fmt.Fprintf(connection, "POST /book/1 HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 1000\r\nContent-Length: 90000\r\n\r\ntwo", routeHost)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if took := time.Since(began); err != nil || response.StatusCode != http.StatusServiceUnavailable || took < time.Second || took > 2*time.Second {
+			t.Errorf("%v, %v after %v", response, err, took)
+		}
+	})
+}
