Never read the rest of a refused body as a request

A refusal is sent before the rest of the body is discarded.

Cause: net/http closes such a connection only if it discards the body itself while it sends the answer, which EnableFullDuplex switches off.

--- a/starter/idle_callers_test.go
+++ b/starter/idle_callers_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,3 +144,43 @@
 		}
 	})
 }
+
+// TestRestOfRefusedBodyIsNoRequest guards against a request that is smuggled in the body of
+// another one: what is left of a refused body must never be read as the next request, also if
+// it comes after the node has stopped to discard it.
+func TestRestOfRefusedBodyIsNoRequest(t *testing.T) {
+	const smuggled = "POST /book/1 HTTP/1.1\r\nHost: " + routeHost + "\r\nX-Attempt-Id: attempt-smuggled\r\nContent-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{
+		"length, slow":   "X-Deadline-Ms: 1000\r\nContent-Length: 90000\r\n\r\n",
+		"chunked, slow":  "X-Deadline-Ms: 1000\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n",
+		"length, no id":  "X-Attempt-Id: second\r\nContent-Length: 90000\r\n\r\n",
+		"chunked, no id": "X-Attempt-Id: second\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n",
+		"too long":       "X-Deadline-Ms: 9000\r\nContent-Length: 900000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 1, func(t *testing.T, f *fleet) {
+				connection, err := f.network.Host(callerIP).Dial(t.Context(), "tcp", string(f.nodes[0].settings.CallerAddress))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = connection.Close() }()
+				_, _ = fmt.Fprintf(connection, "POST /book/1 HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: attempt-first\r\n%s", routeHost, text)
+				var answers bytes.Buffer
+				read := make(chan struct{})
+				go func() { _, _ = io.Copy(&answers, connection); close(read) }()
+				for range 8 {
+					time.Sleep(time.Second)
+					_, _ = io.WriteString(connection, smuggled)
+				}
+				_ = connection.Close()
+				<-read
+				if count := strings.Count(answers.String(), "HTTP/1.1 "); count != 1 {
+					t.Errorf("%d answers to one request: %s", count, answers.String())
+				}
+				if ran, ids, _ := f.findRuns("attempt-smuggled"); ran > 0 {
+					t.Errorf("a request inside a body ran at %v", ids)
+				}
+			})
+		})
+	}
+}
