--- a/connector/connections_test.go
+++ b/connector/connections_test.go
@@ -118,11 +118,13 @@
 // TestSlowHeaderMakesRoom guards against a listener that clients fill by headers that do not end.
 func TestSlowHeaderMakesRoom(t *testing.T) {
 	runWithTimeouts(t, func() connector.Timeouts { return connector.Timeouts{Header: time.Hour} }, func(t *testing.T, pipes *pipeNetwork) {
-		slow := []keptConn{dialKept(t, pipes), dialKept(t, pipes)}
-		for _, c := range slow {
+		var slow []keptConn
+		for range 2 {
+			c := dialKept(t, pipes)
 			if _, err := io.WriteString(c, "GET / HTT"); err != nil {
 				t.Fatal(err)
 			}
+			slow = append(slow, c)
 			time.Sleep(100 * time.Millisecond)
 		}
 		if early := dialKept(t, pipes); early.isOpen() {
