Run the nodes of TestEndlessAnswersBesideSoundRequests without the race detector

Its nodes are now always built without, and their memory is checked always; races are looked for by the soak's seeds of the same kind.

--- a/starter/endless_memory_test.go
+++ b/starter/endless_memory_test.go
@@ -24,8 +24,9 @@
 // requests of all callers: it stays within its memory, each request has its answer in time,
 // and requests of a sound service are served.
 func TestEndlessAnswersBesideSoundRequests(t *testing.T) {
-	s := newSoakRun(t, buildBinary(t), endlessSeed)
-	s.kind = strainedSoak
+	// The race detector's own memory and time would hide those of the node.
+	s := newSoakRun(t, buildProgram(t, false), endlessSeed)
+	s.kind, s.withRace = strainedSoak, false
 	defer s.close()
 	s.startNodes()
 	watched := make(chan struct{})
--- a/starter/soak_strain_test.go
+++ b/starter/soak_strain_test.go
@@ -121,7 +121,7 @@
 // more than that itself.
 func (s *soakRun) watchMemory(ended <-chan struct{}) {
 	var once sync.Once
-	for !*soakRace {
+	for !s.withRace {
 		select {
 		case <-ended:
 			return
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -124,12 +124,19 @@
 // soakAddresses has a mutex for each network, held while a seed uses it.
 var soakAddresses [soakNetworks]sync.Mutex
 
-// buildBinary builds the program and returns its path.
+// buildBinary builds the program, with the race detector if the flag says so, and returns its
+// path.
 func buildBinary(t *testing.T) string {
+	t.Helper()
+	return buildProgram(t, *soakRace)
+}
+
+// buildProgram builds the program with or without the race detector and returns its path.
+func buildProgram(t *testing.T, withRace bool) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "foxtailspool")
 	arguments := []string{"build", "-o", binary}
-	if *soakRace {
+	if withRace {
 		arguments = append(arguments, "-race")
 	}
 	build := exec.CommandContext(t.Context(), "go", append(arguments, "..")...)
@@ -169,6 +176,8 @@
 	copies []storeCopy
 	// limits has the rates that back ends have named.
 	limits map[*soakBackend]float64
+	// withRace is set if the nodes are built with the race detector.
+	withRace bool
 	// peakMemory is the most memory of a process that watchMemory has seen, in megabytes.
 	peakMemory int
 	// crowded is set while idle callers crowd a node.
@@ -278,7 +287,7 @@
 
 func newSoakRun(t *testing.T, binary string, seed uint64) *soakRun {
 	s := &soakRun{
-		t: t, seed: seed, kind: kindOfSeed(seed), disturbances: map[string][]*disturbance{}, limits: map[*soakBackend]float64{}, failures: map[string]int{}, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
+		t: t, seed: seed, kind: kindOfSeed(seed), withRace: *soakRace, disturbances: map[string][]*disturbance{}, limits: map[*soakBackend]float64{}, failures: map[string]int{}, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
 		backendProxies: map[string]*proxy{},
 		fleet:          &fleet{t: t, objects: emulator.NewObjects(), instances: map[string]*emulator.Instance{}, logs: io.Discard, capacity: soakCapacity()},
 	}
