--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -10,9 +10,10 @@
 // cases are the scenarios by name. Each returns whether the rule held, or an error if it
 // could not run.
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
-	"limit":  hugeLimit,
-	"orders": lateOrders,
-	"parts":  deadlyPart,
+	"limit":    hugeLimit,
+	"orders":   lateOrders,
+	"unframed": unframedStreams,
+	"parts":    deadlyPart,
 }
 
 func main() {
--- a/review/.standins-2/store.go
+++ b/review/.standins-2/store.go
@@ -100,6 +100,11 @@
 	s.changed = make(chan struct{})
 }
 
+// removeLater removes the entry of a server that is gone, after three heartbeats of silence.
+func (s *store) removeLater(id string, after time.Duration) {
+	time.AfterFunc(after, func() { s.remove("servers", id) })
+}
+
 // names returns the names of the objects of a kind.
 func (s *store) names(kind string) []string {
 	s.mutex.Lock()
