--- a/review/.standins-2/engine.go
+++ b/review/.standins-2/engine.go
@@ -32,6 +32,9 @@
 	// unframed makes the answers of streams end with their connections, without a length or
 	// chunks.
 	unframed bool
+	// endless makes the engine send bytes that are no answer after the first piece of a stream,
+	// until the caller closes.
+	endless bool
 	// link, if set, is the network before the engine; the engine listens behind it.
 	link *link
 	// renewed makes the engine take a new id at each start.
@@ -236,6 +239,10 @@
 		e.crash("it began to write the answer to " + attempt)
 		panic(http.ErrAbortHandler)
 	}
+	if e.endless {
+		e.streamEndless(w, attempt)
+		return
+	}
 	if e.unframed {
 		e.streamUnframed(w, attempt, max(1, output/eventTokens))
 		return
@@ -271,6 +278,21 @@
 	}
 }
 
+// streamEndless sends a sound head and a first piece, and then no answer.
+func (e *engine) streamEndless(w http.ResponseWriter, attempt string) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	piece := fmt.Sprintf("id: 1\ndata: %s\n\n", attempt)
+	time.Sleep(e.eventTime)
+	_, err = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", attempt, attempt, len(piece), piece)
+	for noise := strings.Repeat("no answer ", 100); err == nil; {
+		_, err = io.WriteString(connection, noise)
+	}
+}
+
 // An order is what an engine has been told by a call that reached it.
 type order struct {
 	Op     string `json:"op"`
--- a/review/.standins-2/main.go
+++ b/review/.standins-2/main.go
@@ -10,6 +10,7 @@
 // cases are the scenarios by name. Each returns whether the rule held, or an error if it
 // could not run.
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
+	"faulty":   faultyEngine,
 	"limit":    hugeLimit,
 	"orders":   lateOrders,
 	"unframed": unframedStreams,
