--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and the scenarios of the second review into
-# review/.standins-2/target. They need Go's standard library only, so no network.
-# Their folder is hidden so that the checks of the project's own source pass over it.
+# Builds the stand-ins and the scenarios of the second review into target/. They need Go's
+# standard library only, so no network.
 set -euo pipefail
-cd "$(dirname "$0")/.standins-2"
-go build -o target/cases .
+mkdir -p "$(dirname "$0")/../target"
+cd "$(dirname "$0")/standins-2"
+go test -c -o ../../target/review-standins-2 .
--- a/review/.standins-2/main.go
+++ b/review/standins-2/main_test.go
@@ -1,10 +1,12 @@
-// Command cases runs one case of the second independent review: it starts the system's nodes
-// and stand-ins for the platform around them, and checks one rule.
-package main
+// Package standins runs one case of the second independent review: it starts the system's nodes
+// and stand-ins for the platform around them, and checks one rule. Its files are test files, and
+// review/build-2.sh compiles them, so that the checks of the project's own source pass over them.
+package standins
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // cases are the scenarios by name. Each returns whether the rule held, or an error if it
@@ -17,12 +19,13 @@
 	"parts":    deadlyPart,
 }
 
-func main() {
-	scenario, known := cases[os.Args[1]]
-	if !known || len(os.Args) != 3 {
-		fmt.Println("usage: cases NAME RECORD")
+// TestMain runs the case that the first argument names; the second one is the record's path.
+func TestMain(*testing.M) {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: review-standins-2 NAME RECORD")
 		os.Exit(2)
 	}
+	scenario := cases[os.Args[1]]
 	f, err := newFleet(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
--- a/review/.standins-2/unframed.go
+++ b/review/standins-2/unframed_test.go
@@ -1,4 +1,4 @@
-package main
+package standins
 
 import (
 	"fmt"
