Tell subscribers how old a gossip message is

A node that joins gets the messages of the last five minutes, and took what they report for new: a crash of four minutes ago was dated to the moment of the join, and crashes at different times became simultaneous.

Cause: a rumour knows how long it still lives, and the receivers were not told.

SubscribeWithAge passes on the time since the broadcast, which lacks the last hop only. TestMessagesTellTheirAge: a node that joins a minute later gets an age of 60 s; the method is new, so the test doesn't build without it.

--- a/prober/service.go
+++ b/prober/service.go
@@ -31,7 +31,7 @@
 	// machine is guarded by mutex.
 	machine *stateMachine
 	// subscribers, and the slices in it, are guarded by mutex.
-	subscribers map[string][]func([]byte)
+	subscribers map[string][]func([]byte, time.Duration)
 }
 
 // maxQueuedActions limits the actions that wait for Run.
@@ -47,7 +47,7 @@
 		joined:      make(chan struct{}),
 		actions:     make(chan action, maxQueuedActions),
 		machine:     newStateMachine(options, rand.New(seed), now),
-		subscribers: map[string][]func([]byte){},
+		subscribers: map[string][]func([]byte, time.Duration){},
 	}
 	p.lastTick.Store(&now)
 	p.view.Store(p.machine.view())
@@ -96,6 +96,13 @@
 // Subscribe registers a function that is called once with each message of a topic. The
 // function must not block. Call Subscribe before Run.
 func (p *Prober) Subscribe(topic string, receive func(payload []byte)) {
+	p.SubscribeWithAge(topic, func(payload []byte, _ time.Duration) { receive(payload) })
+}
+
+// SubscribeWithAge is like Subscribe, for a function that also gets the time since the
+// broadcast. The age lacks the time that the message spent between nodes, and a node that
+// joins gets messages that are minutes old.
+func (p *Prober) SubscribeWithAge(topic string, receive func(payload []byte, age time.Duration)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.subscribers[topic] = append(p.subscribers[topic], receive)
@@ -154,8 +161,9 @@
 	p.mutex.Lock()
 	receivers := p.subscribers[r.topic]
 	p.mutex.Unlock()
+	age := max(0, p.options.RumourLifetime-r.remaining)
 	for _, receive := range receivers {
-		receive(r.payload)
+		receive(r.payload, age)
 	}
 }
 
--- a/prober/service_test.go
+++ b/prober/service_test.go
@@ -108,6 +108,8 @@
 	*prober.Prober
 	stop     func()
 	received chan string
+	// ages has the age of each message in received.
+	ages chan time.Duration
 }
 
 func (n *network) start(name string, transport *http.Transport) *node {
@@ -121,8 +123,11 @@
 		Transport:    transport,
 		NewTransport: func() http.RoundTripper { return n.networkOf(name).Transport(limits) },
 	})
-	started := &node{Prober: p, received: make(chan string, 8)}
-	p.Subscribe("topic", func(payload []byte) { started.received <- string(payload) })
+	started := &node{Prober: p, received: make(chan string, 8), ages: make(chan time.Duration, 8)}
+	p.SubscribeWithAge("topic", func(payload []byte, age time.Duration) {
+		started.received <- string(payload)
+		started.ages <- age
+	})
 	prefix, handler := p.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(prefix, handler)
@@ -193,6 +198,36 @@
 	})
 }
 
+// TestMessagesTellTheirAge guards against observations that look new to a node that joins
+// minutes later.
+func TestMessagesTellTheirAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{listeners: map[string]*listener{}}
+		limits := connector.Limits{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxConnectionsPerHost: 2}
+		start := func(name string) *node {
+			started := n.start(name, n.networkOf(name).Transport(limits))
+			<-started.Joined()
+			return started
+		}
+		a, b := start("a"), start("b")
+		defer a.stop()
+		defer b.stop()
+		a.Broadcast("topic", []byte("once"))
+		sent := time.Now()
+		for name, each := range map[string]*node{"a": a, "b": b} {
+			if age := <-each.ages; age > time.Second {
+				t.Errorf("age %v at %s", age, name)
+			}
+		}
+		time.Sleep(time.Minute)
+		late := start("c")
+		defer late.stop()
+		if age, want := <-late.ages, time.Since(sent); (age - want).Abs() > time.Second {
+			t.Errorf("age %v at the node that joined, want %v", age, want)
+		}
+	})
+}
+
 // TestViewSuspendedAfterPause checks that the first view after a pause owns no shards,
 // even before a timer of the paused process has run.
 func TestViewSuspendedAfterPause(t *testing.T) {
