emulator: end a read whose deadline is set as it begins to wait

No caller of the product is concerned.

Cause: memoryConn.Read took the deadline, and then the channel that the next change closes. A deadline set in between was lost, and net/http sets one in the past to end its background read when a connection is hijacked: Hijack hung.

Evidence: a run with the nodes' logs shows one send, run by its engine, that ends with the deadline and no byte.

The channel is taken first now, so that a later change ends the wait.

--- a/emulator/connection.go
+++ b/emulator/connection.go
@@ -73,16 +73,23 @@
 	}
 }
 
-// readResult is the result of a non-blocking read: a count, an error, or what to wait for.
+// readResult is the result of a non-blocking read: a count, an error, or how long to wait.
 type readResult struct {
 	count   int
 	failure error
-	// wake, if set, means that nothing is readable yet; it is closed on the next change.
-	// until is the time until the next segment arrives, zero if none is in flight.
-	wake  <-chan struct{}
+	// waits means that nothing is readable before the next change; until is the time until the
+	// next segment arrives, zero if none is in flight.
+	waits bool
 	until time.Duration
 }
 
+// nextChange returns a channel that is closed on the next change.
+func (h *pipe) nextChange() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.wake
+}
+
 // read reads arrived data into the buffer without blocking.
 func (h *pipe) read(into []byte) readResult {
 	h.mutex.Lock()
@@ -91,13 +98,13 @@
 	case h.failure != nil:
 		return readResult{failure: h.failure}
 	case h.held:
-		return readResult{wake: h.wake}
+		return readResult{waits: true}
 	case len(h.segments) > 0:
 		return h.readSegment(into)
 	case h.closed:
 		return readResult{failure: io.EOF}
 	default:
-		return readResult{wake: h.wake}
+		return readResult{waits: true}
 	}
 }
 
@@ -105,7 +112,7 @@
 func (h *pipe) readSegment(into []byte) readResult {
 	first := &h.segments[0]
 	if until := time.Until(first.at); until > 0 {
-		return readResult{wake: h.wake, until: until}
+		return readResult{waits: true, until: until}
 	}
 	count := copy(into, first.data)
 	first.data = first.data[count:]
@@ -134,6 +141,8 @@
 // Read blocks until data arrives, either end closes, or the deadline passes.
 func (c *memoryConn) Read(into []byte) (int, error) {
 	for {
+		// A deadline that is set from here on ends the wait below.
+		changed := c.in.nextChange()
 		c.mutex.Lock()
 		deadline, closed := c.deadline, c.closed
 		c.mutex.Unlock()
@@ -144,14 +153,14 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 		found := c.in.read(into)
-		if found.wake == nil {
+		if !found.waits {
 			return found.count, found.failure
 		}
 		until := found.until
 		if !deadline.IsZero() && (until == 0 || time.Until(deadline) < until) {
 			until = time.Until(deadline)
 		}
-		await(found.wake, until)
+		await(changed, until)
 	}
 }
 
