isolator: judge deadly parts by a set of evidence

Cause: the verdict was a sequence of edits that depended on the order of messages, on which sound requests ended between the crashes and on the place of a part in its prompt; it named one part even where the evidence did not, and another node's verdict was recorded as a fact. With a wrong one nothing could run that would clear it.

Nodes exchange observations with an id and an age, and judge the merged set by a pure function. While parts explain the crashes equally, only requests with all of them are refused: sound ones lack the deadly part, run, and clear the rest. Crashes with a known cause count against nothing else, whole requests included. Quarantined parts are tried by one request of the fleet at a time.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -165,6 +165,13 @@
 	return ranked[:min(limit, len(ranked))]
 }
 
+// HasTurn reports whether Self has the highest rendezvous score for a key of the members that
+// are alive or suspect. Unlike Owns it counts weak members too.
+func (v *View) HasTurn(key string) bool {
+	first := v.Ranked(key, 1, v.canOwn)
+	return len(first) == 1 && first[0].Node == v.Self.Node
+}
+
 func sortByScore(members []Member, key string) {
 	scores := make(map[identifier.Node]uint64, len(members))
 	for i := range members {
--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -45,6 +45,8 @@
 	limitedArrivals []time.Time
 	// ending is closed and replaced by a crash.
 	ending chan struct{}
+	// isDown is set from a crash by a request until Restart.
+	isDown bool
 }
 
 // InstanceOptions configures an instance.
@@ -65,7 +67,8 @@
 	// Switch is the duration of a stage change; Changed, if set, is called at its end.
 	Switch  time.Duration
 	Changed func(stage string)
-	// Crashed is called when a request has crashed the instance. It must not block.
+	// Crashed is called when a request has crashed the instance, which then runs nothing until
+	// Restart. It must not block.
 	Crashed func()
 	// Find returns the instance at an address, for transfers between engines.
 	Find func(address string) *Instance
@@ -136,6 +139,8 @@
 	// Body is the request's body, or its beginning.
 	Body   string
 	Header http.Header
+	// BeganAt is when the instance began to work on it.
+	BeganAt time.Time
 	// Done is set if the work was completed.
 	Done bool
 }
@@ -213,6 +218,12 @@
 func (i *Instance) Crash() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	i.endProcess()
+}
+
+// endProcess ends what the instance runs and forgets what it holds. The caller must hold the
+// mutex.
+func (i *Instance) endProcess() {
 	close(i.ending)
 	i.ending = make(chan struct{})
 	i.handles = map[string]*prefilled{}
@@ -352,6 +363,35 @@
 	return ctx, cancel
 }
 
+// crashByRequest crashes the instance and calls InstanceOptions.Crashed. Other requests of the
+// same process may be about to crash it too.
+func (i *Instance) crashByRequest() {
+	i.mutex.Lock()
+	wasDown := i.isDown
+	if !wasDown {
+		i.isDown = true
+		i.endProcess()
+	}
+	i.mutex.Unlock()
+	if !wasDown {
+		i.options.Crashed()
+	}
+}
+
+// Restart lets an instance that a request has crashed serve again.
+func (i *Instance) Restart() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.isDown = false
+}
+
+// IsDown reports whether a request has crashed the instance, and it has not restarted since.
+func (i *Instance) IsDown() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.isDown
+}
+
 // begin waits for a slot and memory. It fails if the queue is full or ctx ends.
 func (i *Instance) begin(ctx context.Context, memory int) bool {
 	queued := false
@@ -475,6 +515,10 @@
 		i.end(prompt)
 		panic(http.ErrAbortHandler)
 	}
+	if i.IsDown() {
+		i.end(prompt)
+		panic(http.ErrAbortHandler)
+	}
 	run := i.recordRun(r, body)
 	held := prompt
 	defer func() { i.end(held) }()
@@ -483,8 +527,7 @@
 	header.Set("X-Server-Seal", i.options.ID)
 	header.Set("Content-Type", "text/event-stream")
 	if i.isDeadly(r) {
-		i.Crash()
-		i.options.Crashed()
+		i.crashByRequest()
 		panic(http.ErrAbortHandler)
 	}
 	if unframed, cutAfter := i.isUnframed(); unframed {
@@ -558,6 +601,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.runs = append(i.runs, Run{
+		BeganAt: time.Now(),
 		Attempt: r.Header.Get("X-Attempt-Id"),
 		Method:  r.Method,
 		Target:  r.RequestURI,
@@ -663,7 +707,7 @@
 	i.mutex.Unlock()
 	if crashes {
 		time.Sleep(crashDelay)
-		i.options.Crashed()
+		i.crashByRequest()
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,13 +36,14 @@
 type Isolator interface {
 	// IsQuarantined reports whether requests with a fingerprint are refused.
 	IsQuarantined(fingerprint uint64) bool
-	// HasQuarantinedPart reports whether requests with one of these parts are refused.
-	HasQuarantinedPart(parts []isolator.Part) bool
+	// IsPromptQuarantined reports whether a request is refused for the parts of its prompt.
+	IsPromptQuarantined(fingerprint uint64, parts []isolator.Part) bool
 	// IsSuspect reports whether a request was in flight at a crash.
 	IsSuspect(fingerprint uint64) bool
-	// ReportFinished and ReportPartsFinished clear a request that was answered completely.
+	// ReportFinished clears a request that was answered completely, and ReportPartsSound the
+	// parts of one whose answer began at a time and did not crash its engine.
 	ReportFinished(fingerprint uint64)
-	ReportPartsFinished(parts []isolator.Part)
+	ReportPartsSound(parts []isolator.Part, began time.Time)
 	// ReportCrash reports a request in flight at a back end that cannot be reached,
 	// ReportEngineCrash one in flight when an engine's process ended.
 	ReportCrash(member identifier.Member, fingerprints []uint64)
@@ -307,7 +308,7 @@
 const quarantinedMessage = "this request, or a part of its prompt, crashed several back ends"
 
 func (c *call) isQuarantined() bool {
-	return c.options.Isolator.IsQuarantined(c.request.Fingerprint) || c.options.Isolator.HasQuarantinedPart(c.request.Cost.parts())
+	return c.options.Isolator.IsQuarantined(c.request.Fingerprint) || c.options.Isolator.IsPromptQuarantined(c.request.Fingerprint, c.request.Cost.parts())
 }
 
 // releaseBody drops the body of a model request whose answer has begun, as streams last long.
@@ -403,12 +404,13 @@
 	if result != answered {
 		c.logSendFailed(backend, result, err)
 	}
-	return result == lost && c.checkCrash(backend)
+	return result == lost && c.checkCrash(backend, now.Add(-took))
 }
 
-// checkCrash checks whether a back end that lost an answer still accepts
+// checkCrash checks whether a back end that lost the answer to a request still accepts
 // connections. If not, it reports a crash. A broken connection alone is no crash.
-func (c *call) checkCrash(backend Backend) (crashed bool) {
+func (c *call) checkCrash(backend Backend, sentAt time.Time) (crashed bool) {
+	lostAt := time.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), crashCheckTimeout)
 	defer cancel()
 	if err := c.options.Reacher.Reach(ctx, backend); err == nil {
@@ -423,6 +425,8 @@
 		Member:      backend.Name,
 		Fingerprint: c.request.Fingerprint,
 		Parts:       c.request.Cost.parts(),
+		SentAt:      sentAt,
+		EndedAt:     lostAt,
 	})
 	return true
 }
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -31,12 +31,16 @@
 	sentAt time.Time
 	// begun is what Read has not returned yet of the beginSize bytes that awaitFirstEvent has
 	// read; beginError is the error of its last read, or nil.
-	begun        []byte
-	beginSize    int
-	beginError   error
-	finished     bool
-	lastEventAt  time.Time
-	longestPause time.Duration
+	begun      []byte
+	beginSize  int
+	beginError error
+	finished   bool
+	// firstEventAt is when the first event came.
+	firstEventAt time.Time
+	// soundReported is set once the parts of the prompt were reported not to crash engines.
+	soundReported bool
+	lastEventAt   time.Time
+	longestPause  time.Duration
 }
 
 type bufferedBody struct{ *bytes.Reader }
@@ -157,11 +161,27 @@
 // recordEventTime records that events arrived at now, after earlierEvents earlier ones.
 func (r *Reply) recordEventTime(now time.Time, earlierEvents int) {
 	if earlierEvents == 0 {
+		r.firstEventAt = now
 		r.call.metrics.recordFirstEvent(r.call.route.Rank, now.Sub(r.call.request.Arrived))
 	} else {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 	}
 	r.lastEventAt = now
+	if now.Sub(r.firstEventAt) >= soundAfter {
+		r.reportSound()
+	}
+}
+
+// soundAfter is how long a stream goes on after its first event until its prompt is held not to
+// crash engines. A prompt that does so crashes them as the answer begins.
+const soundAfter = time.Second
+
+func (r *Reply) reportSound() {
+	if r.soundReported {
+		return
+	}
+	r.soundReported = true
+	r.call.options.Isolator.ReportPartsSound(r.call.request.Cost.parts(), r.firstEventAt)
 }
 
 // handleReadError ends a reply that the back end cut off or that was cancelled.
@@ -186,6 +206,10 @@
 	r.finished = true
 	if r.Streaming && refusal == nil {
 		r.call.recordModelAnswer(r.backend, r.Status, time.Since(r.sentAt))
+		// The end of an unframed stream may be that of its engine.
+		if r.framed && !r.firstEventAt.IsZero() {
+			r.reportSound()
+		}
 		r.call.metrics.recordLongestPause(r.call.route.Rank, r.longestPause)
 	}
 	r.call.finish(refusal)
@@ -195,9 +219,6 @@
 func (c *call) recordModelAnswer(backend Backend, status int, took time.Duration) {
 	c.balancer.recordResult(time.Now(), backend, resultOfStatus(status), took)
 	c.options.Isolator.ReportFinished(c.request.Fingerprint)
-	if resultOfStatus(status) == answered {
-		c.options.Isolator.ReportPartsFinished(c.request.Cost.parts())
-	}
 }
 
 // Close cancels an unfinished answer. It may be called more than once.
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -8,8 +8,10 @@
 // suspect that finishes is cleared.
 //
 // Requests that have nothing else in common can also crash engines by one part of their
-// prompts. A part that was in flight at several crashes, without a request with it that
-// finished in between, is quarantined like a request.
+// prompts. Nodes exchange evidence of this, crashes and requests that ran well, and each
+// judges it by itself: the verdict depends on the set of observations only, not on their
+// order. Which part is deadly may not be known yet, so what is refused is a combination of
+// parts, which shrinks as requests with some of them run well.
 package isolator
 
 import (
@@ -44,8 +46,11 @@
 	// Nodes returns the number of live nodes, which take turns in repeating what is
 	// quarantined; nil means one.
 	Nodes func() int
-	Log   *logger.Logger
-	Scope tally.Scope
+	// HasTurn reports whether this node is the one of the fleet that a key stands for now;
+	// nil means always.
+	HasTurn func(key string) bool
+	Log     *logger.Logger
+	Scope   tally.Scope
 }
 
 // Defaults of Options.
@@ -69,14 +74,28 @@
 
 // Isolator holds one node's records of crashes. It is safe for concurrent use.
 type Isolator struct {
-	options        Options
-	refusalCounter tally.Counter
-	crashCounter   tally.Counter
-	mutex          sync.Mutex
+	options         Options
+	refusalCounter  tally.Counter
+	crashCounter    tally.Counter
+	trialCounter    tally.Counter
+	quarantineGauge tally.Gauge
+	mutex           sync.Mutex
 	// records has the requests in flight at crashes, by fingerprint.
 	records map[uint64]*requestRecord
-	// parts has the parts of the prompts in flight at crashes.
-	parts map[Part]*partRecord
+	// evidence is about the parts of prompts.
+	evidence *evidence
+	// lastCrashes has the latest crash of each part in evidence.
+	lastCrashes map[Part]time.Time
+	// recent has what this node saw of parts that may be in no crash.
+	recent recentRuns
+	// verdict is that of verdictAt on evidence; nil if evidence has changed since.
+	verdict   *verdict
+	verdictAt time.Time
+	// quarantined has the combinations that the last verdict named.
+	quarantined map[combinationKey]combination
+	// ownTrials has the latest trial of this node for each combination.
+	ownTrials map[combinationKey]ownTrial
+	random    *rand.Rand
 }
 
 // requestRecord is the crash history of one request.
@@ -99,10 +118,8 @@
 	// time because the nodes' clocks differ.
 	AgeMilliseconds int64 `json:"age-milliseconds"`
 	Finished        bool  `json:"finished,omitempty"`
-	// Prompt makes the message one about parts of a prompt instead of requests.
-	Prompt *wireParts `json:"prompt,omitempty"`
-	// Verdict makes the message one about a quarantined part.
-	Verdict *wireVerdict `json:"verdict,omitempty"`
+	// Evidence makes the message one about parts of prompts instead of requests.
+	Evidence []wireEvidence `json:"evidence,omitempty"`
 }
 
 // New returns an isolator without records.
@@ -119,6 +136,9 @@
 	if options.Nodes == nil {
 		options.Nodes = func() int { return 1 }
 	}
+	if options.HasTurn == nil {
+		options.HasTurn = func(string) bool { return true }
+	}
 	if options.Log == nil {
 		options.Log = logger.Discard()
 	}
@@ -130,16 +150,22 @@
 	}
 	scope := options.Scope.SubScope("isolator")
 	return &Isolator{
-		options:        options,
-		refusalCounter: scope.Counter("held"),
-		crashCounter:   scope.Counter("crashes"),
-		records:        map[uint64]*requestRecord{},
-		parts:          map[Part]*partRecord{},
+		options:         options,
+		refusalCounter:  scope.Counter("held"),
+		crashCounter:    scope.Counter("crashes"),
+		trialCounter:    scope.Counter("trials"),
+		quarantineGauge: scope.Gauge("quarantined-combinations"),
+		records:         map[uint64]*requestRecord{},
+		evidence:        newEvidence(),
+		lastCrashes:     map[Part]time.Time{},
+		quarantined:     map[combinationKey]combination{},
+		ownTrials:       map[combinationKey]ownTrial{},
+		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
-// Run broadcasts this node's crash reports again within each Options.Repeat, and which parts
-// are quarantined in turn with the other nodes, and removes expired records, until ctx
+// Run broadcasts this node's crash reports again within each Options.Repeat, and the evidence
+// of quarantined parts in turn with the other nodes, and removes expired records, until ctx
 // ends.
 func (i *Isolator) Run(ctx context.Context) error {
 	repeats := time.NewTimer(i.repeatDelay())
@@ -151,7 +177,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-verdicts.C:
-			i.broadcastVerdicts()
+			i.repeatEvidence()
 			verdicts.Reset(i.verdictDelay())
 		case <-repeats.C:
 			for _, message := range i.localCrashMessages() {
@@ -197,7 +223,7 @@
 	i.options.Log.Log(eventCrash, logger.Fields{"member": member, "in-flight": len(fingerprints)})
 	for part := range slices.Chunk(fingerprints, maxFingerprintsPerMessage) {
 		message := wireMessage{Member: member, Fingerprints: part}
-		i.apply(message, true)
+		i.apply(message, 0, true)
 		i.broadcast(message)
 	}
 }
@@ -209,18 +235,19 @@
 		return
 	}
 	message := wireMessage{Fingerprints: []uint64{fingerprint}, Finished: true}
-	i.apply(message, true)
+	i.apply(message, 0, true)
 	i.broadcast(message)
 }
 
-// Receive applies another node's message. It logs and drops a message that it cannot decode.
-func (i *Isolator) Receive(payload []byte) {
+// Receive applies another node's message, which was sent age ago. It logs and drops a message
+// that it cannot decode.
+func (i *Isolator) Receive(payload []byte, age time.Duration) {
 	var message wireMessage
-	if err := json.Unmarshal(payload, &message); err != nil || message.AgeMilliseconds < 0 {
+	if err := json.Unmarshal(payload, &message); err != nil || message.AgeMilliseconds < 0 || message.AgeMilliseconds > i.options.Expiry.Milliseconds() {
 		i.options.Log.Log(eventBadMessage, nil)
 		return
 	}
-	i.apply(message, false)
+	i.apply(message, age, false)
 }
 
 func (i *Isolator) broadcast(message wireMessage) {
@@ -231,22 +258,19 @@
 	i.options.Broadcast(Topic, payload)
 }
 
-func (i *Isolator) apply(message wireMessage, local bool) {
+func (i *Isolator) apply(message wireMessage, age time.Duration, local bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	at := time.Now().Add(-time.Duration(message.AgeMilliseconds) * time.Millisecond)
-	if time.Since(at) > i.options.Expiry {
-		return
-	}
-	i.removeExpired()
-	if message.Verdict != nil {
-		i.applyVerdict(message.Verdict)
+	now := time.Now()
+	if len(message.Evidence) > 0 {
+		i.applyEvidence(now, age, message.Evidence)
 		return
 	}
-	if message.Prompt != nil {
-		i.applyParts(message.Prompt, at, message.Finished)
+	at := now.Add(-age - time.Duration(message.AgeMilliseconds)*time.Millisecond)
+	if now.Sub(at) > i.options.Expiry {
 		return
 	}
+	i.removeExpired()
 	for _, fingerprint := range message.Fingerprints {
 		if message.Finished {
 			i.recordFinish(fingerprint, at)
@@ -281,13 +305,22 @@
 }
 
 // crashCount returns how many backend servers crashed with a request in flight since the
-// request last finished; 0 if its record expired. The caller must hold the mutex.
+// request last finished, without those that a part of another prompt crashed; 0 if its record
+// expired. A request that has this part itself is refused for it. The caller must hold the
+// mutex.
 func (i *Isolator) crashCount(fingerprint uint64) int {
 	r := i.records[fingerprint]
-	if r == nil || time.Since(r.lastCrash) > i.options.Expiry {
+	now := time.Now()
+	if r == nil || now.Sub(r.lastCrash) > i.options.Expiry {
 		return 0
 	}
-	return r.countCrashes()
+	count, verdict := 0, i.currentVerdict(now)
+	for member, at := range r.crashedAt {
+		if at.After(r.finishedAt) && !verdict.explains(member, at) {
+			count++
+		}
+	}
+	return count
 }
 
 func (r *requestRecord) countCrashes() int {
@@ -306,11 +339,6 @@
 			delete(i.records, fingerprint)
 		}
 	}
-	for part, r := range i.parts {
-		if time.Since(r.lastCrash) > i.options.Expiry {
-			delete(i.parts, part)
-		}
-	}
 }
 
 // evictIfFull removes a record if there are Options.Capacity records: the one with the
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -1,7 +1,8 @@
 package isolator
 
 import (
-	"math/rand/v2"
+	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -10,304 +11,382 @@
 	"github.com/foxtailspool/foxtailspool/logger"
 )
 
-// Part is the id of a part of a prompt that several requests can share.
-type Part uint64
-
 // Crash is the end of an engine's process with a request in flight.
 type Crash struct {
 	Member      identifier.Member
 	Fingerprint uint64
-	// Parts are the shared parts of the request's prompt, the one that most requests
-	// share first.
+	// Parts are the parts of the request's prompt that other requests can share.
 	Parts []Part
+	// SentAt is when the request was sent, EndedAt when the end of the process was seen.
+	SentAt, EndedAt time.Time
 }
 
 const (
-	// partThreshold is the number of crashes after which a part is quarantined. It is
-	// larger than poisonThreshold: many requests share a part, so that one is more often
-	// in flight at a crash with another cause.
-	partThreshold = 3
-	// simultaneousCrashes is the time within which crashes count as one. Processes that
-	// end at the same moment have a common cause outside the requests.
-	simultaneousCrashes = 250 * time.Millisecond
-	// sameCrash is the time within which reports of an engine's end are of the same one. It
-	// is shorter than an engine's restart, and an engine may keep its name in a restart.
-	sameCrash = 1500 * time.Millisecond
-	// maxCrashesPerPart bounds a record; the oldest crashes are dropped.
-	maxCrashesPerPart = 16
-	// partTrialDelay is the time after the last crash at which a quarantined part is tried
-	// again; it doubles with each crash above partThreshold, up to Options.Expiry.
-	partTrialDelay = time.Minute
-	// verdictInterval is the mean time between two broadcasts of a quarantined part by any
-	// node of the fleet: a node that starts or was cut off learns of it within seconds.
+	// verdictInterval is the mean time between two broadcasts of the evidence of quarantines
+	// by any node of the fleet: a node that starts or was cut off learns of it within seconds.
 	verdictInterval = 500 * time.Millisecond
-	// maxCrashesPerVerdict keeps a message below the gossip's size limit.
-	maxCrashesPerVerdict = 4
-	// maxPartsPerMessage keeps a message below the gossip's size limit.
+	// repeatedCrashes bounds the crashes of one combination that a broadcast has.
+	repeatedCrashes = doubtfulThreshold
+	// maxRepeats bounds the messages of one broadcast of evidence.
+	maxRepeats = 2
+	// maxMessageBytes is the gossip's size limit.
+	maxMessageBytes = 512
+	// maxPartsPerMessage keeps a message below maxMessageBytes.
 	maxPartsPerMessage = 8
+	// trialSlot is the time for which one node may start a trial, if a request comes in the
+	// first trialWindow of it. The rest is for the start to become known.
+	trialSlot   = time.Second
+	trialWindow = 600 * time.Millisecond
 )
 
-// partRecord is the crash history of a part.
-type partRecord struct {
-	// crashes has the crashes since finishedAt that no other part explains, in order of
-	// time.
-	crashes   []partCrash
-	lastCrash time.Time
-	// finishedAt is when a request with the part last finished.
-	finishedAt time.Time
-}
-
-type partCrash struct {
-	member identifier.Member
-	at     time.Time
-}
-
-// isSame reports whether two reports are of the same crash.
-func (c partCrash) isSame(other partCrash) bool {
-	return c.member == other.member && c.at.Sub(other.at).Abs() < sameCrash
-}
-
-// wireParts is the part of a message that reports a crash with a prompt's parts in
-// flight, or that a request with the parts finished.
-type wireParts struct {
-	Parts []Part `json:"parts"`
-	// Member is the engine that crashed.
+// wireEvidence is one observation. Its ages are used instead of times because the nodes'
+// clocks differ.
+type wireEvidence struct {
+	ID    evidenceID `json:"id"`
+	Parts []Part     `json:"parts"`
+	// Member is the engine that crashed, in a crash report.
 	Member identifier.Member `json:"member,omitempty"`
-}
-
-// wireVerdict tells why a part is quarantined.
-type wireVerdict struct {
-	Part Part `json:"part"`
-	// Crashes has the latest crashes.
-	Crashes []wireCrash `json:"crashes"`
-}
-
-type wireCrash struct {
-	Member          identifier.Member `json:"member"`
-	AgeMilliseconds int64             `json:"age-milliseconds"`
+	// Trial makes it the start of a trial. Without it and Member, a request ran well.
+	Trial bool `json:"trial,omitempty"`
+	// AgeMilliseconds is how long ago the crash was, the answer began or the trial started.
+	AgeMilliseconds int64 `json:"age-milliseconds"`
+	// SentAgeMilliseconds, of a crash report, is how long ago the request was sent.
+	SentAgeMilliseconds int64 `json:"sent-age-milliseconds,omitempty"`
 }
 
 // ReportEngineCrash records and broadcasts the crash of an engine's process with a request
 // of this node in flight. The engine must have ended; an engine that cannot be reached
 // says nothing about the prompt.
-func (i *Isolator) ReportEngineCrash(crash Crash) {
-	i.ReportCrash(crash.Member, []uint64{crash.Fingerprint})
-	parts := crash.Parts[:min(len(crash.Parts), maxPartsPerMessage)]
+func (i *Isolator) ReportEngineCrash(c Crash) {
+	i.ReportCrash(c.Member, []uint64{c.Fingerprint})
+	parts := sortedParts(c.Parts)
 	if len(parts) == 0 {
 		return
 	}
-	i.options.Log.Log(eventPartsCrash, logger.Fields{"member": crash.Member, "parts": formatParts(parts)})
-	message := wireMessage{Prompt: &wireParts{Parts: parts, Member: crash.Member}}
-	i.apply(message, true)
-	i.broadcast(message)
+	i.options.Log.Log(eventPartsCrash, logger.Fields{"member": c.Member, "parts": formatParts(parts)})
+	now := time.Now()
+	report := crashReport{member: c.Member, parts: parts, sentAt: c.SentAt, endedAt: c.EndedAt}
+	if report.endedAt.IsZero() {
+		report.endedAt = now
+	}
+	if report.sentAt.IsZero() {
+		report.sentAt = report.endedAt
+	}
+	i.mutex.Lock()
+	if i.evidence.hasSame(report) {
+		i.mutex.Unlock()
+		return
+	}
+	id := i.newEvidenceID()
+	i.evidence.addReport(id, report)
+	messages := append([]wireEvidence{report.wire(now, id)}, i.shareRecent(now, parts)...)
+	i.evidenceChanged(now)
+	i.mutex.Unlock()
+	i.broadcastEvidence(messages)
 }
 
-// ReportPartsFinished records and broadcasts that a request with these parts finished, so
-// that the crashes until now do not count.
-func (i *Isolator) ReportPartsFinished(parts []Part) {
+// ReportPartsSound records that a request with these parts ran well, and broadcasts it if it
+// clears one of them. The answer must have been complete, or have gone on for longer than a
+// crash takes, and began when its first event came.
+func (i *Isolator) ReportPartsSound(parts []Part, began time.Time) {
+	parts = sortedParts(parts)
+	now := time.Now()
 	i.mutex.Lock()
-	var crashed []Part
-	for _, part := range parts[:min(len(parts), maxPartsPerMessage)] {
-		if r := i.parts[part]; r != nil && len(r.crashes) > 0 {
-			crashed = append(crashed, part)
+	run := soundRun{i.newEvidenceID(), began}
+	var cleared []Part
+	for _, part := range parts {
+		i.recent.add(part, run)
+		if at, ok := i.lastCrashes[part]; ok && !i.evidence.isSound(part, at) && began.After(at.Add(soundMargin)) {
+			cleared = append(cleared, part)
 		}
 	}
-	i.mutex.Unlock()
-	if len(crashed) == 0 {
-		return
+	var messages []wireEvidence
+	if len(cleared) > 0 {
+		i.evidence.addSound(cleared, run)
+		messages = append(messages, run.wire(now, cleared))
+		i.evidenceChanged(now)
 	}
-	message := wireMessage{Prompt: &wireParts{Parts: crashed}, Finished: true}
-	i.apply(message, true)
-	i.broadcast(message)
+	i.mutex.Unlock()
+	i.broadcastEvidence(messages)
 }
 
-// HasQuarantinedPart reports whether a request with these parts must not be sent to any
-// engine.
-func (i *Isolator) HasQuarantinedPart(parts []Part) bool {
+// IsPromptQuarantined reports whether a request with these parts must not be sent to any
+// engine. Of the requests of all nodes that it would refuse it lets one through from time to
+// time, to which it returns false each time, so that parts that are no longer deadly come back
+// into use.
+func (i *Isolator) IsPromptQuarantined(fingerprint uint64, parts []Part) bool {
 	i.mutex.Lock()
-	defer i.mutex.Unlock()
 	now := time.Now()
-	for _, part := range parts {
-		if r := i.parts[part]; r != nil && i.isPartQuarantined(now, r) {
-			i.refusalCounter.Inc(1)
-			return true
+	var matching []quarantine
+	for _, q := range i.currentVerdict(now).quarantines {
+		if q.parts.isIn(parts) {
+			matching = append(matching, q)
 		}
 	}
-	return false
-}
-
-func (i *Isolator) isPartQuarantined(now time.Time, r *partRecord) bool {
-	crashes := r.countCrashes()
-	if crashes < partThreshold {
-		return false
+	refused := len(matching) > 0
+	var messages []wireEvidence
+	if len(matching) == 1 {
+		var started *wireEvidence
+		if refused, started = i.refuseOrTry(now, fingerprint, parts, matching[0]); started != nil {
+			messages = append(messages, *started)
+		}
 	}
-	delay := i.options.Expiry
-	if doublings := crashes - partThreshold; doublings < 10 {
-		delay = min(delay, partTrialDelay<<doublings)
+	i.mutex.Unlock()
+	i.broadcastEvidence(messages)
+	if refused {
+		i.refusalCounter.Inc(1)
 	}
-	return now.Sub(r.lastCrash) < delay
+	return refused
 }
 
-// countCrashes counts crashes that happened within simultaneousCrashes as one.
-func (r *partRecord) countCrashes() int {
-	count := 0
-	var counted time.Time
-	for _, crash := range r.crashes {
-		if count == 0 || crash.at.Sub(counted) > simultaneousCrashes {
-			count, counted = count+1, crash.at
-		}
+// refuseOrTry decides whether a request with quarantined parts is refused. It returns the
+// message of a trial that it starts. The caller must hold the mutex.
+func (i *Isolator) refuseOrTry(now time.Time, fingerprint uint64, parts []Part, q quarantine) (refused bool, started *wireEvidence) {
+	key := q.parts.key()
+	if own, ok := i.ownTrials[key]; ok && own.fingerprint == fingerprint && own.startedAt.After(q.lastCrash) && now.Sub(own.startedAt) < trialTimeout {
+		return false, nil
 	}
-	return count
+	if !i.mayStartTrial(now, parts, q) {
+		return true, nil
+	}
+	maps.DeleteFunc(i.ownTrials, func(_ combinationKey, t ownTrial) bool { return now.Sub(t.startedAt) > trialTimeout })
+	t := trial{i.newEvidenceID(), now}
+	i.evidence.addTrial(key, t)
+	i.ownTrials[key] = ownTrial{fingerprint, now}
+	i.evidenceChanged(now)
+	i.trialCounter.Inc(1)
+	i.options.Log.Log(eventPartTrial, logger.Fields{"parts": formatParts(q.parts), "crashes": q.crashes})
+	return false, &wireEvidence{ID: t.id, Parts: q.parts, Trial: true}
 }
 
-// applyParts applies a message about parts. The caller must hold the mutex.
-func (i *Isolator) applyParts(prompt *wireParts, at time.Time, finished bool) {
-	parts := prompt.Parts[:min(len(prompt.Parts), maxPartsPerMessage)]
-	if finished {
-		for _, part := range parts {
-			i.recordPartFinished(part, at)
-		}
-		return
-	}
-	crash := partCrash{prompt.Member, at}
-	if i.isExplained(crash) {
-		return
-	}
-	if culprit, known := i.knownCulprit(parts); known {
-		i.recordPartCrash(culprit, crash)
-		i.clearOthers(culprit)
-		return
+// mayStartTrial reports whether this node may let a request through now. The caller must hold
+// the mutex.
+func (i *Isolator) mayStartTrial(now time.Time, parts []Part, q quarantine) bool {
+	since := now.Sub(q.trialFrom)
+	if since < 0 || since%trialSlot >= trialWindow {
+		return false
 	}
+	// The crash of a request that has other suspects would say nothing about these.
 	for _, part := range parts {
-		i.recordPartCrash(part, crash)
-	}
-	if culprit, known := i.knownCulprit(parts); known {
-		i.options.Log.Log(eventPartQuarantined, logger.Fields{"part": formatParts([]Part{culprit}), "crashes": len(i.parts[culprit].crashes)})
-		i.clearOthers(culprit)
+		if q.doubtful && i.verdict.suspects[part] && !slices.Contains(q.parts, part) {
+			return false
+		}
 	}
+	turn := strconv.FormatUint(uint64(q.parts.key()), 16) + "/" + strconv.FormatInt(int64(since/trialSlot), 10)
+	return i.options.HasTurn(turn)
 }
 
-// isExplained reports whether an engine crashed because of a part that has reached the
-// threshold. The other requests that it ran are not suspects then.
-func (i *Isolator) isExplained(crash partCrash) bool {
-	for _, r := range i.parts {
-		if r.has(crash) && r.countCrashes() >= partThreshold {
-			return true
+// ownTrial is a request of this node that is let through.
+type ownTrial struct {
+	fingerprint uint64
+	startedAt   time.Time
+}
+
+// applyEvidence merges observations of another node, which were made age earlier than they say.
+// The caller must hold the mutex.
+func (i *Isolator) applyEvidence(now time.Time, age time.Duration, received []wireEvidence) {
+	for _, w := range received {
+		parts := sortedParts(w.Parts)
+		at := now.Add(-age - time.Duration(w.AgeMilliseconds)*time.Millisecond)
+		sentAt := now.Add(-age - time.Duration(w.SentAgeMilliseconds)*time.Millisecond)
+		if len(parts) == 0 || !w.isValid(i.options.Expiry) {
+			continue
+		}
+		switch {
+		case w.Trial:
+			i.evidence.addTrial(combination(parts).key(), trial{w.ID, at})
+		case w.Member != "":
+			i.evidence.addReport(w.ID, crashReport{w.Member, parts, earlierOf(sentAt, at), at})
+		default:
+			i.evidence.addSound(parts, soundRun{w.ID, at})
 		}
 	}
-	return false
+	i.evidenceChanged(now)
 }
 
-func (r *partRecord) has(crash partCrash) bool {
-	return slices.ContainsFunc(r.crashes, crash.isSame)
+// isValid reports whether the ages are in bounds. It must be called before they are used as
+// durations.
+func (w wireEvidence) isValid(oldest time.Duration) bool {
+	return w.AgeMilliseconds >= 0 && w.AgeMilliseconds <= oldest.Milliseconds() &&
+		w.SentAgeMilliseconds >= 0 && w.SentAgeMilliseconds <= oldest.Milliseconds()
 }
 
-// knownCulprit returns the last part that has reached the threshold: a part before it is
-// shared with more requests, and would crash engines without it too.
-func (i *Isolator) knownCulprit(parts []Part) (Part, bool) {
-	for _, part := range slices.Backward(parts) {
-		if r := i.parts[part]; r != nil && r.countCrashes() >= partThreshold {
-			return part, true
+// evidenceChanged makes the next verdict a new one. The caller must hold the mutex.
+func (i *Isolator) evidenceChanged(now time.Time) {
+	i.evidence.removeBefore(now.Add(-i.options.Expiry))
+	i.verdict = nil
+	clear(i.lastCrashes)
+	for _, r := range i.evidence.reports {
+		for _, part := range r.parts {
+			i.lastCrashes[part] = laterOf(i.lastCrashes[part], r.endedAt)
 		}
 	}
-	return 0, false
 }
 
-// clearOthers clears all other parts of the crashes of one that has reached the threshold.
-func (i *Isolator) clearOthers(culprit Part) {
-	for part, r := range i.parts {
-		if part != culprit {
-			r.crashes = slices.DeleteFunc(r.crashes, i.parts[culprit].has)
+// verdictLifetime is the time after which a verdict is made anew, as evidence expires.
+const verdictLifetime = 10 * time.Second
+
+// currentVerdict returns the verdict on the present evidence, and logs how it differs from the
+// one before. The caller must hold the mutex.
+func (i *Isolator) currentVerdict(now time.Time) *verdict {
+	if i.verdict != nil && (len(i.evidence.reports) == 0 || now.Sub(i.verdictAt) < verdictLifetime) {
+		return i.verdict
+	}
+	i.evidence.removeBefore(now.Add(-i.options.Expiry))
+	i.verdict, i.verdictAt = i.evidence.judge(), now
+	quarantined := map[combinationKey]combination{}
+	for _, q := range i.verdict.quarantines {
+		key := q.parts.key()
+		quarantined[key] = q.parts
+		if _, known := i.quarantined[key]; !known {
+			i.options.Log.Log(eventPartQuarantined, logger.Fields{
+				"parts": formatParts(q.parts), "crashes": q.crashes, "doubtful": q.doubtful, "last-crash-ms": now.Sub(q.lastCrash).Milliseconds(),
+			})
+		}
+	}
+	for key, parts := range i.quarantined {
+		if _, still := quarantined[key]; !still {
+			i.options.Log.Log(eventPartReleased, logger.Fields{"parts": formatParts(parts)})
+			delete(i.ownTrials, key)
 		}
 	}
+	i.quarantined = quarantined
+	i.quarantineGauge.Update(float64(len(quarantined)))
+	return i.verdict
 }
 
-func (i *Isolator) recordPartCrash(part Part, crash partCrash) {
-	r := i.parts[part]
-	if r == nil {
-		i.evictPartIfFull()
-		r = &partRecord{}
-		i.parts[part] = r
-	}
-	r.lastCrash = laterOf(r.lastCrash, crash.at)
-	if !crash.at.After(r.finishedAt) || r.has(crash) {
-		return
+// shareRecent moves what this node alone knows of requests that ran well with these parts into
+// the evidence, and returns it for the other nodes. The caller must hold the mutex.
+func (i *Isolator) shareRecent(now time.Time, parts []Part) []wireEvidence {
+	byRun := map[soundRun][]Part{}
+	for _, part := range parts {
+		run, ok := i.recent.find(part)
+		at, crashed := i.lastCrashes[part]
+		clears := crashed && run.began.After(at.Add(soundMargin)) && !i.evidence.isSound(part, at)
+		if ok && now.Sub(run.began) < i.options.Expiry && (clears || !i.evidence.ranWell(part)) {
+			byRun[run] = append(byRun[run], part)
+		}
 	}
-	r.crashes = append(r.crashes, crash)
-	slices.SortFunc(r.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
-	if excess := len(r.crashes) - maxCrashesPerPart; excess > 0 {
-		r.crashes = slices.Delete(r.crashes, 0, excess)
+	var messages []wireEvidence
+	for run, parts := range byRun {
+		i.evidence.addSound(parts, run)
+		messages = append(messages, run.wire(now, parts))
 	}
+	return messages
 }
 
-func (i *Isolator) recordPartFinished(part Part, at time.Time) {
-	r := i.parts[part]
-	if r == nil {
-		return
+// repeatEvidence broadcasts the evidence of the quarantines, for nodes that missed it, and what
+// this node alone knows of the suspects.
+func (i *Isolator) repeatEvidence() {
+	i.mutex.Lock()
+	now := time.Now()
+	var suspects []Part
+	for part := range i.lastCrashes {
+		suspects = append(suspects, part)
+	}
+	messages := i.shareRecent(now, suspects)
+	if len(messages) > 0 {
+		i.evidenceChanged(now)
+	}
+	for _, q := range i.currentVerdict(now).quarantines {
+		messages = append(messages, i.evidenceOf(now, q)...)
+	}
+	batches := packEvidence(messages)
+	i.random.Shuffle(len(batches), func(a, b int) { batches[a], batches[b] = batches[b], batches[a] })
+	i.mutex.Unlock()
+	for _, batch := range batches[:min(len(batches), maxRepeats)] {
+		i.broadcast(wireMessage{Evidence: batch})
 	}
-	r.finishedAt = laterOf(r.finishedAt, at)
-	r.crashes = slices.DeleteFunc(r.crashes, func(crash partCrash) bool { return !crash.at.After(r.finishedAt) })
 }
 
-// evictPartIfFull removes the record of a part if there are Options.Capacity: the one with
-// the fewest crashes, of those the one with the oldest. The caller must hold the mutex.
-func (i *Isolator) evictPartIfFull() {
-	if len(i.parts) < i.options.Capacity {
-		return
+// evidenceOf returns the latest reports that a quarantine is based on, what is known of their
+// other parts, and the latest trial. The caller must hold the mutex.
+func (i *Isolator) evidenceOf(now time.Time, q quarantine) []wireEvidence {
+	ids := slices.SortedFunc(maps.Keys(i.evidence.reports), func(a, b evidenceID) int {
+		return i.evidence.reports[b].endedAt.Compare(i.evidence.reports[a].endedAt)
+	})
+	var messages []wireEvidence
+	known := map[soundRun][]Part{}
+	included := map[Part]bool{}
+	last := time.Time{}
+	for _, id := range ids {
+		r := i.evidence.reports[id]
+		if !q.parts.isIn(r.parts) || len(messages) == repeatedCrashes || !last.IsZero() && last.Sub(r.endedAt) <= simultaneousCrashes {
+			continue
+		}
+		last = r.endedAt
+		messages = append(messages, r.wire(now, id))
+		for _, part := range r.parts {
+			if run, ok := i.evidence.sound[part]; ok && !included[part] {
+				included[part] = true
+				known[run] = append(known[run], part)
+			}
+		}
 	}
-	var evicted Part
-	var evictedRecord *partRecord
-	for part, r := range i.parts {
-		older := evictedRecord == nil || len(r.crashes) < len(evictedRecord.crashes) ||
-			len(r.crashes) == len(evictedRecord.crashes) && r.lastCrash.Before(evictedRecord.lastCrash)
-		if older {
-			evicted, evictedRecord = part, r
+	for run, parts := range known {
+		for chunk := range slices.Chunk(parts, maxPartsPerMessage) {
+			messages = append(messages, run.wire(now, chunk))
 		}
 	}
-	delete(i.parts, evicted)
+	if t, ok := i.evidence.trials[q.parts.key()]; ok {
+		messages = append(messages, wireEvidence{ID: t.id, Parts: q.parts, Trial: true, AgeMilliseconds: now.Sub(t.startedAt).Milliseconds()})
+	}
+	return messages
 }
 
-// broadcastVerdicts tells the other nodes which parts are quarantined.
-func (i *Isolator) broadcastVerdicts() {
-	i.mutex.Lock()
-	now := time.Now()
-	var verdicts []wireVerdict
-	for part, r := range i.parts {
-		if i.isPartQuarantined(now, r) {
-			verdicts = append(verdicts, r.verdict(now, part))
-		}
-	}
-	i.mutex.Unlock()
-	for _, verdict := range verdicts {
-		i.broadcast(wireMessage{Verdict: &verdict})
+func (r crashReport) wire(now time.Time, id evidenceID) wireEvidence {
+	return wireEvidence{
+		ID: id, Parts: r.parts, Member: r.member,
+		AgeMilliseconds: now.Sub(r.endedAt).Milliseconds(), SentAgeMilliseconds: now.Sub(r.sentAt).Milliseconds(),
 	}
 }
 
-func (r *partRecord) verdict(now time.Time, part Part) wireVerdict {
-	verdict := wireVerdict{Part: part}
-	for _, crash := range r.crashes[max(0, len(r.crashes)-maxCrashesPerVerdict):] {
-		verdict.Crashes = append(verdict.Crashes, wireCrash{crash.member, now.Sub(crash.at).Milliseconds()})
+func (r soundRun) wire(now time.Time, parts []Part) wireEvidence {
+	return wireEvidence{ID: r.id, Parts: parts, AgeMilliseconds: now.Sub(r.began).Milliseconds()}
+}
+
+func (i *Isolator) broadcastEvidence(messages []wireEvidence) {
+	for _, batch := range packEvidence(messages) {
+		i.broadcast(wireMessage{Evidence: batch})
 	}
-	return verdict
 }
 
-// applyVerdict records the crashes that another node knows of. The caller must hold the
-// mutex.
-func (i *Isolator) applyVerdict(verdict *wireVerdict) {
-	for _, crash := range verdict.Crashes {
-		age := time.Duration(crash.AgeMilliseconds) * time.Millisecond
-		if age >= 0 && age <= i.options.Expiry {
-			i.recordPartCrash(verdict.Part, partCrash{crash.Member, time.Now().Add(-age)})
+// packEvidence groups observations into messages below maxMessageBytes.
+func packEvidence(messages []wireEvidence) [][]wireEvidence {
+	var batches [][]wireEvidence
+	for _, message := range messages {
+		if last := len(batches) - 1; last >= 0 && fitsMessage(append(slices.Clip(batches[last]), message)) {
+			batches[last] = append(batches[last], message)
+			continue
 		}
+		batches = append(batches, []wireEvidence{message})
 	}
+	return batches
+}
+
+func fitsMessage(batch []wireEvidence) bool {
+	payload, err := json.Marshal(wireMessage{Evidence: batch})
+	return err == nil && len(payload) <= maxMessageBytes
 }
 
-// verdictDelay returns how long this node waits before it broadcasts its verdicts again.
+// verdictDelay returns how long this node waits before it broadcasts evidence again.
 func (i *Isolator) verdictDelay() time.Duration {
 	mean := verdictInterval * time.Duration(max(1, i.options.Nodes()))
-	return mean/2 + rand.N(mean)
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return mean/2 + time.Duration(i.random.Int64N(int64(mean)))
 }
 
+// sortedParts returns up to maxPartsPerMessage parts, sorted, without duplicates.
+func sortedParts(parts []Part) []Part {
+	sorted := slices.Clone(parts[:min(len(parts), maxPartsPerMessage)])
+	slices.Sort(sorted)
+	return slices.Compact(sorted)
+}
+
+// newEvidenceID returns an id that no other observation has. The caller must hold the mutex.
+func (i *Isolator) newEvidenceID() evidenceID { return evidenceID(i.random.Uint64()) }
+
 func formatParts(parts []Part) []string {
 	texts := make([]string, 0, len(parts))
 	for _, part := range parts {
@@ -315,3 +394,31 @@
 	}
 	return texts
 }
+
+// recentRuns has the latest request of this node that ran well with a part. It keeps at least
+// the last recentParts parts.
+type recentRuns struct {
+	// current has at most recentParts parts; older is what it had when it was last full.
+	current, older map[Part]soundRun
+}
+
+// recentParts bounds the parts of recentRuns.
+const recentParts = 4096
+
+func (r *recentRuns) add(part Part, run soundRun) {
+	if len(r.current) >= recentParts {
+		r.older, r.current = r.current, nil
+	}
+	if r.current == nil {
+		r.current = map[Part]soundRun{}
+	}
+	r.current[part] = run
+}
+
+func (r *recentRuns) find(part Part) (soundRun, bool) {
+	if run, ok := r.current[part]; ok {
+		return run, true
+	}
+	run, ok := r.older[part]
+	return run, ok
+}
--- /dev/null
+++ b/isolator/verdict_test.go
@@ -0,0 +1,187 @@
+package isolator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/foxtailspool/foxtailspool/identifier"
+)
+
+// TestVerdictDependsOnNoOrder guards against nodes that come to different verdicts because the
+// same observations reached them in different orders, or more than once.
+func TestVerdictDependsOnNoOrder(t *testing.T) {
+	began := time.Now()
+	rapid.Check(t, func(r *rapid.T) {
+		var observations []func(e *evidence)
+		drawTime := func(label string) time.Time {
+			return began.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(r, label)) * time.Millisecond)
+		}
+		drawParts := func() []Part {
+			return sortedParts(rapid.SliceOfN(rapid.Map(rapid.IntRange(1, 6), func(n int) Part { return Part(n) }), 1, 4).Draw(r, "parts"))
+		}
+		for n := range rapid.IntRange(0, 24).Draw(r, "observations") {
+			id, parts, at := evidenceID(n), drawParts(), drawTime("at")
+			switch rapid.IntRange(0, 5).Draw(r, "kind") {
+			case 0:
+				observations = append(observations, func(e *evidence) { e.addSound(parts, soundRun{id, at}) })
+			case 1:
+				observations = append(observations, func(e *evidence) { e.addTrial(combination(parts).key(), trial{id, at}) })
+			default:
+				member := identifier.Member(fmt.Sprint("engine-", rapid.IntRange(0, 3).Draw(r, "engine")))
+				sentAt := at.Add(-time.Duration(rapid.IntRange(0, 5_000).Draw(r, "sent")) * time.Millisecond)
+				observations = append(observations, func(e *evidence) { e.addReport(id, crashReport{member, parts, sentAt, at}) })
+			}
+		}
+		merge := func(all []func(e *evidence)) *verdict {
+			e := newEvidence()
+			for _, add := range all {
+				add(e)
+			}
+			return e.judge()
+		}
+		want := merge(observations)
+		shuffled := rapid.Permutation(observations).Draw(r, "order")
+		repeated := append(shuffled, shuffled[:len(shuffled)/2]...)
+		if got := merge(repeated); !reflect.DeepEqual(got, want) {
+			r.Fatalf("%+v in one order, %+v in another", want, got)
+		}
+		for _, q := range want.quarantines {
+			if len(q.parts) == 0 || q.crashes < certainThreshold {
+				r.Fatalf("%+v is quarantined", q)
+			}
+		}
+	})
+}
+
+// TestCrashSeenLateIsTheSame guards against two crashes in place of one when a node that was
+// cut off sees the end of a process seconds after the others.
+func TestCrashSeenLateIsTheSame(t *testing.T) {
+	began := time.Now()
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	for name, test := range map[string]struct {
+		sentAt, endedAt float64
+		crashes         int
+	}{
+		"in flight, seen late":          {sentAt: 9, endedAt: 30, crashes: 1},
+		"in flight, seen at once":       {sentAt: 9, endedAt: 10.1, crashes: 1},
+		"sent as the process ended":     {sentAt: 10.2, endedAt: 10.4, crashes: 1},
+		"sent to the restarted process": {sentAt: 14, endedAt: 15, crashes: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEvidence()
+			e.addReport(1, crashReport{"engine", []Part{1}, at(5), at(10)})
+			e.addReport(2, crashReport{"engine", []Part{2}, at(test.sentAt), at(test.endedAt)})
+			if got := len(e.crashes()); got != test.crashes {
+				t.Errorf("%d crashes", got)
+			}
+		})
+	}
+}
+
+// TestBystandersOfDeadlyPartRun guards against a sound request that is refused as poison
+// because it was in flight at two crashes that a part of other prompts caused.
+func TestBystandersOfDeadlyPartRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, crash := newPartsFleet()
+		const bystander = 7
+		for at := range certainThreshold {
+			n.isolators["a"].ReportEngineCrash(Crash{Member: identifier.Member(fmt.Sprint("decode-", at)), Fingerprint: bystander, Parts: []Part{sharedPart, soundPart + Part(at)}})
+			crash(at, sharedPart, deadlyPart)
+			time.Sleep(time.Second)
+		}
+		for node, i := range n.isolators {
+			if i.IsQuarantined(bystander) || i.IsPromptQuarantined(bystander, []Part{sharedPart, soundPart}) {
+				t.Errorf("node %s refuses the bystander", node)
+			}
+		}
+	})
+}
+
+// TestMessagesKeepTheirAge guards against a crash that looks new to a node that joins, so that
+// it quarantines longer than the others.
+func TestMessagesKeepTheirAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var payloads [][]byte
+		var sent []time.Time
+		reporter := New(Options{Broadcast: func(_ string, payload []byte) { payloads, sent = append(payloads, payload), append(sent, time.Now()) }})
+		for at := range certainThreshold {
+			reporter.ReportEngineCrash(Crash{Member: identifier.Member(fmt.Sprint("decode-", at)), Fingerprint: uint64(at), Parts: []Part{deadlyPart}})
+			time.Sleep(time.Second)
+		}
+		time.Sleep(certainTrialDelay / 2)
+		late := New(Options{})
+		for n, payload := range payloads {
+			late.Receive(payload, time.Since(sent[n]))
+		}
+		got, want := late.currentVerdict(time.Now()), reporter.currentVerdict(time.Now())
+		if !reflect.DeepEqual(got, want) || len(want.quarantines) != 1 {
+			t.Errorf("the late node's verdict is %+v, that of the others %+v", got, want)
+		}
+	})
+}
+
+// TestEvidenceFitsGossipMessages guards against lost evidence, and against evidence that grows
+// without bound.
+func TestEvidenceFitsGossipMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		largest, messages := 0, 0
+		i := New(Options{Broadcast: func(_ string, payload []byte) { largest, messages = max(largest, len(payload)), messages+1 }})
+		random := rand.New(rand.NewPCG(1, 2))
+		for n := range 4 * maxReports {
+			var parts []Part
+			for range 2 * maxPartsPerMessage {
+				parts = append(parts, Part(random.Uint64()|1<<63))
+			}
+			i.ReportEngineCrash(Crash{Member: identifier.Member(strings.Repeat("m", 64)), Fingerprint: uint64(n), Parts: parts})
+			i.ReportPartsSound(parts, time.Now().Add(time.Second))
+			time.Sleep(10 * time.Millisecond)
+		}
+		before := messages
+		i.repeatEvidence()
+		if largest > maxMessageBytes || messages-before > maxRepeats {
+			t.Errorf("messages of up to %d bytes, %d of them in one repeat", largest, messages-before)
+		}
+		if len(i.evidence.reports) > maxReports || len(i.evidence.sound) > maxReports || len(i.lastCrashes) > maxReports*maxPartsPerMessage {
+			t.Errorf("%d reports, %d parts that ran well", len(i.evidence.reports), len(i.evidence.sound))
+		}
+	})
+}
+
+// FuzzReceive guards against messages of other nodes that end the process, grow the records
+// without bound or date an observation in the future.
+func FuzzReceive(f *testing.F) {
+	sample, _ := json.Marshal(wireMessage{Evidence: []wireEvidence{
+		{ID: 1, Parts: []Part{1, 2}, Member: "decode-1", AgeMilliseconds: 20, SentAgeMilliseconds: 900},
+		{ID: 2, Parts: []Part{1}, AgeMilliseconds: 10},
+		{ID: 3, Parts: []Part{2}, Trial: true},
+	}})
+	f.Add(sample, int64(0))
+	f.Add([]byte(`{"evidence":[{"id":1,"parts":[],"member":"x","age-milliseconds":-9223372036854775808}]}`), int64(1))
+	f.Add([]byte(`{"member":"x","fingerprints":[1],"age-milliseconds":9223372036854775807}`), int64(300_000))
+	f.Fuzz(func(t *testing.T, payload []byte, ageMilliseconds int64) {
+		i := New(Options{})
+		i.Receive(payload, max(0, time.Duration(ageMilliseconds%300_000)*time.Millisecond))
+		now := time.Now()
+		for _, r := range i.evidence.reports {
+			if r.endedAt.After(now) || r.sentAt.After(r.endedAt) || len(r.parts) > maxPartsPerMessage || !slices.IsSorted(r.parts) {
+				t.Errorf("report %+v", r)
+			}
+		}
+		for _, q := range i.currentVerdict(now).quarantines {
+			if len(q.parts) == 0 {
+				t.Errorf("quarantine %+v", q)
+			}
+		}
+		i.IsPromptQuarantined(1, []Part{1, 2})
+		i.repeatEvidence()
+	})
+}
--- a/server/services.go
+++ b/server/services.go
@@ -224,7 +224,7 @@
 		Log:       s.options.Log,
 		Scope:     s.options.Scope,
 	})
-	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
+	s.prober.SubscribeWithAge(isolator.Topic, s.isolator.Receive)
 }
 
 func (s *Server) newRouter() {
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -186,6 +186,7 @@
 	f.network.Kill(ip)
 	f.restarts.Go(func() {
 		time.Sleep(instanceRestartTime)
+		f.instances[id].Restart()
 		f.serve(ip, strings.TrimPrefix(id, "i-"), f.instances[id])
 	})
 }
--- a/starter/services.go
+++ b/starter/services.go
@@ -195,10 +195,11 @@
 	s.isolator = isolator.New(isolator.Options{
 		Broadcast: s.prober.Broadcast,
 		Nodes:     func() int { return len(s.prober.View().Live()) },
+		HasTurn:   func(key string) bool { return s.prober.View().HasTurn(key) },
 		Log:       s.options.Log,
 		Scope:     s.options.Scope,
 	})
-	s.prober.Subscribe(isolator.Topic, s.isolator.Receive)
+	s.prober.SubscribeWithAge(isolator.Topic, s.isolator.Receive)
 	s.quotas = limiter.NewQuotas(limiter.QuotaOptions{
 		View:      s.prober.View,
 		Broadcast: s.prober.Broadcast,
