starter: play a deadly part in the soak

From on a sixth kind sends requests of which some have a deadly part, beside ends of nodes and planned work, and checks the users' bounds from what the engines ran.

--- a/starter/proxy_test.go
+++ b/starter/proxy_test.go
@@ -9,11 +9,11 @@
 
 // proxy is a TCP proxy on loopback that injects network faults in front of one server.
 type proxy struct {
-	listener net.Listener
-	target   string
+	address, target string
 
-	mutex sync.Mutex
-	fault proxyFault
+	mutex    sync.Mutex
+	listener net.Listener
+	fault    proxyFault
 	// connections maps each open client connection to its server connection.
 	connections map[net.Conn]net.Conn
 	// silenced marks connections that drop all data; later connections work.
@@ -31,18 +31,34 @@
 
 // newProxy starts a proxy that listens at address and forwards to target.
 func newProxy(address, target string) (*proxy, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	p := &proxy{address: address, target: target, connections: map[net.Conn]net.Conn{}, silenced: map[net.Conn]bool{}}
+	return p, p.accept()
+}
+
+// accept accepts connections until the next call of refuse or close.
+func (p *proxy) accept() error {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{listener: listener, target: target, connections: map[net.Conn]net.Conn{}, silenced: map[net.Conn]bool{}}
-	p.group.Go(p.accept)
-	return p, nil
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.listener = listener
+	p.group.Go(func() { p.serve(listener) })
+	return nil
+}
+
+// refuse closes all connections and refuses new ones, as the host of a process that has ended.
+func (p *proxy) refuse() {
+	p.mutex.Lock()
+	_ = p.listener.Close()
+	p.mutex.Unlock()
+	p.resetConnections()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) serve(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -130,8 +146,7 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
 	p.setFault(proxyFault{})
-	p.resetConnections()
+	p.refuse()
 	p.group.Wait()
 }
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -65,22 +65,29 @@
 	// send heads before events and bytes without end, and callers stay idle or send large
 	// bodies, beside ends of nodes and planned work.
 	strainedSoak
+	// deadlySoak lets requests with one part in their prompts crash the engines that answer
+	// them, beside ends of nodes and planned work.
+	deadlySoak
 	soakKindCount
-	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed, and
-	// unstrainedKindCount that of those below firstStrainedSeed.
+	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed,
+	// unstrainedKindCount that of those below firstStrainedSeed, and unharmedKindCount that of
+	// those below firstDeadlySeed.
 	earlierKindCount    = limitedSoak
 	unstrainedKindCount = strainedSoak
+	unharmedKindCount   = deadlySoak
 )
 
-// firstLimitedSeed and firstStrainedSeed are the first seeds that may be of a kind from
-// limitedSoak or strainedSoak on: earlier seeds keep the kind with which they were run.
+// firstLimitedSeed, firstStrainedSeed and firstDeadlySeed are the first seeds that may be of a
+// kind from limitedSoak, strainedSoak or deadlySoak on: earlier seeds keep the kind with which
+// they were run.
 const (
 	firstLimitedSeed  = 300_000
 	firstStrainedSeed = 400_000
+	firstDeadlySeed   = 500_000
 )
 
 // coverageSeeds run always: the first of each kind that the default seeds do not have.
-var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4}
+var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4, firstDeadlySeed + 3}
 
 func kindOfSeed(seed uint64) soakKind {
 	switch {
@@ -88,6 +95,8 @@
 		return soakKind(seed) % earlierKindCount
 	case seed < firstStrainedSeed:
 		return soakKind(seed) % unstrainedKindCount
+	case seed < firstDeadlySeed:
+		return soakKind(seed) % unharmedKindCount
 	default:
 		return soakKind(seed) % soakKindCount
 	}
@@ -357,6 +366,7 @@
 			Work: kind.work, Prefill: 10 * time.Microsecond, Token: time.Millisecond,
 			EventTokens: soakEventTokens, HandleLife: 500 * time.Millisecond, Find: findInstance,
 			Switch: 2 * time.Second, Changed: func(string) { backend.writeEntry(s.fleet.objects) },
+			Crashed: func() { s.restartBackend(id) },
 		})
 		backendProxy, err := newProxy(address, s.serve(s.ip(3, n)+":0", backend.instance))
 		if err != nil {
@@ -404,6 +414,9 @@
 // injectFaults starts the seed's faults one after the other. They overlap, and some end
 // early. When it returns, only those in background still go on.
 func (s *soakRun) injectFaults() {
+	if s.kind == deadlySoak {
+		s.startDeadlyTraffic()
+	}
 	var endFaults []func()
 	restoreFault := 2 + s.random.IntN(soakFaultCount-2)
 	for fault := range soakFaultCount {
@@ -440,6 +453,9 @@
 		return s.startLimit()
 	case s.kind == strainedSoak && chance < 5:
 		return s.startStrain()
+	case s.kind == deadlySoak && chance < 2:
+		s.kill(s.random.IntN(len(s.processes)))
+		return func() {}
 	case s.kind == mixedSoak && chance < 4:
 		return s.startOutage()
 	default:
