isolator: count a request's crashes the same in any order of messages

A sound request that was in flight at two crashes and has finished since is refused for 15 minutes by a node that gets the messages in another order.

Cause: that a request finished was dropped by a node without a record of it, so that a report that came later counted. And a repeat of a report dated the crash anew, by the latest estimate of any node: two nodes that repeat their reports of one crash pushed its time on, past the request's end.

A finish makes a record of its own, and a node repeats its own observation only. TestReportsInAnyOrder fails in both ways without the change.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -102,9 +102,9 @@
 type requestRecord struct {
 	// crashedAt has the latest crash of each member with the request in flight.
 	crashedAt map[identifier.Member]time.Time
-	// seenLocally has the members whose crash this node observed itself.
-	seenLocally map[identifier.Member]bool
-	// lastCrash is the latest time in crashedAt.
+	// seenLocally has the latest crash of the members that this node observed itself.
+	seenLocally map[identifier.Member]time.Time
+	// lastCrash is the latest time in crashedAt, zero if only finishedAt is known yet.
 	lastCrash time.Time
 	// finishedAt is when the request last finished. Crashes until then do not count.
 	finishedAt time.Time
@@ -281,16 +281,11 @@
 }
 
 func (i *Isolator) recordCrash(fingerprint uint64, member identifier.Member, at time.Time, local bool) {
-	r := i.records[fingerprint]
-	if r == nil {
-		i.evictIfFull()
-		r = &requestRecord{crashedAt: map[identifier.Member]time.Time{}, seenLocally: map[identifier.Member]bool{}}
-		i.records[fingerprint] = r
-	}
+	r := i.recordOf(fingerprint)
 	before := r.countCrashes()
 	r.crashedAt[member] = laterOf(r.crashedAt[member], at)
 	if local {
-		r.seenLocally[member] = true
+		r.seenLocally[member] = at
 	}
 	r.lastCrash = laterOf(r.lastCrash, at)
 	if before < poisonThreshold && r.countCrashes() >= poisonThreshold {
@@ -298,10 +293,22 @@
 	}
 }
 
+// recordFinish records that a request finished. The report of its crash may arrive later.
 func (i *Isolator) recordFinish(fingerprint uint64, at time.Time) {
-	if r := i.records[fingerprint]; r != nil {
-		r.finishedAt = laterOf(r.finishedAt, at)
+	r := i.recordOf(fingerprint)
+	r.finishedAt = laterOf(r.finishedAt, at)
+}
+
+// recordOf returns the record of a request, a new one if there is none. The caller must hold
+// the mutex.
+func (i *Isolator) recordOf(fingerprint uint64) *requestRecord {
+	r := i.records[fingerprint]
+	if r == nil {
+		i.evictIfFull()
+		r = &requestRecord{crashedAt: map[identifier.Member]time.Time{}, seenLocally: map[identifier.Member]time.Time{}}
+		i.records[fingerprint] = r
 	}
+	return r
 }
 
 // crashCount returns how many backend servers crashed with a request in flight since the
@@ -335,7 +342,7 @@
 
 func (i *Isolator) removeExpired() {
 	for fingerprint, r := range i.records {
-		if time.Since(r.lastCrash) > i.options.Expiry {
+		if time.Since(laterOf(r.lastCrash, r.finishedAt)) > i.options.Expiry {
 			delete(i.records, fingerprint)
 		}
 	}
@@ -362,7 +369,7 @@
 	if quarantined != otherQuarantined {
 		return !quarantined
 	}
-	return r.lastCrash.Before(other.lastCrash)
+	return laterOf(r.lastCrash, r.finishedAt).Before(laterOf(other.lastCrash, other.finishedAt))
 }
 
 // localCrashMessages returns messages of the crashes that this node observed itself.
@@ -376,8 +383,8 @@
 	}
 	grouped := map[crash][]uint64{}
 	for fingerprint, r := range i.records {
-		for member := range r.seenLocally {
-			if at := r.crashedAt[member]; at.After(r.finishedAt) {
+		for member, at := range r.seenLocally {
+			if at.After(r.finishedAt) {
 				grouped[crash{member, at}] = append(grouped[crash{member, at}], fingerprint)
 			}
 		}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
@@ -188,3 +189,49 @@
 		}
 	})
 }
+
+// TestReportsInAnyOrder guards against a sound request that is refused because the message
+// that it finished overtook a report of a crash, or because each repeat of a report dates the
+// crash a little later.
+func TestReportsInAnyOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const request = 7
+		var payloads [][]byte
+		broadcast := func(_ string, payload []byte) { payloads = append(payloads, payload) }
+		reporter, other := New(Options{Broadcast: broadcast}), New(Options{Broadcast: broadcast})
+		for _, member := range []identifier.Member{"engine-1", "engine-2"} {
+			reporter.ReportCrash(member, []uint64{request})
+			time.Sleep(time.Second)
+		}
+		reporter.ReportFinished(request)
+		receiver := New(Options{})
+		for n := len(payloads) - 1; n >= 0; n-- {
+			receiver.Receive(payloads[n], time.Duration(len(payloads)-1-n)*time.Second)
+		}
+		if receiver.IsSuspect(request) {
+			t.Error("a request that finished after its crashes is a suspect")
+		}
+
+		payloads = nil
+		reporter.ReportCrash("engine-3", []uint64{request + 1})
+		other.ReportCrash("engine-3", []uint64{request + 1})
+		time.Sleep(500 * time.Millisecond)
+		reporter.ReportFinished(request + 1)
+		for range 20 {
+			for _, i := range []*Isolator{reporter, other} {
+				for _, message := range i.localCrashMessages() {
+					payload, err := json.Marshal(message)
+					if err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(100 * time.Millisecond) // The last hop, which the age lacks.
+					reporter.Receive(payload, 0)
+					other.Receive(payload, 0)
+				}
+			}
+		}
+		if reporter.IsSuspect(request + 1) {
+			t.Error("repeats of a report date the crash after the request's end")
+		}
+	})
+}
