limiter: order what nodes tell of rates by the back end's process

A back end that has just started under its id gets more than its Server-Limit allows, as the nodes use the rate of its earlier process, which is that of no process then.

Cause: a message with a higher number replaced what was known, also if it was about an earlier process; and a node that joins took a rate of minutes ago for one that had just been confirmed.

A message about an earlier process is ignored, and a message keeps its age. TestQuotaMessagesInAnyOrder fails in both ways without the change.

--- a/limiter/quotas.go
+++ b/limiter/quotas.go
@@ -177,32 +177,40 @@
 	return next
 }
 
-// Receive applies another node's message. It logs and drops one that it cannot decode.
-func (q *Quotas) Receive(payload []byte) {
+// Receive applies another node's message, which was sent age ago. It logs and drops one that it
+// cannot decode.
+func (q *Quotas) Receive(payload []byte, age time.Duration) {
 	var message quotaMessage
 	if err := json.Unmarshal(payload, &message); err != nil || message.Rate < 0 {
 		q.options.Log.Log(eventBadQuota, nil)
 		return
 	}
-	if q.apply(message) {
+	if q.apply(message, age) {
 		q.options.OnChange()
 	}
 }
 
 // apply records what another node tells and reports whether a rate has changed.
-func (q *Quotas) apply(message quotaMessage) bool {
+func (q *Quotas) apply(message quotaMessage, age time.Duration) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := time.Now()
 	process := time.UnixMilli(message.Process)
 	known := q.quotas[message.Member]
+	if age >= quotaLifetime || known != nil && message.Process != 0 && message.Process < unixMilliseconds(known.process) {
+		return false
+	}
 	if known != nil && message.Sequence <= known.sequence && message.Process <= unixMilliseconds(known.process) {
 		return false
 	}
 	if known == nil || unixMilliseconds(known.process) != message.Process {
 		known = q.replace(now, message.Member, process)
 	}
-	known.sequence, known.heardAt, known.told, known.toldAt = message.Sequence, now, message.Rate, now
+	heardAt := now.Add(-age)
+	if known.heardAt.After(heardAt) {
+		heardAt = known.heardAt
+	}
+	known.sequence, known.heardAt, known.told, known.toldAt = message.Sequence, heardAt, message.Rate, heardAt
 	changed := known.rate != message.Rate
 	known.set(now, message.Rate)
 	return changed
--- a/limiter/quotas_test.go
+++ b/limiter/quotas_test.go
@@ -46,7 +46,7 @@
 func (f *quotaFleet) tell() {
 	for _, payload := range f.told {
 		for _, q := range f.quotas {
-			q.Receive(payload)
+			q.Receive(payload, 0)
 		}
 	}
 	f.told = nil
@@ -168,7 +168,7 @@
 	}
 	q.Named(now, now, "m", time.Time{}, 0)
 	f.tell()
-	f.quotas[1].Receive(limited[0])
+	f.quotas[1].Receive(limited[0], 0)
 	for n, q := range f.quotas {
 		if q.Allowance(now, "m", time.Time{}).Limited {
 			t.Errorf("node %d keeps to the limit", n)
@@ -194,3 +194,31 @@
 		t.Error("the limit of the later process is not known")
 	}
 }
+
+// TestQuotaMessagesInAnyOrder guards against a back end without a limit because a message
+// about its earlier process came late, and against a limit that a node which joins takes for
+// new though it has ended since.
+func TestQuotaMessagesInAnyOrder(t *testing.T) {
+	earlier, later := time.UnixMilli(1000), time.UnixMilli(2000)
+	now := time.Now()
+	f := newQuotaFleet(3)
+	for rate := range 3 {
+		f.quotas[0].Named(now, now, "m", earlier, float64(rate+1))
+	}
+	old := f.told
+	f.told = nil
+	f.quotas[1].Named(now, now, "m", later, 2)
+	receiver := f.quotas[2]
+	receiver.Receive(f.told[0], 0)
+	for _, payload := range old {
+		receiver.Receive(payload, 0)
+	}
+	if !receiver.Allowance(now, "m", later).Limited || receiver.Allowance(now, "m", earlier).Limited {
+		t.Error("a late message about the earlier process ended the limit of the later one")
+	}
+	joined := newQuotaFleet(1).quotas[0]
+	joined.Receive(f.told[0], quotaLifetime)
+	if joined.Allowance(now, "m", later).Limited {
+		t.Error("a limit holds that nobody has confirmed for its lifetime")
+	}
+}
--- a/starter/services.go
+++ b/starter/services.go
@@ -207,7 +207,7 @@
 		Log:       s.options.Log,
 		Scope:     s.options.Scope,
 	})
-	s.prober.Subscribe(limiter.QuotaTopic, s.quotas.Receive)
+	s.prober.SubscribeWithAge(limiter.QuotaTopic, s.quotas.Receive)
 	s.tables.rateOf = func(backend forwarder.Backend) float64 {
 		return s.quotas.OwnerRate(time.Now(), backend.Name, backend.Started)
 	}
