isolator: bound the time that verdicts on deadly parts take

A node now makes no verdict for ten times as long as the last one took, so that it spends a tenth of its time on them at most; what a report changes besides is bounded by its own parts.

--- a/isolator/evidence.go
+++ b/isolator/evidence.go
@@ -126,16 +126,18 @@
 	maps.DeleteFunc(e.trials, func(_ combinationKey, t trial) bool { return t.startedAt.Before(oldest) })
 }
 
-// keepLatest removes all but the latest values.
+// keepLatest removes the earliest values above a limit.
 func keepLatest[K cmp.Ordered, V any](values map[K]V, limit int, at func(V) time.Time) {
-	if len(values) <= limit {
-		return
-	}
-	keys := slices.SortedFunc(maps.Keys(values), func(a, b K) int {
-		return cmp.Or(at(values[b]).Compare(at(values[a])), cmp.Compare(a, b))
-	})
-	for _, key := range keys[limit:] {
-		delete(values, key)
+	for len(values) > limit {
+		var earliest K
+		var earliestAt time.Time
+		isFirst := true
+		for key, value := range values {
+			if order := at(value).Compare(earliestAt); isFirst || order < 0 || order == 0 && key > earliest {
+				earliest, earliestAt, isFirst = key, at(value), false
+			}
+		}
+		delete(values, earliest)
 	}
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -88,9 +88,12 @@
 	lastCrashes map[Part]time.Time
 	// recent has what this node saw of parts that may be in no crash.
 	recent recentRuns
-	// verdict is that of verdictAt on evidence; nil if evidence has changed since.
-	verdict   *verdict
-	verdictAt time.Time
+	// verdict is that of verdictAt on evidence, which has changed since if verdictIsStale.
+	verdict        *verdict
+	verdictAt      time.Time
+	verdictIsStale bool
+	// nextVerdictAt is the earliest time of the next verdict.
+	nextVerdictAt time.Time
 	// quarantined has the combinations that the last verdict named.
 	quarantined map[combinationKey]combination
 	// ownTrials has the latest trial of this node for each combination.
@@ -157,6 +160,7 @@
 		quarantineGauge: scope.Gauge("quarantined-combinations"),
 		records:         map[uint64]*requestRecord{},
 		evidence:        newEvidence(),
+		verdict:         &verdict{},
 		lastCrashes:     map[Part]time.Time{},
 		quarantined:     map[combinationKey]combination{},
 		ownTrials:       map[combinationKey]ownTrial{},
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -78,9 +78,9 @@
 		return
 	}
 	id := i.newEvidenceID()
-	i.evidence.addReport(id, report)
+	i.addReport(id, report)
 	messages := append([]wireEvidence{report.wire(now, id)}, i.shareRecent(now, parts)...)
-	i.evidenceChanged(now)
+	i.verdictIsStale = true
 	i.mutex.Unlock()
 	i.broadcastEvidence(messages)
 }
@@ -104,7 +104,7 @@
 	if len(cleared) > 0 {
 		i.evidence.addSound(cleared, run)
 		messages = append(messages, run.wire(now, cleared))
-		i.evidenceChanged(now)
+		i.verdictIsStale = true
 	}
 	i.mutex.Unlock()
 	i.broadcastEvidence(messages)
@@ -143,8 +143,8 @@
 // message of a trial that it starts. The caller must hold the mutex.
 func (i *Isolator) refuseOrTry(now time.Time, fingerprint uint64, parts []Part, q quarantine) (refused bool, started *wireEvidence) {
 	key := q.parts.key()
-	if own, ok := i.ownTrials[key]; ok && own.fingerprint == fingerprint && own.startedAt.After(q.lastCrash) && now.Sub(own.startedAt) < trialTimeout {
-		return false, nil
+	if own, ok := i.ownTrials[key]; ok && own.startedAt.After(q.lastCrash) && now.Sub(own.startedAt) < trialTimeout {
+		return own.fingerprint != fingerprint, nil
 	}
 	if !i.mayStartTrial(now, parts, q) {
 		return true, nil
@@ -153,7 +153,7 @@
 	t := trial{i.newEvidenceID(), now}
 	i.evidence.addTrial(key, t)
 	i.ownTrials[key] = ownTrial{fingerprint, now}
-	i.evidenceChanged(now)
+	i.verdictIsStale = true
 	i.trialCounter.Inc(1)
 	i.options.Log.Log(eventPartTrial, logger.Fields{"parts": formatParts(q.parts), "crashes": q.crashes})
 	return false, &wireEvidence{ID: t.id, Parts: q.parts, Trial: true}
@@ -196,12 +196,12 @@
 		case w.Trial:
 			i.evidence.addTrial(combination(parts).key(), trial{w.ID, at})
 		case w.Member != "":
-			i.evidence.addReport(w.ID, crashReport{w.Member, parts, earlierOf(sentAt, at), at})
+			i.addReport(w.ID, crashReport{w.Member, parts, earlierOf(sentAt, at), at})
 		default:
 			i.evidence.addSound(parts, soundRun{w.ID, at})
 		}
 	}
-	i.evidenceChanged(now)
+	i.verdictIsStale = true
 }
 
 // isValid reports whether the ages are in bounds. It must be called before they are used as
@@ -211,10 +211,17 @@
 		w.SentAgeMilliseconds >= 0 && w.SentAgeMilliseconds <= oldest.Milliseconds()
 }
 
-// evidenceChanged makes the next verdict a new one. The caller must hold the mutex.
-func (i *Isolator) evidenceChanged(now time.Time) {
+// addReport adds a report to the evidence. The caller must hold the mutex.
+func (i *Isolator) addReport(id evidenceID, r crashReport) {
+	i.evidence.addReport(id, r)
+	for _, part := range r.parts {
+		i.lastCrashes[part] = laterOf(i.lastCrashes[part], r.endedAt)
+	}
+}
+
+// removeExpiredEvidence removes old evidence, and what is kept of it. The caller must hold the mutex.
+func (i *Isolator) removeExpiredEvidence(now time.Time) {
 	i.evidence.removeBefore(now.Add(-i.options.Expiry))
-	i.verdict = nil
 	clear(i.lastCrashes)
 	for _, r := range i.evidence.reports {
 		for _, part := range r.parts {
@@ -223,17 +230,24 @@
 	}
 }
 
-// verdictLifetime is the time after which a verdict is made anew, as evidence expires.
-const verdictLifetime = 10 * time.Second
+const (
+	// verdictLifetime is the time after which a verdict is made anew, as evidence expires.
+	verdictLifetime = 10 * time.Second
+	// verdictRest is how many times as long as it took to make a verdict no other is made.
+	// Reports come by the hundred when engines crash, and a verdict on many takes milliseconds.
+	verdictRest = 10
+)
 
-// currentVerdict returns the verdict on the present evidence, and logs how it differs from the
-// one before. The caller must hold the mutex.
+// currentVerdict returns the verdict on the present evidence, or on what was present some
+// milliseconds ago, and logs how it differs from the one before. The caller must hold the mutex.
 func (i *Isolator) currentVerdict(now time.Time) *verdict {
-	if i.verdict != nil && (len(i.evidence.reports) == 0 || now.Sub(i.verdictAt) < verdictLifetime) {
+	isOld := len(i.evidence.reports) > 0 && now.Sub(i.verdictAt) >= verdictLifetime
+	if !i.verdictIsStale && !isOld || now.Before(i.nextVerdictAt) {
 		return i.verdict
 	}
-	i.evidence.removeBefore(now.Add(-i.options.Expiry))
-	i.verdict, i.verdictAt = i.evidence.judge(), now
+	i.removeExpiredEvidence(now)
+	i.verdict, i.verdictAt, i.verdictIsStale = i.evidence.judge(), now, false
+	i.nextVerdictAt = now.Add(verdictRest * time.Since(now))
 	quarantined := map[combinationKey]combination{}
 	for _, q := range i.verdict.quarantines {
 		key := q.parts.key()
@@ -286,7 +300,7 @@
 	}
 	messages := i.shareRecent(now, suspects)
 	if len(messages) > 0 {
-		i.evidenceChanged(now)
+		i.verdictIsStale = true
 	}
 	for _, q := range i.currentVerdict(now).quarantines {
 		messages = append(messages, i.evidenceOf(now, q)...)
--- a/isolator/verdict_test.go
+++ b/isolator/verdict_test.go
@@ -185,3 +185,22 @@
 		i.repeatEvidence()
 	})
 }
+
+// BenchmarkVerdict judges the most evidence that a node keeps: crashes of many engines with
+// many requests in flight.
+func BenchmarkVerdict(b *testing.B) {
+	e := newEvidence()
+	random := rand.New(rand.NewPCG(1, 2))
+	began := time.Now()
+	for n := range maxReports {
+		parts := []Part{1}
+		for place := range maxPartsPerMessage - 1 {
+			parts = append(parts, Part(100*(place+1)+random.IntN(20)))
+		}
+		at := began.Add(time.Duration(n/10) * time.Second)
+		e.addReport(evidenceID(n), crashReport{identifier.Member(fmt.Sprint("engine-", n/10)), sortedParts(parts), at.Add(-time.Second), at})
+	}
+	for b.Loop() {
+		e.judge()
+	}
+}
