--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -391,6 +391,7 @@
 		vary("alone", func(s *scenario) { s.parts, s.deadlyAt, s.commonLast = 1, []int{0}, false })
 		vary("last", func(s *scenario) { s.parts, s.commonLast, s.deadlyAt = 4, false, []int{3} })
 		vary("eight parts", func(s *scenario) { s.parts, s.deadlyAt = 8, []int{4} })
+		vary("parts of one request", func(s *scenario) { s.parts, s.collections, s.deadlyAt = 5, 1_000_000, []int{2} })
 		vary("two deadly", func(s *scenario) { s.deadlyAt = []int{1, 1} })
 		vary("two deadly in two places", func(s *scenario) { s.parts, s.deadlyAt = 5, []int{1, 3} })
 		// In these, no part is new, and a request that is let through has to tell.
