--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -62,9 +61,8 @@
 	scenario
 	random *rand.Rand
 	began  time.Time
-	queue  eventQueue
-	// steps numbers events, so that simultaneous ones have a fixed order.
-	steps   int
+	// queue has the events to come, in order.
+	queue   []simulatedEvent
 	members []*Isolator
 	engine  []simulatedEngine
 
@@ -93,31 +91,16 @@
 }
 
 type simulatedEvent struct {
-	at   time.Duration
-	step int
-	run  func()
-}
-
-type eventQueue []simulatedEvent
-
-func (q eventQueue) Len() int { return len(q) }
-
-func (q eventQueue) Less(a, b int) bool {
-	return cmp.Or(cmp.Compare(q[a].at, q[b].at), cmp.Compare(q[a].step, q[b].step)) < 0
-}
-func (q eventQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simulatedEvent)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+	at  time.Duration
+	run func()
 }
 
 func (s *simulation) now() time.Duration { return time.Since(s.began) }
 
 func (s *simulation) after(delay time.Duration, run func()) {
-	s.steps++
-	heap.Push(&s.queue, simulatedEvent{s.now() + delay, s.steps, run})
+	at := s.now() + delay
+	position, _ := slices.BinarySearchFunc(s.queue, at+1, func(e simulatedEvent, at time.Duration) int { return cmp.Compare(e.at, at) })
+	s.queue = slices.Insert(s.queue, position, simulatedEvent{at, run})
 }
 
 func (s *simulation) addMember() {
@@ -205,8 +188,9 @@
 	}
 	s.after(0, sound)
 	s.after(deadlyFrom, func() { deadly(0) })
-	for s.queue.Len() > 0 && s.queue[0].at < simulatedTime+settleTime {
-		event := heap.Pop(&s.queue).(simulatedEvent)
+	for len(s.queue) > 0 && s.queue[0].at < simulatedTime+settleTime {
+		event := s.queue[0]
+		s.queue = s.queue[1:]
 		time.Sleep(event.at - s.now())
 		event.run()
 	}
--- a/starter/deadly_part_test.go
+++ b/starter/deadly_part_test.go
@@ -55,96 +55,118 @@
 
 func testDeadlyTraffic(t *testing.T, traffic deadlyTraffic) {
 	const (
-		stableWindow = 3 * time.Second
 		// warmUp ends between two sound requests.
 		warmUp   = 20600 * time.Millisecond
 		duration = 60 * time.Second
-		// boundFrom is the number of crashes from which the bounds hold, or the last one.
-		boundFrom = 5
-		// allowedRuns is how many deadly requests may reach engines later than stableWindow
-		// after the crash.
-		allowedRuns = 3
 	)
 	runFleet(t, 3, func(t *testing.T, f *fleet) {
-		decodes := f.instanceIDs("llm", "decode")
-		for _, id := range decodes {
-			f.instances[id].SetFaults(emulator.InstanceFaults{DeadlyPart: deadlyPart})
+		// Engines change their stage, so that each one may answer.
+		engines := append(f.instanceIDs("llm", "decode"), f.instanceIDs("llm", "prefill")...)
+		var mutex sync.Mutex
+		var sent []deadlyOutcome
+		traffic.play(warmUp, duration, func(n int, part string) {
+			o := deadlyOutcome{isDeadly: part == deadlyPart, sent: time.Now()}
+			got := f.send(t.Context(), n%3, traffic.request(n, part))
+			o.runs, _, _ = f.findRuns(got.attempt)
+			mutex.Lock()
+			defer mutex.Unlock()
+			sent = append(sent, o)
+		}, f.instances, engines)
+		found := judgeDeadly(f.instances, engines, sent)
+		t.Log(found)
+		if found.crashes == 0 || found.after.sent == 0 {
+			t.Error("nothing to judge")
 		}
-		type sent struct {
-			at    time.Time
-			began bool
+		if found.late > allowedDeadly {
+			t.Error("deadly requests go on reaching engines")
 		}
-		var sound []*sent
-		var senders sync.WaitGroup
-		began := time.Now()
-		number := 0
-		send := func(part string, result *sent) {
-			number++
-			n := number
-			senders.Go(func() {
-				got := f.send(t.Context(), n%3, traffic.request(n, part))
-				if runs, _, _ := f.findRuns(got.attempt); result != nil {
-					result.began = runs > 0
-				}
-			})
+		if 10*found.after.began*found.before.sent < 9*found.before.began*found.after.sent {
+			t.Error("sound requests begin less often than before the crashes")
 		}
-		senders.Go(func() {
-			time.Sleep(warmUp)
-			for time.Since(began) < duration {
-				for range traffic.burst {
-					send(deadlyPart, nil)
-					time.Sleep(traffic.burstGap)
-				}
-				time.Sleep(traffic.deadlyEvery - time.Duration(traffic.burst)*traffic.burstGap)
-			}
-		})
-		for time.Since(began) < duration {
-			result := &sent{at: time.Now()}
-			sound = append(sound, result)
-			send(fmt.Sprintf("50%02x", len(sound)%4), result)
-			time.Sleep(traffic.soundEvery)
-		}
-		senders.Wait()
+	})
+}
 
-		var crashes []time.Time
-		for _, id := range decodes {
-			for _, r := range f.instances[id].Runs() {
-				if strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart+":") {
-					crashes = append(crashes, r.BeganAt)
-				}
-			}
+// play sends sound requests for a time, and deadly ones after warmUp. Each call of send has a
+// goroutine of its own; play returns when all have returned.
+func (d deadlyTraffic) play(warmUp, duration time.Duration, send func(n int, part string), instances map[string]*emulator.Instance, engines []string) {
+	for _, id := range engines {
+		instances[id].SetFaults(emulator.InstanceFaults{DeadlyPart: deadlyPart})
+	}
+	var senders sync.WaitGroup
+	nextSound, nextDeadly, inBurst := time.Duration(0), warmUp, 0
+	began := time.Now()
+	for n := 0; time.Since(began) < duration; n++ {
+		time.Sleep(min(nextSound, nextDeadly) - time.Since(began))
+		if nextSound <= nextDeadly {
+			nextSound += d.soundEvery
+			senders.Go(func() { send(n, fmt.Sprintf("50%02x", n%4)) })
+			continue
 		}
-		if len(crashes) == 0 {
-			t.Fatal("no engine crashed")
+		senders.Go(func() { send(n, deadlyPart) })
+		nextDeadly += d.burstGap
+		if inBurst++; inBurst == d.burst {
+			nextDeadly += d.deadlyEvery - time.Duration(d.burst)*d.burstGap
+			inBurst = 0
 		}
-		slices.SortFunc(crashes, time.Time.Compare)
-		from := crashes[min(len(crashes), boundFrom)-1]
-		late := 0
-		for _, at := range crashes[min(len(crashes), boundFrom):] {
-			if at.After(from.Add(stableWindow)) {
-				late++
+	}
+	senders.Wait()
+}
+
+// The users' bounds on a part that crashes engines.
+const (
+	deadlyWindow = 3 * time.Second
+	// deadlyBoundFrom is the number of crashes from which the bounds hold, or the last one.
+	deadlyBoundFrom = 5
+	// allowedDeadly is how many deadly requests may reach engines later than deadlyWindow
+	// after that crash.
+	allowedDeadly = 3
+)
+
+// deadlyOutcome is what became of a request of deadlyTraffic.
+type deadlyOutcome struct {
+	isDeadly bool
+	sent     time.Time
+	// runs is on how many engines it ran.
+	runs int
+}
+
+// deadlyFindings is how often sound requests began before the first crash, and from twice
+// deadlyWindow after the one from which the bounds hold.
+type deadlyFindings struct {
+	crashes, late int
+	before, after struct{ sent, began int }
+}
+
+func judgeDeadly(instances map[string]*emulator.Instance, engines []string, sent []deadlyOutcome) deadlyFindings {
+	var crashes []time.Time
+	for _, id := range engines {
+		for _, r := range instances[id].Runs() {
+			if strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart+":") {
+				crashes = append(crashes, r.BeganAt)
 			}
 		}
-		var before, after struct{ sent, began float64 }
-		for _, r := range sound {
-			count := &before
-			if r.at.After(began.Add(warmUp)) {
-				if r.at.Before(from.Add(2 * stableWindow)) {
-					continue
-				}
-				count = &after
-			}
-			count.sent++
-			if r.began {
-				count.began++
+	}
+	found := deadlyFindings{crashes: len(crashes)}
+	if len(crashes) == 0 {
+		return found
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	from := crashes[min(len(crashes), deadlyBoundFrom)-1]
+	for _, r := range sent {
+		count := &found.before
+		switch {
+		case r.isDeadly:
+			if len(crashes) >= deadlyBoundFrom && r.sent.After(from.Add(deadlyWindow)) {
+				found.late += r.runs
 			}
+			continue
+		case r.sent.After(from.Add(2 * deadlyWindow)):
+			count = &found.after
+		case !r.sent.Before(crashes[0]):
+			continue
 		}
-		t.Logf("%d crashes, %d late; sound requests that began: %.0f of %.0f before, %.0f of %.0f after", len(crashes), late, before.began, before.sent, after.began, after.sent)
-		if late > allowedRuns {
-			t.Errorf("%d requests with the part reached engines later than %v after crash %d", late, stableWindow, boundFrom)
-		}
-		if after.sent == 0 || after.began/after.sent < 0.9*before.began/before.sent {
-			t.Errorf("%.0f of %.0f sound requests began, %.0f of %.0f before the crashes", after.began, after.sent, before.began, before.sent)
-		}
-	})
+		count.sent++
+		count.began += min(r.runs, 1)
+	}
+	return found
 }
--- a/starter/soak_parts_test.go
+++ b/starter/soak_parts_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/foxtailspool/foxtailspool/emulator"
 )
 
 const (
@@ -17,10 +13,6 @@
 	soakDeadlyTime = 24 * time.Second
 	// soakRestart is how long a crashed engine refuses connections.
 	soakRestart = 2 * time.Second
-	// soakBoundFrom is the number of crashes from which the bounds hold, or the last one, and
-	// soakDeadlyAllowed how many deadly requests may reach engines after it.
-	soakBoundFrom     = 5
-	soakDeadlyAllowed = 3
 	// soakMinJudged is the number of sound requests from which their share is judged.
 	soakMinJudged = 20
 )
@@ -39,13 +31,6 @@
 	})
 }
 
-// partsSent is a request of the deadly traffic.
-type partsSent struct {
-	deadly      bool
-	node        int
-	began, sent time.Time
-}
-
 // startDeadlyTraffic sends, in background, requests of which some have a part that crashes
 // decode engines, in prompts and at rates that the seed chooses.
 func (s *soakRun) startDeadlyTraffic() {
@@ -56,88 +41,45 @@
 		output:      50 << s.random.IntN(6),
 		soundEvery:  100 * time.Millisecond << s.random.IntN(4),
 		deadlyEvery: 250 * time.Millisecond << s.random.IntN(4),
+		burst:       1,
 	}
 	s.logFault("requests with a deadly part: %+v", traffic)
 	s.background.Go(func() { s.sendDeadlyTraffic(traffic) })
 }
 
-// sendDeadlyTraffic sends the requests and checks that the part is found.
+// sendDeadlyTraffic sends the requests and fails the seed's test if undisturbed nodes go on
+// sending deadly ones to engines, or send sound ones less than half as often as before.
 func (s *soakRun) sendDeadlyTraffic(traffic deadlyTraffic) {
-	engines := s.backends[2:4]
-	for _, engine := range engines {
-		engine.instance.SetFaults(emulator.InstanceFaults{DeadlyPart: deadlyPart})
-	}
 	var mutex sync.Mutex
-	sent := map[string]partsSent{}
-	var senders sync.WaitGroup
-	send := func(number int, part string) {
-		n := number % len(s.processes)
-		senders.Go(func() {
-			caller := &soakCaller{run: s, node: n}
-			defer caller.disconnect()
-			r := soakRequest{request: traffic.request(number, part), routeTimeout: soakLongTimeout, atMostOnce: true, events: traffic.output / soakEventTokens}
-			r.path, r.deadline = fmt.Sprint("/long/", number), soakLongTimeout
-			o := caller.send(r)
-			s.check(o)
-			mutex.Lock()
-			defer mutex.Unlock()
-			sent[o.attempt] = partsSent{deadly: part == deadlyPart, node: n, began: o.began, sent: o.sent}
-		})
-	}
-	began := time.Now()
-	nextDeadly := soakDeadlyFrom
-	for number := 0; time.Since(began) < soakDeadlyTime; number++ {
-		send(2*number, fmt.Sprintf("50%02x", number%4))
-		if time.Since(began) >= nextDeadly {
-			send(2*number+1, deadlyPart)
-			nextDeadly += traffic.deadlyEvery
-		}
-		time.Sleep(min(traffic.soundEvery, traffic.deadlyEvery))
-	}
-	senders.Wait()
-	s.checkDeadlyTraffic(engines, sent)
-}
-
-// checkDeadlyTraffic fails the seed's test if undisturbed nodes went on sending deadly requests
-// to engines, or refused sound ones.
-func (s *soakRun) checkDeadlyTraffic(engines []*soakBackend, sent map[string]partsSent) {
-	var crashes []time.Time
-	for _, engine := range engines {
-		for _, r := range engine.instance.Runs() {
-			if strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPart+":") {
-				crashes = append(crashes, r.BeganAt)
-			}
+	var sent []deadlyOutcome
+	// Engines change their stage, so that each one may answer.
+	var engines []string
+	for _, backend := range s.backends {
+		if backend.service == "llm" {
+			engines = append(engines, backend.id)
 		}
 	}
-	if len(crashes) == 0 {
-		return
-	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	from := crashes[min(len(crashes), soakBoundFrom)-1]
-	first, late := crashes[0], 0
-	var before, after struct{ sent, began int }
-	for attempt, r := range sent {
-		if r.sent.IsZero() || s.isDisturbed(r.node, r.began.Add(-soakStableWindow), r.sent) {
-			continue
-		}
-		runs, _, _ := s.fleet.findRuns(attempt)
-		switch {
-		case r.deadly && len(crashes) >= soakBoundFrom && r.sent.After(from.Add(soakStableWindow)):
-			late += runs
-		case r.deadly:
-		case r.sent.Before(first):
-			before.sent++
-			before.began += min(runs, 1)
-		case r.sent.After(from.Add(2 * soakStableWindow)):
-			after.sent++
-			after.began += min(runs, 1)
+	traffic.play(soakDeadlyFrom, soakDeadlyTime, func(number int, part string) {
+		caller := &soakCaller{run: s, node: number % len(s.processes)}
+		defer caller.disconnect()
+		r := soakRequest{request: traffic.request(number, part), routeTimeout: soakLongTimeout, atMostOnce: true, events: traffic.output / soakEventTokens}
+		r.path, r.deadline = fmt.Sprint("/long/", number), soakLongTimeout
+		o := caller.send(r)
+		s.check(o)
+		if o.sent.IsZero() || s.isDisturbed(o.node, o.began.Add(-soakStableWindow), o.sent) {
+			return
 		}
+		runs, _, _ := s.fleet.findRuns(o.attempt)
+		mutex.Lock()
+		defer mutex.Unlock()
+		sent = append(sent, deadlyOutcome{isDeadly: part == deadlyPart, sent: o.sent, runs: runs})
+	}, s.fleet.instances, engines)
+	found := judgeDeadly(s.fleet.instances, engines, sent)
+	s.logFault("deadly traffic: %+v", found)
+	if found.late > allowedDeadly {
+		s.t.Errorf("seed %d: deadly requests go on reaching engines: %+v", s.seed, found)
 	}
-	s.logFault("%d crashes, %d deadly requests late; sound requests that began: %d of %d before, %d of %d after", len(crashes), late, before.began, before.sent, after.began, after.sent)
-	if late > soakDeadlyAllowed {
-		s.t.Errorf("seed %d: %d deadly requests reached engines late", s.seed, late)
-	}
-	if before.sent >= soakMinJudged && after.sent >= soakMinJudged && 2*after.began*before.sent < before.began*after.sent {
-		s.t.Errorf("seed %d: %d of %d sound requests began, %d of %d before the crashes", s.seed, after.began, after.sent, before.began, before.sent)
+	if before, after := found.before, found.after; min(before.sent, after.sent) >= soakMinJudged && 2*after.began*before.sent < before.began*after.sent {
+		s.t.Errorf("seed %d: sound requests are refused: %+v", s.seed, found)
 	}
 }
