--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -86,7 +86,7 @@
 	evidence *evidence
 	// lastCrashes has the latest crash of each part in evidence.
 	lastCrashes map[Part]time.Time
-	// recent has what this node saw of parts that may be in no crash.
+	// recent has the requests of this node that ran well, also with parts that are in no crash.
 	recent recentRuns
 	// verdict is that of verdictAt on evidence, which has changed since if verdictIsStale.
 	verdict        *verdict
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -25,7 +25,7 @@
 	// verdictInterval is the mean time between two broadcasts of the evidence of quarantines
 	// by any node of the fleet: a node that starts or was cut off learns of it within seconds.
 	verdictInterval = 500 * time.Millisecond
-	// repeatedCrashes bounds the crashes of one combination that a broadcast has.
+	// repeatedCrashes bounds the crashes of one combination in a broadcast.
 	repeatedCrashes = doubtfulThreshold
 	// maxRepeats bounds the messages of one broadcast of evidence.
 	maxRepeats = 2
@@ -182,7 +182,8 @@
 	startedAt   time.Time
 }
 
-// applyEvidence merges observations of another node, which were made age earlier than they say.
+// applyEvidence merges observations of another node. The ages in them are of the time at which
+// they were sent, age ago.
 // The caller must hold the mutex.
 func (i *Isolator) applyEvidence(now time.Time, age time.Duration, received []wireEvidence) {
 	for _, w := range received {
@@ -219,7 +220,8 @@
 	}
 }
 
-// removeExpiredEvidence removes old evidence, and what is kept of it. The caller must hold the mutex.
+// removeExpiredEvidence removes old evidence, and makes lastCrashes anew from the rest. The
+// caller must hold the mutex.
 func (i *Isolator) removeExpiredEvidence(now time.Time) {
 	i.evidence.removeBefore(now.Add(-i.options.Expiry))
 	clear(i.lastCrashes)
