Identify client accounts by their API keys

The forwarder answers 401 without a valid key and runs other requests for the key's account, with the account's rank. What an account may send in all is taken through AccountQuotas, which has no limit yet.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -38,6 +38,8 @@
 		"A back end says how many requests a second it takes from all nodes together, or a different number than before; zero means that it no longer does. sent is how many this node has sent it so far.")
 	eventNotice = logger.Define(6211, logrus.InfoLevel, "back end wants no requests",
 		"A back end said that it leaves, or that it wants no requests from this node for pause-ms. It gets none.")
+	eventUnauthenticated = logger.Define(6213, logrus.InfoLevel, "request without a valid key",
+		"The caller sent no API key, or none of an account of the configuration in force, and got 401. The key itself is never logged.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
@@ -54,7 +56,8 @@
 		"request":       c.request.Attempt,
 		"route":         c.route.Name,
 		"pool":          c.pool.Name,
-		"rank":          c.route.Rank,
+		"rank":          c.rank(),
+		"account":       c.account.Name,
 		"configuration": c.table.Configuration.Number,
 		"age-ms":        time.Since(c.request.Arrived).Milliseconds(),
 		"left-ms":       time.Until(c.deadline).Milliseconds(),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/foxtailspool/foxtailspool/authenticator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
@@ -75,6 +76,8 @@
 	Budgets *limiter.Limiter
 	// Quotas limits the requests to back ends that name a rate; nil means that none does.
 	Quotas Quotas
+	// AccountQuotas limits what each account sends through all nodes; nil means no limit.
+	AccountQuotas AccountQuotas
 	// Answers limits the bytes of answers that are read whole; nil means no limit.
 	Answers *limiter.Memory
 	Log     *logger.Logger
@@ -122,6 +125,9 @@
 	if options.Quotas == nil {
 		options.Quotas = unlimited{}
 	}
+	if options.AccountQuotas == nil {
+		options.AccountQuotas = noAccountQuotas{}
+	}
 	if options.Refresh == nil {
 		options.Refresh = func(context.Context) {}
 	}
@@ -159,7 +165,12 @@
 	if !ok {
 		return nil, notRunRefusal(router.NoRoute, 0, "no route matches")
 	}
+	account, table, refusal := f.authenticate(ctx, request, route, table)
+	if refusal != nil {
+		return nil, refusal
+	}
 	call := f.newCall(ctx, request, route, table)
+	call.account = account
 	reply, refusal := call.run()
 	if refusal != nil {
 		call.finish(refusal)
@@ -220,6 +231,10 @@
 	sends int
 	// answers has the bytes of the answers that are read whole.
 	answers *limiter.Lease
+	// account is the caller's account; the zero Account if there is none.
+	account authenticator.Account
+	// quotaTaken is what the request has taken from its account's quota.
+	quotaTaken limiter.Amount
 }
 
 // defaultTimeout applies when neither caller nor route sets a timeout.
@@ -285,6 +300,9 @@
 	if c.mayOutlastNode() {
 		return nil, notRunRefusal(router.Leaving, retryAfterLeaving, errNodeStops.Error())
 	}
+	if refusal := c.takeAccountQuota(); refusal != nil {
+		return nil, refusal
+	}
 	c.options.Budgets.Pool(c.pool.Name).CountSend()
 	if c.pool.Model {
 		return c.runStream()
@@ -333,6 +351,7 @@
 		c.grant = ""
 	}
 	c.answers.Release()
+	c.returnAccountQuota(refusal)
 	c.running.Add(-1)
 	c.metrics.recordEnd(c, refusal)
 	c.logEnd(refusal)
@@ -364,7 +383,8 @@
 		Request:  c.request,
 		Backend:  backend,
 		TimeLeft: time.Until(c.deadline),
-		Rank:     c.route.Rank,
+		Rank:     c.rank(),
+		Account:  c.account.Name,
 		OnNotice: func(notice Notice) {
 			now := time.Now()
 			if c.balancer.recordNotice(now, backend, notice) {
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -162,7 +162,7 @@
 func (r *Reply) recordEventTime(now time.Time, earlierEvents int) {
 	if earlierEvents == 0 {
 		r.firstEventAt = now
-		r.call.metrics.recordFirstEvent(r.call.route.Rank, now.Sub(r.call.request.Arrived))
+		r.call.metrics.recordFirstEvent(r.call.rank(), now.Sub(r.call.request.Arrived))
 	} else {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 	}
@@ -210,7 +210,7 @@
 		if r.framed && !r.firstEventAt.IsZero() {
 			r.reportSound()
 		}
-		r.call.metrics.recordLongestPause(r.call.route.Rank, r.longestPause)
+		r.call.metrics.recordLongestPause(r.call.rank(), r.longestPause)
 	}
 	r.call.finish(refusal)
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -23,6 +23,8 @@
 	Target string
 	Path   string
 	Header http.Header
+	// Credentials are the API keys that the caller sent. They must not be logged.
+	Credentials []string
 	// Body is nil once no send of a model request can follow.
 	Body []byte
 	// Memory has the bytes of Body and of the request's own state; nil means that they are not
@@ -64,8 +66,10 @@
 	Backend Backend
 	// TimeLeft is the time left for the answer, after which the back end stops working.
 	TimeLeft time.Duration
-	// Rank is the rank of the request's route.
+	// Rank is the rank of the request's account or else of its route.
 	Rank int
+	// Account is the caller's account; empty if there is none.
+	Account identifier.Account
 	// Source is where a decode engine fetches the prompt's KV cache; empty means
 	// that the decode engine computes the prompt itself.
 	Source KVSource
--- a/forwarder/table.go
+++ b/forwarder/table.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/authenticator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
@@ -47,6 +48,8 @@
 	MaxEventGap time.Duration
 	// Backends is the maximum number of back ends that may run one request, at least one.
 	Backends int
+	// Public means that the route's requests need no API key.
+	Public bool
 	// Destinations has at least one entry.
 	Destinations []Destination
 }
@@ -80,6 +83,8 @@
 	// routesByHost has each host's routes, longest prefix first, by lower-case host.
 	routesByHost map[string][]Route
 	poolsByName  map[identifier.Pool]Pool
+	// accounts has the client accounts; nil if there are none.
+	accounts *authenticator.Authenticator
 	// Limits bounds what callers may send.
 	Limits Limits
 }
@@ -113,6 +118,13 @@
 	return c
 }
 
+// WithAccounts returns the configuration with client accounts.
+func (c *Configuration) WithAccounts(accounts *authenticator.Authenticator) *Configuration {
+	copied := *c
+	copied.accounts = accounts
+	return &copied
+}
+
 // Match returns the host's route with the longest prefix of path. Host is case-insensitive.
 func (c *Configuration) Match(host, path string) (Route, bool) {
 	for _, route := range c.routesByHost[strings.ToLower(host)] {
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -43,6 +43,8 @@
 	Overloaded      Reason = "overloaded"
 	AccountLimit    Reason = "account-limit"
 	Leaving         Reason = "leaving"
+	Unauthenticated Reason = "unauthenticated"
+	OverQuota       Reason = "over-quota"
 )
 
 // Refusal is what the caller gets in place of an answer. It is a value rather than an
