Limit accounts over all nodes by an owner, a deputy and each node (thin)

Cause: quotas of accounts were decoded but not enforced. Change: package accountant with the owner's bucket, the deputy's allotment, a node's own allowance and the client; wired into starter; bounds decoded from the settings.

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -36,6 +36,8 @@
 	// A lookup by a part of a digest tells nothing of the key, and the rest is compared in
 	// constant time.
 	accountByPrefix map[prefix][]entry
+	// accountByName has the indexes of the accounts by their names.
+	accountByName map[identifier.Account]int
 }
 
 type prefix [8]byte
@@ -47,8 +49,9 @@
 
 // New returns an authenticator of accounts.
 func New(accounts []Account) *Authenticator {
-	a := &Authenticator{accounts: accounts, accountByPrefix: map[prefix][]entry{}}
+	a := &Authenticator{accounts: accounts, accountByPrefix: map[prefix][]entry{}, accountByName: make(map[identifier.Account]int, len(accounts))}
 	for i := range accounts {
+		a.accountByName[accounts[i].Name] = i
 		for _, digest := range accounts[i].Keys {
 			at := prefix(digest[:len(prefix{})])
 			a.accountByPrefix[at] = append(a.accountByPrefix[at], entry{digest, i})
@@ -60,6 +63,18 @@
 // Required reports whether requests need a key.
 func (a *Authenticator) Required() bool { return a != nil && len(a.accounts) > 0 }
 
+// Quota returns the quota of an account, and false if there is no such account.
+func (a *Authenticator) Quota(account identifier.Account) (limiter.AccountQuota, bool) {
+	if a == nil {
+		return limiter.AccountQuota{}, false
+	}
+	i, known := a.accountByName[account]
+	if !known {
+		return limiter.AccountQuota{}, false
+	}
+	return a.accounts[i].Quota, true
+}
+
 // Failure is why credentials name no account; the empty Failure means that they do.
 type Failure string
 
--- a/forwarder/table.go
+++ b/forwarder/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtailspool/foxtailspool/authenticator"
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 )
 
 // Kind states whether a route's requests may be repeated.
@@ -118,6 +119,14 @@
 	return c
 }
 
+// AccountQuota returns the quota of a client account, and false if there is no such account.
+func (c *Configuration) AccountQuota(account identifier.Account) (limiter.AccountQuota, bool) {
+	if c == nil {
+		return limiter.AccountQuota{}, false
+	}
+	return c.accounts.Quota(account)
+}
+
 // WithAccounts returns the configuration with client accounts.
 func (c *Configuration) WithAccounts(accounts *authenticator.Authenticator) *Configuration {
 	copied := *c
--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -122,6 +122,7 @@
 		TerminationGrace: 8 * time.Second,
 		MaxAddressTTL:    5 * time.Second,
 		RetryBudget:      platform.RetryBudget{Ratio: 0.2, BaseRetries: 56, Window: 10 * time.Second},
+		QuotaTolerance:   platform.QuotaTolerance{Window: 8 * time.Second, Over: 0.1, Slack: 3000},
 	}
 }
 
--- a/starter/services.go
+++ b/starter/services.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/accountant"
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/dispatcher"
@@ -200,6 +201,28 @@
 		Scope:     s.options.Scope,
 	})
 	s.prober.SubscribeWithAge(isolator.Topic, s.isolator.Receive)
+	s.createQuotas()
+	s.forwarder = forwarder.New(forwarder.Options{
+		DataCentre:    settings.DataCentre,
+		Table:         s.routingTable,
+		Stop:          s.stopLimits,
+		Stopping:      s.stopping,
+		Refresh:       s.follower.Refresh,
+		Placer:        s.dispatcher,
+		Backends:      s.backends,
+		Reacher:       s.backends,
+		Isolator:      s.isolator,
+		Budgets:       limiter.New(s.retryBudget(settings.RetryBudget)),
+		Quotas:        s.quotas,
+		AccountQuotas: s.accountant,
+		Answers:       s.answers,
+		Log:           s.options.Log,
+		Scope:         s.options.Scope,
+	})
+}
+
+// createQuotas creates what limits the requests to back ends and those of client accounts.
+func (s *Starter) createQuotas() {
 	s.quotas = limiter.NewQuotas(limiter.QuotaOptions{
 		View:      s.prober.View,
 		Broadcast: s.prober.Broadcast,
@@ -211,21 +234,15 @@
 	s.tables.rateOf = func(backend forwarder.Backend) float64 {
 		return s.quotas.OwnerRate(time.Now(), backend.Name, backend.Started)
 	}
-	s.forwarder = forwarder.New(forwarder.Options{
-		DataCentre: settings.DataCentre,
-		Table:      s.routingTable,
-		Stop:       s.stopLimits,
-		Stopping:   s.stopping,
-		Refresh:    s.follower.Refresh,
-		Placer:     s.dispatcher,
-		Backends:   s.backends,
-		Reacher:    s.backends,
-		Isolator:   s.isolator,
-		Budgets:    limiter.New(s.retryBudget(settings.RetryBudget)),
-		Quotas:     s.quotas,
-		Answers:    s.answers,
-		Log:        s.options.Log,
-		Scope:      s.options.Scope,
+	s.accountant = accountant.New(accountant.Options{
+		View: s.prober.View,
+		Quota: func(account identifier.Account) (limiter.AccountQuota, bool) {
+			return s.tables.currentTable().Configuration.AccountQuota(account)
+		},
+		PeerTransport: s.peers,
+		Bounds:        accountant.Bounds(s.options.Settings.QuotaTolerance),
+		Log:           s.options.Log,
+		Scope:         s.options.Scope,
 	})
 }
 
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -11,6 +11,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/foxtailspool/foxtailspool/accountant"
 	"github.com/foxtailspool/foxtailspool/addresser"
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/connector"
@@ -59,6 +60,7 @@
 	dispatcher *dispatcher.Dispatcher
 	isolator   *isolator.Isolator
 	quotas     *limiter.Quotas
+	accountant *accountant.Accountant
 	switcher   *switcher.Switcher
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
@@ -172,7 +174,7 @@
 	peerMux := http.NewServeMux()
 	for _, peerService := range []interface {
 		Handler() (string, http.Handler)
-	}{s.prober, s.follower, s.dispatcher} {
+	}{s.prober, s.follower, s.dispatcher, s.accountant} {
 		path, handler := peerService.Handler()
 		peerMux.Handle(path, handler)
 	}
@@ -190,6 +192,7 @@
 	s.supervisor.Register("follower", s.follower)
 	s.supervisor.Register("isolator", s.isolator)
 	s.supervisor.Register("quotas", s.quotas)
+	s.supervisor.Register("accountant", s.accountant)
 	s.supervisor.Register("exchanger", s.exchanger)
 	s.supervisor.Register("dispatcher", s.dispatcher)
 	s.supervisor.Register("forwarder", s.forwarder)
