--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -39,6 +39,9 @@
 	// none. An owner prefers it to the quota of a query, so that nodes with an older
 	// configuration don't change it back. Nil returns false.
 	Quota func(identifier.Account) (limiter.AccountQuota, bool)
+	// Listed returns the peer addresses of the other nodes by the platform's list, which may have
+	// nodes that are gone. Nil returns none.
+	Listed func() []identifier.Address
 	// PeerTransport sends requests to the peer addresses of other nodes.
 	PeerTransport http.RoundTripper
 	Bounds        Bounds
@@ -75,11 +78,14 @@
 	if options.Quota == nil {
 		options.Quota = func(identifier.Account) (limiter.AccountQuota, bool) { return limiter.AccountQuota{}, false }
 	}
+	if options.Listed == nil {
+		options.Listed = func() []identifier.Address { return nil }
+	}
 	options.Bounds = options.Bounds.withDefaults()
 	return &Accountant{
 		options:   options,
 		metrics:   newMetrics(options.Scope),
-		ledger:    newLedger(time.Now(), options.Bounds),
+		ledger:    newLedger(time.Now(), options.Bounds, options.Listed),
 		spendings: map[identifier.Account]*spending{},
 		links:     map[process]*link{},
 	}
@@ -287,7 +293,9 @@
 	defer a.mutex.Unlock()
 	s := a.spendingOf(q.account)
 	s.expire(now)
-	v := verdict{granted: s.takeAlone(now, a.ledger.slotAt(now), a.options.Bounds, q.quota, q.amount)}
+	a.observe(now, a.options.View())
+	limit := a.ledger.startShare(now) * s.aloneLimit(a.options.Bounds, q.quota, a.ledger.standing.members)
+	v := verdict{granted: s.takeAlone(now, a.ledger.slotAt(now), limit, q.amount)}
 	if !v.granted {
 		v.retryAfter = aloneRetryAfter + rand.N(aloneRetryAfter)
 	}
--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -17,6 +17,13 @@
 	// left before do not count. A network split that lasts longer may double the quota; a fleet
 	// that really has lost most of its members has its whole quota after this time.
 	lostTime = 10 * time.Minute
+	// listedTime is how long after its start a node counts listed nodes that it has not met as
+	// possibly cut off: it may have started within a part of a split network. The list may
+	// have nodes that are gone for good.
+	listedTime = 30 * time.Second
+	// startShare is the share of an allotment that a process has in its first window: it does
+	// not know what the process before it granted.
+	startShare = 0.25
 	// standingInterval is how often the standing is checked without a change of the view, as
 	// lostTime passes.
 	standingInterval = time.Second
@@ -39,6 +46,8 @@
 	able bool
 	// share is the live members' share of all members.
 	share float64
+	// members is the number of all members, dead ones included.
+	members int
 }
 
 // ledger has the buckets of the accounts that one node owns, and what it granted as their deputy.
@@ -48,6 +57,8 @@
 // it grants no more than a deputy does.
 type ledger struct {
 	bounds Bounds
+	// listed returns the peer addresses of the other nodes by the platform's list.
+	listed func() []identifier.Address
 	// startedAt is when slots are counted from.
 	startedAt time.Time
 	buckets   map[identifier.Account]*bucket
@@ -77,8 +88,9 @@
 	sequence    uint64
 }
 
-func newLedger(now time.Time, bounds Bounds) *ledger {
+func newLedger(now time.Time, bounds Bounds, listed func() []identifier.Address) *ledger {
 	return &ledger{
+		listed:    listed,
 		bounds:    bounds.withDefaults(),
 		startedAt: now,
 		buckets:   map[identifier.Account]*bucket{},
@@ -169,15 +181,16 @@
 // standingIn returns the standing. A suspect counts as lost: in a network split, the smaller
 // part then gives up its accounts before the larger part chooses new owners.
 func (l *ledger) standingIn(now time.Time, view *assigner.View) standing {
-	live, all, hasFirst := 0, 0, false
+	live, all, hasFirst := 0, l.countUnmet(now, view), false
+	first := true
 	for i := range view.Members {
 		m := &view.Members[i]
 		isLive := m.State == assigner.Alive || m.State == assigner.Leaving
 		if since, lost := l.lostSince[m.Node]; m.State == assigner.Dead && (!lost || now.Sub(since) >= lostTime) {
 			continue
 		}
-		if all == 0 {
-			hasFirst = isLive
+		if first {
+			first, hasFirst = false, isLive
 		}
 		all++
 		if isLive {
@@ -186,11 +199,30 @@
 	}
 	// Of two halves, the one with the first member by name counts as the larger.
 	return standing{
-		able:  !view.Suspended && (2*live > all || 2*live == all && hasFirst),
-		share: float64(live) / float64(max(1, all)),
+		able:    !view.Suspended && (2*live > all || 2*live == all && hasFirst),
+		share:   float64(live) / float64(max(1, all)),
+		members: max(all, len(view.Members)),
 	}
 }
 
+// countUnmet returns how many listed nodes count as cut off as the node has not met them.
+func (l *ledger) countUnmet(now time.Time, view *assigner.View) int {
+	if now.Sub(l.startedAt) >= listedTime {
+		return 0
+	}
+	known := make(map[identifier.Address]struct{}, len(view.Members))
+	for i := range view.Members {
+		known[view.Members[i].PeerAddress] = struct{}{}
+	}
+	unmet := 0
+	for _, address := range l.listed() {
+		if _, met := known[address]; !met {
+			unmet++
+		}
+	}
+	return unmet
+}
+
 // verdict is the answer to a query.
 type verdict struct {
 	// notOwner is set if the node neither owns the account nor is its deputy.
@@ -253,12 +285,20 @@
 		a = &allotment{}
 		l.deputies[q.account] = a
 	}
-	if a.take(now, at, l.standing.share*l.bounds.quarter(q.quota), float64(q.amount)) {
+	if a.take(now, at, l.startShare(now)*l.standing.share*l.bounds.quarter(q.quota), float64(q.amount)) {
 		return verdict{granted: true, deputy: true, at: at}
 	}
 	return verdict{retryAfter: a.wait(at, l.bounds), deputy: true}
 }
 
+// startShare returns the share of the allotments that this process may use.
+func (l *ledger) startShare(now time.Time) float64 {
+	if now.Sub(l.startedAt) < l.bounds.Window {
+		return startShare
+	}
+	return 1
+}
+
 // bucketOf returns an account's bucket, which it starts if there is none.
 func (l *ledger) bucketOf(now time.Time, account identifier.Account, quota limiter.AccountQuota) *bucket {
 	b := l.buckets[account]
--- a/accountant/spender.go
+++ b/accountant/spender.go
@@ -128,8 +128,7 @@
 // aloneLimit returns what this node may grant by itself in a window: of a quarter of the
 // tolerance, one part is divided evenly among all members, dead ones included, and the other
 // among as many as it has room for whole requests.
-func (s *spending) aloneLimit(bounds Bounds, quota limiter.AccountQuota) float64 {
-	members := len(s.view.Members)
+func (s *spending) aloneLimit(bounds Bounds, quota limiter.AccountQuota, members int) float64 {
 	quarter, whole := bounds.quarter(quota), float64(aloneRequests)
 	if quota.Tokens {
 		whole = aloneTokens
@@ -141,9 +140,9 @@
 	return evenShare * quarter / float64(members)
 }
 
-// takeAlone grants an amount from what this node may spend by itself.
-func (s *spending) takeAlone(now time.Time, at slot, bounds Bounds, quota limiter.AccountQuota, amount limiter.Amount) bool {
-	if !s.alone.take(now, at, s.aloneLimit(bounds, quota), float64(amount)) {
+// takeAlone grants an amount if this node grants no more than limit by itself in a window.
+func (s *spending) takeAlone(now time.Time, at slot, limit float64, amount limiter.Amount) bool {
+	if !s.alone.take(now, at, limit, float64(amount)) {
 		return false
 	}
 	s.note(taken{amount: amount, at: now, grantedAt: at})
--- a/starter/services.go
+++ b/starter/services.go
@@ -239,6 +239,7 @@
 		Quota: func(account identifier.Account) (limiter.AccountQuota, bool) {
 			return s.tables.currentTable().Configuration.AccountQuota(account)
 		},
+		Listed:        s.registrar.PeerAddresses,
 		PeerTransport: s.peers,
 		Bounds:        accountant.Bounds(s.options.Settings.QuotaTolerance),
 		Log:           s.options.Log,
