--- a/accountant/cluster_test.go
+++ b/accountant/cluster_test.go
@@ -41,8 +41,10 @@
 	// splitUntil is when the present split ends at the latest.
 	splitUntil time.Time
 	accounts   map[identifier.Account]*clusterAccount
-	// messages counts the messages that nodes sent.
-	messages int
+	// messages counts the messages that nodes sent, and bytes those of them and their answers.
+	messages, bytes int
+	// slowest is the longest wait for a decision.
+	slowest time.Duration
 }
 
 // clusterNode is a node and its present process.
@@ -59,6 +61,8 @@
 	// side is the part of a split network that has the node.
 	side int
 	up   bool
+	// withoutCallers means that no requests are sent to the node.
+	withoutCallers bool
 	// joinedAt is from when a process knows its state; before, it is suspended.
 	joinedAt time.Time
 	// resumed is closed at the end of a pause; nil if the process is not paused.
@@ -83,9 +87,12 @@
 	// load is the demand as a multiple of the rate; amount draws a request's amount.
 	load   float64
 	amount func(*rand.Rand) limiter.Amount
-	// debt is the demand that is not sent yet.
-	debt             float64
+	// meanAmount is the mean of what amount draws.
+	meanAmount float64
+	// nextAt is when the next request is sent.
+	nextAt           time.Time
 	runs             []run
+	refusals         []run
 	refused, granted map[limiter.Amount]int
 }
 
@@ -94,7 +101,7 @@
 	quota limiter.AccountQuota
 }
 
-// run is a request that ran.
+// run is a request that ran, or was refused.
 type run struct {
 	at     time.Time
 	amount limiter.Amount
@@ -135,6 +142,8 @@
 }
 
 func (c *cluster) close() {
+	// Requests that are sent already are decided.
+	time.Sleep(3 * queryTimeout)
 	for _, n := range c.nodes {
 		c.resume(n)
 		c.kill(n)
@@ -148,10 +157,21 @@
 		name: identifier.Account(name), load: load, amount: amount, quotas: []quotaPeriod{{time.Now(), quota}},
 		refused: map[limiter.Amount]int{}, granted: map[limiter.Amount]int{},
 	}
+	const samples = 10_000
+	for range samples {
+		a.meanAmount += float64(amount(c.random)) / samples
+	}
 	c.accounts[a.name] = a
 	return a
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (c *cluster) startNode(n *clusterNode) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -298,6 +318,7 @@
 	}
 	tr.mutex.Lock()
 	tr.messages++
+	tr.bytes += len(body)
 	var to *clusterNode
 	for _, n := range tr.nodes {
 		if string(n.name) == request.URL.Host {
@@ -357,6 +378,7 @@
 	handler.ServeHTTP(recorder, copied)
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
+	tr.bytes += recorder.Body.Len()
 	if !tr.reachable(tr.from, to) || tr.random.Float64() < tr.loss {
 		return nil
 	}
@@ -388,23 +410,24 @@
 	for time.Now().Before(end) {
 		for _, name := range names {
 			a := c.accounts[name]
-			c.mutex.Lock()
-			a.debt += a.load * a.quotas[len(a.quotas)-1].quota.Rate * tick.Seconds()
-			c.mutex.Unlock()
-			for a.debt > 0 {
+			now := time.Now()
+			a.nextAt = later(a.nextAt, now)
+			for a.nextAt.Before(now.Add(tick)) {
 				c.mutex.Lock()
 				amount, n := a.amount(c.random), c.nodes[c.random.IntN(len(c.nodes))]
 				returned := c.random.Float64() < notRun
-				wait, jitter := c.delay(0, 3*time.Second), c.delay(0, tick)
-				up := n.up && n.resumed == nil
+				wait, start := c.delay(0, 3*time.Second), a.nextAt.Sub(now)
+				// Requests arrive independently of one another.
+				demand := max(1, a.load*a.quotas[len(a.quotas)-1].quota.Rate)
+				a.nextAt = a.nextAt.Add(time.Duration(c.random.ExpFloat64() * a.meanAmount / demand * float64(time.Second)))
+				up := n.up && n.resumed == nil && !n.withoutCallers
 				accountant := n.accountant
 				c.mutex.Unlock()
-				a.debt -= float64(amount)
-				if !up {
+				if !up || a.load == 0 {
 					continue
 				}
 				c.work.Go(func() {
-					time.Sleep(jitter)
+					time.Sleep(start)
 					c.request(n, accountant, a, amount, returned, wait)
 				})
 			}
@@ -419,11 +442,14 @@
 	c.mutex.Lock()
 	quota := c.quotaAt(n, a.name)
 	c.mutex.Unlock()
+	startedAt := time.Now()
 	granted, retryAfter := accountant.Take(ctx, a.name, quota, amount)
 	c.mutex.Lock()
+	c.slowest = max(c.slowest, time.Since(startedAt))
 	switch {
 	case !granted:
 		a.refused[amount]++
+		a.refusals = append(a.refusals, run{time.Now(), amount})
 		if retryAfter <= 0 {
 			c.t.Errorf("refused with Retry-After %s", retryAfter)
 		}
