--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -246,7 +246,7 @@
 	if b := a.ledger.buckets[q.account]; b != nil && !v.granted && !v.notOwner && !v.deputy && now.Sub(b.loggedAt) >= refusalLogInterval {
 		b.loggedAt = now
 		a.options.Log.Log(eventOverQuota, logger.Fields{
-			"account": q.account, "level": int64(b.level), "rate": b.quota.Rate, "burst": b.quota.Burst, "granted-in-window": int64(b.granted.sum),
+			"account": q.account, "bucket": int64(b.level), "rate": b.quota.Rate, "burst": b.quota.Burst, "granted-in-window": int64(b.granted.sum),
 			"asking-node": q.node, "amount": q.amount, "retry-after-ms": v.retryAfter.Milliseconds(),
 		})
 	}
--- a/accountant/events.go
+++ b/accountant/events.go
@@ -16,7 +16,7 @@
 	eventRefused = logger.Define(6402, logrus.InfoLevel, "account refused",
 		"Requests of an account were refused with 429 at this node; at most one line a second for each account. decided-by says whether the account's owner, its deputy or this node alone decided, decider which node, and refused how many requests were refused since the last line.")
 	eventOverQuota = logger.Define(6403, logrus.InfoLevel, "account over its quota",
-		"The owner refused a request of an account; at most one line a second for each account. level is what the bucket has, granted-in-window what was granted in the last window.")
+		"The owner refused a request of an account; at most one line a second for each account. bucket is what its bucket has, granted-in-window what was granted in the last window.")
 	eventUnable = logger.Define(6404, logrus.WarnLevel, "node owns no quotas",
 		"This node was paused, or it sees no more than half of the members as alive and may be cut off. It grants a part of the tolerance of each quota only.")
 	eventAble = logger.Define(6405, logrus.InfoLevel, "node can own quotas",
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -39,7 +39,9 @@
 	requestLines []Line
 	// memberLines are the lines that name a back end and no request.
 	memberLines []Line
-	skipped     int
+	// accountLines are the lines that name an account and no request.
+	accountLines []Line
+	skipped      int
 }
 
 // New returns a collector for the request with the given id.
@@ -76,6 +78,8 @@
 		c.requestLines = append(c.requestLines, line)
 	case line.Fields["request"] == nil && line.Fields["member"] != nil:
 		c.memberLines = append(c.memberLines, line)
+	case line.Fields["request"] == nil && line.Fields["account"] != nil:
+		c.accountLines = append(c.accountLines, line)
 	}
 }
 
@@ -100,8 +104,9 @@
 }
 
 // Timeline returns the request's lines and the lines about its back ends, from
-// lookback before the request's first line to its last line, in order of time. It
-// returns nil if the request has no lines.
+// lookback before the request's first line to its last line, in order of time. If the
+// request was refused as its account was over the quota, it has the lines about the account
+// too. It returns nil if the request has no lines.
 func (c *Collector) Timeline() []Line {
 	timeline := slices.Clone(c.requestLines)
 	if len(timeline) == 0 {
@@ -117,10 +122,27 @@
 			timeline = append(timeline, line)
 		}
 	}
+	accounts := overQuotaAccounts(timeline)
+	for _, line := range c.accountLines {
+		if accounts[line.Fields["account"]] && !line.At.Before(from) && !line.At.After(until) {
+			timeline = append(timeline, line)
+		}
+	}
 	slices.SortStableFunc(timeline, byTime)
 	return timeline
 }
 
+// overQuotaAccounts returns the accounts of the lines that say that an account was over its quota.
+func overQuotaAccounts(lines []Line) map[any]bool {
+	accounts := map[any]bool{}
+	for _, line := range lines {
+		if line.Fields["reason"] == "over-quota" {
+			accounts[line.Fields["account"]] = true
+		}
+	}
+	return accounts
+}
+
 // membersOf returns the set of back ends named in lines.
 func membersOf(lines []Line) map[string]bool {
 	members := map[string]bool{}
--- a/starter/walkthrough_test.go
+++ b/starter/walkthrough_test.go
@@ -14,7 +14,7 @@
 	"github.com/foxtailspool/foxtailspool/explainer"
 )
 
-// TestTimelinesOfFailedRequests reproduces the three failed requests that
+// TestTimelinesOfFailedRequests reproduces the failed requests that
 // docs/OPERATIONS.md explains, and checks that the logs alone lead from the request's ID
 // to its cause. With -v it prints the timelines of that page.
 func TestTimelinesOfFailedRequests(t *testing.T) {
@@ -47,6 +47,19 @@
 			return got.attempt
 		}, 6203, 6207, 6202)
 	})
+	t.Run("account over its quota", func(t *testing.T) {
+		checkTimeline(t, func(t *testing.T, f *fleet) string {
+			f.configureAccounts(map[string]any{"name": "lamps", "apiKeys": []string{"key"}, "unit": "token_stream", "ratePerS": 2000, "burst": 3000})
+			time.Sleep(2*applyTimeout + 10*time.Second)
+			for range 20 {
+				if got := f.send(t.Context(), 0, withKey(quote(), "key")); got.status == http.StatusTooManyRequests {
+					return got.attempt
+				}
+			}
+			t.Error("no request was refused")
+			return ""
+		}, 6403, 6201, 6402)
+	})
 }
 
 // logBuffer collects the logs of several nodes; it is safe for concurrent use.
