Let accounts save up part of the quota's tolerance

The owner's bucket now holds 0.35 of the tolerance beyond the burst. The other sources of additional grants get the rest: 0.2 deputies, 0.15 each a new owner's start, the last request with late returns, and nodes by themselves.

--- a/accountant/bounds.go
+++ b/accountant/bounds.go
@@ -24,8 +24,8 @@
 	// defaultWindow is the platform's usual window.
 	defaultWindow = 8 * time.Second
 	// windowSlots is the number of parts of a window in which amounts are counted. A window
-	// counts up to one part too long. At 64 that is 1/8 s of the rate, which is less than the
-	// quarter of a tolerance of 0.1.
+	// counts up to one part too long. At 64 that is 1/8 s of the rate, which is less than what
+	// overdraftShare leaves of a tolerance of 0.1.
 	windowSlots = 64
 )
 
@@ -50,8 +50,28 @@
 	return tolerance
 }
 
-// quarter returns the part of the tolerance that each source of additional grants may use.
-func (b Bounds) quarter(quota limiter.AccountQuota) float64 { return b.tolerance(quota) / 4 }
+// The shares of the tolerance that each source of additional grants may use. They add up to one.
+const (
+	// savedShare is what an account may save up beyond its burst: what callers may send is bounded
+	// in a window, and a bucket that holds no more than the burst refuses spikes that the window
+	// allows.
+	savedShare = 0.35
+	// deputyShare is what the deputies grant in a window while the owner doesn't answer.
+	deputyShare = 0.2
+	// initialShare is what the bucket of a new owner holds at first.
+	initialShare = 0.15
+	// overdraftShare is for the last request, which takes the level below zero, and for amounts
+	// that are given back late.
+	overdraftShare = 0.15
+	// aloneShare is what all nodes together grant in a window while they reach neither owner nor
+	// deputy.
+	aloneShare = 0.15
+)
+
+// saved returns the most that an account may save up.
+func (b Bounds) saved(quota limiter.AccountQuota) float64 {
+	return float64(quota.Burst) + savedShare*b.tolerance(quota)
+}
 
 // slotLength returns the length of the parts of a window.
 func (b Bounds) slotLength() time.Duration { return b.Window / windowSlots }
--- a/accountant/bucket.go
+++ b/accountant/bucket.go
@@ -25,8 +25,8 @@
 // bucket is the owner's bucket of one account. It is not safe for concurrent use.
 type bucket struct {
 	quota limiter.AccountQuota
-	// level is at most the burst. It falls below zero by one request at most.
-	level float64
+	// level is at most capacity. It falls below zero by one request at most.
+	level, capacity float64
 	// refilledAt is up to when the level has been raised; it may lie ahead.
 	refilledAt time.Time
 	// promisedUntil is when the amounts of all callers that were told to come back can have
@@ -45,21 +45,22 @@
 
 // newBucket returns the bucket of an account that this node has owned since ownedSince.
 // It is full if no earlier owner can have granted anything for so long that its bucket would be
-// full, and else starts with a quarter of the tolerance at most.
+// full, and else starts with initialShare of the tolerance at most.
 func newBucket(now, ownedSince time.Time, bounds Bounds, quota limiter.AccountQuota) *bucket {
 	b := &bucket{quota: quota, startedAt: now, usedAt: now, reporters: map[identifier.Node]struct{}{}}
-	b.level = min(float64(quota.Burst), bounds.quarter(quota))
+	b.capacity = bounds.saved(quota)
+	b.level = min(b.capacity, initialShare*bounds.tolerance(quota))
 	b.refilledAt = ownedSince.Add(handoverTime)
 	b.refill(now)
 	if now.Sub(ownedSince) >= fullAfter(bounds, quota) {
-		b.level = float64(quota.Burst)
+		b.level = b.capacity
 	}
 	return b
 }
 
 // fullAfter returns after how long without a grant a bucket is full and its window empty.
 func fullAfter(bounds Bounds, quota limiter.AccountQuota) time.Duration {
-	return bounds.Window + bounds.slotLength() + secondsAt(float64(quota.Burst), quota.Rate)
+	return bounds.Window + bounds.slotLength() + secondsAt(bounds.saved(quota), quota.Rate)
 }
 
 // maxRefillTime bounds the results of secondsAt, against overflow.
@@ -76,20 +77,20 @@
 // refill raises the level to what it is now.
 func (b *bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
-		b.level = min(float64(b.quota.Burst), b.level+elapsed.Seconds()*b.quota.Rate)
+		b.level = min(b.capacity, b.level+elapsed.Seconds()*b.quota.Rate)
 		b.refilledAt = now
 	}
 }
 
 // setQuota applies a changed quota. A higher burst is not available at once but refilled.
-func (b *bucket) setQuota(now time.Time, quota limiter.AccountQuota) {
+func (b *bucket) setQuota(now time.Time, bounds Bounds, quota limiter.AccountQuota) {
 	b.refill(now)
 	if quota.Tokens != b.quota.Tokens {
 		// What was counted is in another unit.
 		b.level, b.granted = 0, window{}
 	}
-	b.quota = quota
-	b.level = min(b.level, float64(quota.Burst))
+	b.quota, b.capacity = quota, bounds.saved(quota)
+	b.level = min(b.level, b.capacity)
 	b.promisedUntil = time.Time{}
 }
 
@@ -110,15 +111,15 @@
 
 // take grants an amount or returns how long the caller should wait. It admits a request while
 // the level is not below zero, so that a large request has the same chance as a small one,
-// unless the level would then fall by more than a quarter of the tolerance below zero. It grants
-// no more in a window than the quota allows and a quarter of its tolerance.
+// unless the level would then fall by more than overdraftShare below zero. It grants no more in a
+// window than the quota allows, what may be saved up beyond its burst, and overdraftShare.
 func (b *bucket) take(now time.Time, at slot, bounds Bounds, amount float64) (granted bool, retryAfter time.Duration) {
 	b.refill(now)
 	b.granted.expire(at)
 	b.usedAt = now
-	quarter := bounds.quarter(b.quota)
-	needed := max(0, min(amount-quarter, float64(b.quota.Burst)))
-	room := bounds.limit(b.quota) + quarter - b.granted.sum - amount
+	tolerance := bounds.tolerance(b.quota)
+	needed := max(0, min(amount-overdraftShare*tolerance, b.capacity))
+	room := bounds.limit(b.quota) + (savedShare+overdraftShare)*tolerance - b.granted.sum - amount
 	if b.level >= needed && room >= 0 {
 		b.level -= amount
 		b.granted.add(at, amount)
@@ -155,7 +156,7 @@
 // giveBack returns an amount that was taken at takenAt and not used.
 func (b *bucket) giveBack(now time.Time, takenAt slot, amount float64) {
 	b.refill(now)
-	b.level = min(float64(b.quota.Burst), b.level+amount)
+	b.level = min(b.capacity, b.level+amount)
 	b.granted.remove(takenAt, amount)
 }
 
@@ -164,7 +165,7 @@
 func (b *bucket) isForgettable(now time.Time, at slot) bool {
 	b.refill(now)
 	b.granted.expire(at)
-	return len(b.granted.entries) == 0 && (b.level >= float64(b.quota.Burst) || now.Sub(b.usedAt) >= maxRefillTime)
+	return len(b.granted.entries) == 0 && (b.level >= b.capacity || now.Sub(b.usedAt) >= maxRefillTime)
 }
 
 // allotment is what a node may grant from a part of the tolerance without the owner's bucket. It
--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -277,7 +277,7 @@
 	return false
 }
 
-// decideAsDeputy grants from a quarter of the tolerance. Each part of a split network may have a
+// decideAsDeputy grants from deputyShare of the tolerance. Each part of a split network may have a
 // deputy, so each has the part of it that its members are of all.
 func (l *ledger) decideAsDeputy(now time.Time, at slot, q *query) verdict {
 	a := l.deputies[q.account]
@@ -285,7 +285,7 @@
 		a = &allotment{}
 		l.deputies[q.account] = a
 	}
-	if a.take(now, at, l.startShare(now)*l.standing.share*l.bounds.quarter(q.quota), float64(q.amount)) {
+	if a.take(now, at, l.startShare(now)*l.standing.share*deputyShare*l.bounds.tolerance(q.quota), float64(q.amount)) {
 		return verdict{granted: true, deputy: true, at: at}
 	}
 	return verdict{retryAfter: a.wait(at, l.bounds), deputy: true}
@@ -307,7 +307,7 @@
 		l.buckets[account] = b
 	}
 	if b.quota != quota {
-		b.setQuota(now, quota)
+		b.setQuota(now, l.bounds, quota)
 	}
 	return b
 }
--- a/accountant/spender.go
+++ b/accountant/spender.go
@@ -125,19 +125,19 @@
 	return taken{}, false
 }
 
-// aloneLimit returns what this node may grant by itself in a window: of a quarter of the
+// aloneLimit returns what this node may grant by itself in a window: of aloneShare of the
 // tolerance, one part is divided evenly among all members, dead ones included, and the other
 // among as many as it has room for whole requests.
 func (s *spending) aloneLimit(bounds Bounds, quota limiter.AccountQuota, members int) float64 {
-	quarter, whole := bounds.quarter(quota), float64(aloneRequests)
+	part, whole := aloneShare*bounds.tolerance(quota), float64(aloneRequests)
 	if quota.Tokens {
 		whole = aloneTokens
 	}
-	chosen := int(min((1-evenShare)*quarter/whole, float64(members)))
+	chosen := int(min((1-evenShare)*part/whole, float64(members)))
 	if s.rank < chosen {
-		return evenShare*quarter/float64(members) + (1-evenShare)*quarter/float64(chosen)
+		return evenShare*part/float64(members) + (1-evenShare)*part/float64(chosen)
 	}
-	return evenShare * quarter / float64(members)
+	return evenShare * part / float64(members)
 }
 
 // takeAlone grants an amount if this node grants no more than limit by itself in a window.
