--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -24,8 +24,8 @@
 	observeInterval = 100 * time.Millisecond
 	// forgetInterval is how often unused accounts are looked for.
 	forgetInterval = time.Second
-	// aloneRetryAfter is the least Retry-After of a refusal without the owner and its deputy. A
-	// new owner is known after about two seconds. Up to as much is added at random.
+	// aloneRetryAfter is the least Retry-After of a refusal that the owner did not decide on.
+	// Up to as much is added at random: a new owner is known after about two seconds.
 	aloneRetryAfter = time.Second
 	// refusalLogInterval is the least time between two log lines of refusals of one account.
 	refusalLogInterval = time.Second
@@ -275,6 +275,7 @@
 	source := sourceOwner
 	if v.deputy {
 		source = sourceDeputy
+		v.retryAfter = min(v.retryAfter, withoutOwnerRetryAfter())
 	} else {
 		s.reportedTo = grantor
 	}
@@ -297,12 +298,15 @@
 	limit := a.ledger.startShare(now) * s.aloneLimit(a.options.Bounds, q.quota, a.ledger.standing.members)
 	v := verdict{granted: s.takeAlone(now, a.ledger.slotAt(now), limit, q.amount)}
 	if !v.granted {
-		v.retryAfter = aloneRetryAfter + rand.N(aloneRetryAfter)
+		v.retryAfter = withoutOwnerRetryAfter()
 	}
 	a.record(now, s, q, sourceAlone, "", &v)
 	return v.granted, v.retryAfter
 }
 
+// withoutOwnerRetryAfter returns the Retry-After of a refusal that the owner did not decide on.
+func withoutOwnerRetryAfter() time.Duration { return aloneRetryAfter + rand.N(aloneRetryAfter) }
+
 // record counts a verdict and logs refusals. The caller must hold the mutex.
 func (a *Accountant) record(now time.Time, s *spending, q *query, by source, decider identifier.Node, v *verdict) {
 	a.metrics.recordVerdict(by, q, v.granted)
--- a/accountant/cluster_test.go
+++ b/accountant/cluster_test.go
@@ -30,6 +30,8 @@
 	nodes  []*clusterNode
 	stop   context.CancelFunc
 	work   sync.WaitGroup
+	// steady means that no fault occurs any more, so that no view changes.
+	steady atomic.Bool
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -135,7 +137,9 @@
 	c.work.Go(func() {
 		for ctx.Err() == nil {
 			time.Sleep(50 * time.Millisecond)
-			c.updateViews()
+			if !c.steady.Load() {
+				c.updateViews()
+			}
 		}
 	})
 	return c
--- a/accountant/measure_test.go
+++ b/accountant/measure_test.go
@@ -32,10 +32,11 @@
 				a.load = 2.3 * float64(nodes) / accounts * a.meanAmount / 200_000
 			}
 			c.settle()
+			c.steady.Store(true)
 			c.play(duration, 0)
+			c.close()
 			perNode := float64(nodes) * duration.Seconds()
 			t.Logf("%d nodes: %.2f messages and %.0f B of messages a second and node", nodes, float64(c.messages)/perNode, float64(c.bytes)/perNode)
-			c.close()
 		})
 	}
 }
--- a/starter/quotas_test.go
+++ b/starter/quotas_test.go
@@ -103,3 +103,38 @@
 		}
 	})
 }
+
+// TestQuotaAfterRestartOfAll guards against accounts that are refused long after all nodes have
+// started again, when no node knows what was granted before.
+func TestQuotaAfterRestartOfAll(t *testing.T) {
+	runFleet(t, 5, func(t *testing.T, f *fleet) {
+		f.configureAccounts(map[string]any{"name": "lamps", "apiKeys": []string{"key-lamps"}, "unit": "token_stream", "ratePerS": 6000, "burst": 6000, "plainTokens": 200})
+		time.Sleep(2*applyTimeout + 10*time.Second)
+		for n := range f.nodes {
+			f.kill(n)
+		}
+		for n := range f.nodes {
+			f.start(n)
+		}
+		f.waitFor(t, recoveryTimeout, "the nodes are ready", func() bool { return f.readyNodes() == len(f.nodes) })
+		readyAt := time.Now()
+		var lastRefused time.Duration
+		refused := 0
+		for i := range 50 {
+			got := f.send(t.Context(), i%len(f.nodes), withKey(lookUp(), "key-lamps"))
+			switch got.status {
+			case http.StatusOK:
+			case http.StatusTooManyRequests:
+				refused++
+				lastRefused = time.Since(readyAt)
+			default:
+				t.Errorf("status %d: %s", got.status, got.body)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("%d of 50 refused, the last %s after the nodes were ready", refused, lastRefused)
+		if lastRefused > time.Second {
+			t.Errorf("an account that uses a third of its quota was refused %s after the nodes were ready", lastRefused)
+		}
+	})
+}
