Keep quota queries from closing peers' connections; split a fleet

Cause: the peers' transport closes a connection on which a call timed out without data. Change: quotas use the same connections without that rule; TestQuotaInSplitFleet checks the bound with the real membership, the owner in either part.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -42,7 +42,8 @@
 	// Listed returns the peer addresses of the other nodes by the platform's list, which may have
 	// nodes that are gone. Nil returns none.
 	Listed func() []identifier.Address
-	// PeerTransport sends requests to the peer addresses of other nodes.
+	// PeerTransport sends requests to the peer addresses of other nodes. It should not close
+	// a connection that others use after a time-out, as queries time out soon.
 	PeerTransport http.RoundTripper
 	Bounds        Bounds
 	// Log and Scope may be nil.
--- a/starter/quotas_test.go
+++ b/starter/quotas_test.go
@@ -1,7 +1,9 @@
 package starter_test
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -18,6 +20,20 @@
 	return c
 }
 
+// mostInWindow returns how many of the times are in the window that has most.
+func mostInWindow(times []time.Time, window time.Duration) (most int) {
+	for _, from := range times {
+		count := 0
+		for _, at := range times {
+			if !at.Before(from) && at.Sub(from) < window {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
 // TestQuotaHoldsOverNodes guards against an account that gets several times its quota through
 // several nodes or less than its quota, that takes service from other accounts, whose refused
 // requests run, or that pays for requests that have not run.
@@ -75,16 +91,8 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		wait.Wait()
-		for _, from := range grantedAt {
-			sum := 0
-			for _, at := range grantedAt {
-				if !at.Before(from) && at.Sub(from) < window {
-					sum += tokens
-				}
-			}
-			if sum > limit {
-				t.Fatalf("%d tokens in a window, at most %.0f allowed", sum, float64(limit))
-			}
+		if most := mostInWindow(grantedAt, window) * tokens; float64(most) > limit {
+			t.Errorf("%d tokens in a window, at most %.0f allowed", most, float64(limit))
 		}
 		owed := rate*duration.Seconds() + burst
 		t.Logf("granted %d tokens of %.0f owed, %d requests refused", len(grantedAt)*tokens, owed, refused)
@@ -138,3 +146,61 @@
 		}
 	})
 }
+
+// TestQuotaInSplitFleet guards against parts of a split fleet that each grant the whole quota, with
+// the membership that nodes really have, and against a quota that is lost after the split.
+func TestQuotaInSplitFleet(t *testing.T) {
+	const (
+		rate, burst, tokens = 8000, 8000, 400
+		window              = 8 * time.Second
+		limit               = (rate*8+burst)*1.1 + 3000
+	)
+	// The owner is in one of the smaller parts at least.
+	for _, smaller := range [][]int{{0, 1, 2}, {2, 3, 4}, {4, 5, 6}} {
+		t.Run(fmt.Sprint(smaller), func(t *testing.T) {
+			runFleet(t, 7, func(t *testing.T, f *fleet) {
+				f.configureAccounts(map[string]any{"name": "lamps", "apiKeys": []string{"key-lamps"}, "unit": "token_stream", "ratePerS": rate, "burst": burst, "plainTokens": tokens})
+				time.Sleep(2*applyTimeout + 2*window)
+				var wait sync.WaitGroup
+				var mutex sync.Mutex
+				var grantedAt []time.Time
+				// Requests are 28,000 tokens a second.
+				ask := func(duration time.Duration) {
+					for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+						for n := range f.nodes {
+							wait.Go(func() {
+								sentAt := time.Now()
+								if f.send(t.Context(), n, withKey(lookUp(), "key-lamps")).status == http.StatusOK {
+									mutex.Lock()
+									defer mutex.Unlock()
+									grantedAt = append(grantedAt, sentAt)
+								}
+							})
+						}
+					}
+				}
+				ask(6 * time.Second)
+				for _, a := range smaller {
+					for b := range f.nodes {
+						if !slices.Contains(smaller, b) {
+							f.network.Cut(f.nodes[a].host, f.nodes[b].host)
+						}
+					}
+				}
+				ask(15 * time.Second)
+				f.network.Heal()
+				ask(10 * time.Second)
+				wait.Wait()
+				most := float64(mostInWindow(grantedAt, window) * tokens)
+				owed := rate*31.0 + burst
+				t.Logf("at most %.0f tokens in a window, %.0f allowed; granted %d of %.0f owed", most, limit, len(grantedAt)*tokens, owed)
+				if most > limit {
+					t.Errorf("%.0f tokens in a window, at most %.0f allowed", most, limit)
+				}
+				if granted := float64(len(grantedAt) * tokens); granted < 0.8*owed {
+					t.Errorf("granted %.0f tokens, %.0f were owed", granted, owed)
+				}
+			})
+		})
+	}
+}
--- a/starter/services.go
+++ b/starter/services.go
@@ -104,7 +104,8 @@
 	}
 	pooledLimits := limits
 	pooledLimits.PingInterval = peerPingAfter
-	s.peers = connector.CloseUnresponsive(s.options.Network.Transport(pooledLimits))
+	s.unclosedPeers = s.options.Network.Transport(pooledLimits)
+	s.peers = connector.CloseUnresponsive(s.unclosedPeers)
 	s.registrar = registrar.New(registrar.Options{
 		Node:       settings.Node,
 		Address:    settings.PeerAddress,
@@ -240,7 +241,7 @@
 			return s.tables.currentTable().Configuration.AccountQuota(account)
 		},
 		Listed:        s.registrar.PeerAddresses,
-		PeerTransport: s.peers,
+		PeerTransport: s.unclosedPeers,
 		Bounds:        accountant.Bounds(s.options.Settings.QuotaTolerance),
 		Log:           s.options.Log,
 		Scope:         s.options.Scope,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -65,6 +65,9 @@
 	forwarder  *forwarder.Forwarder
 	addresser  *addresser.Addresser
 	peers      http.RoundTripper
+	// unclosedPeers uses the connections of peers, but closes none after a time-out. Queries of
+	// quotas time out so soon that a busy peer would lose the calls of other services too.
+	unclosedPeers http.RoundTripper
 	// answers has the answers of back ends that are read whole.
 	answers *limiter.Memory
 	// callersListener is the listener for callers' requests.
