Split the whole retry budget of the fleet, errors before hedges

A node of 82 could save up one retry: of a slack of 204 it took 0.8 / 2 / 82 and rounded up. Its look-ups fail 14 in 100 with the server's own 500. A look-up was also counted twice (in Forwarder.run and in limiter.Hedge), which earned 0.32 of a retry instead of 0.16, and one whose first back end was not reached needed a retry for the next.

Parts are of the most nodes ever known, dead ones included, so that nodes that are cut off keep to theirs. Requests count once they have reached a back end, and tries that reach none are free. Without a budget in the settings the former refill was not a number; such a node now has the limiter's defaults.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -229,6 +229,8 @@
 	prefilledAt time.Time
 	// sends counts the sends that reached a back end.
 	sends int
+	// retryUnused is set while the call holds a retry of the budget that no send has used.
+	retryUnused bool
 	// answers has the bytes of the answers that are read whole.
 	answers *limiter.Lease
 	// account is the caller's account; the zero Account if there is none.
@@ -303,13 +305,12 @@
 	if refusal := c.takeAccountQuota(); refusal != nil {
 		return nil, refusal
 	}
-	c.options.Budgets.Pool(c.pool.Name).CountSend()
+	if !c.pool.Model && c.route.Kind == Repeatable && c.route.Backends > 1 {
+		return c.runRepeatable() // It counts the request in the budget.
+	}
 	if c.pool.Model {
 		return c.runStream()
 	}
-	if c.route.Kind == Repeatable && c.route.Backends > 1 {
-		return c.runRepeatable()
-	}
 	return c.runOnce()
 }
 
@@ -351,6 +352,7 @@
 		c.grant = ""
 	}
 	c.answers.Release()
+	c.giveBackRetry()
 	c.returnAccountQuota(refusal)
 	c.running.Add(-1)
 	c.metrics.recordEnd(c, refusal)
@@ -406,10 +408,31 @@
 	return c.table
 }
 
-// takeRetry takes one retry from the pool's budget. It returns false when the
-// budget or maxSends is used up.
+// noteSent counts a send that reached a back end. The first counts in the pool's budget.
+func (c *call) noteSent() {
+	c.sends++
+	c.retryUnused = false
+	if c.sends == 1 {
+		c.options.Budgets.Pool(c.pool.Name).CountSend()
+	}
+}
+
+// takeRetry takes one retry from the pool's budget, unless the call still holds one. It
+// returns false when the budget or maxSends is used up.
 func (c *call) takeRetry() bool {
-	return c.sends < maxSends && c.options.Budgets.Pool(c.pool.Name).TakeRetry()
+	if c.sends >= maxSends {
+		return false
+	}
+	c.retryUnused = c.retryUnused || c.options.Budgets.Pool(c.pool.Name).TakeRetry()
+	return c.retryUnused
+}
+
+// giveBackRetry returns a retry that the call holds to the budget.
+func (c *call) giveBackRetry() {
+	if c.retryUnused {
+		c.retryUnused = false
+		c.options.Budgets.Pool(c.pool.Name).GiveBack()
+	}
 }
 
 // maxSends bounds the sends of one request, including declined ones.
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/router"
 )
@@ -79,7 +81,7 @@
 	c.tried = append(c.tried, backend.Name)
 	reply, err := c.sendAndRead(ctx, backend, newConnection)
 	if !errorx.IsOfType(err, Unsent) {
-		c.sends++
+		c.noteSent()
 	}
 	if !provenNotRun(err) {
 		c.possibleRuns++
@@ -171,58 +173,98 @@
 // better answer.
 var errBackendFault = errors.New("the back end reports a fault of its own")
 
+// errNoBackend means that no back end takes the request, which has been sent to none.
+var errNoBackend = errors.New("no back end takes work")
+
+// unsent reports whether an error proves that a try has reached no back end.
+func unsent(err error) bool {
+	return errors.Is(err, errNoBackend) || errorx.IsOfType(err, Unsent)
+}
+
+// lookUp is the state of a repeatable request that its tries share.
+type lookUp struct {
+	*call
+	first Backend
+	// fault is the latest answer with a server error, returned if no better one comes.
+	fault      atomic.Pointer[Reply]
+	mayHaveRun atomic.Bool
+	mutex      sync.Mutex
+	// chosen has the back ends of all tries. It is guarded by mutex.
+	chosen []identifier.Member
+}
+
 // runRepeatable sends a request that may run more than once. It sends it to a second
 // back end when the first fails or is slow and the retry budget allows it.
 func (c *call) runRepeatable() (*Reply, *router.Refusal) {
-	// fault is the latest answer with a server error, returned if no better one comes.
-	var fault atomic.Pointer[Reply]
-	var mayHaveRun atomic.Bool
 	first, refusal := c.pickBackend()
 	if refusal != nil {
 		return nil, refusal
 	}
+	l := &lookUp{call: c, first: first}
 	reply, release, err := limiter.Hedge(c.ctx, c.options.Budgets.Pool(c.pool.Name), limiter.HedgeOptions[*Reply]{
-		Delay: c.hedgeDelay(),
-		Send: func(ctx context.Context, try int) (*Reply, error) {
-			backend := first
-			if try > 0 {
-				candidates := c.backendTable().Pool(c.pool.Name, "")
-				picked, ok := c.balancer.pick(time.Now(), candidates, append(c.tried, first.Name), c.options.DataCentre, c.rotation.Add(1))
-				if !ok {
-					return nil, errBackendFault
-				}
-				backend = picked
-			}
-			reply, err := c.sendAndRead(ctx, backend, try > 0)
-			if !provenNotRun(err) {
-				mayHaveRun.Store(true)
-			}
-			if err == nil && reply.Status >= http.StatusInternalServerError {
-				fault.Store(reply)
-				return nil, errBackendFault
-			}
-			return reply, err
-		},
+		Delay: c.hedgeDelay(), Send: l.try, Unsent: unsent,
 	})
 	release()
-	if mayHaveRun.Load() {
+	if l.mayHaveRun.Load() {
 		c.possibleRuns++
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return reply, nil
-	case fault.Load() != nil:
-		return fault.Load(), nil
+	}
+	l.logIfNotResent(err)
+	if fault := l.fault.Load(); fault != nil {
+		return fault, nil
 	}
 	if refusal := c.refusalIfEnded(); refusal != nil {
 		return nil, refusal
 	}
-	if !mayHaveRun.Load() {
+	if !l.mayHaveRun.Load() {
 		return nil, notRunRefusal(router.BackendDown, retryAfterBusy, "no back end has room")
 	}
 	return nil, unknownRefusal(router.AnswerLost, "no back end returned a usable answer")
 }
 
+// try makes one try at a back end that no earlier try has chosen, if there is one.
+func (l *lookUp) try(ctx context.Context, try int) (*Reply, error) {
+	backend, ok := l.choose(try)
+	if !ok {
+		return nil, errNoBackend
+	}
+	reply, err := l.sendAndRead(ctx, backend, try > 0)
+	if !provenNotRun(err) {
+		l.mayHaveRun.Store(true)
+	}
+	if err == nil && reply.Status >= http.StatusInternalServerError {
+		l.fault.Store(reply)
+		return nil, errBackendFault
+	}
+	return reply, err
+}
+
+func (l *lookUp) choose(try int) (backend Backend, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	backend, ok = l.first, true
+	if try > 0 {
+		candidates := l.backendTable().Pool(l.pool.Name, "")
+		backend, ok = l.balancer.pick(time.Now(), candidates, l.chosen, l.options.DataCentre, l.rotation.Add(1))
+	}
+	if ok {
+		l.chosen = append(l.chosen, backend.Name)
+	}
+	return backend, ok
+}
+
+// logIfNotResent logs that a failed request was not sent to a second back end.
+func (l *lookUp) logIfNotResent(err error) {
+	l.mutex.Lock()
+	count := len(l.chosen)
+	l.mutex.Unlock()
+	if count == 1 && l.ctx.Err() == nil {
+		l.logDecision(eventNotResent, "the retry budget is used up, or no other back end takes work", err)
+	}
+}
+
 const (
 	// hedgeDelayShare is the share of the route's target after which a request is
 	// hedged. The rest of the target is the time for the second answer.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -315,7 +315,7 @@
 func (c *call) recordFailure(backend Backend, err error) {
 	c.tried = append(c.tried, backend.Name)
 	if !errorx.IsOfType(err, Unsent) {
-		c.sends++
+		c.noteSent()
 	}
 }
 
@@ -354,7 +354,7 @@
 		c.recordFailure(backend, err)
 		return nil, err
 	}
-	c.sends++
+	c.noteSent()
 	c.possibleRuns++
 	return reply, nil
 }
--- a/limiter/hedger.go
+++ b/limiter/hedger.go
@@ -15,10 +15,19 @@
 	Send func(ctx context.Context, try int) (T, error)
 	// Discard releases the answer of the slower try. It may be nil.
 	Discard func(answer T)
+	// Unsent reports whether an error proves that the try has reached no back end. Such a try
+	// costs nothing of the budget. Unsent may be nil.
+	Unsent func(err error) bool
 	// Delay is the time before the second try; zero takes Budget.HedgeDelay.
 	Delay time.Duration
 }
 
+const (
+	// maxTries bounds the tries of a call, and maxSentTries those that reach a back end.
+	maxTries     = 4
+	maxSentTries = 2
+)
+
 type tryResult[T any] struct {
 	try    int
 	answer T
@@ -26,20 +35,24 @@
 }
 
 // Hedge makes an idempotent call, and makes it once more if the first try fails or is
-// slow and the budget allows it. It returns the first good answer and a cancel function
-// to call when the answer has been read. The other try is cancelled and its answer
-// discarded. If no try succeeds, Hedge returns the error of the last try to end.
+// slow and the budget allows it. After a failure it does so at once. It returns the first
+// good answer and a cancel function to call when the answer has been read. The other try is
+// cancelled and its answer discarded. If no try succeeds, Hedge returns the error of the
+// last try to end. Hedge counts the call in the budget.
 func Hedge[T any](ctx context.Context, budget *Budget, options HedgeOptions[T]) (T, context.CancelFunc, error) {
 	budget.CountSend()
 	if options.Delay == 0 {
 		options.Delay = budget.HedgeDelay()
 	}
-	h := &hedge[T]{options: options, results: make(chan tryResult[T], 2)}
+	h := &hedge[T]{options: options, budget: budget, results: make(chan tryResult[T], maxTries)}
 	start := time.Now()
 	h.startTry(ctx)
-	result := h.waitForAnswer(ctx, budget)
+	result := h.waitForAnswer(ctx)
 	if result.err != nil {
 		h.cancelAll()
+		if h.sent == 0 {
+			budget.UncountSend()
+		}
 		var zero T
 		return zero, func() {}, result.err
 	}
@@ -50,39 +63,69 @@
 
 type hedge[T any] struct {
 	options HedgeOptions[T]
-	// results has capacity for both tries, so that no try blocks on it.
+	budget  *Budget
+	// results has capacity for all tries, so that no try blocks on it.
 	results  chan tryResult[T]
 	cancels  []context.CancelFunc
 	finished int
+	// sent is the number of tries without those that have proved to be unsent. taken, the
+	// retries taken from the budget, is one less, and at least zero.
+	sent, taken int
 }
 
 func (h *hedge[T]) startTry(ctx context.Context) {
 	tryCtx, cancel := context.WithCancel(ctx) //nolint:gosec // Hedge cancels each try or returns its cancel function.
 	try := len(h.cancels)
 	h.cancels = append(h.cancels, cancel)
+	h.sent++
 	go func() {
 		answer, err := h.options.Send(tryCtx, try)
 		h.results <- tryResult[T]{try: try, answer: answer, err: err}
 	}()
 }
 
+// startAgain starts a further try if the limits and the budget allow it. It takes nothing
+// from the budget if no try has reached a back end.
+func (h *hedge[T]) startAgain(ctx context.Context, cause Cause) bool {
+	if len(h.cancels) >= maxTries || h.sent >= maxSentTries || ctx.Err() != nil {
+		return false
+	}
+	if h.sent > 0 {
+		if !h.budget.Take(cause) {
+			return false
+		}
+		h.taken++
+	}
+	h.startTry(ctx)
+	return true
+}
+
+// noteUnsent gives back what a try that has reached no back end has taken.
+func (h *hedge[T]) noteUnsent() {
+	h.sent--
+	if h.taken > 0 {
+		h.taken--
+		h.budget.GiveBack()
+	}
+}
+
 // waitForAnswer returns the first success, or the last failure.
-func (h *hedge[T]) waitForAnswer(ctx context.Context, budget *Budget) tryResult[T] {
+func (h *hedge[T]) waitForAnswer(ctx context.Context) tryResult[T] {
 	slow := time.NewTimer(h.options.Delay)
 	defer slow.Stop()
 	for {
-		singleTry := len(h.cancels) == 1
 		select {
 		case <-slow.C:
-			if singleTry && budget.TakeRetry() {
-				h.startTry(ctx)
-			}
+			h.startAgain(ctx, Hedged)
 		case result := <-h.results:
 			h.finished++
-			retry := result.err != nil && singleTry && ctx.Err() == nil && budget.TakeRetry()
-			if retry {
-				h.startTry(ctx)
-			} else if result.err == nil || h.finished == len(h.cancels) {
+			if result.err == nil {
+				return result
+			}
+			if h.options.Unsent != nil && h.options.Unsent(result.err) {
+				h.noteUnsent()
+			}
+			if h.finished == len(h.cancels) && !h.startAgain(ctx, AfterError) {
 				return result
 			}
 		}
@@ -96,13 +139,16 @@
 			cancel()
 		}
 	}
-	if h.finished == len(h.cancels) {
+	running := len(h.cancels) - h.finished
+	if running == 0 {
 		return
 	}
 	go func() {
-		// The cancelled try still sends its result, and nothing else reads it.
-		if result := <-h.results; result.err == nil && h.options.Discard != nil {
-			h.options.Discard(result.answer)
+		// The cancelled tries still send their results, and nothing else reads them.
+		for range running {
+			if result := <-h.results; result.err == nil && h.options.Discard != nil {
+				h.options.Discard(result.answer)
+			}
 		}
 	}()
 }
--- a/starter/limits_test.go
+++ b/starter/limits_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/platform"
 )
 
@@ -41,3 +42,16 @@
 		}
 	}
 }
+
+// TestRetryBudgetWithoutSettings guards against nodes that never retry, or without a limit,
+// since their settings have no retry budget.
+func TestRetryBudgetWithoutSettings(t *testing.T) {
+	budget := limiter.New((&Starter{}).retryBudget(platform.RetryBudget{})).Pool("desk")
+	retries := 0
+	for retries < 1000 && budget.TakeRetry() {
+		retries++
+	}
+	if retries == 0 || retries > 100 {
+		t.Errorf("%d retries at once", retries)
+	}
+}
--- a/starter/services.go
+++ b/starter/services.go
@@ -65,9 +65,6 @@
 	addressTTL = time.Second
 	// maxAnswerAddresses is the platform's limit on the addresses in one answer.
 	maxAnswerAddresses = 64
-	// retryBudgetShare is the fraction of the fleet's retry budget that the nodes split.
-	// The rest covers nodes that other nodes do not count yet when they split it.
-	retryBudgetShare = 0.8
 	// maxShardEngines is the largest number of engines in one shard. One owner of a
 	// whole pool keeps more of the pool in use than two owners of half a pool each, and a
 	// pool near the limit would get other owners whenever engines are added.
@@ -229,18 +226,30 @@
 	})
 }
 
-// retryBudget returns the options that split the fleet's retry budget between the live
-// nodes. Half of the slack may be spent at once; the other half is refilled over the window.
+// retryBudget returns the options that split the fleet's retry budget between the nodes.
+// Without one in the settings each node has the default budget.
 func (s *Starter) retryBudget(fleetBudget platform.RetryBudget) limiter.Options {
+	if fleetBudget.Window <= 0 {
+		return limiter.Options{Scope: s.options.Scope}
+	}
 	return limiter.Options{
-		Ratio:  fleetBudget.Ratio * retryBudgetShare,
-		Floor:  fleetBudget.BaseRetries * retryBudgetShare / 2 / fleetBudget.Window.Seconds(),
-		Burst:  fleetBudget.BaseRetries * retryBudgetShare / 2,
-		Shares: func() int { return len(s.prober.View().Live()) },
-		Scope:  s.options.Scope,
+		Fleet: &limiter.FleetBudget{
+			Ratio:  fleetBudget.Ratio,
+			Slack:  fleetBudget.BaseRetries,
+			Window: fleetBudget.Window,
+			Nodes:  s.knownNodes,
+		},
+		Scope: s.options.Scope,
 	}
 }
 
+// knownNodes returns the number of nodes that this node knows of, dead ones included: those
+// may have been cut off and go on sending. The platform's list counts nodes that this node
+// has never reached; complete is false until it has been read.
+func (s *Starter) knownNodes() (count int, complete bool) {
+	return max(len(s.prober.View().Members), len(s.registrar.PeerAddresses())), !s.registrar.DiscoveryPending()
+}
+
 // noopEngines implements dispatcher.Engines without any call to an engine.
 type noopEngines struct{}
 
