Choose plain servers by expected delay from a node's own answers

A node of 82 sends each of 6 servers about one request in two seconds. A server counted as slow from 2.5 times the time of the quickest, over 4 s, and else only the node's own requests in flight counted, which are nearly always none.

The cost of a server now grows with its expected time, a decayed mean of the node's own answers (2 s), declined sends and sends that hedges overtook; a server is chosen with a likelihood that falls with its cost. No message is added: in trials, observations of other nodes by gossip made all nodes move together and were worse than none, as were exact queue lengths that are 100 ms old.

--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -2,9 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
 
@@ -46,12 +49,15 @@
 	// answerTime is the total time of the good answers in seconds.
 	answerTime float64
 	answers    float64
+	times      sendTimes
 	decayedAt  time.Time
 	avoidUntil time.Time
 	// inFlight counts this node's unfinished requests at the back end.
 	inFlight int
 	// unhealthy is the result of the latest updateHealth.
 	unhealthy bool
+	// slow is the result of the latest updateDelay.
+	slow bool
 	// poolFaultShare is the pool's lowest share of faults at the latest health change.
 	poolFaultShare float64
 	// leavingSince is when the back end first said that it leaves; zero means never.
@@ -75,12 +81,18 @@
 // uses only the times passed to it, never the clock.
 type balancer struct {
 	quotas Quotas
-	mutex  sync.Mutex
-	stats  map[identifier.Member]*backendStats
+	// picks counts the picks by what was known of the pool's answer times.
+	picks map[pickEvidence]tally.Counter
+	mutex sync.Mutex
+	stats map[identifier.Member]*backendStats
 }
 
-func newBalancer(quotas Quotas) *balancer {
-	return &balancer{quotas: quotas, stats: map[identifier.Member]*backendStats{}}
+func newBalancer(quotas Quotas, scope tally.Scope) *balancer {
+	b := &balancer{quotas: quotas, picks: map[pickEvidence]tally.Counter{}, stats: map[identifier.Member]*backendStats{}}
+	for _, known := range []pickEvidence{timesUnknown, timesEven, slowPassedOver, slowChosen} {
+		b.picks[known] = scope.Tagged(map[string]string{"evidence": string(known)}).Counter("picks")
+	}
+	return b
 }
 
 // sentCount returns how many requests this node has sent to a back end.
@@ -122,6 +134,7 @@
 		r.faults *= factor
 		r.answerTime *= factor
 		r.answers *= factor
+		r.times.decay(now.Sub(r.decayedAt))
 	}
 	r.decayedAt = now
 }
@@ -164,6 +177,7 @@
 	r := b.statsOfSent(backend)
 	r.inFlight = max(0, r.inFlight-1)
 	r.decay(now)
+	r.times.add(result, took)
 	switch result {
 	case answered:
 		r.outcomes++
@@ -244,58 +258,125 @@
 	}
 }
 
-// pick returns the back end with the lowest cost for one request, among those that accept
-// requests from this node. It prefers back ends that are not avoided, not tried yet, not
-// faulty, not slow, with few requests of this node in flight, and in the given data
-// centre. The value of rotation breaks ties. The request counts against the rate that the
-// back end has named. If none accepts requests, pick returns false.
+// pick returns a back end for one request among those that accept requests from this node,
+// the more likely the lower its cost. It prefers back ends that are not avoided, not tried
+// yet, not faulty, quick, with few requests of this node in flight, and in the given data
+// centre. The value of rotation selects among those of similar cost. The request counts
+// against the rate that the back end has named. If none accepts requests, pick returns false.
 func (b *balancer) pick(now time.Time, list []Backend, tried []identifier.Member, dataCentre identifier.DataCentre, rotation uint64) (Backend, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	minFaultShare, minAnswerTime := b.poolBaseline(now, list)
-	best := -1
-	bestCost := math.Inf(1)
-	for i := range list {
-		at := (i + int(rotation%uint64(len(list)))) % len(list)
-		backend := list[at]
+	minFaultShare, _ := b.poolBaseline(now, list)
+	delays := b.relativeDelays(now, list)
+	costs := make([]float64, len(list))
+	for at, backend := range list {
 		allowance := b.quotas.Allowance(now, backend.Name, backend.Started)
 		if !b.statsFor(backend).accepts(now) || !allowance.Now() {
+			costs[at] = math.Inf(1)
 			continue
 		}
-		cost := b.selectionCost(now, backend, minFaultShare, minAnswerTime, dataCentre)
+		costs[at] = b.selectionCost(now, backend, minFaultShare, dataCentre)
+		if delays != nil {
+			costs[at] += delays[at]
+		}
 		if allowance.Limited {
-			cost -= limitedBonus
+			costs[at] -= limitedBonus
 		}
 		for _, name := range tried {
 			if name == backend.Name {
-				cost += triedCost
+				costs[at] += triedCost
 			}
 		}
-		if cost < bestCost {
-			best, bestCost = at, cost
-		}
 	}
-	if best < 0 || !b.quotas.Take(now, list[best].Name, list[best].Started) {
+	chosen := chooseByCost(costs, rotation)
+	if chosen < 0 || !b.quotas.Take(now, list[chosen].Name, list[chosen].Started) {
 		return Backend{}, false
 	}
-	return list[best], true
+	b.countPick(delays, chosen)
+	return list[chosen], true
+}
+
+// relativeDelays returns the relative delays of a list of back ends, or nil if nothing is
+// known of them. The caller must hold the mutex.
+func (b *balancer) relativeDelays(now time.Time, list []Backend) []float64 {
+	times := make([]sendTimes, len(list))
+	for i, backend := range list {
+		r := b.statsFor(backend)
+		r.decay(now)
+		times[i] = r.times
+	}
+	return relativeDelays(times)
 }
 
-// Costs that pick minimises; one in-flight request costs 1.
+// slowDelay is the relative delay from which a back end counts as slow in the metrics and the
+// log, and slowDelayEnd the one at which it no longer does.
+const (
+	slowDelay    = 1.0
+	slowDelayEnd = 0.4
+)
+
+// pickEvidence is what was known of the pool's answer times at a pick.
+type pickEvidence string
+
+const (
+	timesUnknown   pickEvidence = "unknown"
+	timesEven      pickEvidence = "even"
+	slowPassedOver pickEvidence = "slow-passed-over"
+	slowChosen     pickEvidence = "slow-chosen"
+)
+
+func (b *balancer) countPick(delays []float64, chosen int) {
+	known := timesEven
+	switch {
+	case delays == nil:
+		known = timesUnknown
+	case delays[chosen] >= slowDelay:
+		known = slowChosen
+	case slices.Max(delays) >= slowDelay:
+		known = slowPassedOver
+	}
+	b.picks[known].Inc(1)
+}
+
+// updateDelay compares a back end's answer times with its pool. It returns its relative delay
+// and whether it has become slow, or no longer is.
+func (b *balancer) updateDelay(now time.Time, backend Backend, pool []Backend) (relative float64, change healthChange) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	at := slices.IndexFunc(pool, func(other Backend) bool { return other.Name == backend.Name })
+	delays := b.relativeDelays(now, pool)
+	if at < 0 || delays == nil {
+		return 0, unchanged
+	}
+	r := b.statsOfSent(backend)
+	relative = delays[at]
+	switch {
+	case !r.slow && relative >= slowDelay:
+		r.slow = true
+		return relative, becameUnhealthy
+	case r.slow && relative < slowDelayEnd:
+		r.slow = false
+		return relative, becameHealthy
+	default:
+		return relative, unchanged
+	}
+}
+
+// Costs of pick; a request in flight costs 1, and so does an expected delay of the time that the
+// quickest back end takes.
 const (
 	avoidedCost = 1000
 	triedCost   = 300
 	faultyCost  = 100
-	slowCost    = 10
 	remoteCost  = 0.5
 	// limitedBonus makes a node use its share of a limited back end, whose answers tell when
 	// the limit ends. It exceeds the cost of the few requests that the share allows at once.
 	limitedBonus = 3
 )
 
-// selectionCost returns the cost of a back end without triedCost. The caller must
+// selectionCost returns the cost of a back end without its delay and triedCost. The caller must
 // hold the mutex.
-func (b *balancer) selectionCost(now time.Time, backend Backend, minFaultShare, minAnswerTime float64, dataCentre identifier.DataCentre) float64 {
+func (b *balancer) selectionCost(now time.Time, backend Backend, minFaultShare float64, dataCentre identifier.DataCentre) float64 {
 	r := b.statsFor(backend)
 	r.decay(now)
 	cost := float64(r.inFlight)
@@ -305,9 +386,6 @@
 	if r.isFaulty(minFaultShare) {
 		cost += faultyCost
 	}
-	if r.isSlow(minAnswerTime) {
-		cost += slowCost
-	}
 	if backend.DataCentre != dataCentre {
 		cost += remoteCost
 	}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -40,6 +41,10 @@
 		"A back end said that it leaves, or that it wants no requests from this node for pause-ms. It gets none.")
 	eventUnauthenticated = logger.Define(6213, logrus.InfoLevel, "request without a valid key",
 		"The caller sent no API key, or none of an account of the configuration in force, and got 401. The key itself is never logged.")
+	eventSlow = logger.Define(6220, logrus.InfoLevel, "back end slow",
+		"By this node's own requests of the last seconds, a back end of a plain service takes at least twice as long as the quickest one of its pool; the field delay has how many times longer. It gets fewer requests.")
+	eventNotSlow = logger.Define(6221, logrus.InfoLevel, "back end no longer slow",
+		"A slow back end of a plain service takes about as long as the others again, or has not been tried for some seconds, and gets requests like the others.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
@@ -134,6 +139,20 @@
 	})
 }
 
+// logDelayChange logs that a back end has become slow, or no longer is.
+func (f *Forwarder) logDelayChange(backend Backend, relative float64, change healthChange) {
+	if change == unchanged {
+		return
+	}
+	event := eventSlow
+	if change == becameHealthy {
+		event = eventNotSlow
+	}
+	f.options.Log.Log(event, logger.Fields{
+		"member": backend.Name, "pool": backend.Pool, "delay": math.Round(relative*100) / 100,
+	})
+}
+
 func (c *call) logSendFailed(backend Backend, result sendResult, err error) {
 	fields := c.logFields()
 	fields["member"] = backend.Name
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -131,7 +132,15 @@
 	if options.Refresh == nil {
 		options.Refresh = func(context.Context) {}
 	}
-	return &Forwarder{options: options, balancer: newBalancer(options.Quotas), freeQueue: make(chan KVSource, maxQueuedFrees), metrics: newMetrics(options.Scope)}
+	f := &Forwarder{
+		options:   options,
+		balancer:  newBalancer(options.Quotas, options.Scope.SubScope("forwarder")),
+		freeQueue: make(chan KVSource, maxQueuedFrees),
+		metrics:   newMetrics(options.Scope),
+	}
+	// Nodes that start at once must not choose the same back ends.
+	f.rotation.Store(rand.Uint64())
+	return f
 }
 
 // InFlight returns the number of requests in progress.
@@ -444,6 +453,10 @@
 	now := time.Now()
 	c.balancer.recordResult(now, backend, result, took)
 	c.logHealthChange(backend, c.balancer.updateHealth(now, backend, c.backendTable().Pool(backend.Pool, backend.Role)))
+	if backend.Role == identifier.Service {
+		relative, change := c.balancer.updateDelay(now, backend, c.backendTable().Pool(backend.Pool, backend.Role))
+		c.logDelayChange(backend, relative, change)
+	}
 	if result != answered {
 		c.logSendFailed(backend, result, err)
 	}
