List weak VMs in fewer address answers

Answers listed all live VMs alike, and callers choose one at random, though a VM of 0.192 of a core and 10 Mbit/s carries a fifth of the load of one of 0.8 and 200 Mbit/s.

Members are now listed in proportion to their capacity, at most 3 to 1, as strong VMs own pools and read the store. Answers keep at least 12 addresses and the proportion of the near data centre. With equal or unknown capacities, and for callers that use addresses in order, answers are as before.

--- a/addresser/addresser.go
+++ b/addresser/addresser.go
@@ -6,10 +6,12 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -27,8 +29,11 @@
 	// MaxAddresses is the largest number of addresses in an answer; 8 by default.
 	MaxAddresses int
 	// AnyOrder means that callers use the addresses in any order. Suspects are then
-	// returned only if no other member is available.
+	// returned only if no other member is available, and members of less capacity are
+	// returned in fewer answers.
 	AnyOrder bool
+	// Scope may be nil.
+	Scope tally.Scope
 }
 
 // The defaults of Options.
@@ -48,6 +53,10 @@
 	answerCount atomic.Uint64
 	// latestOrder caches the order of the last view; nil before the first answer.
 	latestOrder atomic.Pointer[memberOrder]
+	// answers counts the answers by whether weights have shortened them.
+	answers map[bool]tally.Counter
+	// entries is the number of addresses of the latest answer.
+	entries tally.Gauge
 }
 
 // memberOrder holds the members of a view in an order that differs between answering
@@ -79,7 +88,15 @@
 func New(options Options) *Addresser {
 	options.CacheTime = cmp.Or(options.CacheTime, defaultCacheTime)
 	options.MaxAddresses = cmp.Or(options.MaxAddresses, defaultMaxAddresses)
-	return &Addresser{options: options}
+	scope := tally.NoopScope
+	if options.Scope != nil {
+		scope = options.Scope.SubScope("addresser")
+	}
+	a := &Addresser{options: options, answers: map[bool]tally.Counter{}, entries: scope.Gauge("entries")}
+	for _, weighted := range []bool{false, true} {
+		a.answers[weighted] = scope.Tagged(map[string]string{"weighted": strconv.FormatBool(weighted)}).Counter("answers")
+	}
+	return a
 }
 
 // Entry is one address of an answer.
@@ -126,14 +143,30 @@
 	rotate(rotation, remote)
 	rotate(rotation, suspects)
 	localLimit := a.options.MaxAddresses - min(len(remote), remoteEntries, a.options.MaxAddresses-1)
+	weighted := false
+	if a.options.AnyOrder && len(local)+len(remote) > 0 {
+		localCount := min(len(local), localLimit)
+		remoteCount := min(len(remote), a.options.MaxAddresses-localCount)
+		local, remote = sampleByWeight(local, remote, offsetOf(rotation), localCount, remoteCount)
+		localLimit = len(local)
+		weighted = len(local)+len(remote) < localCount+remoteCount
+	}
 	chosen := slices.Concat(local[:min(len(local), localLimit)], remote, suspects)
 	answer := Answer{CacheTime: a.options.CacheTime}
 	for _, member := range chosen[:min(len(chosen), a.options.MaxAddresses)] {
 		answer.Entries = append(answer.Entries, Entry{member.CallerAddress, member.DataCentre, member.Node, member.Incarnation})
 	}
+	a.answers[weighted].Inc(1)
+	a.entries.Update(float64(len(answer.Entries)))
 	return answer
 }
 
+// offsetOf returns a number from 0 to 1. Those of consecutive answers are spread evenly.
+func offsetOf(rotation uint64) float64 {
+	const goldenRatio = 0x9E3779B97F4A7C15
+	return float64((rotation*goldenRatio)>>11) / float64(1<<53)
+}
+
 // rotate rotates members left, so that consecutive answers spread callers evenly.
 func rotate(rotation uint64, members []assigner.Member) {
 	if len(members) == 0 {
--- a/starter/services.go
+++ b/starter/services.go
@@ -127,6 +127,7 @@
 		CacheTime:    min(addressTTL, settings.MaxAddressTTL),
 		MaxAddresses: maxAnswerAddresses,
 		AnyOrder:     true,
+		Scope:        s.options.Scope,
 	})
 }
 
