--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -131,7 +132,15 @@
 	if options.Refresh == nil {
 		options.Refresh = func(context.Context) {}
 	}
-	return &Forwarder{options: options, balancer: newBalancer(options.Quotas), freeQueue: make(chan KVSource, maxQueuedFrees), metrics: newMetrics(options.Scope)}
+	f := &Forwarder{
+		options:   options,
+		balancer:  newBalancer(options.Quotas, options.Scope.SubScope("forwarder")),
+		freeQueue: make(chan KVSource, maxQueuedFrees),
+		metrics:   newMetrics(options.Scope),
+	}
+	// Nodes that start at once must not choose the same back ends.
+	f.rotation.Store(rand.Uint64())
+	return f
 }
 
 // InFlight returns the number of requests in progress.
@@ -229,6 +238,8 @@
 	prefilledAt time.Time
 	// sends counts the sends that reached a back end.
 	sends int
+	// retryUnused is set while the call holds a retry of the budget that no send has used.
+	retryUnused bool
 	// answers has the bytes of the answers that are read whole.
 	answers *limiter.Lease
 	// account is the caller's account; the zero Account if there is none.
@@ -303,13 +314,12 @@
 	if refusal := c.takeAccountQuota(); refusal != nil {
 		return nil, refusal
 	}
-	c.options.Budgets.Pool(c.pool.Name).CountSend()
+	if !c.pool.Model && c.route.Kind == Repeatable && c.route.Backends > 1 {
+		return c.runRepeatable() // It counts the request in the budget.
+	}
 	if c.pool.Model {
 		return c.runStream()
 	}
-	if c.route.Kind == Repeatable && c.route.Backends > 1 {
-		return c.runRepeatable()
-	}
 	return c.runOnce()
 }
 
@@ -351,6 +361,7 @@
 		c.grant = ""
 	}
 	c.answers.Release()
+	c.giveBackRetry()
 	c.returnAccountQuota(refusal)
 	c.running.Add(-1)
 	c.metrics.recordEnd(c, refusal)
@@ -406,10 +417,31 @@
 	return c.table
 }
 
-// takeRetry takes one retry from the pool's budget. It returns false when the
-// budget or maxSends is used up.
+// noteSent counts a send that reached a back end. The first counts in the pool's budget.
+func (c *call) noteSent() {
+	c.sends++
+	c.retryUnused = false
+	if c.sends == 1 {
+		c.options.Budgets.Pool(c.pool.Name).CountSend()
+	}
+}
+
+// takeRetry takes one retry from the pool's budget, unless the call still holds one. It
+// returns false when the budget or maxSends is used up.
 func (c *call) takeRetry() bool {
-	return c.sends < maxSends && c.options.Budgets.Pool(c.pool.Name).TakeRetry()
+	if c.sends >= maxSends {
+		return false
+	}
+	c.retryUnused = c.retryUnused || c.options.Budgets.Pool(c.pool.Name).TakeRetry()
+	return c.retryUnused
+}
+
+// giveBackRetry returns a retry that the call holds to the budget.
+func (c *call) giveBackRetry() {
+	if c.retryUnused {
+		c.retryUnused = false
+		c.options.Budgets.Pool(c.pool.Name).GiveBack()
+	}
 }
 
 // maxSends bounds the sends of one request, including declined ones.
@@ -421,6 +453,10 @@
 	now := time.Now()
 	c.balancer.recordResult(now, backend, result, took)
 	c.logHealthChange(backend, c.balancer.updateHealth(now, backend, c.backendTable().Pool(backend.Pool, backend.Role)))
+	if backend.Role == identifier.Service {
+		relative, change := c.balancer.updateDelay(now, backend, c.backendTable().Pool(backend.Pool, backend.Role))
+		c.logDelayChange(backend, relative, change)
+	}
 	if result != answered {
 		c.logSendFailed(backend, result, err)
 	}
