Share memory between accounts by max-min fairness

An account was within its share up to an equal part of the memory for each active account, so that what small accounts left unused counted for nobody. Repeats of any account queue behind the first attempts of all accounts of their rank. Refusals say whether the account was beyond its share (event 2032 and the counter refused-by-owner).

--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -27,7 +27,7 @@
 	eventLoadFailed = logger.Define(2030, logrus.WarnLevel, "load report failed",
 		"An engine's load report could not be fetched; the engine gets no new work until a report succeeds.")
 	eventRefused = logger.Define(2032, logrus.InfoLevel, "demand refused by the owner",
-		"The owner of a pool shard could not place a demand in time. The fields give the cause: the number of waiting demands, the number of engines that take work and the lowest predicted peak memory use of any engine.")
+		"The owner of a pool shard could not place a demand in time. The fields give the cause: the number of waiting demands, the number of engines that take work and the lowest predicted peak memory use of any engine; what blocked the demand, whether its caller had been refused before, and whether its account was beyond its share.")
 	eventRevoked = logger.Define(2031, logrus.InfoLevel, "grant revoked",
 		"The owner of a pool shard revoked a grant; the request has to be placed again.")
 )
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"cmp"
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -26,6 +28,17 @@
 	m.scope.Tagged(reason).Counter("refused").Inc(1)
 }
 
+// recordRefusal counts a refusal at the owner of a shard by its cause.
+func (m metrics) recordRefusal(refusal *placer.Refusal) {
+	cause := map[string]string{
+		"reason":       string(refusal.Reason),
+		"lacking":      cmp.Or(string(refusal.Cause.BlockedBy), "not-tried"),
+		"returned":     strconv.FormatBool(refusal.Cause.IsRetry),
+		"beyond-share": strconv.FormatBool(refusal.Cause.BeyondShare),
+	}
+	m.scope.Tagged(cause).Counter("refused-by-owner").Inc(1)
+}
+
 func (m metrics) increment(name string) {
 	m.scope.Counter(name).Inc(1)
 }
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -205,6 +205,7 @@
 	if refusal == nil || refusal.Reason == placer.Superseded || refusal.Reason == placer.SubmitterGone {
 		return
 	}
+	s.server.metrics.recordRefusal(refusal)
 	s.options.Log.Log(eventRefused, logger.Fields{
 		"request":        d.Request,
 		"asking-node":    d.Node,
@@ -216,6 +217,7 @@
 		"lowest-peak":    refusal.Cause.LowestPeakUse,
 		"lacking":        refusal.Cause.BlockedBy,
 		"returned":       refusal.Cause.IsRetry,
+		"beyond-share":   refusal.Cause.BeyondShare,
 		"configuration":  s.configurationNumber,
 	})
 }
--- a/placer/events.go
+++ b/placer/events.go
@@ -99,26 +99,23 @@
 	deadline := now.Add(d.FirstTokenBudget)
 	w := &waitingDemand{demand: d, deadline: deadline, latestStart: deadline.Add(-p.minReadyTime(now, &d) - p.firstTokenDelay())}
 	p.limitQueueTime(now, w)
-	w.withinShare = d.Account == "" || !p.settings.enabled(Fairness) || p.isWithinShare(&d, need)
+	w.withinShare = p.isWithinShare(&d, need)
 	if p.settings.enabled(EarlyRefusal) && p.waitsTooLong(now, w) {
-		p.refuse(&d, TooLate, p.retryAfter(now, d.Rank))
+		p.refuseWaiting(w, TooLate, p.retryAfter(now, d.Rank))
 		return
 	}
 	queue := &p.queues[d.Rank]
 	if queue.length() >= p.settings.QueueLimit {
-		victim := queue.evictionCandidate()
-		if victim == nil || !w.withinShare {
-			p.refuse(&d, QueueFull, p.retryAfter(now, d.Rank))
+		victim := queue.evictionCandidate(w)
+		if victim == nil {
+			p.refuseWaiting(w, QueueFull, p.retryAfter(now, d.Rank))
 			return
 		}
 		p.dequeue(victim)
-		p.refuse(&victim.demand, QueueFull, p.retryAfter(now, d.Rank))
+		p.refuseWaiting(victim, QueueFull, p.retryAfter(now, d.Rank))
 	}
 	w.pieces = need
 	w.priority = deadline.Add(time.Duration(need) * p.settings.DelayPerPiece)
-	if w.isRetry {
-		w.priority = w.priority.Add(retryPriorityDelay)
-	}
 	queue.add(w)
 	p.queued[d.Request] = w
 	p.addAccountUse(&d, 0, need)
@@ -161,8 +158,6 @@
 }
 
 const (
-	// retryPriorityDelay puts retries behind all demands that can still be on time.
-	retryPriorityDelay = time.Hour
 	// retryQueueTime is how long a retry may wait for memory. Most requests that an
 	// engine runs have ended by then.
 	retryQueueTime = 3 * time.Second
@@ -217,18 +212,6 @@
 	}
 }
 
-// isWithinShare reports whether an account, with one more demand, stays within an equal
-// share of the memory among the active accounts. An account with no other demand is
-// always within its share.
-func (p *Placer) isWithinShare(d *Demand, need identifier.Pieces) bool {
-	var use accountUse
-	if known := p.accounts[accountKey{d.Account, d.Rank}]; known != nil {
-		use = *known
-	}
-	share := p.decodeCapacity / identifier.Pieces(max(1, len(p.accounts)))
-	return use.held+use.queued+need <= max(share, need)
-}
-
 func (p *Placer) dequeue(w *waitingDemand) {
 	p.queues[w.demand.Rank].remove(w)
 	p.forgetQueued(w)
--- a/placer/place.go
+++ b/placer/place.go
@@ -23,7 +23,8 @@
 		queue := &p.queues[rank]
 		for w := queue.firstExpired(now); w != nil; w = queue.firstExpired(now) {
 			p.dequeue(w)
-			p.refuseBlocked(&w.demand, TooLate, cmp.Or(w.blockedBy, BlockerTurn), p.retryAfter(now, rank))
+			w.blockedBy = cmp.Or(w.blockedBy, BlockerTurn)
+			p.refuseWaiting(w, TooLate, p.retryAfter(now, rank))
 		}
 	}
 }
@@ -143,7 +144,8 @@
 		return noPrefill
 	}
 	if plan.ready.Add(p.firstTokenDelay()).After(w.deadline) {
-		p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
+		w.blockedBy = BlockerPrefill
+		p.refuseWaiting(w, TooLate, p.retryAfter(now, d.Rank))
 		return refused
 	}
 	if plan.begin.Sub(now) > p.settings.MaxPrefillWait || plan.linkWait > p.settings.MaxLinkWait {
@@ -341,13 +343,19 @@
 }
 
 func (p *Placer) refuse(d *Demand, reason Reason, retryAfter time.Duration) {
-	p.refuseBlocked(d, reason, "", retryAfter)
+	p.refuseFor(d, reason, p.refusalCause(d), retryAfter)
 }
 
-// refuseBlocked refuses a demand and gives what blocked it as part of the cause.
-func (p *Placer) refuseBlocked(d *Demand, reason Reason, blockedBy Blocker, retryAfter time.Duration) {
-	cause := p.refusalCause(d)
-	cause.BlockedBy = blockedBy
+// refuseWaiting refuses a demand that was queued, or would have been, and gives what blocked it
+// as part of the cause.
+func (p *Placer) refuseWaiting(w *waitingDemand, reason Reason, retryAfter time.Duration) {
+	cause := p.refusalCause(&w.demand)
+	cause.BlockedBy = w.blockedBy
+	cause.BeyondShare = !w.withinShare
+	p.refuseFor(&w.demand, reason, cause, retryAfter)
+}
+
+func (p *Placer) refuseFor(d *Demand, reason Reason, cause Cause, retryAfter time.Duration) {
 	p.recordRefusedCaller(d)
 	p.addDecision(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter, Cause: cause}})
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -124,6 +124,9 @@
 	BlockedBy Blocker
 	// IsRetry reports whether the caller had been refused before.
 	IsRetry bool
+	// BeyondShare reports whether the demand's account was beyond its share of the memory
+	// when the demand came, so that the demand waited behind those of other accounts.
+	BeyondShare bool
 }
 
 // Blocker is what keeps a demand from being placed.
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -29,7 +29,8 @@
 	triedForecast uint64
 	// hasPreempted reports that lesser streams were preempted for the demand.
 	hasPreempted bool
-	// withinShare tells which heap of its queue holds the demand.
+	// withinShare reports whether the account was within its share when the demand came. It
+	// and isRetry tell which heap of its queue holds the demand.
 	withinShare bool
 	heapIndex   int
 	expiryIndex int
@@ -90,14 +91,39 @@
 	return w
 }
 
+// turn numbers the groups of waiting demands that go one after the other.
+type turn uint8
+
+// First attempts go before repeats, which have missed their target. Within either, demands
+// of accounts within their share go first.
+const (
+	firstWithinShare turn = iota
+	firstBeyondShare
+	retryWithinShare
+	retryBeyondShare
+	turnCount
+)
+
+func (w *waitingDemand) turn() turn {
+	switch {
+	case !w.isRetry && w.withinShare:
+		return firstWithinShare
+	case !w.isRetry:
+		return firstBeyondShare
+	case w.withinShare:
+		return retryWithinShare
+	default:
+		return retryBeyondShare
+	}
+}
+
 // queue holds the waiting demands of one rank. Demands of accounts within their fair
 // share go first, so that an account that floods the queue delays only itself.
 type queue struct {
-	// withinShare and beyondShare order the demands by priority. Demands that popNext
-	// took out for a try are only in byExpiry, which has all demands.
-	withinShare priorityHeap
-	beyondShare priorityHeap
-	byExpiry    expiryHeap
+	// byTurn has the demands of each turn, ordered by priority. Demands that popNext took
+	// out for a try are only in byExpiry, which has all demands.
+	byTurn   [turnCount]priorityHeap
+	byExpiry expiryHeap
 	// withinSharePieces is the memory of non-retry demands of accounts within their share.
 	withinSharePieces identifier.Pieces
 	// firstTryPieces is the memory needed by all demands but retries, which go last.
@@ -111,10 +137,7 @@
 }
 
 func (q *queue) heapOf(w *waitingDemand) *priorityHeap {
-	if w.withinShare {
-		return &q.withinShare
-	}
-	return &q.beyondShare
+	return &q.byTurn[w.turn()]
 }
 
 func (q *queue) add(w *waitingDemand) {
@@ -138,8 +161,8 @@
 // popNext takes the next demand out of its heap, or returns nil if there is none. The
 // caller must pass the demand to putBack or removePopped afterwards.
 func (q *queue) popNext() *waitingDemand {
-	for _, h := range [...]*priorityHeap{&q.withinShare, &q.beyondShare} {
-		if len(*h) > 0 {
+	for i := range q.byTurn {
+		if h := &q.byTurn[i]; len(*h) > 0 {
 			w, _ := heap.Pop(h).(*waitingDemand)
 			return w
 		}
@@ -172,13 +195,18 @@
 	return q.firstTryPieces
 }
 
-// evictionCandidate returns a demand of an account beyond its share, or nil. It is
-// refused if the queue is full and a demand of an account within its share arrives.
-func (q *queue) evictionCandidate() *waitingDemand {
-	if len(q.beyondShare) == 0 {
+// evictionCandidate returns the demand that is refused if the queue is full and w arrives: one of
+// an account beyond its share if w is of an account within its share, or nil.
+func (q *queue) evictionCandidate(w *waitingDemand) *waitingDemand {
+	if !w.withinShare {
 		return nil
 	}
-	return q.beyondShare[len(q.beyondShare)-1]
+	for _, t := range [...]turn{retryBeyondShare, firstBeyondShare} {
+		if h := q.byTurn[t]; len(h) > 0 {
+			return h[len(h)-1]
+		}
+	}
+	return nil
 }
 
 // firstExpired returns a demand whose latestStart has passed, or nil.
--- a/placer/state.go
+++ b/placer/state.go
@@ -107,7 +107,9 @@
 	queued       map[identifier.Request]*waitingDemand
 	queues       [len(identifier.Ranks)]queue
 	accounts     map[accountKey]*accountUse
-	estimators   map[identifier.Route]*estimator
+	// uses counts the accounts of each rank by their use.
+	uses       [len(identifier.Ranks)]useHistogram
+	estimators map[identifier.Route]*estimator
 	// unclaimedStreams maps each stream that holds engine memory without a known grant to
 	// the time of its next cancel order.
 	unclaimedStreams map[unclaimedStream]time.Time
@@ -262,8 +264,10 @@
 // addAccountUse adds to an account's held and queued memory, and deletes an empty entry.
 func (p *Placer) addAccountUse(d *Demand, heldPieces, queuedPieces identifier.Pieces) {
 	use := p.accountUseOf(d)
+	before := use.held + use.queued
 	use.held += heldPieces
 	use.queued += queuedPieces
+	p.uses[d.Rank].change(before, use.held+use.queued)
 	if use.held <= 0 && use.queued <= 0 {
 		delete(p.accounts, accountKey{d.Account, d.Rank})
 	}
