Let repeats wait as long as their callers' time left allows

A demand whose caller had been refused waited for three seconds at most, and was refused at once while as much memory was asked for as came free, which is so during the whole of a burst. Demands now carry their callers' time left.

Repeats are tried after the first attempts of all ranks, give way to them when the queue is full, and are not given to an engine that can't end them in time.

--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -8,7 +8,8 @@
 	"github.com/foxtailspool/foxtailspool/placer"
 )
 
-// encodeDemand encodes a demand with the given wait instead of d.FirstTokenBudget.
+// encodeDemand encodes a demand with the given wait instead of d.FirstTokenBudget. The time by
+// which the wait is shorter is no longer left to the caller either.
 func encodeDemand(d *placer.Demand, wait time.Duration) *dispatcherrpc.Demand {
 	message := &dispatcherrpc.Demand{
 		Request:            string(d.Request),
@@ -29,6 +30,10 @@
 		Suspect:            d.Suspect,
 		Fresh:              d.NoResume,
 	}
+	if d.TimeLeft > 0 {
+		// Zero would mean unknown.
+		message.LeftNanoseconds = int64(max(1, d.TimeLeft-(d.FirstTokenBudget-wait)))
+	}
 	for _, member := range d.Avoid {
 		message.Avoid = append(message.Avoid, string(member))
 	}
@@ -54,6 +59,7 @@
 		OutputHint:       identifier.Tokens(message.GetHintTokens()),
 		QueueTimeout:     time.Duration(message.GetHoldNanoseconds()),
 		RetryKey:         message.GetReturning(),
+		TimeLeft:         time.Duration(message.GetLeftNanoseconds()),
 		TargetMissed:     message.GetLate(),
 		Suspect:          message.GetSuspect(),
 		NoResume:         message.GetFresh(),
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -137,6 +137,7 @@
 		MaxOutput:        cost.Limit,
 		OutputHint:       cost.Hint,
 		QueueTimeout:     time.Duration(float64(c.route.Target) * grantWaitShare),
+		TimeLeft:         time.Until(c.deadline),
 		RetryKey:         c.request.Fingerprint,
 		FirstTokenBudget: max(minGrantWait, c.grantTimeLeft()),
 		TargetMissed:     c.grantTimeLeft() <= 0,
--- a/placer/events.go
+++ b/placer/events.go
@@ -148,8 +148,7 @@
 	}
 	if w.demand.TargetMissed || p.wasRefused(&w.demand) {
 		w.isRetry = true
-		w.deadline = now.Add(retryQueueTime)
-		w.latestStart = w.deadline
+		p.limitRetryWait(now, w)
 		return
 	}
 	if until := now.Add(w.demand.QueueTimeout); until.Before(w.latestStart) {
@@ -158,9 +157,6 @@
 }
 
 const (
-	// retryQueueTime is how long a retry may wait for memory. Most requests that an
-	// engine runs have ended by then.
-	retryQueueTime = 3 * time.Second
 	// maxRefusedCallers limits refusedCallers, which is cleared when it is full.
 	maxRefusedCallers = 4096
 )
@@ -180,15 +176,6 @@
 	return refused && d.RetryKey != 0
 }
 
-// waitsTooLong reports whether a demand should be refused at once because its queue will
-// not drain in time.
-func (p *Placer) waitsTooLong(now time.Time, w *waitingDemand) bool {
-	if w.isRetry {
-		return p.expectedRetryWait(now, w.demand.Rank) > retryQueueTime
-	}
-	return p.expectedWait(now, w).Seconds() > w.demand.FirstTokenBudget.Seconds()*p.settings.RefusalWaitRatio
-}
-
 // checkAdmissible reports whether any engines could ever run the demand, or why not.
 func (p *Placer) checkAdmissible(d *Demand, need identifier.Pieces) (Reason, bool) {
 	prefillFound, fitsOne, decodeFound := false, false, false
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -207,7 +207,7 @@
 		}
 		peak := p.peakUse(now, w, e, plan.ready)
 		e.lastPeakUse = peak
-		if peak > 1 || w.isRetry && peak > maxRetryPeakUse {
+		if peak > 1 || w.isRetry && (peak > maxRetryPeakUse || !p.endsInTime(w, e, plan.ready)) {
 			continue
 		}
 		if e.DataCentre != plan.engine.DataCentre {
--- a/placer/place.go
+++ b/placer/place.go
@@ -46,22 +46,25 @@
 // blockersByResult maps the results that leave a demand in its queue to what blocks it.
 var blockersByResult = map[placeResult]Blocker{noMemory: BlockerMemory, noLongPrefillSlot: BlockerTurn, noPrefill: BlockerPrefill}
 
-// place tries the waiting demands. The ranks below urgent that have less than their minimum
-// share go first, then all ranks, the most urgent first. While a demand of one step waits for
-// an engine, the later steps grant nothing.
+// place tries the waiting demands. First attempts go before repeats of any rank, which have missed
+// their target. The ranks below urgent that have less than their minimum share go first, then all
+// ranks, the most urgent first. While a demand of one step waits for an engine, the later steps
+// grant nothing.
 func (p *Placer) place(now time.Time) {
 	for _, rank := range slices.Backward(identifier.Ranks[identifier.Urgent+1:]) {
-		if !p.placeFromQueue(now, rank, func() bool { return p.isBelowShare(rank) }) {
+		if !p.placeFromQueue(now, rank, firstAttempts, func() bool { return p.isBelowShare(rank) }) {
 			return
 		}
 	}
-	if !p.placeFromQueue(now, identifier.Urgent, always) {
-		return
-	}
-	for _, rank := range identifier.Ranks[identifier.Urgent+1:] {
-		if !p.placeFromQueue(now, rank, func() bool { return p.hasHeadroom(now, rank) }) {
+	for _, turns := range [...]turns{firstAttempts, repeats} {
+		if !p.placeFromQueue(now, identifier.Urgent, turns, always) {
 			return
 		}
+		for _, rank := range identifier.Ranks[identifier.Urgent+1:] {
+			if !p.placeFromQueue(now, rank, turns, func() bool { return p.hasHeadroom(now, rank) }) {
+				return
+			}
+		}
 	}
 }
 
@@ -101,13 +104,13 @@
 	return float64(p.usedByRank[rank]) < p.settings.LesserShare*float64(p.decodeCapacity)
 }
 
-// placeFromQueue tries one rank's demands in order while mayPlace returns true and fewer
-// than Lookahead are blocked, up to the first noPrefill. It reports whether none was blocked.
-func (p *Placer) placeFromQueue(now time.Time, rank identifier.Rank, mayPlace func() bool) bool {
+// placeFromQueue tries one rank's demands of some turns in order while mayPlace returns true and
+// fewer than Lookahead are blocked, up to the first noPrefill. It reports whether none was blocked.
+func (p *Placer) placeFromQueue(now time.Time, rank identifier.Rank, turns turns, mayPlace func() bool) bool {
 	queue := &p.queues[rank]
 	blocked := p.blockedScratch[:0]
 	for len(blocked) < p.settings.Lookahead && mayPlace() {
-		w := queue.popNext()
+		w := queue.popNext(turns)
 		if w == nil {
 			break
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -39,6 +39,8 @@
 	OutputHint identifier.Tokens
 	// QueueTimeout limits the time in the queue; zero means only FirstTokenBudget does.
 	QueueTimeout time.Duration
+	// TimeLeft is how long the caller still waits for the complete answer; zero means unknown.
+	TimeLeft time.Duration
 	// TargetMissed marks a demand that already missed its first-token target while its
 	// caller still waits. A late answer is better than none.
 	TargetMissed bool
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -15,6 +15,12 @@
 	// latestStart is the latest time to grant the demand. After it, even idle engines
 	// would miss the deadline, or the time allowed in the queue has ended.
 	latestStart time.Time
+	// answerBy is when a retry's caller stops waiting for the complete answer; zero means
+	// unknown.
+	answerBy time.Time
+	// maxWait is how long a retry with a known answerBy may wait for memory; negative if its
+	// run takes longer than its caller waits.
+	maxWait time.Duration
 	// priority orders the demands of a queue, the earliest time first: it is the deadline
 	// plus a delay for the memory that the demand needs.
 	priority time.Time
@@ -104,6 +110,16 @@
 	turnCount
 )
 
+// turns is a range of turns, both ends included.
+type turns struct {
+	first, last turn
+}
+
+var (
+	firstAttempts = turns{firstWithinShare, firstBeyondShare}
+	repeats       = turns{retryWithinShare, retryBeyondShare}
+)
+
 func (w *waitingDemand) turn() turn {
 	switch {
 	case !w.isRetry && w.withinShare:
@@ -158,10 +174,10 @@
 	q.addPieces(w, -w.pieces)
 }
 
-// popNext takes the next demand out of its heap, or returns nil if there is none. The
-// caller must pass the demand to putBack or removePopped afterwards.
-func (q *queue) popNext() *waitingDemand {
-	for i := range q.byTurn {
+// popNext takes the next demand of some turns out of its heap, or returns nil if there is none.
+// The caller must pass the demand to putBack or removePopped afterwards.
+func (q *queue) popNext(turns turns) *waitingDemand {
+	for i := turns.first; i <= turns.last; i++ {
 		if h := &q.byTurn[i]; len(*h) > 0 {
 			w, _ := heap.Pop(h).(*waitingDemand)
 			return w
@@ -196,12 +212,9 @@
 }
 
 // evictionCandidate returns the demand that is refused if the queue is full and w arrives: one of
-// an account beyond its share if w is of an account within its share, or nil.
+// the last turn, if that is after w's turn, or nil.
 func (q *queue) evictionCandidate(w *waitingDemand) *waitingDemand {
-	if !w.withinShare {
-		return nil
-	}
-	for _, t := range [...]turn{retryBeyondShare, firstBeyondShare} {
+	for t := turnCount - 1; t > w.turn(); t-- {
 		if h := q.byTurn[t]; len(h) > 0 {
 			return h[len(h)-1]
 		}
