Tell refused callers when memory becomes free

With UseForecast a refusal named 4.5 s at least, whatever was free then, so that the callers of a burst came back together. It now names the earliest time at which the memory that the running requests leave exceeds what new callers ask for by then (going from the recent rate to the usual one), what waits, and what earlier refusals were promised. Promises are kept in a ring of 48 slots of 250 ms for each rank, which bounds and ends them. The times are 1 to 10 s; a caller with a known time left is counted for a third of it at the latest, because it waits no longer.

The driver's nodes now give up prefills that take too long.

--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -28,7 +28,8 @@
 	m.scope.Tagged(reason).Counter("refused").Inc(1)
 }
 
-// recordRefusal counts a refusal at the owner of a shard by its cause.
+// recordRefusal counts a refusal at the owner of a shard by its cause, and records after what time
+// its caller was told to come back.
 func (m metrics) recordRefusal(refusal *placer.Refusal) {
 	cause := map[string]string{
 		"reason":       string(refusal.Reason),
@@ -37,6 +38,7 @@
 		"beyond-share": strconv.FormatBool(refusal.Cause.BeyondShare),
 	}
 	m.scope.Tagged(cause).Counter("refused-by-owner").Inc(1)
+	m.scope.Timer("retry-after").Record(refusal.RetryAfter)
 }
 
 func (m metrics) increment(name string) {
--- a/placer/events.go
+++ b/placer/events.go
@@ -91,6 +91,7 @@
 	need := p.piecesToReserve(&d)
 	if !d.TargetMissed && !p.wasRefused(&d) {
 		p.arrivalRate.add(now, need)
+		p.recordLoad(now, &d)
 	}
 	if reason, ok := p.checkAdmissible(&d, need); !ok {
 		p.refuse(&d, reason, p.settings.Lease)
@@ -101,18 +102,18 @@
 	p.limitQueueTime(now, w)
 	w.withinShare = p.isWithinShare(&d, need)
 	if p.settings.enabled(EarlyRefusal) && p.waitsTooLong(now, w) {
-		p.refuseWaiting(w, TooLate, p.retryAfter(now, d.Rank))
+		p.refuseWaiting(w, TooLate, p.retryAfter(now, &d))
 		return
 	}
 	queue := &p.queues[d.Rank]
 	if queue.length() >= p.settings.QueueLimit {
 		victim := queue.evictionCandidate(w)
 		if victim == nil {
-			p.refuseWaiting(w, QueueFull, p.retryAfter(now, d.Rank))
+			p.refuseWaiting(w, QueueFull, p.retryAfter(now, &d))
 			return
 		}
 		p.dequeue(victim)
-		p.refuseWaiting(victim, QueueFull, p.retryAfter(now, d.Rank))
+		p.refuseWaiting(victim, QueueFull, p.retryAfter(now, &victim.demand))
 	}
 	w.pieces = need
 	w.priority = deadline.Add(time.Duration(need) * p.settings.DelayPerPiece)
--- a/placer/place.go
+++ b/placer/place.go
@@ -24,7 +24,7 @@
 		for w := queue.firstExpired(now); w != nil; w = queue.firstExpired(now) {
 			p.dequeue(w)
 			w.blockedBy = cmp.Or(w.blockedBy, BlockerTurn)
-			p.refuseWaiting(w, TooLate, p.retryAfter(now, rank))
+			p.refuseWaiting(w, TooLate, p.retryAfter(now, &w.demand))
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	}
 	if plan.ready.Add(p.firstTokenDelay()).After(w.deadline) {
 		w.blockedBy = BlockerPrefill
-		p.refuseWaiting(w, TooLate, p.retryAfter(now, d.Rank))
+		p.refuseWaiting(w, TooLate, p.retryAfter(now, d))
 		return refused
 	}
 	if plan.begin.Sub(now) > p.settings.MaxPrefillWait || plan.linkWait > p.settings.MaxLinkWait {
@@ -383,26 +383,19 @@
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
-	// minForecastRetryAfter replaces minRetryAfter with UseForecast. By then the running
-	// requests and most bursts have ended; a retry in the burst would be refused again.
-	minForecastRetryAfter = 4500 * time.Millisecond
 )
 
-// retryAfter estimates how long the queued demands of this rank and of more urgent ones
-// wait for memory. The result is at least minRetryAfter, or minForecastRetryAfter with
-// UseForecast, and at most maxRetryAfter.
-func (p *Placer) retryAfter(now time.Time, rank identifier.Rank) time.Duration {
-	var ahead identifier.Pieces
-	for _, r := range identifier.Ranks[:rank+1] {
-		ahead += p.queues[r].pieces
-	}
-	shortest := minRetryAfter
+// retryAfter returns after what time the caller of a refused demand should come back. Without
+// UseForecast it is how long the queued demands of this rank and of more urgent ones wait for
+// memory, at least minRetryAfter and at most maxRetryAfter. Call it once for each refusal.
+func (p *Placer) retryAfter(now time.Time, d *Demand) time.Duration {
 	if p.settings.UseForecast {
-		shortest = minForecastRetryAfter
+		return p.promiseReturn(now, d)
 	}
+	ahead := p.queuedPieces(identifier.Ranks[:d.Rank+1])
 	rate := p.freedRate.perSecond(now)
 	if rate <= 0 {
-		return shortest
+		return minRetryAfter
 	}
-	return min(max(timeAtRate(float64(ahead), rate), shortest), maxRetryAfter)
+	return min(max(timeAtRate(float64(ahead), rate), minRetryAfter), maxRetryAfter)
 }
--- a/placer/scarcity_test.go
+++ b/placer/scarcity_test.go
@@ -17,11 +17,13 @@
 // request was refused returns after the named time, but at the latest after a third of the
 // time that it has left.
 const (
-	scarcePatience   = 10 * time.Second
 	scarceReturnPart = 3
 	// scarceLeastLeft is the time left below which a caller doesn't return, as a run takes longer.
 	scarceLeastLeft = 2 * time.Second
 	scarceEvent     = 10 * time.Millisecond
+	// A node gives up a prefill after these times, the second for a request past its target.
+	scarcePrefillTimeout     = 480 * time.Millisecond
+	scarceLatePrefillTimeout = 2 * time.Second
 	// scarceLateWorth is the worth of a late stream to its caller.
 	scarceLateWorth = 1.0 / 12
 )
@@ -41,6 +43,8 @@
 	accounts          []scarceAccount
 	burstAt, burstEnd time.Duration
 	length            time.Duration
+	// patience is how long a caller waits for its complete answer, returns included.
+	patience time.Duration
 	// slowPart of the engines is slowFactor times as slow from slowAt to slowEnd.
 	slowPart, slowFactor float64
 	slowAt, slowEnd      time.Duration
@@ -100,12 +104,18 @@
 	prefillTime    time.Duration
 	decode         identifier.Member
 	grant          identifier.Grant
+	avoid          []identifier.Member
+	// sentAt is when the caller last sent the request.
+	sentAt time.Time
 }
 
-// scarceReturn is a caller that returns after a refusal.
+// scarceReturn is a caller that returns after a refusal, or a node that gives a prefill up and asks
+// for another engine.
 type scarceReturn struct {
 	at      time.Time
 	request *scarceRequest
+	// failed is the engine that the node gives up with the request's grant.
+	failed identifier.Member
 }
 
 type scarceReturns []scarceReturn
@@ -142,7 +152,8 @@
 	returns      scarceReturns
 	byAccount    map[identifier.Account]*scarceCounts
 	// bySecond counts the returns that were promised for each second since start.
-	bySecond map[int]int
+	bySecond        map[int]int
+	prefillTimeouts int
 	// reasons counts refusals by reason and blocker; withRoom counts those of demands that
 	// were refused while the lowest forecast peak use was below half.
 	reasons  map[string]int
@@ -193,13 +204,17 @@
 }
 
 func (s *scarcePool) run() {
-	for s.now.Sub(s.start) < s.load.length+scarcePatience {
+	for s.now.Sub(s.start) < s.load.length+s.load.patience {
 		s.now = s.now.Add(scarceEvent)
 		if s.now.Sub(s.start) < s.load.length {
 			s.drawArrivals()
 		}
 		for len(s.returns) > 0 && !s.now.Before(s.returns[0].at) {
 			due, _ := heap.Pop(&s.returns).(scarceReturn)
+			if due.failed != "" {
+				s.placer.Release(s.now, due.request.grant, Result{FailedMember: due.failed})
+				due.request.avoid = append(due.request.avoid, due.failed)
+			}
 			s.submit(due.request)
 		}
 		s.generate()
@@ -219,7 +234,7 @@
 			output := min(9000, s.drawLength(simMeanOutput))
 			s.submit(&scarceRequest{
 				account: account.name, prompt: s.drawLength(simMeanPrompt), output: output, hint: identifier.Tokens(s.drawLength(output)),
-				key: s.random.Uint64() | 1, arrivedAt: s.now,
+				key: s.random.Uint64() | 1, arrivedAt: s.now, sentAt: s.now,
 			})
 		}
 	}
@@ -230,16 +245,17 @@
 }
 
 func (s *scarcePool) timeLeft(r *scarceRequest) time.Duration {
-	return r.arrivedAt.Add(scarcePatience).Sub(s.now)
+	return r.arrivedAt.Add(s.load.patience).Sub(s.now)
 }
 
 func (s *scarcePool) submit(r *scarceRequest) {
 	s.submitted++
 	id := identifier.Request(fmt.Sprint(s.submitted))
 	s.waiting[id] = r
+	budget := simFirstTokenTarget - s.now.Sub(r.sentAt)
 	s.placer.Submit(s.now, Demand{
 		Request: id, Attempt: 1, Account: r.account, Node: "n", Prompt: identifier.Tokens(r.prompt), MaxOutput: 9000,
-		OutputHint: r.hint, FirstTokenBudget: simFirstTokenTarget, QueueTimeout: simQueueTimeout, MaxTokenInterval: 300 * time.Millisecond, NoResume: true,
+		OutputHint: r.hint, FirstTokenBudget: max(100*time.Millisecond, budget), TargetMissed: budget <= 0, Avoid: r.avoid, QueueTimeout: simQueueTimeout, MaxTokenInterval: 300 * time.Millisecond, NoResume: true,
 		RetryKey: r.key, TimeLeft: s.timeLeft(r),
 	})
 }
@@ -336,7 +352,9 @@
 		return
 	}
 	s.bySecond[int(s.now.Add(wait).Sub(s.start)/time.Second)]++
-	heap.Push(&s.returns, scarceReturn{s.now.Add(wait), r})
+	r.avoid = nil
+	r.sentAt = s.now.Add(wait)
+	heap.Push(&s.returns, scarceReturn{at: r.sentAt, request: r})
 }
 
 func (s *scarcePool) startStream(r *scarceRequest, placed *Placement) {
@@ -347,6 +365,15 @@
 	} else {
 		begins := laterOf(s.now, s.readingUntil[placed.Prefill])
 		ends := begins.Add(timeAtRate(r.prompt*s.slowdown(placed.Prefill), simPrefillRate))
+		timeout := scarcePrefillTimeout
+		if s.now.Sub(r.sentAt) >= simFirstTokenTarget {
+			timeout = scarceLatePrefillTimeout
+		}
+		if ends.Sub(s.now) > timeout {
+			s.prefillTimeouts++
+			heap.Push(&s.returns, scarceReturn{at: s.now.Add(timeout), request: r, failed: placed.Prefill})
+			return
+		}
 		s.readingUntil[placed.Prefill] = ends
 		r.startsAt, r.prefillTime = ends.Add(simPrefillOverhead), ends.Sub(s.now)+prefillOverhead
 	}
@@ -380,7 +407,7 @@
 		t.Logf("%s, hot: %s", s.load.name, *hot)
 		t.Logf("%s, others: %s", s.load.name, s.others("hot"))
 	}
-	t.Logf("reasons %v, with room %d, returns %v, highest use %.2f", s.reasons, s.withRoom, s.bySecond, slices.Max(s.peaks))
+	t.Logf("prefills given up %d, reasons %v, with room %d, returns %v, highest use %.2f", s.prefillTimeouts, s.reasons, s.withRoom, s.bySecond, slices.Max(s.peaks))
 }
 
 // The capacity of the pool that the loads are sized for, 18 decode and 6 prefill engines: with
@@ -390,7 +417,7 @@
 // hotAccountLoad: 16 accounts of unequal size, of which one sends seven times its usual load
 // for eight seconds. Without it, the pool is 0.75 full.
 func hotAccountLoad() scarceLoad {
-	load := scarceLoad{name: "hot account", prefills: 6, decodes: 18, burstAt: 20 * time.Second, burstEnd: 28 * time.Second, length: 40 * time.Second}
+	load := scarceLoad{name: "hot account", prefills: 6, decodes: 18, burstAt: 20 * time.Second, burstEnd: 28 * time.Second, length: 40 * time.Second, patience: 10 * time.Second}
 	const usual = 0.75 * scarceCapacity
 	sizes := 0.0
 	for n := range 15 {
@@ -406,7 +433,7 @@
 // returningLoad: 2.1 times the usual load for four seconds, whose refused callers return.
 func returningLoad() scarceLoad {
 	return scarceLoad{
-		name: "burst whose callers return", prefills: 6, decodes: 18, burstAt: 20 * time.Second, burstEnd: 24 * time.Second, length: 40 * time.Second,
+		name: "burst whose callers return", prefills: 6, decodes: 18, burstAt: 20 * time.Second, burstEnd: 24 * time.Second, length: 40 * time.Second, patience: 10 * time.Second,
 		accounts: []scarceAccount{{"", 0.8 * scarceCapacity, 2.1}},
 	}
 }
@@ -416,7 +443,7 @@
 func unevenLoad() scarceLoad {
 	return scarceLoad{
 		name: "uneven engines", prefills: 11, decodes: 33, speeds: []float64{0.7, 0.7, 1.7},
-		accounts: []scarceAccount{{"", 0.8 * 117, 1}}, burstAt: time.Hour, length: 60 * time.Second,
+		accounts: []scarceAccount{{"", 0.8 * 117, 1}}, burstAt: time.Hour, length: 60 * time.Second, patience: 10 * time.Second,
 		slowPart: 0.15, slowFactor: 2.5, slowAt: 20 * time.Second, slowEnd: 40 * time.Second,
 	}
 }
@@ -430,7 +457,10 @@
 	if testing.Verbose() {
 		seeds = scarceSeeds
 	}
-	for _, load := range []scarceLoad{hotAccountLoad(), returningLoad(), unevenLoad()} {
+	patient := returningLoad()
+	patient.name, patient.patience = "burst whose patient callers return", 20*time.Second
+	for _, load := range []scarceLoad{hotAccountLoad(), returningLoad(), patient, unevenLoad()} {
+		var sum scarceCounts
 		for _, seed := range seeds {
 			s := newScarcePool(load, seed)
 			s.run()
@@ -438,6 +468,8 @@
 			if all := s.total(); all.sent == 0 || all.sent != all.onTime+all.late+all.unserved || len(s.running)+len(s.waiting)+len(s.returns) > 0 {
 				t.Errorf("%s: %s; %d run, %d wait, %d return", load.name, all, len(s.running), len(s.waiting), len(s.returns))
 			}
+			sum.add(s.total())
 		}
+		t.Logf("sum of %s: %s", load.name, sum)
 	}
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -120,7 +120,14 @@
 	grantedRates [len(identifier.Ranks)]decayingRate
 	// arrivalRate is the rate of memory that new demands ask for, without retries after a
 	// refusal.
-	arrivalRate  decayingRate
+	arrivalRate decayingRate
+	// loads are the memory that first attempts of each rank ask for, promises what refused
+	// callers of each rank were told to come back for.
+	loads    [len(identifier.Ranks)]arrivalLoad
+	promises [len(identifier.Ranks)]promiseRing
+	// averageHeld is the average time, in seconds, for which first attempts hold memory.
+	averageHeld  movingAverage
+	poolForecast poolForecast
 	lastUrgentAt time.Time
 	// averageUrgentBudget is the average FirstTokenBudget of recent urgent demands.
 	averageUrgentBudget time.Duration
@@ -147,7 +154,7 @@
 
 // New returns the placer of a shard without engines. Its rebuild time starts at now.
 func New(now time.Time, settings Settings) *Placer {
-	return &Placer{
+	p := &Placer{
 		settings:         settings.withDefaults(),
 		started:          now,
 		engines:          map[identifier.Member]*engine{},
@@ -162,6 +169,10 @@
 		arrivalRate:      decayingRate{window: arrivalRateWindow},
 		prefixes:         newPrefixIndex(),
 	}
+	for i := range p.loads {
+		p.loads[i] = newArrivalLoad()
+	}
+	return p
 }
 
 // Configure replaces the engines and settings. Removed engines keep their grants.
