Learn prefill rates of busy engines

Requests were refused as too late while decode engines were two thirds full, because the prefill engines counted as busy though they were idle a fifth of the time: a rate was learned only from prefills that had their engine to themselves, which are rare in a busy pool, and was limited to 1.25 of the configured one, although engines are up to 1.7 times as fast. With 11 prefill engines of speeds 0.7, 0.7 and 1.7 the owner planned with 457,000 tokens a second, and they read 588,000. The demands that waited for prefill held up those behind them (lacking turn), the queue made the owner refuse others at once, and retries kept this up after slow engines had recovered.

A rate is now learned from batches of up to 8 prefills: their tokens by the time in which at least one was on the engine, whether the engine computes them one by one or together.

--- a/placer/engine.go
+++ b/placer/engine.go
@@ -120,8 +120,10 @@
 	forecast    forecast
 	// learnedPrefillRate is a moving average in tokens a second; zero means unknown.
 	learnedPrefillRate float64
-	// solePrefill is the grant whose prefill has the engine to itself so far.
-	solePrefill *grant
+	// prefillBatch is the batch that the next prefill joins, or nil.
+	prefillBatch *prefillBatch
+	// prefillsMeasuredUntil is the end of the last prefill that the rate was learned from.
+	prefillsMeasuredUntil time.Time
 	// handOverFailures is the moving share of this engine's prefilled prompts that no decode
 	// engine used.
 	handOverFailures movingAverage
--- a/placer/place.go
+++ b/placer/place.go
@@ -309,10 +309,7 @@
 	e.takeQuota()
 	g.Prefill, g.prefill = e.Member, e
 	g.uncachedPrompt = p.uncachedTokens(&g.Demand, e)
-	g.ranAlone = e.startsAlone(now)
-	if g.ranAlone {
-		e.solePrefill = g
-	}
+	e.joinPrefillBatch(g)
 	e.prefillBusyUntil = plan.end
 	e.linkBusyUntil = plan.ready
 	if p.isLongPrefill(&g.Demand, plan) {
--- a/placer/scarcity_test.go
+++ b/placer/scarcity_test.go
@@ -204,7 +204,12 @@
 }
 
 func (s *scarcePool) run() {
-	for s.now.Sub(s.start) < s.load.length+s.load.patience {
+	s.stepTo(s.load.length + s.load.patience)
+}
+
+// stepTo runs the pool up to some time since its start.
+func (s *scarcePool) stepTo(end time.Duration) {
+	for s.now.Sub(s.start) < end {
 		s.now = s.now.Add(scarceEvent)
 		if s.now.Sub(s.start) < s.load.length {
 			s.drawArrivals()
--- a/placer/state.go
+++ b/placer/state.go
@@ -66,8 +66,8 @@
 	phase          phase
 	grantedAt      time.Time
 	uncachedPrompt identifier.Tokens
-	// ranAlone reports whether the prefill had its engine to itself.
-	ranAlone bool
+	// prefillBatch is the batch that waits for the time of the grant's prefill, or nil.
+	prefillBatch *prefillBatch
 	// plannedStart is when the stream was planned to begin on the decode engine.
 	plannedStart time.Time
 	progressAt   time.Time
@@ -320,6 +320,7 @@
 	p.usedByRank[g.Demand.Rank] -= g.Pieces
 	p.addAccountUse(&g.Demand, -g.Pieces, 0)
 	g.addSuspect(-1)
+	g.breakPrefillBatch()
 	g.decode.recordFreed(now, g.Pieces)
 	p.freedRate.add(now, g.Pieces)
 	if g.decode.removed && len(g.decode.grants) == 0 {
