Pass demands that may not use some prefill engines

A demand that no prefill engine can take soon enough ends the round of its queue, as the others could not be taken either. That does not hold for one that avoids engines on which it failed, or is suspected to crash engines: the others waited for it beside idle prefill engines. They are now tried.

--- a/placer/place.go
+++ b/placer/place.go
@@ -105,7 +105,8 @@
 }
 
 // placeFromQueue tries one rank's demands of some turns in order while mayPlace returns true and
-// fewer than Lookahead are blocked, up to the first noPrefill. It reports whether none was blocked.
+// fewer than Lookahead are blocked, up to the first noPrefill of a demand that may use all engines.
+// It reports whether none was blocked.
 func (p *Placer) placeFromQueue(now time.Time, rank identifier.Rank, turns turns, mayPlace func() bool) bool {
 	queue := &p.queues[rank]
 	blocked := p.blockedScratch[:0]
@@ -122,7 +123,7 @@
 		}
 		blocked = append(blocked, w)
 		w.blockedBy = blockersByResult[result]
-		if result == noPrefill {
+		if result == noPrefill && !w.demand.isChoosy() {
 			break
 		}
 	}
@@ -134,6 +135,11 @@
 	return len(blocked) == 0
 }
 
+// isChoosy reports whether the demand may not use some engines. What blocks it doesn't block others.
+func (d *Demand) isChoosy() bool {
+	return len(d.Avoid) > 0 || d.Suspect
+}
+
 // tryPlace grants one demand its engines if they have the capacity, or refuses it if it
 // is too late. It may preempt lesser streams for an urgent demand.
 func (p *Placer) tryPlace(now time.Time, w *waitingDemand) placeResult {
