Prefer engines that can end a request in its caller's time

An engine that has become 2.5 times as slow was given requests that it could not end before their callers stopped waiting, while others had room. Such engines now come last, by the median of the output and the engine's time for a token; they are still used if there is no other, as the forecast may be wrong. Only demands with a known time left are concerned.

--- a/placer/events.go
+++ b/placer/events.go
@@ -99,6 +99,9 @@
 	}
 	deadline := now.Add(d.FirstTokenBudget)
 	w := &waitingDemand{demand: d, deadline: deadline, latestStart: deadline.Add(-p.minReadyTime(now, &d) - p.firstTokenDelay())}
+	if d.TimeLeft > 0 {
+		w.answerBy = now.Add(d.TimeLeft)
+	}
 	p.limitQueueTime(now, w)
 	w.withinShare = p.isWithinShare(&d, need)
 	if p.settings.enabled(EarlyRefusal) && p.waitsTooLong(now, w) {
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -27,6 +27,9 @@
 	// its remaining capacity is for demands that can still be on time.
 	maxRetryPeakUse  = 0.9
 	defaultTokenTime = 700 * time.Microsecond
+	// lateEndPenalty puts those engines last that are not expected to end a request before its
+	// caller stops waiting.
+	lateEndPenalty = 1
 	// tokenTimeWeight is the weight of one measurement in the average token time.
 	tokenTimeWeight = 0.1
 	// minLogSpread keeps the logarithmic spread of outputs above zero.
@@ -213,6 +216,9 @@
 		if e.DataCentre != plan.engine.DataCentre {
 			peak += sameDataCentreBonus
 		}
+		if !p.endsInTime(w, e, plan.ready) {
+			peak += lateEndPenalty
+		}
 		if peak < lowestPeak {
 			best, lowestPeak = e, peak
 		}
--- a/placer/place_test.go
+++ b/placer/place_test.go
@@ -45,3 +45,36 @@
 		t.Error("a demand that may use an idle engine waits behind one that may not")
 	}
 }
+
+// TestSlowEngineIsLastForShortTimeLeft guards against streams on an engine that has become too
+// slow to end them before their callers stop waiting, while another engine has room.
+func TestSlowEngineIsLastForShortTimeLeft(t *testing.T) {
+	for timeLeft, want := range map[time.Duration]identifier.Member{0: "slow", 6 * time.Second: "fast", 20 * time.Second: "slow"} {
+		p, now := newUnevenPair()
+		for n := range 3 {
+			d := unevenDemand(identifier.Request(rune('a' + n)))
+			p.bookGrant(&grant{HeldGrant: HeldGrant{Grant: identifier.Grant(d.Request), Demand: d, Pieces: 30}, decode: p.engines["fast"], plannedStart: now, progressAt: now, expiresAt: now.Add(time.Hour)})
+		}
+		d := unevenDemand("x")
+		d.TimeLeft = timeLeft
+		p.Submit(now, d)
+		p.Advance(now)
+		if g := p.latestGrants["x"]; g == nil || g.Decode != want {
+			t.Errorf("time left %v: %+v instead of %s", timeLeft, g, want)
+		}
+	}
+}
+
+// TestOnlySlowEngineIsUsed guards against a refusal because of a forecast of the output that may
+// be wrong, while an engine has room.
+func TestOnlySlowEngineIsUsed(t *testing.T) {
+	p, now := newUnevenPair()
+	p.engines["fast"].Draining = true
+	d := unevenDemand("x")
+	d.TimeLeft = 6 * time.Second
+	p.Submit(now, d)
+	p.Advance(now)
+	if p.latestGrants["x"] == nil {
+		t.Error("the demand is not placed")
+	}
+}
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -15,8 +15,7 @@
 	// latestStart is the latest time to grant the demand. After it, even idle engines
 	// would miss the deadline, or the time allowed in the queue has ended.
 	latestStart time.Time
-	// answerBy is when a retry's caller stops waiting for the complete answer; zero means
-	// unknown.
+	// answerBy is when the caller stops waiting for the complete answer; zero means unknown.
 	answerBy time.Time
 	// maxWait is how long a retry with a known answerBy may wait for memory; negative if its
 	// run takes longer than its caller waits.
--- a/placer/retries.go
+++ b/placer/retries.go
@@ -31,7 +31,6 @@
 	}
 	start := p.minReadyTime(now, &w.demand) + p.firstTokenDelay()
 	w.maxWait = min(left-start-p.expectedDecodeTime(w, p.averageTokenTime), maxRetryQueueTime)
-	w.answerBy = now.Add(left)
 	w.latestStart = now.Add(w.maxWait)
 	w.deadline = w.latestStart.Add(start)
 }
@@ -52,7 +51,7 @@
 }
 
 // endsInTime reports whether an engine is expected to end a demand before its caller stops
-// waiting. Only retries are checked, and only if the caller's time left is known.
+// waiting, or the caller's time left is unknown.
 func (p *Placer) endsInTime(w *waitingDemand, e *engine, ready time.Time) bool {
 	return w.answerBy.IsZero() || !ready.Add(p.expectedDecodeTime(w, p.tokenTimeOf(e))).After(w.answerBy)
 }
