--- a/placer/returns_test.go
+++ b/placer/returns_test.go
@@ -165,3 +165,37 @@
 		p.promiseReturn(now, &d)
 	}
 }
+
+// TestTwoOwnersPromiseTwice has two owners of the same engines during a split. Each books only its
+// own promises; together they must not promise more than twice what one does.
+func TestTwoOwnersPromiseTwice(t *testing.T) {
+	s := newSimulation(t, true)
+	s.run(normalRate, 20*time.Second)
+	s.run(burstRate, time.Second)
+	first, held := s.placer, s.placer.HeldGrants()
+	settings := first.settings
+	settings.Issuer = "u"
+	second := New(s.now.Add(-time.Second), settings)
+	second.Configure(settings, s.engines)
+	for _, h := range held {
+		second.Renew(s.now, h, true)
+	}
+	loads := first.loads
+	count := func(owners ...*Placer) int {
+		soon := 0
+		for _, owner := range owners {
+			s.placer, owner.loads = owner, loads
+			for _, after := range refuseMany(s, 60, identifier.Urgent) {
+				if after < maxForecastRetryAfter/2 {
+					soon++
+				}
+			}
+		}
+		return soon
+	}
+	together := count(first, second)
+	first.promises = [len(identifier.Ranks)]promiseRing{}
+	if alone := count(first); alone == 0 || together > 2*alone+alone/2 {
+		t.Errorf("one owner tells %d callers to return soon, two tell %d", alone, together)
+	}
+}
