Let a repeat wait on at a new owner

A node sends its waiting demands again when the owner changes, with what is left of their targets. For a repeat that has waited for seconds that is negative, so that the new owner, which does not know that its caller was refused before, refused it at once. It is now marked as late, and waits for its time left. Met in reading; TestRepeatSentAgainWaitsOn.

--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -8,6 +8,9 @@
 	"github.com/foxtailspool/foxtailspool/placer"
 )
 
+// minLateWait is the wait of a demand that is late: the owner's plans need a positive one.
+const minLateWait = time.Millisecond
+
 // encodeDemand encodes a demand with the given wait instead of d.FirstTokenBudget. The time by
 // which the wait is shorter is no longer left to the caller either.
 func encodeDemand(d *placer.Demand, wait time.Duration) *dispatcherrpc.Demand {
@@ -30,6 +33,11 @@
 		Suspect:            d.Suspect,
 		Fresh:              d.NoResume,
 	}
+	if wait <= 0 && d.QueueTimeout > 0 && d.TimeLeft > 0 {
+		// A repeat that waits longer than its target allows, and has to wait on at a new owner.
+		message.Late = true
+		message.WaitNanoseconds = int64(minLateWait)
+	}
 	if d.TimeLeft > 0 {
 		// Zero would mean unknown.
 		message.LeftNanoseconds = int64(max(1, d.TimeLeft-(d.FirstTokenBudget-wait)))
--- a/dispatcher/wire_test.go
+++ b/dispatcher/wire_test.go
@@ -22,3 +22,18 @@
 		}
 	}
 }
+
+// TestRepeatSentAgainWaitsOn guards against a repeat that a new owner refuses at once, because it
+// has waited longer at the earlier owner than its target allows.
+func TestRepeatSentAgainWaitsOn(t *testing.T) {
+	d := newDemand("r1", 1)
+	d.FirstTokenBudget, d.QueueTimeout, d.TimeLeft = 500*time.Millisecond, 300*time.Millisecond, 8*time.Second
+	const waited = 2 * time.Second
+	again := decodeDemand("m", "n", encodeDemand(&d, d.FirstTokenBudget-waited))
+	if !again.TargetMissed || again.FirstTokenBudget <= 0 || again.TimeLeft != d.TimeLeft-waited {
+		t.Errorf("%+v", again)
+	}
+	if first := decodeDemand("m", "n", encodeDemand(&d, d.FirstTokenBudget)); first.TargetMissed {
+		t.Error("a demand in time is marked as late")
+	}
+}
