--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -8,7 +8,11 @@
 	"github.com/foxtailspool/foxtailspool/placer"
 )
 
-// encodeDemand encodes a demand with the given wait instead of d.FirstTokenBudget.
+// minLateWait is the wait of a demand that is late: the owner's plans need a positive one.
+const minLateWait = time.Millisecond
+
+// encodeDemand encodes a demand with the given wait instead of d.FirstTokenBudget. The time by
+// which the wait is shorter is no longer left to the caller either.
 func encodeDemand(d *placer.Demand, wait time.Duration) *dispatcherrpc.Demand {
 	message := &dispatcherrpc.Demand{
 		Request:            string(d.Request),
@@ -29,6 +33,15 @@
 		Suspect:            d.Suspect,
 		Fresh:              d.NoResume,
 	}
+	if wait <= 0 && d.QueueTimeout > 0 && d.TimeLeft > 0 {
+		// A repeat that waits longer than its target allows, and has to wait on at a new owner.
+		message.Late = true
+		message.WaitNanoseconds = int64(minLateWait)
+	}
+	if d.TimeLeft > 0 {
+		// Zero would mean unknown.
+		message.LeftNanoseconds = int64(max(1, d.TimeLeft-(d.FirstTokenBudget-wait)))
+	}
 	for _, member := range d.Avoid {
 		message.Avoid = append(message.Avoid, string(member))
 	}
@@ -54,6 +67,7 @@
 		OutputHint:       identifier.Tokens(message.GetHintTokens()),
 		QueueTimeout:     time.Duration(message.GetHoldNanoseconds()),
 		RetryKey:         message.GetReturning(),
+		TimeLeft:         time.Duration(message.GetLeftNanoseconds()),
 		TargetMissed:     message.GetLate(),
 		Suspect:          message.GetSuspect(),
 		NoResume:         message.GetFresh(),
--- a/placer/place.go
+++ b/placer/place.go
@@ -23,7 +23,8 @@
 		queue := &p.queues[rank]
 		for w := queue.firstExpired(now); w != nil; w = queue.firstExpired(now) {
 			p.dequeue(w)
-			p.refuseBlocked(&w.demand, TooLate, cmp.Or(w.blockedBy, BlockerTurn), p.retryAfter(now, rank))
+			w.blockedBy = cmp.Or(w.blockedBy, BlockerTurn)
+			p.refuseWaiting(w, TooLate, p.retryAfter(now, &w.demand))
 		}
 	}
 }
@@ -45,22 +46,25 @@
 // blockersByResult maps the results that leave a demand in its queue to what blocks it.
 var blockersByResult = map[placeResult]Blocker{noMemory: BlockerMemory, noLongPrefillSlot: BlockerTurn, noPrefill: BlockerPrefill}
 
-// place tries the waiting demands. The ranks below urgent that have less than their minimum
-// share go first, then all ranks, the most urgent first. While a demand of one step waits for
-// an engine, the later steps grant nothing.
+// place tries the waiting demands. First attempts go before repeats of any rank, which have missed
+// their target. The ranks below urgent that have less than their minimum share go first, then all
+// ranks, the most urgent first. While a demand of one step waits for an engine, the later steps
+// grant nothing.
 func (p *Placer) place(now time.Time) {
 	for _, rank := range slices.Backward(identifier.Ranks[identifier.Urgent+1:]) {
-		if !p.placeFromQueue(now, rank, func() bool { return p.isBelowShare(rank) }) {
+		if !p.placeFromQueue(now, rank, firstAttempts, func() bool { return p.isBelowShare(rank) }) {
 			return
 		}
 	}
-	if !p.placeFromQueue(now, identifier.Urgent, always) {
-		return
-	}
-	for _, rank := range identifier.Ranks[identifier.Urgent+1:] {
-		if !p.placeFromQueue(now, rank, func() bool { return p.hasHeadroom(now, rank) }) {
+	for _, turns := range [...]turns{firstAttempts, repeats} {
+		if !p.placeFromQueue(now, identifier.Urgent, turns, always) {
 			return
 		}
+		for _, rank := range identifier.Ranks[identifier.Urgent+1:] {
+			if !p.placeFromQueue(now, rank, turns, func() bool { return p.hasHeadroom(now, rank) }) {
+				return
+			}
+		}
 	}
 }
 
@@ -100,13 +104,14 @@
 	return float64(p.usedByRank[rank]) < p.settings.LesserShare*float64(p.decodeCapacity)
 }
 
-// placeFromQueue tries one rank's demands in order while mayPlace returns true and fewer
-// than Lookahead are blocked, up to the first noPrefill. It reports whether none was blocked.
-func (p *Placer) placeFromQueue(now time.Time, rank identifier.Rank, mayPlace func() bool) bool {
+// placeFromQueue tries one rank's demands of some turns in order while mayPlace returns true and
+// fewer than Lookahead are blocked, up to the first noPrefill of a demand that may use all engines.
+// It reports whether none was blocked.
+func (p *Placer) placeFromQueue(now time.Time, rank identifier.Rank, turns turns, mayPlace func() bool) bool {
 	queue := &p.queues[rank]
 	blocked := p.blockedScratch[:0]
 	for len(blocked) < p.settings.Lookahead && mayPlace() {
-		w := queue.popNext()
+		w := queue.popNext(turns)
 		if w == nil {
 			break
 		}
@@ -118,7 +123,7 @@
 		}
 		blocked = append(blocked, w)
 		w.blockedBy = blockersByResult[result]
-		if result == noPrefill {
+		if result == noPrefill && !w.demand.isChoosy() {
 			break
 		}
 	}
@@ -130,6 +135,11 @@
 	return len(blocked) == 0
 }
 
+// isChoosy reports whether the demand may not use some engines. What blocks it doesn't block others.
+func (d *Demand) isChoosy() bool {
+	return len(d.Avoid) > 0 || d.Suspect
+}
+
 // tryPlace grants one demand its engines if they have the capacity, or refuses it if it
 // is too late. It may preempt lesser streams for an urgent demand.
 func (p *Placer) tryPlace(now time.Time, w *waitingDemand) placeResult {
@@ -143,7 +153,8 @@
 		return noPrefill
 	}
 	if plan.ready.Add(p.firstTokenDelay()).After(w.deadline) {
-		p.refuse(d, TooLate, p.retryAfter(now, d.Rank))
+		w.blockedBy = BlockerPrefill
+		p.refuseWaiting(w, TooLate, p.retryAfter(now, d))
 		return refused
 	}
 	if plan.begin.Sub(now) > p.settings.MaxPrefillWait || plan.linkWait > p.settings.MaxLinkWait {
@@ -304,10 +315,7 @@
 	e.takeQuota()
 	g.Prefill, g.prefill = e.Member, e
 	g.uncachedPrompt = p.uncachedTokens(&g.Demand, e)
-	g.ranAlone = e.startsAlone(now)
-	if g.ranAlone {
-		e.solePrefill = g
-	}
+	e.joinPrefillBatch(g)
 	e.prefillBusyUntil = plan.end
 	e.linkBusyUntil = plan.ready
 	if p.isLongPrefill(&g.Demand, plan) {
@@ -341,13 +349,19 @@
 }
 
 func (p *Placer) refuse(d *Demand, reason Reason, retryAfter time.Duration) {
-	p.refuseBlocked(d, reason, "", retryAfter)
+	p.refuseFor(d, reason, p.refusalCause(d), retryAfter)
+}
+
+// refuseWaiting refuses a demand that was queued, or would have been, and gives what blocked it
+// as part of the cause.
+func (p *Placer) refuseWaiting(w *waitingDemand, reason Reason, retryAfter time.Duration) {
+	cause := p.refusalCause(&w.demand)
+	cause.BlockedBy = w.blockedBy
+	cause.BeyondShare = !w.withinShare
+	p.refuseFor(&w.demand, reason, cause, retryAfter)
 }
 
-// refuseBlocked refuses a demand and gives what blocked it as part of the cause.
-func (p *Placer) refuseBlocked(d *Demand, reason Reason, blockedBy Blocker, retryAfter time.Duration) {
-	cause := p.refusalCause(d)
-	cause.BlockedBy = blockedBy
+func (p *Placer) refuseFor(d *Demand, reason Reason, cause Cause, retryAfter time.Duration) {
 	p.recordRefusedCaller(d)
 	p.addDecision(d, Outcome{Refusal: &Refusal{Reason: reason, RetryAfter: retryAfter, Cause: cause}})
 }
@@ -372,26 +386,19 @@
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
-	// minForecastRetryAfter replaces minRetryAfter with UseForecast. By then the running
-	// requests and most bursts have ended; a retry in the burst would be refused again.
-	minForecastRetryAfter = 4500 * time.Millisecond
 )
 
-// retryAfter estimates how long the queued demands of this rank and of more urgent ones
-// wait for memory. The result is at least minRetryAfter, or minForecastRetryAfter with
-// UseForecast, and at most maxRetryAfter.
-func (p *Placer) retryAfter(now time.Time, rank identifier.Rank) time.Duration {
-	var ahead identifier.Pieces
-	for _, r := range identifier.Ranks[:rank+1] {
-		ahead += p.queues[r].pieces
-	}
-	shortest := minRetryAfter
+// retryAfter returns after what time the caller of a refused demand should come back. Without
+// UseForecast it is how long the queued demands of this rank and of more urgent ones wait for
+// memory, at least minRetryAfter and at most maxRetryAfter. Call it once for each refusal.
+func (p *Placer) retryAfter(now time.Time, d *Demand) time.Duration {
 	if p.settings.UseForecast {
-		shortest = minForecastRetryAfter
+		return p.promiseReturn(now, d)
 	}
+	ahead := p.queuedPieces(identifier.Ranks[:d.Rank+1])
 	rate := p.freedRate.perSecond(now)
 	if rate <= 0 {
-		return shortest
+		return minRetryAfter
 	}
-	return min(max(timeAtRate(float64(ahead), rate), shortest), maxRetryAfter)
+	return min(max(timeAtRate(float64(ahead), rate), minRetryAfter), maxRetryAfter)
 }
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -15,6 +15,11 @@
 	// latestStart is the latest time to grant the demand. After it, even idle engines
 	// would miss the deadline, or the time allowed in the queue has ended.
 	latestStart time.Time
+	// answerBy is when the caller stops waiting for the complete answer; zero means unknown.
+	answerBy time.Time
+	// maxWait is how long a retry with a known answerBy may wait for memory; negative if its
+	// run takes longer than its caller waits.
+	maxWait time.Duration
 	// priority orders the demands of a queue, the earliest time first: it is the deadline
 	// plus a delay for the memory that the demand needs.
 	priority time.Time
@@ -29,7 +34,8 @@
 	triedForecast uint64
 	// hasPreempted reports that lesser streams were preempted for the demand.
 	hasPreempted bool
-	// withinShare tells which heap of its queue holds the demand.
+	// withinShare reports whether the account was within its share when the demand came. It
+	// and isRetry tell which heap of its queue holds the demand.
 	withinShare bool
 	heapIndex   int
 	expiryIndex int
@@ -90,14 +96,49 @@
 	return w
 }
 
+// turn numbers the groups of waiting demands that go one after the other.
+type turn uint8
+
+// First attempts go before repeats, which have missed their target. Within either, demands
+// of accounts within their share go first.
+const (
+	firstWithinShare turn = iota
+	firstBeyondShare
+	retryWithinShare
+	retryBeyondShare
+	turnCount
+)
+
+// turns is a range of turns, both ends included.
+type turns struct {
+	first, last turn
+}
+
+var (
+	firstAttempts = turns{firstWithinShare, firstBeyondShare}
+	repeats       = turns{retryWithinShare, retryBeyondShare}
+)
+
+func (w *waitingDemand) turn() turn {
+	switch {
+	case !w.isRetry && w.withinShare:
+		return firstWithinShare
+	case !w.isRetry:
+		return firstBeyondShare
+	case w.withinShare:
+		return retryWithinShare
+	default:
+		return retryBeyondShare
+	}
+}
+
 // queue holds the waiting demands of one rank. Demands of accounts within their fair
 // share go first, so that an account that floods the queue delays only itself.
 type queue struct {
-	// withinShare and beyondShare order the demands by priority. Demands that popNext
-	// took out for a try are only in byExpiry, which has all demands.
-	withinShare priorityHeap
-	beyondShare priorityHeap
-	byExpiry    expiryHeap
+	// byTurn has the demands of each turn, ordered by priority. Demands that popNext took
+	// out for a try are only in byExpiry, which has all demands.
+	byTurn   [turnCount]priorityHeap
+	byExpiry expiryHeap
 	// withinSharePieces is the memory of non-retry demands of accounts within their share.
 	withinSharePieces identifier.Pieces
 	// firstTryPieces is the memory needed by all demands but retries, which go last.
@@ -111,10 +152,7 @@
 }
 
 func (q *queue) heapOf(w *waitingDemand) *priorityHeap {
-	if w.withinShare {
-		return &q.withinShare
-	}
-	return &q.beyondShare
+	return &q.byTurn[w.turn()]
 }
 
 func (q *queue) add(w *waitingDemand) {
@@ -135,11 +173,11 @@
 	q.addPieces(w, -w.pieces)
 }
 
-// popNext takes the next demand out of its heap, or returns nil if there is none. The
-// caller must pass the demand to putBack or removePopped afterwards.
-func (q *queue) popNext() *waitingDemand {
-	for _, h := range [...]*priorityHeap{&q.withinShare, &q.beyondShare} {
-		if len(*h) > 0 {
+// popNext takes the next demand of some turns out of its heap, or returns nil if there is none.
+// The caller must pass the demand to putBack or removePopped afterwards.
+func (q *queue) popNext(turns turns) *waitingDemand {
+	for i := turns.first; i <= turns.last; i++ {
+		if h := &q.byTurn[i]; len(*h) > 0 {
 			w, _ := heap.Pop(h).(*waitingDemand)
 			return w
 		}
@@ -172,13 +210,15 @@
 	return q.firstTryPieces
 }
 
-// evictionCandidate returns a demand of an account beyond its share, or nil. It is
-// refused if the queue is full and a demand of an account within its share arrives.
-func (q *queue) evictionCandidate() *waitingDemand {
-	if len(q.beyondShare) == 0 {
-		return nil
+// evictionCandidate returns the demand that is refused if the queue is full and w arrives: one of
+// the last turn, if that is after w's turn, or nil.
+func (q *queue) evictionCandidate(w *waitingDemand) *waitingDemand {
+	for t := turnCount - 1; t > w.turn(); t-- {
+		if h := q.byTurn[t]; len(h) > 0 {
+			return h[len(h)-1]
+		}
 	}
-	return q.beyondShare[len(q.beyondShare)-1]
+	return nil
 }
 
 // firstExpired returns a demand whose latestStart has passed, or nil.
--- a/placer/state.go
+++ b/placer/state.go
@@ -66,8 +66,8 @@
 	phase          phase
 	grantedAt      time.Time
 	uncachedPrompt identifier.Tokens
-	// ranAlone reports whether the prefill had its engine to itself.
-	ranAlone bool
+	// prefillBatch is the batch that waits for the time of the grant's prefill, or nil.
+	prefillBatch *prefillBatch
 	// plannedStart is when the stream was planned to begin on the decode engine.
 	plannedStart time.Time
 	progressAt   time.Time
@@ -107,7 +107,9 @@
 	queued       map[identifier.Request]*waitingDemand
 	queues       [len(identifier.Ranks)]queue
 	accounts     map[accountKey]*accountUse
-	estimators   map[identifier.Route]*estimator
+	// uses counts the accounts of each rank by their use.
+	uses       [len(identifier.Ranks)]useHistogram
+	estimators map[identifier.Route]*estimator
 	// unclaimedStreams maps each stream that holds engine memory without a known grant to
 	// the time of its next cancel order.
 	unclaimedStreams map[unclaimedStream]time.Time
@@ -118,7 +120,14 @@
 	grantedRates [len(identifier.Ranks)]decayingRate
 	// arrivalRate is the rate of memory that new demands ask for, without retries after a
 	// refusal.
-	arrivalRate  decayingRate
+	arrivalRate decayingRate
+	// loads are the memory that first attempts of each rank ask for, promises what refused
+	// callers of each rank were told to come back for.
+	loads    [len(identifier.Ranks)]arrivalLoad
+	promises [len(identifier.Ranks)]promiseRing
+	// averageHeld is the average time, in seconds, for which first attempts hold memory.
+	averageHeld  movingAverage
+	poolForecast poolForecast
 	lastUrgentAt time.Time
 	// averageUrgentBudget is the average FirstTokenBudget of recent urgent demands.
 	averageUrgentBudget time.Duration
@@ -145,7 +154,7 @@
 
 // New returns the placer of a shard without engines. Its rebuild time starts at now.
 func New(now time.Time, settings Settings) *Placer {
-	return &Placer{
+	p := &Placer{
 		settings:         settings.withDefaults(),
 		started:          now,
 		engines:          map[identifier.Member]*engine{},
@@ -160,6 +169,10 @@
 		arrivalRate:      decayingRate{window: arrivalRateWindow},
 		prefixes:         newPrefixIndex(),
 	}
+	for i := range p.loads {
+		p.loads[i] = newArrivalLoad()
+	}
+	return p
 }
 
 // Configure replaces the engines and settings. Removed engines keep their grants.
@@ -262,8 +275,10 @@
 // addAccountUse adds to an account's held and queued memory, and deletes an empty entry.
 func (p *Placer) addAccountUse(d *Demand, heldPieces, queuedPieces identifier.Pieces) {
 	use := p.accountUseOf(d)
+	before := use.held + use.queued
 	use.held += heldPieces
 	use.queued += queuedPieces
+	p.uses[d.Rank].change(before, use.held+use.queued)
 	if use.held <= 0 && use.queued <= 0 {
 		delete(p.accounts, accountKey{d.Account, d.Rank})
 	}
@@ -305,6 +320,7 @@
 	p.usedByRank[g.Demand.Rank] -= g.Pieces
 	p.addAccountUse(&g.Demand, -g.Pieces, 0)
 	g.addSuspect(-1)
+	g.breakPrefillBatch()
 	g.decode.recordFreed(now, g.Pieces)
 	p.freedRate.add(now, g.Pieces)
 	if g.decode.removed && len(g.decode.grants) == 0 {
