Bound numbers from outside where they are decoded

limiter.Rate holds no limit or 1/3600 to 1e6 requests a second; the adapter and the messages between nodes decode into it. A refused rate counts as absent and is logged once for each process of a back end (6215).

--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -51,7 +51,7 @@
 		clear(f.freePieces)
 	}
 	for _, report := range reports {
-		f.freePieces[identifier.Member(report.GetMember())] = identifier.Pieces(report.GetFreePieces())
+		f.freePieces[identifier.Member(report.GetMember())] = identifier.BoundedPieces(report.GetFreePieces())
 	}
 }
 
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -8,6 +8,11 @@
 	"github.com/foxtailspool/foxtailspool/placer"
 )
 
+// boundedDuration returns a duration from another node, from 0 to identifier.MaxDuration.
+func boundedDuration(nanoseconds int64) time.Duration {
+	return min(max(0, time.Duration(nanoseconds)), identifier.MaxDuration)
+}
+
 // encodeDemand encodes a demand with the given wait instead of d.FirstTokenBudget.
 func encodeDemand(d *placer.Demand, wait time.Duration) *dispatcherrpc.Demand {
 	message := &dispatcherrpc.Demand{
@@ -35,6 +40,12 @@
 	return message
 }
 
+// maxPrefixes and maxAvoided bound the lists of a demand from another node. Nodes send far fewer.
+const (
+	maxPrefixes = 128
+	maxAvoided  = 1024
+)
+
 // decodeDemand decodes a demand. A rank that this version does not have becomes the least urgent.
 func decodeDemand(pool identifier.Pool, node identifier.Node, message *dispatcherrpc.Demand) placer.Demand {
 	d := placer.Demand{
@@ -46,19 +57,19 @@
 		Account:          identifier.Account(message.GetAccount()),
 		Node:             node,
 		DataCentre:       identifier.DataCentre(message.GetDataCentre()),
-		Prompt:           identifier.Tokens(message.GetPromptTokens()),
-		MaxOutput:        identifier.Tokens(message.GetLimitTokens()),
-		FirstTokenBudget: time.Duration(message.GetWaitNanoseconds()),
-		MaxTokenInterval: time.Duration(message.GetBetweenNanoseconds()),
-		Prefixes:         message.GetPrefixes(),
-		OutputHint:       identifier.Tokens(message.GetHintTokens()),
-		QueueTimeout:     time.Duration(message.GetHoldNanoseconds()),
+		Prompt:           max(1, identifier.BoundedTokens(message.GetPromptTokens())),
+		MaxOutput:        identifier.BoundedTokens(message.GetLimitTokens()),
+		FirstTokenBudget: boundedDuration(message.GetWaitNanoseconds()),
+		MaxTokenInterval: boundedDuration(message.GetBetweenNanoseconds()),
+		Prefixes:         message.GetPrefixes()[:min(len(message.GetPrefixes()), maxPrefixes)],
+		OutputHint:       identifier.BoundedTokens(message.GetHintTokens()),
+		QueueTimeout:     boundedDuration(message.GetHoldNanoseconds()),
 		RetryKey:         message.GetReturning(),
 		TargetMissed:     message.GetLate(),
 		Suspect:          message.GetSuspect(),
 		NoResume:         message.GetFresh(),
 	}
-	for _, member := range message.GetAvoid() {
+	for _, member := range message.GetAvoid()[:min(len(message.GetAvoid()), maxAvoided)] {
 		d.Avoid = append(d.Avoid, identifier.Member(member))
 	}
 	return d
@@ -91,11 +102,11 @@
 		Demand:      decodeDemand(pool, node, message.GetDemand()),
 		Prefill:     identifier.Member(message.GetPrefill()),
 		Decode:      identifier.Member(message.GetDecode()),
-		Pieces:      identifier.Pieces(message.GetPieces()),
-		Output:      identifier.Tokens(message.GetOutputTokens()),
+		Pieces:      identifier.BoundedPieces(message.GetPieces()),
+		Output:      identifier.BoundedTokens(message.GetOutputTokens()),
 		Decoding:    message.GetDecoding(),
 		Stream:      message.GetStream(),
-		PrefillTime: time.Duration(message.GetPrefillNanoseconds()),
+		PrefillTime: boundedDuration(message.GetPrefillNanoseconds()),
 	}
 }
 
@@ -112,11 +123,11 @@
 
 func decodeRelease(message *dispatcherrpc.Release) (identifier.Grant, placer.Result) {
 	return identifier.Grant(message.GetGrant()), placer.Result{
-		Output:       identifier.Tokens(message.GetOutputTokens()),
+		Output:       identifier.BoundedTokens(message.GetOutputTokens()),
 		Prefilled:    message.GetPrefilled(),
 		Decoded:      message.GetDecoded(),
 		FailedMember: identifier.Member(message.GetFailed()),
-		PrefillTime:  time.Duration(message.GetPrefillNanoseconds()),
+		PrefillTime:  boundedDuration(message.GetPrefillNanoseconds()),
 	}
 }
 
@@ -143,17 +154,17 @@
 		Attempt: message.GetAttempt(),
 	}
 	if message.GetReason() != "" {
-		decision.Outcome = refusal(placer.Reason(message.GetReason()), time.Duration(message.GetRetryAfterNanoseconds()))
+		decision.Outcome = refusal(placer.Reason(message.GetReason()), boundedDuration(message.GetRetryAfterNanoseconds()))
 		return decision
 	}
 	decision.Outcome.Placement = &placer.Placement{
 		Grant:   identifier.Grant(message.GetGrant()),
 		Prefill: identifier.Member(message.GetPrefill()),
 		Decode:  identifier.Member(message.GetDecode()),
-		Pieces:  identifier.Pieces(message.GetPieces()),
+		Pieces:  identifier.BoundedPieces(message.GetPieces()),
 		Attempt: message.GetGrantedAttempt(),
 		Stream:  message.GetStream(),
-		Lease:   time.Duration(message.GetLeaseNanoseconds()),
+		Lease:   boundedDuration(message.GetLeaseNanoseconds()),
 	}
 	return decision
 }
--- a/follower/pending.go
+++ b/follower/pending.go
@@ -43,7 +43,7 @@
 		f.applyCollection(now, collection)
 		return
 	}
-	confirmedAt := now.Add(-time.Duration(collection.GetAgeMilliseconds()) * time.Millisecond)
+	confirmedAt := now.Add(-ageOf(collection))
 	f.want(storer.Kind(collection.GetKind()), collection, confirmedAt, source)
 }
 
--- a/follower/retained.go
+++ b/follower/retained.go
@@ -281,7 +281,7 @@
 		removed[name] = true
 	}
 	now := time.Now()
-	age := time.Duration(collection.GetAgeMilliseconds()) * time.Millisecond
+	age := ageOf(collection)
 	changed := false
 	for _, object := range fromWire(kind, collection.GetObjects()) {
 		entry := retained{object: object, removed: removed[object.Name], since: now}
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -9,6 +9,7 @@
 	rpc "github.com/foxtailspool/foxtailspool/follower/followerrpc"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/storer"
 )
@@ -181,7 +182,7 @@
 	stale := len(response.GetCollections()) < len(f.options.Kinds)
 	for _, collection := range response.GetCollections() {
 		f.receiveCollection(now, collection, member.Node)
-		stale = stale || time.Duration(collection.GetAgeMilliseconds())*time.Millisecond >= f.options.StaleAfter
+		stale = stale || ageOf(collection) >= f.options.StaleAfter
 	}
 	f.setAvoided(member, stale)
 	return true
@@ -214,7 +215,7 @@
 		return
 	}
 	kind := storer.Kind(collection.GetKind())
-	f.applyConfirmed(kind, collection, now.Add(-time.Duration(collection.GetAgeMilliseconds())*time.Millisecond))
+	f.applyConfirmed(kind, collection, now.Add(-ageOf(collection)))
 }
 
 // applyConfirmed applies a collection that was the latest at confirmedAt.
@@ -261,3 +262,9 @@
 		current.confirmedAt = confirmedAt
 	}
 }
+
+// ageOf returns how long ago a collection was read from the store. An age out of bounds would
+// overflow to a negative one, with which the collection would never become stale.
+func ageOf(collection *rpc.Collection) time.Duration {
+	return identifier.BoundedDuration(float64(collection.GetAgeMilliseconds()), time.Millisecond)
+}
--- a/follower/wire_test.go
+++ b/follower/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	rpc "github.com/foxtailspool/foxtailspool/follower/followerrpc"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/storer"
 )
 
@@ -88,3 +90,11 @@
 		t.Errorf("received %d objects", len(again.GetObjects()))
 	}
 }
+
+// TestAbsurdAgeIsOld guards against a peer's age that overflows to a negative one, with which
+// a copy of the store's objects would never become stale.
+func TestAbsurdAgeIsOld(t *testing.T) {
+	if age := ageOf(&rpc.Collection{AgeMilliseconds: math.MaxUint64}); age != identifier.MaxDuration {
+		t.Errorf("the age is %v", age)
+	}
+}
--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -60,6 +60,8 @@
 	pausedUntil time.Time
 	// sent counts the requests that this node has sent to the back end.
 	sent int
+	// namedInvalidRate is set once the process has named a rate that can't be one.
+	namedInvalidRate bool
 }
 
 // healthChange is the effect of updateHealth on a back end's health.
@@ -90,6 +92,17 @@
 	return b.statsOfSent(backend).sent
 }
 
+// firstInvalidRate records that a back end named a rate that can't be one. It returns true the
+// first time that its process does so.
+func (b *balancer) firstInvalidRate(backend Backend) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	r := b.statsOfSent(backend)
+	first := !r.namedInvalidRate
+	r.namedInvalidRate = true
+	return first
+}
+
 // statsFor returns the statistics of a back end. If the back end has restarted, it
 // clears them except for the in-flight count. The backend must come from the current
 // table. The caller must hold the mutex.
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -40,6 +40,8 @@
 		"A back end said that it leaves, or that it wants no requests from this node for pause-ms. It gets none.")
 	eventUnauthenticated = logger.Define(6213, logrus.InfoLevel, "request without a valid key",
 		"The caller sent no API key, or none of an account of the configuration in force, and got 401. The key itself is never logged.")
+	eventInvalidRate = logger.Define(6215, logrus.WarnLevel, "back end names an invalid rate",
+		"A back end says that it takes a number of requests a second that can't be one, such as 2^64 - 1. It counts as no limit. Logged once for each process of a back end.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
@@ -165,6 +167,14 @@
 	})
 }
 
+// logInvalidRate logs a rate that is out of bounds, as the back end named it.
+func (c *call) logInvalidRate(backend Backend, named string) {
+	c.metrics.scope.Counter("invalid-rates").Inc(1)
+	c.options.Log.Log(eventInvalidRate, logger.Fields{
+		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "named": named,
+	})
+}
+
 func (c *call) logFreeFailed(source KVSource, err error) {
 	fields := c.logFields()
 	fields["address"] = source.Address
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -391,7 +391,10 @@
 				c.logNotice(backend, notice)
 			}
 			if c.options.Quotas.Named(now, sentAt, backend.Name, backend.Started, notice.Rate) {
-				c.logRate(backend, notice.Rate, c.balancer.sentCount(backend))
+				c.logRate(backend, notice.Rate.PerSecond(), c.balancer.sentCount(backend))
+			}
+			if notice.InvalidRate != "" && c.balancer.firstInvalidRate(backend) {
+				c.logInvalidRate(backend, notice.InvalidRate)
 			}
 		},
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -12,7 +12,7 @@
 type Quotas interface {
 	// Named records that an answer to a request sent at sentAt named a rate, or none if it is
 	// zero, and reports whether that is news.
-	Named(now, sentAt time.Time, member identifier.Member, process time.Time, rate float64) (isNew bool)
+	Named(now, sentAt time.Time, member identifier.Member, process time.Time, rate limiter.Rate) (isNew bool)
 	// Take takes one request from this node's share, or returns false if none is left.
 	Take(now time.Time, member identifier.Member, process time.Time) bool
 	// Allowance returns what this node may send.
@@ -22,7 +22,7 @@
 // unlimited implements Quotas without limits.
 type unlimited struct{}
 
-func (unlimited) Named(_, _ time.Time, _ identifier.Member, _ time.Time, _ float64) bool {
+func (unlimited) Named(_, _ time.Time, _ identifier.Member, _ time.Time, _ limiter.Rate) bool {
 	return false
 }
 func (unlimited) Take(time.Time, identifier.Member, time.Time) bool { return true }
@@ -38,7 +38,10 @@
 	Pause time.Duration
 	// Rate is how many requests a second the back end takes from all nodes together; zero
 	// means that it has not named a limit.
-	Rate float64
+	Rate limiter.Rate
+	// InvalidRate is a rate that the back end names and that can't be one, as it named it; empty
+	// means none. It counts as absent.
+	InvalidRate string
 }
 
 // recordNotice records what a back end says of itself. It reports whether that is new.
--- a/limiter/quotas.go
+++ b/limiter/quotas.go
@@ -75,9 +75,7 @@
 
 // quota is what is known of one back end.
 type quota struct {
-	// rate is the requests a second that the back end takes from all nodes together; zero
-	// means no limit.
-	rate float64
+	rate Rate
 	// process is the start of the back end's process that named the rate.
 	process time.Time
 	// sequence counts the changes of the rate that nodes have told one another of.
@@ -85,7 +83,7 @@
 	// heardAt is when an answer or another node last named the rate.
 	heardAt time.Time
 	// told is the rate that nodes last told one another, at toldAt.
-	told   float64
+	told   Rate
 	toldAt time.Time
 	// bucket has the requests that this node may send.
 	bucket Bucket
@@ -98,7 +96,7 @@
 // quotaMessage tells other nodes of a rate.
 type quotaMessage struct {
 	Member   identifier.Member `json:"member"`
-	Rate     float64           `json:"rate"`
+	Rate     Rate              `json:"rate"`
 	Sequence uint64            `json:"sequence"`
 	// Process is the start of the back end's process in Unix milliseconds; zero is unknown.
 	Process int64 `json:"process"`
@@ -129,7 +127,7 @@
 // Named records that an answer to a request sent at sentAt named a rate, in requests a second
 // from all nodes together, or none if rate is zero. process is the start of the back end's
 // process. It reports whether the other nodes were told because the rate is new.
-func (q *Quotas) Named(now, sentAt time.Time, member identifier.Member, process time.Time, rate float64) (isNew bool) {
+func (q *Quotas) Named(now, sentAt time.Time, member identifier.Member, process time.Time, rate Rate) (isNew bool) {
 	message, changed := q.note(now, sentAt, member, process, rate)
 	if message == nil {
 		return false
@@ -144,11 +142,11 @@
 }
 
 // note is Named without the message to the other nodes, which it returns if there is one.
-func (q *Quotas) note(now, sentAt time.Time, member identifier.Member, process time.Time, rate float64) (message *quotaMessage, changed bool) {
+func (q *Quotas) note(now, sentAt time.Time, member identifier.Member, process time.Time, rate Rate) (message *quotaMessage, changed bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	known := q.current(now, member, process)
-	if rate == 0 && (known == nil || known.rate == 0 || sentAt.Before(known.heardAt)) {
+	if rate == (Rate{}) && (known == nil || known.rate == (Rate{}) || sentAt.Before(known.heardAt)) {
 		// An answer without a rate may be older than the rate.
 		return nil, false
 	}
@@ -157,7 +155,8 @@
 	}
 	known.heardAt = now
 	known.set(now, rate)
-	changed = math.Abs(rate-known.told) > tellChange*known.told || (rate == 0) != (known.told == 0)
+	told := known.told.PerSecond()
+	changed = math.Abs(rate.PerSecond()-told) > tellChange*told || (rate == (Rate{})) != (known.told == (Rate{}))
 	if !changed && now.Sub(known.toldAt) < tellInterval {
 		return nil, false
 	}
@@ -166,6 +165,22 @@
 	return &quotaMessage{Member: member, Rate: rate, Sequence: known.sequence, Process: unixMilliseconds(process)}, changed
 }
 
+const (
+	// maxSequence is above any number of changes; a message with more would make nodes ignore
+	// all later ones.
+	maxSequence = 1 << 40
+	// maxClockError is how far ahead of this node's clock the start of a process may be. A later
+	// start would make nodes ignore all messages about processes of before.
+	maxClockError = 24 * time.Hour
+	// maxQuotas bounds the back ends of which other nodes can make this one remember a rate.
+	maxQuotas = 1 << 12
+)
+
+// isSane reports whether a message can come from a sound node.
+func (m *quotaMessage) isSane(now time.Time) bool {
+	return m.Sequence <= maxSequence && m.Process >= 0 && m.Process <= now.Add(maxClockError).UnixMilli()
+}
+
 // replace starts the record of a back end's present process. The caller must hold the mutex.
 func (q *Quotas) replace(now time.Time, member identifier.Member, process time.Time) *quota {
 	maps.DeleteFunc(q.quotas, func(_ identifier.Member, known *quota) bool { return now.Sub(known.heardAt) >= forgetQuotaAfter })
@@ -181,11 +196,11 @@
 // cannot decode.
 func (q *Quotas) Receive(payload []byte, age time.Duration) {
 	var message quotaMessage
-	if err := json.Unmarshal(payload, &message); err != nil || message.Rate < 0 {
+	if err := json.Unmarshal(payload, &message); err != nil || !message.isSane(time.Now()) {
 		q.options.Log.Log(eventBadQuota, nil)
 		return
 	}
-	if q.apply(message, age) {
+	if q.apply(message, max(0, age)) {
 		q.options.OnChange()
 	}
 }
@@ -200,6 +215,9 @@
 	if age >= quotaLifetime || known != nil && message.Process != 0 && message.Process < unixMilliseconds(known.process) {
 		return false
 	}
+	if known == nil && len(q.quotas) >= maxQuotas {
+		return false
+	}
 	if known != nil && message.Sequence <= known.sequence && message.Process <= unixMilliseconds(known.process) {
 		return false
 	}
@@ -224,8 +242,8 @@
 }
 
 // set sets the rate. A node has saved up nothing when a rate begins.
-func (k *quota) set(now time.Time, rate float64) {
-	if k.rate == 0 || rate == 0 {
+func (k *quota) set(now time.Time, rate Rate) {
+	if k.rate == (Rate{}) || rate == (Rate{}) {
 		k.bucket = Bucket{}
 		k.bucket.Refill(now, 0)
 	}
@@ -250,7 +268,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	known := q.current(now, member, process)
-	if known == nil || known.rate == 0 {
+	if known == nil || known.rate == (Rate{}) {
 		return true
 	}
 	q.save(now, member, known)
@@ -280,7 +298,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	known := q.current(now, member, process)
-	if known == nil || known.rate == 0 {
+	if known == nil || known.rate == (Rate{}) {
 		return Allowance{}
 	}
 	q.save(now, member, known)
@@ -307,9 +325,9 @@
 	view := q.options.View()
 	q.noteLost(now, view)
 	if q.isCutOff(now, view) {
-		return known.rate / float64(len(view.Members))
+		return known.rate.PerSecond() / float64(max(1, len(view.Members)))
 	}
-	return known.rate
+	return known.rate.PerSecond()
 }
 
 // isCutOff reports whether this node has lately lost most others, and so has most likely been
@@ -353,7 +371,7 @@
 	view := q.options.View()
 	q.noteLost(now, view)
 	for _, known := range q.quotas {
-		if known.rate > 0 && now.Sub(known.heardAt) < quotaLifetime {
+		if known.rate != (Rate{}) && now.Sub(known.heardAt) < quotaLifetime {
 			count++
 		}
 	}
@@ -372,13 +390,13 @@
 
 // shareOf returns this node's part of a rate, in requests a second. The caller must hold the
 // mutex.
-func (q *Quotas) shareOf(now time.Time, view *assigner.View, member identifier.Member, rate float64) float64 {
+func (q *Quotas) shareOf(now time.Time, view *assigner.View, member identifier.Member, rate Rate) float64 {
 	if !view.CanOwnShards() {
 		return 0
 	}
 	q.noteLost(now, view)
 	cutOff := q.isCutOff(now, view)
-	senders := view.Ranked("quota/"+string(member), int(rate)+extraSenders, func(m assigner.Member) bool {
+	senders := view.Ranked("quota/"+string(member), int(rate.PerSecond())+extraSenders, func(m assigner.Member) bool {
 		switch m.State {
 		case assigner.Alive, assigner.Suspect:
 			return true
@@ -390,7 +408,7 @@
 	})
 	for _, sender := range senders {
 		if sender.Node == view.Self.Node {
-			return rate / float64(len(senders))
+			return rate.PerSecond() / float64(len(senders))
 		}
 	}
 	return 0
--- a/limiter/quotas_test.go
+++ b/limiter/quotas_test.go
@@ -67,6 +67,14 @@
 
 func allNodes(int) bool { return true }
 
+func mustRate(perSecond float64) Rate {
+	rate, ok := NewRate(perSecond)
+	if !ok {
+		panic("no rate")
+	}
+	return rate
+}
+
 // TestQuotaIsTheFleets guards against a limit that many nodes, each with a small part of it,
 // exceed together, and against one that they hardly use.
 func TestQuotaIsTheFleets(t *testing.T) {
@@ -74,7 +82,7 @@
 		for _, rate := range []float64{0.2, 1, 12, 41} {
 			f := newQuotaFleet(nodes)
 			now := time.Now()
-			f.quotas[0].Named(now, now, "m", time.Time{}, rate)
+			f.quotas[0].Named(now, now, "m", time.Time{}, mustRate(rate))
 			f.tell()
 			f.takeAll(&now, 4*time.Second, "m", allNodes)
 			const span = 4 * time.Second
@@ -97,7 +105,7 @@
 	const nodes, rate = 8, 4.0
 	f := newQuotaFleet(nodes)
 	now := time.Now()
-	f.quotas[0].Named(now, now, "m", time.Time{}, rate)
+	f.quotas[0].Named(now, now, "m", time.Time{}, mustRate(rate))
 	f.tell()
 	f.takeAll(&now, 2*time.Second, "m", allNodes)
 	for n := range 3 {
@@ -126,7 +134,7 @@
 	const rate = 4.0
 	f := newQuotaFleet(20)
 	now := time.Now()
-	f.quotas[19].Named(now, now, "m", time.Time{}, rate)
+	f.quotas[19].Named(now, now, "m", time.Time{}, mustRate(rate))
 	f.tell()
 	for n := range 14 {
 		f.states[n] = assigner.Dead
@@ -136,7 +144,7 @@
 	f.takeAll(&now, time.Second, "m", alive)
 	now = now.Add(2 * time.Minute)
 	for _, q := range f.quotas {
-		q.Named(now, now, "m", time.Time{}, rate)
+		q.Named(now, now, "m", time.Time{}, mustRate(rate))
 	}
 	f.takeAll(&now, 2*time.Second, "m", alive)
 	if got := float64(f.takeAll(&now, 8*time.Second, "m", alive)); got < 8*rate*0.8 {
@@ -153,11 +161,11 @@
 	f := newQuotaFleet(3)
 	now := time.Now()
 	q := f.quotas[0]
-	if !q.Named(now, now, "m", time.Time{}, 1) {
+	if !q.Named(now, now, "m", time.Time{}, mustRate(1)) {
 		t.Error("a new rate is no news")
 	}
 	limited := f.told
-	q.Named(now.Add(time.Second), now.Add(-time.Second), "m", time.Time{}, 0)
+	q.Named(now.Add(time.Second), now.Add(-time.Second), "m", time.Time{}, mustRate(0))
 	if !q.Allowance(now.Add(time.Second), "m", time.Time{}).Limited {
 		t.Error("an answer to an earlier request ended the limit")
 	}
@@ -166,7 +174,7 @@
 	if !f.quotas[1].Allowance(now, "m", time.Time{}).Limited {
 		t.Error("another node does not know the limit")
 	}
-	q.Named(now, now, "m", time.Time{}, 0)
+	q.Named(now, now, "m", time.Time{}, mustRate(0))
 	f.tell()
 	f.quotas[1].Receive(limited[0], 0)
 	for n, q := range f.quotas {
@@ -181,14 +189,14 @@
 	f := newQuotaFleet(2)
 	now := time.Now()
 	earlier, later := time.UnixMilli(1000), time.UnixMilli(2000)
-	f.quotas[0].Named(now, now, "m", earlier, 1)
+	f.quotas[0].Named(now, now, "m", earlier, mustRate(1))
 	f.tell()
 	for n, q := range f.quotas {
 		if !q.Allowance(now, "m", earlier).Limited || q.Allowance(now, "m", later).Limited {
 			t.Errorf("node %d: the limit is not that of the process", n)
 		}
 	}
-	f.quotas[1].Named(now, now, "m", later, 2)
+	f.quotas[1].Named(now, now, "m", later, mustRate(2))
 	f.tell()
 	if !f.quotas[0].Allowance(now, "m", later).Limited {
 		t.Error("the limit of the later process is not known")
@@ -203,11 +211,11 @@
 	now := time.Now()
 	f := newQuotaFleet(3)
 	for rate := range 3 {
-		f.quotas[0].Named(now, now, "m", earlier, float64(rate+1))
+		f.quotas[0].Named(now, now, "m", earlier, mustRate(float64(rate+1)))
 	}
 	old := f.told
 	f.told = nil
-	f.quotas[1].Named(now, now, "m", later, 2)
+	f.quotas[1].Named(now, now, "m", later, mustRate(2))
 	receiver := f.quotas[2]
 	receiver.Receive(f.told[0], 0)
 	for _, payload := range old {
