End one request, not the process, when its goroutine panics

A panic in a try of limiter.Hedge, or in the cancel of an abandoned attempt, ended the process. One in a request's own goroutine was recovered by net/http and logged at debug level only (1013); the request's grant stayed held and it counted as in flight for good.

Forward and Reply.Read recover: the caller gets 502 or a closed connection, the grant and the counts are given back. Hedge recovers in each try and in the goroutine that discards an answer, the cleaner of package router in its own, and the listeners of package connector around each handler. All log at error level with the request's id (6216, 6005, 1017) and count `panics`. http.ErrAbortHandler passes as before. Isolator unlocks its mutex by defer, as a panic that leaves it locked would block all requests.

Found by the race detector in the test: cleaner.run read its channel after the last cancel had cleared it, and could then wait for ever.

--- a/connector/events.go
+++ b/connector/events.go
@@ -18,6 +18,8 @@
 		"A connection failed in its TLS handshake or because of a protocol error of the other side.")
 	EventConnectionsFull = logger.Define(1016, logrus.WarnLevel, "connections closed at the limit",
 		"A listener had as many connections as it may. In the last second, displaced ones that waited for a request were closed for newer ones, and refused ones were closed at once because none waited. Clients leave connections open, or there are too few nodes.")
+	EventPanicked = logger.Define(1017, logrus.ErrorLevel, "request handler panicked",
+		"A fault of this program ended one request, whose connection was closed. Report the value and the stack.")
 	EventTLSReloaded = logger.Define(1014, logrus.InfoLevel, "certificates reloaded",
 		"A TLS file changed; new connections use its new content.")
 	EventTLSReloadFailed = logger.Define(1015, logrus.ErrorLevel, "certificates refused",
--- a/connector/server.go
+++ b/connector/server.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/logger"
 )
@@ -58,7 +60,12 @@
 	// TLS holds the certificates; nil serves without TLS.
 	TLS     *TLS
 	Handler http.Handler
-	Log     *logger.Logger
+	// RequestHeader names the header field with the id of a request, for the log; it may be
+	// empty.
+	RequestHeader string
+	Log           *logger.Logger
+	// Scope receives the metrics; nil discards them.
+	Scope tally.Scope
 }
 
 // Server is an HTTP server at one address. The supervisor runs it as a service.
@@ -72,9 +79,12 @@
 // NewServer returns a server that is not listening yet.
 func NewServer(options ServerOptions) *Server {
 	limits := options.Limits
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
 	s := &Server{options: options, connections: newConnections(limits.MaxConnections)}
 	s.http = &http.Server{
-		Handler:           limitBody(options.Handler, limits.MaxBodyBytes),
+		Handler:           limitBody(recoverPanics(options), limits.MaxBodyBytes),
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
--- a/forwarder/account.go
+++ b/forwarder/account.go
@@ -66,7 +66,7 @@
 
 func (f *Forwarder) recordUnauthenticated(request *Request, route Route, failure authenticator.Failure) {
 	f.metrics.scope.Tagged(map[string]string{"reason": string(failure)}).Counter("unauthenticated").Inc(1)
-	f.options.Log.Log(eventUnauthenticated, logger.Fields{"request": request.Attempt, "route": route.Name, "reason": failure})
+	f.options.Log.Log(eventUnauthenticated, logger.Fields{fieldRequest: request.Attempt, "route": route.Name, "reason": failure})
 }
 
 // rank returns the rank of the request's account or else of its route.
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -42,10 +42,15 @@
 		"The caller sent no API key, or none of an account of the configuration in force, and got 401. The key itself is never logged.")
 	eventInvalidRate = logger.Define(6215, logrus.WarnLevel, "back end names an invalid rate",
 		"A back end says that it takes a number of requests a second that can't be one, such as 2^64 - 1. It counts as no limit. Logged once for each process of a back end.")
+	eventPanicked = logger.Define(6216, logrus.ErrorLevel, "request ended by a panic",
+		"A fault of this program ended one request, whose caller got 502 or a closed connection. Report the value and the stack.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
 
+// fieldRequest is the log field with the id of a request.
+const fieldRequest = "request"
+
 var sendResultNames = [...]string{
 	answered: "answered", faulted: "faulted", declined: "declined", replaced: "replaced", lost: "lost", unreached: "unreached", silent: "silent", withdrawn: "withdrawn",
 }
@@ -55,7 +60,7 @@
 // logFields returns the fields of every log line about the call.
 func (c *call) logFields() logger.Fields {
 	return logger.Fields{
-		"request":       c.request.Attempt,
+		fieldRequest:    c.request.Attempt,
 		"route":         c.route.Name,
 		"pool":          c.pool.Name,
 		"rank":          c.rank(),
@@ -155,7 +160,7 @@
 
 func (c *call) logNotice(backend Backend, notice Notice) {
 	c.options.Log.Log(eventNotice, logger.Fields{
-		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool,
+		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool,
 		"leaving": notice.Leaving, "pause-ms": notice.Pause.Milliseconds(),
 	})
 }
@@ -163,7 +168,7 @@
 // logRate logs a rate that is news.
 func (c *call) logRate(backend Backend, rate float64, sent int) {
 	c.options.Log.Log(eventRate, logger.Fields{
-		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
+		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
 	})
 }
 
@@ -171,7 +176,7 @@
 func (c *call) logInvalidRate(backend Backend, named string) {
 	c.metrics.scope.Counter("invalid-rates").Inc(1)
 	c.options.Log.Log(eventInvalidRate, logger.Fields{
-		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "named": named,
+		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "named": named,
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -171,7 +171,7 @@
 	}
 	call := f.newCall(ctx, request, route, table)
 	call.account = account
-	reply, refusal := call.run()
+	reply, refusal := call.runGuarded()
 	if refusal != nil {
 		call.finish(refusal)
 		return nil, refusal
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -116,8 +116,13 @@
 
 // Read reads the body. It returns io.EOF only after a complete body. After any other
 // error, the body that is sent to the caller must not look complete.
-func (r *Reply) Read(buffer []byte) (int, error) {
-	n, err := r.readBody(buffer)
+func (r *Reply) Read(buffer []byte) (n int, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			n, err = 0, r.endAfterPanic(value)
+		}
+	}()
+	n, err = r.readBody(buffer)
 	if err == nil {
 		return n, nil
 	}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -94,6 +94,13 @@
 	work.NewConnection = newConnection
 	began := time.Now()
 	c.balancer.countSent(backend)
+	recorded := false
+	defer func() {
+		if !recorded {
+			// A panic must not leave the request counted as in flight.
+			c.balancer.recordResult(time.Now(), backend, withdrawn, 0)
+		}
+	}()
 	answer, err := c.options.Backends.Send(ctx, work)
 	var body []byte
 	if err == nil {
@@ -104,6 +111,7 @@
 			err = Lost.New("%s ended with its answer", backend.Name)
 		}
 	}
+	recorded = true
 	c.recordResult(ctx, backend, answer, err, time.Since(began))
 	if err != nil {
 		return nil, err
@@ -183,6 +191,10 @@
 	}
 	reply, release, err := limiter.Hedge(c.ctx, c.options.Budgets.Pool(c.pool.Name), limiter.HedgeOptions[*Reply]{
 		Delay: c.hedgeDelay(),
+		OnPanic: func(value any, stack []byte) {
+			mayHaveRun.Store(true)
+			c.reportPanic("hedge", value, stack)
+		},
 		Send: func(ctx context.Context, try int) (*Reply, error) {
 			backend := first
 			if try > 0 {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -254,10 +254,18 @@
 	}
 	began := time.Now()
 	c.balancer.countSent(backend)
+	recorded := false
+	defer func() {
+		if !recorded {
+			// A panic must not leave the request counted as in flight.
+			c.balancer.recordResult(time.Now(), backend, withdrawn, 0)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(c.ctx, c.prefillTimeout())
 	defer cancel()
 	source, err := c.options.Backends.Prefill(ctx, c.newWork(backend))
 	took := time.Since(began)
+	recorded = true
 	c.recordEngineResult(backend, err, took)
 	if err == nil {
 		c.options.Placer.Prefilled(c.grant, took)
@@ -345,7 +353,15 @@
 	work.Source = source
 	sent := time.Now()
 	c.balancer.countSent(backend)
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic must not leave the request counted as in flight.
+			c.balancer.recordResult(time.Now(), backend, withdrawn, 0)
+		}
+	}()
 	reply, err := c.sendToDecode(backend, work, sent)
+	returned = true
 	if err != nil {
 		c.recordEngineResult(backend, err, time.Since(sent))
 		if !provenNotRun(err) {
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -72,26 +72,34 @@
 	if report.sentAt.IsZero() {
 		report.sentAt = report.endedAt
 	}
+	i.broadcastEvidence(i.addCrash(now, report))
+}
+
+// addCrash records a crash and returns the messages about it.
+func (i *Isolator) addCrash(now time.Time, report crashReport) []wireEvidence {
 	i.mutex.Lock()
+	defer i.mutex.Unlock()
 	if i.evidence.hasSame(report) {
-		i.mutex.Unlock()
-		return
+		return nil
 	}
 	id := i.newEvidenceID()
 	i.addReport(id, report)
-	messages := append([]wireEvidence{report.wire(now, id)}, i.shareRecent(now, parts)...)
+	messages := append([]wireEvidence{report.wire(now, id)}, i.shareRecent(now, report.parts)...)
 	i.verdictIsStale = true
-	i.mutex.Unlock()
-	i.broadcastEvidence(messages)
+	return messages
 }
 
 // ReportPartsSound records that a request with these parts ran well, and broadcasts it if it
 // clears one of them. The answer must have been complete, or have gone on for longer than a
 // crash takes, and began when its first event came.
 func (i *Isolator) ReportPartsSound(parts []Part, began time.Time) {
-	parts = sortedParts(parts)
-	now := time.Now()
+	i.broadcastEvidence(i.addSound(time.Now(), sortedParts(parts), began))
+}
+
+// addSound records a sound run and returns the messages about it.
+func (i *Isolator) addSound(now time.Time, parts []Part, began time.Time) []wireEvidence {
 	i.mutex.Lock()
+	defer i.mutex.Unlock()
 	run := soundRun{i.newEvidenceID(), began}
 	var cleared []Part
 	for _, part := range parts {
@@ -106,8 +114,7 @@
 		messages = append(messages, run.wire(now, cleared))
 		i.verdictIsStale = true
 	}
-	i.mutex.Unlock()
-	i.broadcastEvidence(messages)
+	return messages
 }
 
 // IsPromptQuarantined reports whether a request with these parts must not be sent to any
@@ -115,28 +122,33 @@
 // time, to which it returns false each time, so that parts that are no longer deadly come back
 // into use.
 func (i *Isolator) IsPromptQuarantined(fingerprint uint64, parts []Part) bool {
+	refused, messages := i.judgePrompt(time.Now(), fingerprint, parts)
+	i.broadcastEvidence(messages)
+	if refused {
+		i.refusalCounter.Inc(1)
+	}
+	return refused
+}
+
+// judgePrompt decides whether a prompt is refused, and returns the message of a trial that it
+// starts.
+func (i *Isolator) judgePrompt(now time.Time, fingerprint uint64, parts []Part) (refused bool, messages []wireEvidence) {
 	i.mutex.Lock()
-	now := time.Now()
+	defer i.mutex.Unlock()
 	var matching []quarantine
 	for _, q := range i.currentVerdict(now).quarantines {
 		if q.parts.isIn(parts) {
 			matching = append(matching, q)
 		}
 	}
-	refused := len(matching) > 0
-	var messages []wireEvidence
+	refused = len(matching) > 0
 	if len(matching) == 1 {
 		var started *wireEvidence
 		if refused, started = i.refuseOrTry(now, fingerprint, parts, matching[0]); started != nil {
 			messages = append(messages, *started)
 		}
 	}
-	i.mutex.Unlock()
-	i.broadcastEvidence(messages)
-	if refused {
-		i.refusalCounter.Inc(1)
-	}
-	return refused
+	return refused, messages
 }
 
 // refuseOrTry decides whether a request with quarantined parts is refused. It returns the
--- a/limiter/hedger.go
+++ b/limiter/hedger.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
+	"github.com/joomcode/errorx"
 )
 
 // HedgeOptions configures one hedged call, which must be idempotent.
@@ -17,8 +20,14 @@
 	Discard func(answer T)
 	// Delay is the time before the second try; zero takes Budget.HedgeDelay.
 	Delay time.Duration
+	// OnPanic is called with the value of a panic of Send or Discard and its stack, unless the
+	// value is http.ErrAbortHandler; nil ignores it. It may be called concurrently.
+	OnPanic func(value any, stack []byte)
 }
 
+// Panicked is the error type of a try whose Send panicked. The call may have been made.
+var Panicked = errorx.NewNamespace("limiter").NewType("panicked")
+
 type tryResult[T any] struct {
 	try    int
 	answer T
@@ -61,11 +70,20 @@
 	try := len(h.cancels)
 	h.cancels = append(h.cancels, cancel)
 	go func() {
-		answer, err := h.options.Send(tryCtx, try)
-		h.results <- tryResult[T]{try: try, answer: answer, err: err}
+		result := tryResult[T]{try: try, err: Panicked.New("try %d", try)}
+		defer func() { h.results <- result }()
+		defer h.recoverPanic()
+		result.answer, result.err = h.options.Send(tryCtx, try)
 	}()
 }
 
+// recoverPanic ends a panic of the goroutine that defers it: the process would end with it.
+func (h *hedge[T]) recoverPanic() {
+	if value := recover(); value != nil && h.options.OnPanic != nil && value != http.ErrAbortHandler { //nolint:errorlint // net/http compares it in the same way.
+		h.options.OnPanic(value, debug.Stack())
+	}
+}
+
 // waitForAnswer returns the first success, or the last failure.
 func (h *hedge[T]) waitForAnswer(ctx context.Context, budget *Budget) tryResult[T] {
 	slow := time.NewTimer(h.options.Delay)
@@ -100,6 +118,7 @@
 		return
 	}
 	go func() {
+		defer h.recoverPanic()
 		// The cancelled try still sends its result, and nothing else reads it.
 		if result := <-h.results; result.err == nil && h.options.Discard != nil {
 			h.options.Discard(result.answer)
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -22,8 +22,9 @@
 
 // Headers of callers' requests.
 const (
-	accountHeader   = "X-Account"
-	requestIDHeader = "X-Request-Id"
+	accountHeader = "X-Account"
+	// RequestIDHeader has the caller's id of a request.
+	RequestIDHeader = "X-Request-Id"
 	lastEventHeader = "Last-Event-ID"
 	keyHeader       = "Idempotency-Key"
 	issuedHeader    = "Idempotency-Key-Issued"
@@ -188,13 +189,13 @@
 // generated one. The request's id is that id and a hash of the account and the request,
 // so that callers who choose the same id never get each other's answers.
 func readIdentity(completion *router.Completion, header http.Header) (string, error) {
-	id := header.Get(requestIDHeader)
+	id := header.Get(RequestIDHeader)
 	completion.Named = id != ""
 	if !completion.Named {
 		id = uuid.NewString()
 	}
 	if !isValidID(id) {
-		return "", malformed("%s must be 1 to %d letters, digits, '-' or '_'", requestIDHeader, maxIDBytes)
+		return "", malformed("%s must be 1 to %d letters, digits, '-' or '_'", RequestIDHeader, maxIDBytes)
 	}
 	hash := fingerprint(string(completion.Account), strconv.AppendUint(nil, completion.Fingerprint, 36))
 	completion.Request = identifier.Request(id + "-" + strconv.FormatUint(hash, 36))
@@ -207,7 +208,7 @@
 		return "", malformed("%s is not a token offset", lastEventHeader)
 	}
 	if !completion.Named {
-		return "", malformed("%s needs the %s of the request to go on with", lastEventHeader, requestIDHeader)
+		return "", malformed("%s needs the %s of the request to go on with", lastEventHeader, RequestIDHeader)
 	}
 	completion.TokensReceived = identifier.Tokens(offset)
 	completion.Resent = true
@@ -244,7 +245,7 @@
 
 func encodeCompletion(_ context.Context, w http.ResponseWriter, response completionResponse) error {
 	id := response.request.id
-	w.Header().Set(requestIDHeader, id)
+	w.Header().Set(RequestIDHeader, id)
 	if response.refusal != nil {
 		writeRefusal(w, id, response.refusal)
 		return nil
--- a/router/cleaner.go
+++ b/router/cleaner.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/invoker"
@@ -36,6 +38,7 @@
 	placer  Placer
 	limits  Limits
 	log     *logger.Logger
+	panics  tally.Counter
 	// stopping is closed when the node stops, as callers cannot reconnect to it then.
 	stopping chan struct{}
 
@@ -52,6 +55,7 @@
 		placer:   options.Placer,
 		limits:   options.Limits,
 		log:      options.Log,
+		panics:   options.Scope.SubScope("router").Counter("panics"),
 		stopping: make(chan struct{}),
 	}
 }
@@ -65,9 +69,10 @@
 		c.mutex.Unlock()
 		return nil
 	}
-	c.idle = make(chan struct{})
+	idle := make(chan struct{})
+	c.idle = idle
 	c.mutex.Unlock()
-	<-c.idle
+	<-idle
 	return nil
 }
 
@@ -78,6 +83,12 @@
 	c.mutex.Unlock()
 	go func() {
 		defer c.recordFreed()
+		defer func() {
+			if value := recover(); value != nil {
+				c.panics.Inc(1)
+				c.log.Log(eventPanicked, panicFields(string(abandoned.attempt), value, debug.Stack()))
+			}
+		}()
 		c.free(abandoned)
 	}()
 }
@@ -93,6 +104,8 @@
 }
 
 func (c *cleaner) free(abandoned abandonedAttempt) {
+	// Deferred, so that a panic does not leave the grant held for good.
+	defer c.placer.Release(abandoned.grant, abandoned.result)
 	if abandoned.linger > 0 {
 		c.waitLinger(abandoned.linger)
 	}
@@ -101,7 +114,6 @@
 	for _, member := range abandoned.members {
 		c.cancel(ctx, member, abandoned)
 	}
-	c.placer.Release(abandoned.grant, abandoned.result)
 }
 
 // waitLinger waits for duration, so that the caller can reconnect, or until the node stops.
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -45,6 +45,7 @@
 	Leaving         Reason = "leaving"
 	Unauthenticated Reason = "unauthenticated"
 	OverQuota       Reason = "over-quota"
+	Internal        Reason = "internal"
 )
 
 // Refusal is what the caller gets in place of an answer. It is a value rather than an
--- a/router/service.go
+++ b/router/service.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -75,6 +77,12 @@
 	// fault is the latest answer with a server error, returned if no better one comes.
 	var fault atomic.Pointer[invoker.Reply]
 	reply, release, err := limiter.Hedge(ctx, r.options.Budgets.Pool(pool.Name), limiter.HedgeOptions[*invoker.Reply]{
+		OnPanic: func(value any, stack []byte) {
+			reached.Store(true)
+			r.cleaner.panics.Inc(1)
+			request := cmp.Or(string(call.Outgoing.Key), strconv.FormatUint(call.Fingerprint, 16))
+			r.options.Log.Log(eventPanicked, panicFields(request, value, stack))
+		},
 		Send: func(ctx context.Context, try int) (*invoker.Reply, error) {
 			outgoing := call.Outgoing
 			outgoing.NewConnection = try > 0
--- a/server/server.go
+++ b/server/server.go
@@ -215,6 +215,9 @@
 		TLS:     certificates,
 		Handler: handler,
 		Log:     s.options.Log,
+		Scope:   s.options.Scope,
+
+		RequestHeader: receiver.RequestIDHeader,
 		Limits: connector.ServerLimits{
 			ReadHeaderTimeout: l.ReadHeaderTimeout,
 			ReadTimeout:       l.ReadTimeout,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -210,7 +210,10 @@
 		Network:  s.options.Network,
 		Handler:  handler,
 		Log:      s.options.Log,
+		Scope:    s.options.Scope,
 		Limits:   limits,
 		Timeouts: timeouts,
+
+		RequestHeader: platform.HeaderAttempt,
 	})
 }
