Bound the numbers of membership messages and load reports

A health out of bounds in a membership record won against all others for good, and a rumour could ask to be kept for 49 days. The backlog of an engine's load report overflowed to a negative time in the owner's plan of its prefills. A health that this version does not know now counts as alive, as a record without one does, rumours live for this node's own lifetime at most, and the numbers of load reports are bounded where they are decoded.

--- a/invoker/control.go
+++ b/invoker/control.go
@@ -98,24 +98,24 @@
 	load := Load{
 		Role:        wire.Role,
 		Age:         seconds(wire.AgeSeconds),
-		FreePieces:  identifier.Pieces(wire.PiecesFree),
+		FreePieces:  identifier.BoundedPieces(int64(wire.PiecesFree)),
 		Running:     wire.Running,
 		StepTime:    seconds(wire.StepSeconds),
-		PrefillRate: identifier.Tokens(max(0, wire.PrefillRate)),
-		Backlog:     max(0, wire.BacklogTokens),
+		PrefillRate: identifier.Tokens(min(max(0, wire.PrefillRate), float64(identifier.MaxTokens))),
+		Backlog:     identifier.BoundedTokens(int64(wire.BacklogTokens)),
 	}
 	if member.Role == identifier.Prefill {
 		load.Cache = i.readCacheEvents(ctx, member, position)
 	}
 	for _, allocation := range wire.Holding {
-		load.Allocations = append(load.Allocations, Allocation{Attempt: allocation.RequestID, Pieces: allocation.Pieces})
+		load.Allocations = append(load.Allocations, Allocation{Attempt: allocation.RequestID, Pieces: identifier.BoundedPieces(int64(allocation.Pieces))})
 	}
 	return load, nil
 }
 
 // seconds converts a number of seconds; negative ones become zero, meaning unknown.
 func seconds(number float64) time.Duration {
-	return time.Duration(max(0, number) * float64(time.Second))
+	return identifier.BoundedDuration(number, time.Second)
 }
 
 // State fetches the state of an engine.
--- a/invoker/load_test.go
+++ b/invoker/load_test.go
@@ -68,3 +68,19 @@
 			load.Role, load.Age, load.FreePieces, load.Running, load.StepTime, load.PrefillRate, load.Backlog, load.Allocations)
 	})
 }
+
+// TestAbsurdLoad guards against an engine whose numbers overflow the owner's plans: the time for
+// its backlog would be negative.
+func TestAbsurdLoad(t *testing.T) {
+	const largest = "9223372036854775807"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"pieces_free":`+largest+`,"backlog_tokens":`+largest+`,"age_seconds":1e300,"step_seconds":1e300,
+			"prefill_tokens_per_second":1e300,"holding":[{"request_id":"r","pieces":`+largest+`}]}`)
+	}))
+	defer server.Close()
+	load, err := fetchLoad(server, identifier.Decode, invoker.CachePosition{})
+	if err != nil || load.FreePieces != 0 || load.Backlog != 0 || load.Age != identifier.MaxDuration || load.StepTime != identifier.MaxDuration ||
+		load.PrefillRate != identifier.MaxTokens || load.Allocations[0].Pieces != 0 {
+		t.Errorf("%+v, %v", load, err)
+	}
+}
--- a/prober/gossip.go
+++ b/prober/gossip.go
@@ -74,6 +74,8 @@
 		m.mergeConfiguration(p)
 	}
 	for _, r := range received.rumours {
+		// A longer lifetime would keep rumours for weeks, in place of those of others.
+		r.remaining = min(r.remaining, m.options.RumourLifetime)
 		m.mergeRumour(now, r)
 	}
 }
--- a/prober/wire.go
+++ b/prober/wire.go
@@ -84,11 +84,20 @@
 			Capacity:      identifier.Capacity(wire.GetCapacity()),
 		},
 		revision: wire.GetRevision(),
-		health:   health(wire.GetHealth()),
+		health:   healthFromWire(wire.GetHealth()),
 		leaving:  wire.GetLeaving(),
 	}
 }
 
+// healthFromWire converts a health. One that this version does not know must not win against
+// all others.
+func healthFromWire(wire proberrpc.Health) health {
+	if wire < proberrpc.Health(alive) || wire > proberrpc.Health(dead) {
+		return alive
+	}
+	return health(wire)
+}
+
 // configurationsToWire groups the runs by configuration, as most have the same one.
 func configurationsToWire(all []runConfiguration) []*proberrpc.Progress {
 	groups := map[identifier.Configuration]*proberrpc.Progress{}
--- a/prober/wire_test.go
+++ b/prober/wire_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/foxtailspool/foxtailspool/assigner"
+	"github.com/foxtailspool/foxtailspool/prober/proberrpc"
 )
 
 // TestRecordOnWire checks that a record arrives as it was sent, with the capacity by which
@@ -20,3 +21,13 @@
 		t.Errorf("sent %+v, received %+v", sent, received)
 	}
 }
+
+// TestUnknownHealthOnWire guards against a health out of bounds that wins against all others, so
+// that a node counts as in a state that nothing can change.
+func TestUnknownHealthOnWire(t *testing.T) {
+	for _, number := range []int32{-1, 4, 255, 256, 1 << 30} {
+		if got := recordFromWire(&proberrpc.Record{Health: proberrpc.Health(number)}).health; got != alive {
+			t.Errorf("health %d becomes %d", number, got)
+		}
+	}
+}
