Limit engines that fail their streams to probes

Releases said nothing of the failure unless the engine's process was gone.

Nodes now report how the engines' parts in a request ended (placer.Ending, Release fields 30 and 31). The owner keeps a decayed record for each process of an engine. One that fails clearly more than the best of its role gets one in twenty of the role's grants until a probe succeeds, and then for 8 s at most 1.5 times its share. The same holds for prefill engines, local prefills and repeats; a quarter of a role is never limited. Nodes keep a record of their own, by which they place without the owner, and send it to a new one (ExchangeRequest field 30). While no engine fails, placements are the same as before.

The lengths of streams that broke off are no longer learned as those of finished ones.

--- a/dispatcher/client.go
+++ b/dispatcher/client.go
@@ -32,6 +32,8 @@
 	knownToOwner bool
 	// prefillUnreported is set while the prefill time has to be sent to the owner.
 	prefillUnreported bool
+	// acquiredAt is when this node got the grant.
+	acquiredAt time.Time
 }
 
 // pendingRelease is a released grant whose owner has not confirmed the release.
@@ -67,6 +69,8 @@
 	// failingSince is when exchanges began to fail; it is zero while they succeed.
 	failingSince time.Time
 	fallback     fallback
+	// outcomes is what this node has seen of the shard's engines.
+	outcomes outcomes
 }
 
 func newShardClient(id shardID, options Options, local dispatcherrpc.Dispatcher, owners *ownerCache, m metrics) *shardClient {
@@ -81,6 +85,7 @@
 		waiting:     map[identifier.Request]*submission{},
 		held:        map[identifier.Grant]*heldGrant{},
 		fallback:    newFallback(),
+		outcomes:    outcomes{records: map[identifier.Member]*engineRecord{}},
 	}
 }
 
@@ -195,6 +200,7 @@
 		delete(c.held, grant)
 		c.fallback.releaseMemory(h)
 		result.PrefillTime = h.PrefillTime
+		c.recordOutcome(time.Now(), h, &result)
 	}
 	if len(c.releases) < c.options.BacklogLimit {
 		c.releases = append(c.releases, pendingRelease{grant, result})
@@ -281,6 +287,9 @@
 			w.sent = true
 		}
 	}
+	if c.outcomes.unsent {
+		request.EngineRecords = c.outcomes.encode(now)
+	}
 	for i := range c.releases {
 		request.Releases = append(request.Releases, encodeRelease(&c.releases[i]))
 	}
@@ -290,7 +299,7 @@
 			h.prefillUnreported = false
 		}
 	}
-	if len(request.Demands)+len(request.Withdrawals)+len(request.Renewals)+len(request.Releases) == 0 {
+	if len(request.Demands)+len(request.Withdrawals)+len(request.Renewals)+len(request.Releases)+len(request.EngineRecords) == 0 {
 		return nil, nil
 	}
 	return request, c.peer
@@ -322,6 +331,7 @@
 	for _, h := range c.held {
 		h.knownToOwner = false
 	}
+	c.outcomes.unsent = true
 }
 
 // handleFailure requeues a failed batch, which is idempotent, and places waiting
@@ -355,6 +365,7 @@
 		c.options.Log.Log(eventReachable, logger.Fields{"shard": c.id.String(), "owner": c.owner.Node})
 	}
 	c.releases = c.releases[len(batch.GetReleases()):]
+	c.outcomes.unsent = false
 	for _, renewal := range batch.GetRenewals() {
 		if h := c.held[identifier.Grant(renewal.GetGrant())]; h != nil {
 			h.knownToOwner = true
@@ -429,6 +440,7 @@
 				Stream:  placed.Stream,
 			},
 			knownToOwner: knownToOwner,
+			acquiredAt:   time.Now(),
 		}
 	}
 	w.answer <- outcome
--- a/dispatcher/events.go
+++ b/dispatcher/events.go
@@ -28,6 +28,12 @@
 		"An engine's load report could not be fetched; the engine gets no new work until a report succeeds.")
 	eventRefused = logger.Define(2032, logrus.InfoLevel, "demand refused by the owner",
 		"The owner of a pool shard could not place a demand in time. The fields give the cause: the number of waiting demands, the number of engines that take work and the lowest predicted peak memory use of any engine.")
+	eventLimited = logger.Define(2040, logrus.WarnLevel, "engine limited to probes",
+		"Streams or prefills on an engine fail clearly more than on the others of its role. It gets at most one in twenty of the role's grants until one succeeds. The fields have the decayed counts.")
+	eventUnlimited = logger.Define(2041, logrus.InfoLevel, "engine no longer limited",
+		"A probe on an engine that was limited to probes succeeded, its process was replaced, or the others of its role fail as much. It returns to its share within seconds.")
+	eventInherited = logger.Define(2042, logrus.InfoLevel, "failures seen before this owner",
+		"A node told a new owner which engines it had seen failing.")
 	eventRevoked = logger.Define(2031, logrus.InfoLevel, "grant revoked",
 		"The owner of a pool shard revoked a grant; the request has to be placed again.")
 )
--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -112,7 +112,11 @@
 		pieces = identifier.Pieces((w.demand.Prompt + w.demand.MaxOutput + pool.PieceTokens - 1) / pool.PieceTokens)
 	}
 	var prefills, decodes []tabulator.Member
+	limited := c.outcomes.limited(time.Now(), members)
 	for _, member := range members {
+		if limited[member.Name] {
+			continue
+		}
 		switch {
 		case member.Leaving || avoids(&w.demand, member.Name):
 		case member.Role == identifier.Prefill:
--- a/dispatcher/shard.go
+++ b/dispatcher/shard.go
@@ -55,6 +55,8 @@
 	loads           map[identifier.Member]placer.Load
 	// loadFailed is the set of engines whose last load report failed.
 	loadFailed map[identifier.Member]bool
+	// limitedEngines is the latest value of the gauge of engines limited to probes.
+	limitedEngines int
 }
 
 func newShard(id shardID, issuer string, pool tabulator.Pool, s *server) *shard {
@@ -182,6 +184,7 @@
 // distribute moves the placer's decisions to the outboxes and its cancel orders to
 // cancelOrders. The caller must hold the mutex.
 func (s *shard) distribute() {
+	s.logOutcomeChanges()
 	decisions, orders := s.placer.TakeDecisions()
 	for i := range decisions {
 		s.logRefusal(&decisions[i])
@@ -259,6 +262,7 @@
 	}
 	response := &dispatcherrpc.ExchangeResponse{}
 	idle := s.placer.Waiting() == 0
+	s.inheritOutcomes(now, node, request)
 	s.applyReleases(now, request)
 	s.applyRenewals(now, node, request, response)
 	s.submitDemands(now, node, request)
--- a/dispatcher/shards.go
+++ b/dispatcher/shards.go
@@ -150,6 +150,7 @@
 			Slots:       member.Concurrency,
 			Draining:    member.Leaving,
 			Rate:        member.Rate,
+			Process:     member.Started,
 		})
 	}
 	return list
--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -118,6 +118,8 @@
 		Decoded:            r.result.Decoded,
 		Failed:             string(r.result.FailedMember),
 		PrefillNanoseconds: int64(r.result.PrefillTime),
+		PrefillEnding:      uint32(r.result.PrefillEnding),
+		DecodeEnding:       uint32(r.result.DecodeEnding),
 	}
 }
 
@@ -128,6 +130,9 @@
 		Decoded:      message.GetDecoded(),
 		FailedMember: identifier.Member(message.GetFailed()),
 		PrefillTime:  boundedDuration(message.GetPrefillNanoseconds()),
+
+		PrefillEnding: placer.EndingFromNumber(message.GetPrefillEnding()),
+		DecodeEnding:  placer.EndingFromNumber(message.GetDecodeEnding()),
 	}
 }
 
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -74,6 +74,13 @@
 	return b.statsFor(backend).accepts(now)
 }
 
+// saidLeaving reports whether a back end said that it shuts down.
+func (b *balancer) saidLeaving(backend Backend) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return !b.statsOfSent(backend).leavingSince.IsZero()
+}
+
 // rejecting returns the members of a list that have said that they take no requests from this
 // node, and how long it takes until the first of them ends its pause; zero if none pauses.
 func (b *balancer) rejecting(now time.Time, list []Backend) (members []identifier.Member, shortestPause time.Duration) {
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -9,6 +9,7 @@
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -41,6 +42,10 @@
 	soundReported bool
 	lastEventAt   time.Time
 	longestPause  time.Duration
+	// lastReadAt is when Read last returned, and slowReader set once the caller has left the
+	// answer unread for long.
+	lastReadAt time.Time
+	slowReader bool
 }
 
 type bufferedBody struct{ *bytes.Reader }
@@ -122,7 +127,11 @@
 			n, err = 0, r.endAfterPanic(value)
 		}
 	}()
+	if began := time.Now(); !r.lastReadAt.IsZero() && began.Sub(r.lastReadAt) >= slowReaderPause {
+		r.slowReader = true
+	}
 	n, err = r.readBody(buffer)
+	r.lastReadAt = time.Now()
 	if err == nil {
 		return n, nil
 	}
@@ -192,14 +201,18 @@
 // handleReadError ends a reply that the back end cut off or that was cancelled.
 func (r *Reply) handleReadError(cause error) {
 	refusal := r.call.refusalIfEnded()
+	ended, crashed := refusal, false
 	if refusal == nil {
 		refusal = unknownRefusal(router.StreamLost, "the back end broke its answer off")
-		if r.call.recordSendResult(r.backend, lost, time.Since(r.sentAt), cause) {
+		crashed = r.call.recordSendResult(r.backend, lost, time.Since(r.sentAt), cause)
+		if crashed {
 			r.call.grantResult.FailedMember = r.backend.Name
 		}
 	} else {
 		r.call.balancer.recordResult(time.Now(), r.backend, withdrawn, 0)
 	}
+	r.call.grantResult.DecodeEnding = r.endingOfStream(ended, cause, crashed)
+	r.call.recordEnding("decode", r.call.grantResult.DecodeEnding)
 	r.body.Close()
 	r.finish(refusal)
 }
@@ -210,6 +223,7 @@
 	}
 	r.finished = true
 	if r.Streaming && refusal == nil {
+		r.call.grantResult.DecodeEnding = placer.Answered
 		r.call.recordModelAnswer(r.backend, r.Status, time.Since(r.sentAt))
 		// The end of an unframed stream may be that of its engine.
 		if r.framed && !r.firstEventAt.IsZero() {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -266,7 +266,9 @@
 	source, err := c.options.Backends.Prefill(ctx, c.newWork(backend))
 	took := time.Since(began)
 	recorded = true
-	c.recordEngineResult(backend, err, took)
+	crashed := c.recordEngineResult(backend, err, took)
+	c.grantResult.PrefillEnding = c.endingOfPrefill(backend, err, took, ctx.Err() != nil && c.ctx.Err() == nil, crashed)
+	c.recordEnding("prefill", c.grantResult.PrefillEnding)
 	if err == nil {
 		c.options.Placer.Prefilled(c.grant, took)
 	}
@@ -328,8 +330,9 @@
 }
 
 // recordEngineResult records the result of a call to an engine. decode calls it on
-// failure only, as the success is recorded at the end of the stream.
-func (c *call) recordEngineResult(backend Backend, err error, took time.Duration) {
+// failure only, as the success is recorded at the end of the stream. It returns whether the
+// engine can't be reached after the call.
+func (c *call) recordEngineResult(backend Backend, err error, took time.Duration) (crashed bool) {
 	result := answered
 	if err != nil {
 		result = resultOfError(err)
@@ -337,10 +340,11 @@
 	if err != nil && c.ctx.Err() != nil {
 		result = withdrawn
 	}
-	crashed := c.recordSendResult(backend, result, took, err)
+	crashed = c.recordSendResult(backend, result, took, err)
 	if result == unreached || result == replaced || crashed {
 		c.grantResult.FailedMember = backend.Name
 	}
+	return crashed
 }
 
 // decode sends the request to a decode engine and returns its answer, which has begun.
@@ -363,7 +367,10 @@
 	reply, err := c.sendToDecode(backend, work, sent)
 	returned = true
 	if err != nil {
-		c.recordEngineResult(backend, err, time.Since(sent))
+		took := time.Since(sent)
+		crashed := c.recordEngineResult(backend, err, took)
+		c.grantResult.DecodeEnding = c.endingBeforeAnswer(backend, err, took, crashed)
+		c.recordEnding("decode", c.grantResult.DecodeEnding)
 		if !provenNotRun(err) {
 			c.possibleRuns++
 		}
@@ -389,6 +396,8 @@
 			return nil, err
 		}
 		c.recordModelAnswer(backend, answer.Status, time.Since(sent))
+		c.grantResult.DecodeEnding = endingOfStatus(answer.Status)
+		c.recordEnding("decode", c.grantResult.DecodeEnding)
 		return c.newBufferedReply(backend, answer, body), nil
 	}
 	reply := &Reply{
--- a/placer/engine.go
+++ b/placer/engine.go
@@ -25,6 +25,9 @@
 	// Rate is how many requests a second the engine takes, prefills included; zero means no
 	// limit. An engine with a limit does not count in the split of roles.
 	Rate float64
+	// Process is the start of the engine's process; zero means unknown. What is known of the
+	// outcomes of an earlier process is dropped.
+	Process time.Time
 }
 
 // The rates of engines for which the pools table gives none.
@@ -136,6 +139,8 @@
 	removed bool
 	// quota has the requests that an engine with a Rate takes now.
 	quota limiter.Bucket
+	// outcomes is what is known of the outcomes of Process.
+	outcomes engineOutcomes
 }
 
 // freedMemory is memory that one grant freed.
@@ -146,7 +151,7 @@
 
 // accepts reports whether the engine takes new work. It does not check for free memory.
 func (e *engine) accepts(now time.Time, d *Demand) bool {
-	if e.Draining || e.removed || now.Before(e.cooldownUntil) || now.Before(e.roleChangeUntil) || d.Suspect && e.suspects > 0 {
+	if e.Draining || e.removed || now.Before(e.cooldownUntil) || now.Before(e.roleChangeUntil) || e.outcomes.blocked || d.Suspect && e.suspects > 0 {
 		return false
 	}
 	return e.reportsTableRole() && !avoids(d, e) && e.hasQuota(now)
--- a/placer/events.go
+++ b/placer/events.go
@@ -258,12 +258,14 @@
 		return
 	}
 	g.learnPrefillRate(result.PrefillTime)
+	p.learnPrefillEnding(now, g, result.PrefillEnding)
+	p.learnEnding(now, g, g.decode, g.process, result.DecodeEnding)
 	if result.FailedMember == "" && result.Prefilled {
 		p.learnHandOver(now, g.prefill, result.Decoded)
 	}
 	if result.FailedMember != "" {
 		p.startCooldown(now, result.FailedMember)
-	} else if result.Decoded && result.Output > 0 {
+	} else if result.Decoded && result.Output > 0 && !result.DecodeEnding.Failed() {
 		p.estimatorOf(&g.Demand).addToSketch(result.Output, p.settings.OutputQuantile)
 		p.estimatorOf(&g.Demand).addToDistribution(result.Output, g.Demand.OutputHint)
 		p.learnTokenTime(g, result.Output-g.Output, now.Sub(g.progressAt))
@@ -318,6 +320,7 @@
 }
 
 func (p *Placer) updateProgress(now time.Time, g *grant, h HeldGrant) {
+	advanced := h.Output > g.Output
 	if h.Output != g.Output || h.Decoding != g.Decoding {
 		if g.Decoding {
 			p.learnTokenTime(g, h.Output-g.Output, now.Sub(g.progressAt))
@@ -329,6 +332,12 @@
 	g.Output = h.Output
 	g.Decoding = h.Decoding
 	p.avoidSilent(now, g)
+	if h.PrefillTime > 0 {
+		p.learnPrefillEnding(now, g, Answered)
+	}
+	if advanced {
+		p.learnRunning(now, g)
+	}
 	if needed := p.piecesFor(g.Demand.Prompt + h.Output); needed > g.Pieces {
 		p.resizeGrant(g, needed)
 	}
@@ -341,7 +350,10 @@
 	if decode == nil || decode.Role != identifier.Decode || h.Pieces <= 0 {
 		return Renewed
 	}
-	g := &grant{HeldGrant: h, prefill: prefill, decode: decode, grantedAt: now, plannedStart: now, progressAt: now, requestedAttempt: h.Demand.Attempt}
+	g := &grant{HeldGrant: h, prefill: prefill, decode: decode, grantedAt: now, plannedStart: now, progressAt: now, requestedAttempt: h.Demand.Attempt, process: decode.Process}
+	if prefill != nil {
+		g.prefillProcess = prefill.Process
+	}
 	p.extendLease(now, g)
 	p.bookGrant(g)
 	return Renewed
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -213,6 +213,7 @@
 		if e.DataCentre != plan.engine.DataCentre {
 			peak += sameDataCentreBonus
 		}
+		peak -= e.probePreference(now, &w.demand).Seconds()
 		if peak < lowestPeak {
 			best, lowestPeak = e, peak
 		}
--- a/placer/local_prefill.go
+++ b/placer/local_prefill.go
@@ -40,7 +40,11 @@
 		if prefillTime > p.maxLocalPrefillTime(w, e) || ready.Add(p.firstTokenDelay()).After(w.deadline) {
 			continue
 		}
-		if peak := p.peakUse(now, w, e, ready); peak <= maxLocalPrefillPeakUse && peak < lowestPeak {
+		peak := p.peakUse(now, w, e, ready)
+		if peak > maxLocalPrefillPeakUse {
+			continue
+		}
+		if peak -= e.probePreference(now, &w.demand).Seconds(); peak < lowestPeak {
 			best, lowestPeak = e, peak
 			plan = prefillPlan{begin: now, end: ready, ready: ready}
 		}
--- a/placer/place.go
+++ b/placer/place.go
@@ -15,6 +15,7 @@
 func (p *Placer) Advance(now time.Time) {
 	p.expireGrants(now)
 	p.refuseExpired(now)
+	p.limitByOutcomes(now)
 	p.place(now)
 }
 
@@ -196,6 +197,12 @@
 		}
 		plan := p.planPrefill(now, d, e)
 		at := plan.ready
+		if preference := e.probePreference(now, d); preference > 0 {
+			if plan.begin.Sub(now) > p.settings.MaxPrefillWait || plan.linkWait > p.settings.MaxLinkWait {
+				continue
+			}
+			at = at.Add(-preference)
+		}
 		if e.DataCentre != d.DataCentre {
 			at = at.Add(p.settings.CrossDataCentrePenalty)
 		}
@@ -243,7 +250,7 @@
 		if p.settings.enabled(JointGrant) && free < need || !e.accepts(now, d) {
 			continue
 		}
-		score := float64(free) / float64(e.Pieces)
+		score := float64(free)/float64(e.Pieces) + e.probePreference(now, d).Seconds()
 		if e.DataCentre == plan.engine.DataCentre {
 			score += sameDataCentreBonus
 		}
@@ -290,7 +297,9 @@
 		progressAt:       plan.ready,
 		requestedAttempt: w.demand.Attempt,
 		expiresAt:        now.Add(p.settings.Lease),
+		process:          decode.Process,
 	}
+	p.countGrant(now, decode)
 	if plan.engine != nil {
 		p.bookPrefill(now, g, plan)
 	}
@@ -302,7 +311,8 @@
 func (p *Placer) bookPrefill(now time.Time, g *grant, plan prefillPlan) {
 	e := plan.engine
 	e.takeQuota()
-	g.Prefill, g.prefill = e.Member, e
+	p.countGrant(now, e)
+	g.Prefill, g.prefill, g.prefillProcess = e.Member, e, e.Process
 	g.uncachedPrompt = p.uncachedTokens(&g.Demand, e)
 	g.ranAlone = e.startsAlone(now)
 	if g.ranAlone {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -157,4 +157,7 @@
 	PrefillTime time.Duration
 	// FailedMember is the member that failed the request, or empty.
 	FailedMember identifier.Member
+	// PrefillEnding and DecodeEnding tell how the parts of the engines ended.
+	PrefillEnding Ending
+	DecodeEnding  Ending
 }
--- a/placer/state.go
+++ b/placer/state.go
@@ -71,6 +71,11 @@
 	// plannedStart is when the stream was planned to begin on the decode engine.
 	plannedStart time.Time
 	progressAt   time.Time
+	// process and prefillProcess are the processes of the engines that were granted.
+	process        time.Time
+	prefillProcess time.Time
+	// prefillCounted is set once the outcome of the prefill was counted.
+	prefillCounted bool
 	// requestedAttempt is the attempt in the demand; the granted attempt may be larger.
 	requestedAttempt uint64
 	// expiresAt is the end of the lease or, for an orphaned grant, of its grace. For a
@@ -139,6 +144,11 @@
 	blockedScratch             []*waitingDemand
 	// latestForecast is the number of the latest forecast of any engine.
 	latestForecast uint64
+	// hasOutcomes is set while an engine has lately failed or is restricted for it.
+	hasOutcomes    bool
+	outcomeChanges []OutcomeChange
+	// probeCredit has the probes that the limited engines of each role may get.
+	probeCredit [2]float64
 	// nextExpiry is at or before the next expiry of a grant; zero means no expiry.
 	nextExpiry time.Time
 }
@@ -179,6 +189,12 @@
 			known.roleChangeUntil = time.Time{}
 		}
 		known.prepareRate(configured.Rate)
+		if !isSameProcess(known.Process, configured.Process) || known.Role != configured.Role {
+			if known.outcomes.isLimited() {
+				p.addOutcomeChange(time.Time{}, known, false)
+			}
+			known.outcomes = engineOutcomes{}
+		}
 		known.Engine = configured
 		known.removed = false
 		if configured.Role == identifier.Decode {
--- a/starter/tables.go
+++ b/starter/tables.go
@@ -223,6 +223,7 @@
 		LinkRate:    pool.LinkRate,
 		PrefillRate: prefillTokensPerSecond,
 		Leaving:     backend.Leaving,
+		Started:     backend.Started,
 	}
 }
 
--- a/tabulator/tabulator.go
+++ b/tabulator/tabulator.go
@@ -108,6 +108,8 @@
 	// Rate is how many requests a second the member has said that it takes; zero means that
 	// it has not.
 	Rate float64 `json:"-" toml:"-"`
+	// Started is the start of the member's process; zero means unknown.
+	Started time.Time `json:"-" toml:"-"`
 }
 
 // Routes is the routes table. The first matching route applies.
