End one read, not the process, when a goroutine of Refresh panics

A request for an unknown path or key makes the follower read the store and poll nodes in goroutines of their own (forwarder.Options.Refresh). A panic there ended the process, and content that all nodes read would end all of them, again after each start. The read now fails, is logged at error level (5311) and counted; the copies stay as they are. The time for a large object is bounded, whose size another node names.

--- a/follower/events.go
+++ b/follower/events.go
@@ -28,6 +28,8 @@
 		"Another node did not send the content of a large object, or it could not be decoded. The node asks others.")
 	eventVerifyFailed = logger.Define(5310, logrus.WarnLevel, "large collection not verified",
 		"A read of a whole collection with a large object failed. The node goes on reading its changes.")
+	eventPanicked = logger.Define(5311, logrus.ErrorLevel, "read ended by a panic",
+		"A fault of this program ended one read of the store or of another node's copies; source is the node or the store. The copies stay as they are. Report the value and the stack.")
 	eventStoreRestored = logger.Define(5306, logrus.WarnLevel, "store restored",
 		"The platform's store was restored from a backup. Its latest changes are undone until they are written again; version is that of the first listing since, held-version that of the copy that it replaces.")
 	eventRestoredListing = logger.Define(5307, logrus.InfoLevel, "restored listing merged",
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -161,6 +161,8 @@
 	options           Options
 	storeReads        tally.Counter
 	storeReadFailures tally.Counter
+	// panics counts the reads that panicked.
+	panics tally.Counter
 	// copyAges records the age of the copies after each synchronisation.
 	copyAges tally.Timer
 	// sentBytes and receivedBytes count the objects in messages between nodes, in bytes.
@@ -211,6 +213,7 @@
 		options:           options,
 		storeReads:        scope.Counter("store-reads"),
 		storeReadFailures: scope.Counter("store-reads-failed"),
+		panics:            scope.Counter("panics"),
 		refreshToken:      make(chan struct{}, 1),
 		copies:            map[storer.Kind]*localCopy{},
 		updated:           make(chan struct{}),
@@ -409,7 +412,8 @@
 	return ok
 }
 
-func (f *Follower) readCollection(ctx context.Context, kind storer.Kind) bool {
+func (f *Follower) readCollection(ctx context.Context, kind storer.Kind) (ok bool) {
+	defer f.recoverPanic("store", &ok)
 	startedAt := time.Now()
 	f.storeReads.Inc(1)
 	listing, err := f.fetch(ctx, kind, startedAt)
--- a/follower/pending.go
+++ b/follower/pending.go
@@ -253,7 +253,7 @@
 }
 
 func (f *Follower) requestContent(ctx context.Context, kind storer.Kind, source assigner.Member, object *rpc.Object) (*rpc.ContentResponse, error) {
-	timeout := f.options.Timeout + sendSlotWait + time.Duration(object.GetContentBytes())*time.Second/contentRate
+	timeout := f.options.Timeout + sendSlotWait + identifier.BoundedDuration(float64(object.GetContentBytes())/contentRate, time.Second)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	kind = listedKind(kind)
--- a/follower/wire.go
+++ b/follower/wire.go
@@ -160,7 +160,8 @@
 // pollPeer requests newer copies from a node and applies them. The node may delay its
 // answer by up to hold. A node that fails or whose copies are stale is avoided for a while.
 // It reports whether the node answered.
-func (f *Follower) pollPeer(parent context.Context, member assigner.Member, hold time.Duration) bool {
+func (f *Follower) pollPeer(parent context.Context, member assigner.Member, hold time.Duration) (ok bool) {
+	defer f.recoverPanic(string(member.Node), &ok)
 	timeout := hold + f.options.Timeout
 	if f.copyMissing() {
 		timeout += firstCopyExtraTime
