Log a caller's number that is out of bounds once

The first request of a node's process with one is logged (6217), and all are counted (invalid-costs).

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -42,6 +42,8 @@
 		"The caller sent no API key, or none of an account of the configuration in force, and got 401. The key itself is never logged.")
 	eventInvalidRate = logger.Define(6215, logrus.WarnLevel, "back end names an invalid rate",
 		"A back end says that it takes a number of requests a second that can't be one, such as 2^64 - 1. It counts as no limit. Logged once for each process of a back end.")
+	eventInvalidCost = logger.Define(6217, logrus.InfoLevel, "caller names an invalid number",
+		"A request names a number of tokens out of bounds, which counts as unknown. Logged for the first such request of the process only, and all are counted (invalid-costs).")
 	eventPanicked = logger.Define(6216, logrus.ErrorLevel, "request ended by a panic",
 		"A fault of this program ended one request, whose caller got 502 or a closed connection. Report the value and the stack.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
@@ -172,6 +174,14 @@
 	})
 }
 
+// noteInvalidCost counts a request with a number out of bounds, and logs the first.
+func (c *call) noteInvalidCost() {
+	c.metrics.scope.Counter("invalid-costs").Inc(1)
+	if !c.invalidCostLogged.Swap(true) {
+		c.options.Log.Log(eventInvalidCost, c.logFields())
+	}
+}
+
 // logInvalidRate logs a rate that is out of bounds, as the back end named it.
 func (c *call) logInvalidRate(backend Backend, named string) {
 	c.metrics.scope.Counter("invalid-rates").Inc(1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -106,6 +106,8 @@
 	// lastTable is the table for which removeUnlisted was last called.
 	lastTable atomic.Pointer[Table]
 	metrics   metrics
+	// invalidCostLogged is set once a request with an invalid cost was logged.
+	invalidCostLogged atomic.Bool
 }
 
 // New returns a forwarder. Unfetched KV caches are only freed while Run runs.
@@ -171,6 +173,9 @@
 	}
 	call := f.newCall(ctx, request, route, table)
 	call.account = account
+	if request.Cost.Invalid {
+		call.noteInvalidCost()
+	}
 	reply, refusal := call.runGuarded()
 	if refusal != nil {
 		call.finish(refusal)
--- a/forwarder/rate_test.go
+++ b/forwarder/rate_test.go
@@ -1,8 +1,17 @@
 package forwarder
 
 import (
+	"bytes"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailspool/foxtailspool/isolator"
+	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/logger"
 )
 
 // TestInvalidRateIsLoggedOnceAProcess guards against a log line for each answer of a back end
@@ -21,3 +30,23 @@
 		}
 	}
 }
+
+// TestInvalidCostIsLoggedOnce guards against a log line for each request of a caller that names
+// numbers out of bounds.
+func TestInvalidCostIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		fleet := &fakeFleet{table: testTable()}
+		f := New(Options{
+			Table: func() *Table { return fleet.table }, Placer: fleet, Backends: fleet, Reacher: fleet,
+			Isolator: isolator.New(isolator.Options{}), Budgets: limiter.New(limiter.Options{Burst: 10}), Log: logger.New(&log, logrus.InfoLevel, nil),
+		})
+		for range 3 {
+			reply, _ := f.Forward(t.Context(), &Request{Attempt: "a", Path: "/book", Arrived: time.Now(), Cost: Cost{Invalid: true}})
+			reply.Close()
+		}
+		if count := strings.Count(log.String(), "invalid number"); count != 1 {
+			t.Errorf("%d lines", count)
+		}
+	})
+}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -50,6 +50,8 @@
 	// Prefixes are the ids of the prompt's parts that other requests can share, from the
 	// first on.
 	Prefixes []uint64
+	// Invalid means that the caller named a number out of bounds, which counts as unknown.
+	Invalid bool
 }
 
 func (c Cost) parts() []isolator.Part {
