Take no stream of before a new owner for a probe

A new owner learns of the streams that run when nodes renew them. Those that a failing engine had begun before its fault counted as probes that succeed, and ended the engine's limit.

--- a/placer/events.go
+++ b/placer/events.go
@@ -350,7 +350,7 @@
 	if decode == nil || decode.Role != identifier.Decode || h.Pieces <= 0 {
 		return Renewed
 	}
-	g := &grant{HeldGrant: h, prefill: prefill, decode: decode, grantedAt: now, plannedStart: now, progressAt: now, requestedAttempt: h.Demand.Attempt, process: decode.Process}
+	g := &grant{HeldGrant: h, prefill: prefill, decode: decode, grantedAt: now, plannedStart: now, progressAt: now, requestedAttempt: h.Demand.Attempt, process: decode.Process, adopted: true}
 	if prefill != nil {
 		g.prefillProcess = prefill.Process
 	}
--- a/placer/outcomes.go
+++ b/placer/outcomes.go
@@ -333,7 +333,7 @@
 // endProbe ends the limit of an engine of which a grant given under the limit has succeeded.
 func (p *Placer) endProbe(now time.Time, g *grant, e *engine) {
 	o := &e.outcomes
-	if !o.isLimited() || !g.grantedAt.After(o.limitedSince) {
+	if !o.isLimited() || g.adopted || !g.grantedAt.After(o.limitedSince) {
 		return
 	}
 	o.record, o.failedInARow = OutcomeRecord{failures: 1, answers: 1, decayedAt: now}, 0
--- a/placer/outcomes_test.go
+++ b/placer/outcomes_test.go
@@ -270,6 +270,47 @@
 	f.failing["d1"] = true
 	f.play(20*time.Second, 6)
 	f.replaceOwner()
+	f.tellOwner()
+	began := f.now
+	f.play(20*time.Second, 6)
+	if on, all := f.countSince(began, "d1"); on > 4+all/20 {
+		t.Errorf("%d of %d requests on the failing engine after the change", on, all)
+	}
+}
+
+// TestEarlierStreamsAreNoProbes guards against a new owner that takes the streams that a failing
+// engine had begun before its fault for probes that succeed.
+func TestEarlierStreamsAreNoProbes(t *testing.T) {
+	f := newOutcomeFleet(t, 2, 3)
+	f.play(6*time.Second, 6)
+	f.failing["d1"] = true
+	f.play(time.Second, 30)
+	f.replaceOwner()
+	f.tellOwner()
+	f.placer.Advance(f.now)
+	if f.placer.LimitedEngines() != 1 {
+		t.Fatalf("%d engines are limited", f.placer.LimitedEngines())
+	}
+	f.now = f.now.Add(outcomeTick)
+	for _, s := range f.running {
+		f.placer.Renew(f.now, HeldGrant{Grant: s.grant, Demand: Demand{Request: identifier.Request(s.grant), Attempt: 1, Node: "n", Prompt: 1000}, Prefill: s.prefill, Decode: s.decode, Pieces: 8, Output: 10, Decoding: true}, true)
+	}
+	for n := range 4 {
+		f.now = f.now.Add(time.Second)
+		for _, s := range f.running {
+			f.placer.Renew(f.now, HeldGrant{Grant: s.grant, Output: identifier.Tokens(100 * (n + 1)), Decoding: true}, false)
+		}
+	}
+	f.now = f.now.Add(outcomeStreamTime)
+	f.endStreams()
+	f.placer.Advance(f.now)
+	if f.placer.LimitedEngines() != 1 {
+		t.Error("the engine is no longer limited")
+	}
+}
+
+// tellOwner sends a new owner what the nodes have seen.
+func (f *outcomeFleet) tellOwner() {
 	for _, e := range f.engines {
 		if record := f.records[e.Member]; record != nil {
 			failures, answers := record.Counts(f.now)
@@ -278,11 +319,6 @@
 			f.placer.InheritOutcomes(f.now, "n", e.Member, e.Process, NewOutcomeRecord(f.now, failures, answers))
 		}
 	}
-	began := f.now
-	f.play(20*time.Second, 6)
-	if on, all := f.countSince(began, "d1"); on > 4+all/20 {
-		t.Errorf("%d of %d requests on the failing engine after the change", on, all)
-	}
 }
 
 // TestNewProcessIsNotJudged guards against a restarted engine that pays for its former process.
--- a/placer/state.go
+++ b/placer/state.go
@@ -74,6 +74,8 @@
 	// process and prefillProcess are the processes of the engines that were granted.
 	process        time.Time
 	prefillProcess time.Time
+	// adopted means that the grant was given elsewhere, at an unknown time.
+	adopted bool
 	// prefillCounted is set once the outcome of the prefill was counted.
 	prefillCounted bool
 	// requestedAttempt is the attempt in the demand; the granted attempt may be larger.
