--- a/dispatcher/fallback.go
+++ b/dispatcher/fallback.go
@@ -51,7 +51,7 @@
 		clear(f.freePieces)
 	}
 	for _, report := range reports {
-		f.freePieces[identifier.Member(report.GetMember())] = identifier.Pieces(report.GetFreePieces())
+		f.freePieces[identifier.Member(report.GetMember())] = identifier.BoundedPieces(report.GetFreePieces())
 	}
 }
 
@@ -112,7 +112,11 @@
 		pieces = identifier.Pieces((w.demand.Prompt + w.demand.MaxOutput + pool.PieceTokens - 1) / pool.PieceTokens)
 	}
 	var prefills, decodes []tabulator.Member
+	limited := c.outcomes.limited(time.Now(), members)
 	for _, member := range members {
+		if limited[member.Name] {
+			continue
+		}
 		switch {
 		case member.Leaving || avoids(&w.demand, member.Name):
 		case member.Role == identifier.Prefill:
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -45,10 +45,19 @@
 		"By this node's own requests of the last seconds, a back end of a plain service takes at least twice as long as the quickest one of its pool; the field delay has how many times longer. It gets fewer requests.")
 	eventNotSlow = logger.Define(6221, logrus.InfoLevel, "back end no longer slow",
 		"A slow back end of a plain service takes about as long as the others again, or has not been tried for some seconds, and gets requests like the others.")
+	eventInvalidRate = logger.Define(6215, logrus.WarnLevel, "back end names an invalid rate",
+		"A back end says that it takes a number of requests a second that can't be one, such as 2^64 - 1. It counts as no limit. Logged once for each process of a back end.")
+	eventInvalidCost = logger.Define(6217, logrus.InfoLevel, "caller names an invalid number",
+		"A request names a number of tokens out of bounds, which counts as unknown. Logged for the first such request of the process only, and all are counted (invalid-costs).")
+	eventPanicked = logger.Define(6216, logrus.ErrorLevel, "request ended by a panic",
+		"A fault of this program ended one request, whose caller got 502 or a closed connection. Report the value and the stack.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
 
+// fieldRequest is the log field with the id of a request.
+const fieldRequest = "request"
+
 var sendResultNames = [...]string{
 	answered: "answered", faulted: "faulted", declined: "declined", replaced: "replaced", lost: "lost", unreached: "unreached", silent: "silent", withdrawn: "withdrawn",
 }
@@ -58,7 +67,7 @@
 // logFields returns the fields of every log line about the call.
 func (c *call) logFields() logger.Fields {
 	return logger.Fields{
-		"request":       c.request.Attempt,
+		fieldRequest:    c.request.Attempt,
 		"route":         c.route.Name,
 		"pool":          c.pool.Name,
 		"rank":          c.rank(),
@@ -172,7 +181,7 @@
 
 func (c *call) logNotice(backend Backend, notice Notice) {
 	c.options.Log.Log(eventNotice, logger.Fields{
-		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool,
+		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool,
 		"leaving": notice.Leaving, "pause-ms": notice.Pause.Milliseconds(),
 	})
 }
@@ -180,7 +189,23 @@
 // logRate logs a rate that is news.
 func (c *call) logRate(backend Backend, rate float64, sent int) {
 	c.options.Log.Log(eventRate, logger.Fields{
-		"request": c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
+		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
+	})
+}
+
+// noteInvalidCost counts a request with a number out of bounds, and logs the first.
+func (c *call) noteInvalidCost() {
+	c.metrics.scope.Counter("invalid-costs").Inc(1)
+	if !c.invalidCostLogged.Swap(true) {
+		c.options.Log.Log(eventInvalidCost, c.logFields())
+	}
+}
+
+// logInvalidRate logs a rate that is out of bounds, as the back end named it.
+func (c *call) logInvalidRate(backend Backend, named string) {
+	c.metrics.scope.Counter("invalid-rates").Inc(1)
+	c.options.Log.Log(eventInvalidRate, logger.Fields{
+		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "named": named,
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -107,6 +107,8 @@
 	// lastTable is the table for which removeUnlisted was last called.
 	lastTable atomic.Pointer[Table]
 	metrics   metrics
+	// invalidCostLogged is set once a request with an invalid cost was logged.
+	invalidCostLogged atomic.Bool
 }
 
 // New returns a forwarder. Unfetched KV caches are only freed while Run runs.
@@ -180,7 +182,10 @@
 	}
 	call := f.newCall(ctx, request, route, table)
 	call.account = account
-	reply, refusal := call.run()
+	if request.Cost.Invalid {
+		call.noteInvalidCost()
+	}
+	reply, refusal := call.runGuarded()
 	if refusal != nil {
 		call.finish(refusal)
 		return nil, refusal
@@ -402,7 +407,10 @@
 				c.logNotice(backend, notice)
 			}
 			if c.options.Quotas.Named(now, sentAt, backend.Name, backend.Started, notice.Rate) {
-				c.logRate(backend, notice.Rate, c.balancer.sentCount(backend))
+				c.logRate(backend, notice.Rate.PerSecond(), c.balancer.sentCount(backend))
+			}
+			if notice.InvalidRate != "" && c.balancer.firstInvalidRate(backend) {
+				c.logInvalidRate(backend, notice.InvalidRate)
 			}
 		},
 	}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -96,6 +96,13 @@
 	work.NewConnection = newConnection
 	began := time.Now()
 	c.balancer.countSent(backend)
+	recorded := false
+	defer func() {
+		if !recorded {
+			// A panic must not leave the request counted as in flight.
+			c.balancer.recordResult(time.Now(), backend, withdrawn, 0)
+		}
+	}()
 	answer, err := c.options.Backends.Send(ctx, work)
 	var body []byte
 	if err == nil {
@@ -106,6 +113,7 @@
 			err = Lost.New("%s ended with its answer", backend.Name)
 		}
 	}
+	recorded = true
 	c.recordResult(ctx, backend, answer, err, time.Since(began))
 	if err != nil {
 		return nil, err
@@ -203,6 +211,10 @@
 	l := &lookUp{call: c, first: first}
 	reply, release, err := limiter.Hedge(c.ctx, c.options.Budgets.Pool(c.pool.Name), limiter.HedgeOptions[*Reply]{
 		Delay: c.hedgeDelay(), Send: l.try, Unsent: unsent,
+		OnPanic: func(value any, stack []byte) {
+			l.mayHaveRun.Store(true)
+			c.reportPanic("hedge", value, stack)
+		},
 	})
 	release()
 	if l.mayHaveRun.Load() {
--- a/placer/forecast.go
+++ b/placer/forecast.go
@@ -219,6 +219,7 @@
 		if !p.endsInTime(w, e, plan.ready) {
 			peak += lateEndPenalty
 		}
+		peak -= e.probePreference(now, &w.demand).Seconds()
 		if peak < lowestPeak {
 			best, lowestPeak = e, peak
 		}
