--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -104,6 +104,8 @@
 	// EndlessAnswers is how many requests are answered without an end in EndlessForm.
 	EndlessAnswers int
 	EndlessForm    EndlessForm
+	// AnswerBytes is the least size of the body of each plain answer.
+	AnswerBytes int
 	// EndlessBodies is how many plain requests run and are answered with an endless body.
 	EndlessBodies int
 	// Unframed makes answers end with their connections, without a length or chunks.
@@ -628,7 +630,7 @@
 	}
 	i.markDone(run)
 	attempt := r.Header.Get("X-Attempt-Id")
-	answer := "answer to " + attempt
+	answer := i.padAnswer("answer to " + attempt)
 	if i.takeFault(func(f *InstanceFaults) *int { return &f.LoseAnswers }) {
 		panic(http.ErrAbortHandler)
 	}
@@ -672,6 +674,13 @@
 	_, _ = io.WriteString(w, answer) //nolint:gosec // No browser reads it.
 }
 
+// padAnswer returns a plain answer of the least size that the faults say.
+func (i *Instance) padAnswer(answer string) string {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return answer + strings.Repeat(" ", max(0, i.faults.AnswerBytes-len(answer)))
+}
+
 // errorStatus returns the status of answers to requests that the faults make fail.
 func (i *Instance) errorStatus() int {
 	i.mutex.Lock()
--- a/starter/soak_processes_test.go
+++ b/starter/soak_processes_test.go
@@ -27,7 +27,7 @@
 		"nodeName": fmt.Sprint("front-", n), "ip": ip, "zone": "south",
 		"listenAddrs": map[string]string{"front": ip + ":8144", "ready": ip + ":8140", "directory": ip + ":8143"},
 		"portRange":   []int{7660, 7670},
-		"limits":      map[string]any{"memoryMb": memoryMb, "maxFds": 2000},
+		"limits":      map[string]any{"memoryMb": memoryMb, "maxFds": s.maxFiles},
 		"bounds":      map[string]any{"drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 56, "ttl_max_s": 5},
 		"platform":    map[string]any{"address": s.ip(1, 10+n) + ":8000"},
 	})
@@ -37,14 +37,19 @@
 	return content
 }
 
-const soakMemoryMb = 200
+// soakMemoryMb and soakMaxFiles are the memory, in megabytes, and the file descriptors that the
+// settings give to each process.
+const (
+	soakMemoryMb = 200
+	soakMaxFiles = 2000
+)
 
 // start starts the process of node n with valid settings.
 func (s *soakRun) start(n int) {
 	process := s.processes[n]
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
-	if err := os.WriteFile(s.settingsPath(n), s.settings(n, soakMemoryMb), 0o600); err != nil {
+	if err := os.WriteFile(s.settingsPath(n), s.settings(n, s.memoryMb), 0o600); err != nil {
 		s.t.Error(err)
 		return
 	}
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -189,6 +189,8 @@
 	withRace bool
 	// peakMemory is the most memory of a process that watchMemory has seen, in megabytes.
 	peakMemory int
+	// memoryMb and maxFiles are the limits in the nodes' settings.
+	memoryMb, maxFiles int
 	// crowded is set while idle callers crowd a node.
 	crowded bool
 }
@@ -297,8 +299,8 @@
 func newSoakRun(t *testing.T, binary string, seed uint64) *soakRun {
 	s := &soakRun{
 		t: t, seed: seed, kind: kindOfSeed(seed), withRace: *soakRace, disturbances: map[string][]*disturbance{}, limits: map[*soakBackend]float64{}, failures: map[string]int{}, random: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
-		backendProxies: map[string]*proxy{},
-		fleet:          &fleet{t: t, objects: emulator.NewObjects(), instances: map[string]*emulator.Instance{}, logs: io.Discard, capacity: soakCapacity()},
+		backendProxies: map[string]*proxy{}, memoryMb: soakMemoryMb, maxFiles: soakMaxFiles,
+		fleet: &fleet{t: t, objects: emulator.NewObjects(), instances: map[string]*emulator.Instance{}, logs: io.Discard, capacity: soakCapacity()},
 	}
 	if s.kind == strainedSoak {
 		s.fleet.maxBodyBytes = soakMaxBodyBytes
