Bound the kernel's buffers and the connections of each listener

What clients send and the node does not read, or the node sends and they do not read, waits in the kernel: up to some megabytes for each connection, which count as the memory of the VM. The listeners for address answers, readiness, metrics and other nodes had 500 or 1,000 connections whatever the memory and the descriptors.

Each listener now has a share of the memory and of the descriptors, and its connections have receive buffers of a fixed size and little unsent, 16 KB where memory is scarce. The smallest VM has 573 callers' connections and 143 for address answers.

--- a/connector/server.go
+++ b/connector/server.go
@@ -36,6 +36,10 @@
 	// MaxConnections bounds the open connections. At the bound, a new connection takes the
 	// place of the one that has waited longest for a request, and is closed if none waits.
 	MaxConnections int
+	// BufferBytes bounds the bytes that the kernel holds for each direction of a connection: those
+	// not read yet, and those not sent yet because the client does not read. Zero selects the
+	// system's sizes, which grow to megabytes.
+	BufferBytes int
 	// MaxStreams bounds the concurrent requests on one HTTP/2 connection.
 	MaxStreams     int
 	MaxHeaderBytes int
@@ -104,6 +108,7 @@
 	if err != nil {
 		return ListenFailed.Wrap(err, "%s listener at %s", s.options.Name, s.options.Address)
 	}
+	limitBuffers(listener, s.options.Limits.BufferBytes)
 	s.options.Log.Log(EventListening, s.fields(nil))
 	s.listener = trackedListener{listener, s.connections, s.options.Limits.WriteTimeout}
 	return nil
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -45,16 +45,35 @@
 	requestMemoryShare    = 0.2
 	answerMemoryShare     = 0.15
 	connectionMemoryShare = 0.2
-	// connectionBytes is the memory of a caller's connection that waits for a request.
+	// auxiliaryMemoryShare, probeMemoryShare and peerMemoryShare are the fractions for the
+	// connections of the directory, of readiness checks or metrics, and of other nodes.
+	auxiliaryMemoryShare = 0.05
+	probeMemoryShare     = 0.02
+	peerMemoryShare      = 0.1
+	// connectionBytes is the memory of a connection that waits for a request, without its buffers
+	// in the kernel, and bufferBytes the least size of those.
 	connectionBytes = 24 << 10
+	bufferBytes     = 16 << 10
+	// maxBufferBytes is the size of the kernel's buffers for each direction of a connection where
+	// there is memory for more: enough for 25 MB/s over a path of 10 ms.
+	maxBufferBytes = 256 << 10
+	// backendBufferBytes is the size of the buffers of a connection to a back end. What a slow
+	// caller does not read fills them and then holds the back end up.
+	backendBufferBytes = 64 << 10
 	// ownerCores and ownerLinkRate are what the owner of a shard of usual size needs: a tenth
 	// of a core and 5 Mbit/s (docs/CAPACITY.md).
 	ownerCores                              = 0.1
 	ownerLinkRate identifier.BytesPerSecond = 625_000
-	// minCallerConnections applies if the settings allow fewer.
-	minCallerConnections = 100
-	// callerFileShare is the fraction of the file descriptors for callers' connections.
-	callerFileShare = 0.5
+	// minCallerConnections applies if the settings allow fewer, as do minAuxiliaryConnections and
+	// minPeerConnections, which every node of a large fleet may need at once.
+	minCallerConnections    = 100
+	minAuxiliaryConnections = 50
+	minPeerConnections      = 400
+	// callerFileShare, auxiliaryFileShare and peerFileShare are the fractions of the file
+	// descriptors for the connections of callers, of each auxiliary listener and of other nodes.
+	callerFileShare    = 0.5
+	auxiliaryFileShare = 0.05
+	peerFileShare      = 0.2
 )
 
 // peerLimits limit the listener for other nodes, whose calls are short or wait under a second.
@@ -87,13 +106,15 @@
 // platform.CallerHandler enforces the configured sizes, and tables.callerTimeouts has the
 // configured timeouts.
 func callerLimits(settings platform.Settings) connector.ServerLimits {
+	connections := maxCallerConnections(settings)
 	return connector.ServerLimits{
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		ReadTimeout:       60 * time.Second,
 		WriteTimeout:      10 * time.Second,
 		IdleTimeout:       defaultIdleTimeout,
 		FinishTimeout:     time.Duration(float64(settings.TerminationGrace) * (finishGraceShare - acceptGraceShare)),
-		MaxConnections:    maxCallerConnections(settings),
+		MaxConnections:    connections,
+		BufferBytes:       connectionBuffers(settings, connectionMemoryShare, connections),
 		MaxStreams:        100,
 		MaxHeaderBytes:    maxHeaderBytes,
 		MaxBodyBytes:      math.MaxInt64,
@@ -103,12 +124,36 @@
 // maxCallerConnections returns the number of callers' connections that the process has file
 // descriptors and memory for.
 func maxCallerConnections(settings platform.Settings) int {
-	byFiles := int(float64(settings.MaxOpenFiles) * callerFileShare)
-	byMemory := int(memoryShare(settings, connectionMemoryShare) / connectionBytes)
-	if byMemory <= 0 {
-		return max(minCallerConnections, byFiles)
+	most := int(float64(settings.MaxOpenFiles) * callerFileShare)
+	return maxConnections(settings, connectionMemoryShare, minCallerConnections, most)
+}
+
+// maxConnections returns the number of connections that a share of the process's memory has room
+// for, from least to most.
+func maxConnections(settings platform.Settings, share float64, least, most int) int {
+	if byMemory := int(memoryShare(settings, share) / (connectionBytes + bufferBytes)); byMemory > 0 {
+		most = min(most, byMemory)
+	}
+	return max(least, most)
+}
+
+// connectionBuffers returns the size of the kernel's buffers for each of a number of connections
+// with a share of the process's memory.
+func connectionBuffers(settings platform.Settings, share float64, connections int) int {
+	bytes := memoryShare(settings, share)/int64(connections) - connectionBytes
+	return int(min(max(bytes, bufferBytes), maxBufferBytes))
+}
+
+// withShare returns limits for a listener whose connections have a share of the process's memory
+// and descriptors, as far as the settings name these.
+func withShare(limits connector.ServerLimits, settings platform.Settings, memory, files float64, least int) connector.ServerLimits {
+	most := limits.MaxConnections
+	if settings.MaxOpenFiles > 0 {
+		most = min(most, int(float64(settings.MaxOpenFiles)*files))
 	}
-	return max(minCallerConnections, min(byFiles, byMemory))
+	limits.MaxConnections = maxConnections(settings, memory, min(least, most), most)
+	limits.BufferBytes = connectionBuffers(settings, memory, limits.MaxConnections)
+	return limits
 }
 
 // memoryShare returns a fraction of the process's memory, in bytes; zero if that is unknown.
--- a/starter/limits_test.go
+++ b/starter/limits_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/platform"
 )
@@ -41,3 +42,29 @@
 		}
 	}
 }
+
+// TestConnectionsFitTheirMemory guards against listeners that together accept more connections
+// than the process has memory or descriptors for, and against buffers so small that a legal
+// request crawls.
+func TestConnectionsFitTheirMemory(t *testing.T) {
+	for _, settings := range []platform.Settings{
+		{MemoryBytes: 112 << 20, MaxOpenFiles: 4100},
+		{MemoryBytes: 536 << 20, MaxOpenFiles: 4100},
+		{MemoryBytes: 56 << 20, MaxOpenFiles: 1025},
+	} {
+		memory, files := int64(0), 0
+		auxiliary := withShare(auxiliaryLimits, settings, auxiliaryMemoryShare, auxiliaryFileShare, minAuxiliaryConnections)
+		probes := withShare(auxiliaryLimits, settings, probeMemoryShare, auxiliaryFileShare, minAuxiliaryConnections)
+		peers := withShare(peerLimits, settings, peerMemoryShare, peerFileShare, minPeerConnections)
+		for _, limits := range []connector.ServerLimits{callerLimits(settings), auxiliary, probes, probes, peers} {
+			if limits.BufferBytes < bufferBytes || limits.MaxConnections < minAuxiliaryConnections {
+				t.Errorf("%+v: %d connections with buffers of %d bytes", settings, limits.MaxConnections, limits.BufferBytes)
+			}
+			memory += int64(limits.MaxConnections) * int64(connectionBytes+limits.BufferBytes)
+			files += limits.MaxConnections
+		}
+		if memory > settings.MemoryBytes/2 || files > settings.MaxOpenFiles*9/10 {
+			t.Errorf("%+v: connections have %d bytes and %d descriptors", settings, memory, files)
+		}
+	}
+}
--- a/starter/services.go
+++ b/starter/services.go
@@ -164,7 +164,7 @@
 	settings := s.options.Settings
 	s.answers = limiter.NewMemory(limiter.MemoryOptions{Name: "answers", Limit: memoryShare(settings, answerMemoryShare), Scope: s.options.Scope})
 	s.exchanger = exchanger.New(exchanger.Options{
-		Dial:       s.options.Network.Dial,
+		Dial:       s.options.Network.WithBuffers(backendBufferBytes).Dial,
 		EchoHeader: platform.HeaderAttempt,
 		Memory:     s.answers,
 		Scope:      s.options.Scope,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -176,6 +176,8 @@
 		path, handler := peerService.Handler()
 		peerMux.Handle(path, handler)
 	}
+	auxiliary := withShare(auxiliaryLimits, settings, auxiliaryMemoryShare, auxiliaryFileShare, minAuxiliaryConnections)
+	probes := withShare(auxiliaryLimits, settings, probeMemoryShare, auxiliaryFileShare, minAuxiliaryConnections)
 	callerHandler := platform.NewCallerHandler(platform.CallerHandlerOptions{
 		Forwarder: s.forwarder,
 		Limits:    s.tables.callerLimits,
@@ -184,7 +186,7 @@
 	})
 	s.callersListener = s.newListener("callers-listener", settings.CallerAddress, callerHandler, callerLimits(settings), s.tables.callerTimeouts)
 	s.supervisor.Register("gauges", &gaugeUpdater{s})
-	s.supervisor.Register("peers-listener", s.newListener("peers-listener", settings.PeerAddress, peerMux, peerLimits, nil))
+	s.supervisor.Register("peers-listener", s.newListener("peers-listener", settings.PeerAddress, peerMux, withShare(peerLimits, settings, peerMemoryShare, peerFileShare, minPeerConnections), nil))
 	s.supervisor.Register("registrar", s.registrar)
 	s.supervisor.Register("prober", s.prober)
 	s.supervisor.Register("follower", s.follower)
@@ -194,11 +196,11 @@
 	s.supervisor.Register("dispatcher", s.dispatcher)
 	s.supervisor.Register("forwarder", s.forwarder)
 	s.supervisor.Register("switcher", s.switcher)
-	s.supervisor.Register("readiness-listener", s.newListener("readiness-listener", settings.ReadinessAddress, platform.NewReadinessHandler(s.isReady), auxiliaryLimits, nil))
-	s.supervisor.Register("directory-listener", s.newListener("directory-listener", settings.DirectoryAddress, platform.NewDirectoryHandler(s.addresser), auxiliaryLimits, s.tables.callerTimeouts))
+	s.supervisor.Register("readiness-listener", s.newListener("readiness-listener", settings.ReadinessAddress, platform.NewReadinessHandler(s.isReady), probes, nil))
+	s.supervisor.Register("directory-listener", s.newListener("directory-listener", settings.DirectoryAddress, platform.NewDirectoryHandler(s.addresser), auxiliary, s.tables.callerTimeouts))
 	s.supervisor.Register("callers-listener", s.callersListener)
 	if s.options.Metrics != nil {
-		s.supervisor.Register("metrics-listener", s.newListener("metrics-listener", metricsAddress(settings), s.options.Metrics, auxiliaryLimits, nil))
+		s.supervisor.Register("metrics-listener", s.newListener("metrics-listener", metricsAddress(settings), s.options.Metrics, probes, nil))
 	}
 }
 
