Take memory from the slowest peers first

A body that stopped just short of its end kept its memory until the deadline that its caller had named, and a refused one while the rest was discarded for up to 2 s. When there is no room, limiter.Memory now takes the lease of the peer whose present step of 16 KB has lasted longest, if that is a second or more. The decision is limiter.SlowestPeer.

--- a/limiter/memory.go
+++ b/limiter/memory.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -34,10 +35,14 @@
 	options MemoryOptions
 	used    tally.Gauge
 	refused tally.Counter
+	// taken counts the leases that were taken from holders whose peers were slow.
+	taken tally.Counter
 
 	mutex sync.Mutex
 	// held is the sum over all leases, from 0 to Limit.
 	held int64
+	// waiting has the leases whose holders wait for their peers.
+	waiting map[*Lease]bool
 }
 
 // NewMemory returns a memory that nothing is held in.
@@ -46,7 +51,10 @@
 		options.Scope = tally.NoopScope
 	}
 	scope := options.Scope.SubScope("memory").Tagged(map[string]string{"of": options.Name})
-	return &Memory{options: options, used: scope.Gauge("held-bytes"), refused: scope.Counter("refused")}
+	return &Memory{
+		options: options, used: scope.Gauge("held-bytes"), refused: scope.Counter("refused"), taken: scope.Counter("taken"),
+		waiting: map[*Lease]bool{},
+	}
 }
 
 const (
@@ -62,9 +70,15 @@
 // limit.
 type Lease struct {
 	memory *Memory
-	// held is guarded by the memory's mutex.
+	// The memory's mutex guards the fields from held on.
 	held     int64
 	released bool
+	// since is when the holder began to wait for the present step of its peer, and step how many
+	// bytes of it the peer has moved, less than stepBytes.
+	since time.Time
+	step  int64
+	// yield makes the holder stop waiting.
+	yield func()
 }
 
 // NewLease returns an empty lease, to be released. A nil Memory returns a nil lease.
@@ -83,15 +97,130 @@
 	}
 	m := l.memory
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if l.released || !m.hasRoom(l.held, bytes) {
+	yields := m.makeRoom(l, bytes, time.Now())
+	granted := !l.released && m.hasRoom(l.held, bytes)
+	if granted {
+		l.held += bytes
+		m.held += bytes
+		m.used.Update(float64(m.held))
+	} else {
 		m.refused.Inc(1)
-		return false
 	}
-	l.held += bytes
-	m.held += bytes
-	m.used.Update(float64(m.held))
-	return true
+	m.mutex.Unlock()
+	for _, yield := range yields {
+		yield()
+	}
+	return granted
+}
+
+const (
+	// stepBytes is what a peer has to move within slowAfter so that its holder is not the first to
+	// lose its memory. At this pace a body of 4 MB takes over four minutes, longer than any
+	// deadline.
+	stepBytes = 16 << 10
+	slowAfter = time.Second
+)
+
+// makeRoom takes the leases of the slowest peers until a lease may grow, or no other peer is slow.
+// It returns what makes their holders stop. The caller must hold the mutex.
+func (m *Memory) makeRoom(growing *Lease, bytes int64, now time.Time) (yields []func()) {
+	if !m.couldHaveRoom(growing, bytes, now) {
+		return nil
+	}
+	for !growing.released && !m.hasRoom(growing.held, bytes) {
+		var peers []Peer
+		var leases []*Lease
+		for lease := range m.waiting {
+			if lease != growing {
+				peers = append(peers, Peer{Since: lease.since, Held: lease.held})
+				leases = append(leases, lease)
+			}
+		}
+		at := SlowestPeer(peers, now)
+		if at < 0 {
+			return yields
+		}
+		yields = append(yields, leases[at].yield)
+		m.taken.Inc(1)
+		m.release(leases[at])
+	}
+	return yields
+}
+
+// couldHaveRoom reports whether a lease may grow once all slow peers have lost theirs. The caller
+// must hold the mutex.
+func (m *Memory) couldHaveRoom(growing *Lease, bytes int64, now time.Time) bool {
+	slow := int64(0)
+	for lease := range m.waiting {
+		if lease != growing && now.Sub(lease.since) >= slowAfter {
+			slow += lease.held
+		}
+	}
+	m.held -= slow
+	defer func() { m.held += slow }()
+	return m.hasRoom(growing.held, bytes)
+}
+
+// Peer is the other side of a connection for which memory is held until it moves on.
+type Peer struct {
+	// Since is when its present step of stepBytes began.
+	Since time.Time
+	// Held is what is held for it, in bytes.
+	Held int64
+}
+
+// SlowestPeer returns the index of the peer that loses its memory first: the one whose present step
+// has lasted longest, and at least slowAfter. It is negative if no peer is that slow.
+func SlowestPeer(peers []Peer, now time.Time) int {
+	slowest := -1
+	for at, peer := range peers {
+		if peer.Held <= 0 || now.Sub(peer.Since) < slowAfter {
+			continue
+		}
+		if slowest < 0 || peer.Since.Before(peers[slowest].Since) {
+			slowest = at
+		}
+	}
+	return slowest
+}
+
+// Await notes that the holder waits for its peer. When there is no room for others and the peer is
+// the slowest, the lease is released and yield called, which must make the holder stop.
+func (l *Lease) Await(yield func()) {
+	if l == nil {
+		return
+	}
+	m := l.memory
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !l.released {
+		l.since, l.step, l.yield = time.Now(), 0, yield
+		m.waiting[l] = true
+	}
+}
+
+// Progress notes that the peer has moved bytes.
+func (l *Lease) Progress(bytes int64) {
+	if l == nil {
+		return
+	}
+	l.memory.mutex.Lock()
+	defer l.memory.mutex.Unlock()
+	if l.step += bytes; l.step >= stepBytes {
+		l.since, l.step = time.Now(), 0
+	}
+}
+
+// EndAwait notes that the holder no longer waits for its peer. It returns false if the lease was
+// released meanwhile, so that the holder must stop.
+func (l *Lease) EndAwait() bool {
+	if l == nil {
+		return true
+	}
+	l.memory.mutex.Lock()
+	defer l.memory.mutex.Unlock()
+	delete(l.memory.waiting, l)
+	return !l.released
 }
 
 // hasRoom reports whether a lease may grow. The caller must hold the mutex.
@@ -128,9 +257,15 @@
 	m := l.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.release(l)
+}
+
+// release releases a lease. The caller must hold the mutex.
+func (m *Memory) release(l *Lease) {
 	l.released = true
 	m.held -= l.held
 	l.held = 0
+	delete(m.waiting, l)
 	m.used.Update(float64(m.held))
 }
 
@@ -164,6 +299,7 @@
 			free = probe[:]
 		}
 		n, err := reader.Read(free)
+		l.Progress(int64(n))
 		if len(content) < cap(content) {
 			content = content[:len(content)+n]
 		} else if n > 0 {
--- a/limiter/memory_test.go
+++ b/limiter/memory_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -134,3 +136,56 @@
 		})
 	})
 }
+
+// TestSlowestPeerLosesFirst checks who is closed when memory is used up: the peer whose present
+// step has lasted longest, and none that moves on.
+func TestSlowestPeerLosesFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(seconds float64, held int64) Peer {
+		return Peer{Since: now.Add(-time.Duration(seconds * float64(time.Second))), Held: held}
+	}
+	for name, test := range map[string]struct {
+		peers []Peer
+		want  int
+	}{
+		"none":                      {nil, -1},
+		"all move on":               {[]Peer{ago(0.2, 100), ago(0.9, 5000)}, -1},
+		"one is slow":               {[]Peer{ago(0.2, 5000), ago(1.1, 100), ago(0, 100)}, 1},
+		"the slowest of several":    {[]Peer{ago(2, 5000), ago(3, 100), ago(1, 9000)}, 1},
+		"the slowest holds nothing": {[]Peer{ago(9, 0), ago(3, 100)}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := SlowestPeer(test.peers, now); got != test.want {
+				t.Errorf("%d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// TestStoppedContentMakesRoom guards against content that stops short of its end and keeps the
+// memory that others need. Content that moves on keeps its memory.
+func TestStoppedContentMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMemory(MemoryOptions{Limit: 20 << 20})
+		stopped, moving, late := m.NewLease(), m.NewLease(), m.NewLease()
+		yielded := false
+		stopped.Await(func() { yielded = true })
+		moving.Await(func() { t.Error("content that moves on was given up") })
+		if !stopped.Grow(6<<20) || !moving.Grow(4<<20) {
+			t.Fatal("the memory has no room")
+		}
+		for range 4 {
+			if late.Grow(6 << 20) {
+				t.Fatal("the memory has room beside content that has just begun")
+			}
+			time.Sleep(slowAfter / 4)
+			moving.Progress(stepBytes)
+		}
+		if !late.Grow(6<<20) || !yielded || stopped.EndAwait() || stopped.Grow(1) || !moving.EndAwait() {
+			t.Errorf("yielded: %v, held %d", yielded, m.held)
+		}
+		if m.held != 10<<20 {
+			t.Errorf("%d bytes are held", m.held)
+		}
+	})
+}
