Bound the memory of headers, of HTTP/2 and of other nodes' bodies

A header that does not end took up to 226 KB in a process, for each of 500 connections; the body of a call from another node was read whole, up to 8 MB, for each of 1,000; HTTP/2 connections buffered up to 1 MB each, with 100 streams. None of it was counted.

- Headers above 1 KB take 16 times their size from one memory for all listeners, a tenth of the process's.
Without room the connection whose header has taken longest is closed (event 1017).
- Bodies of other nodes' calls take a tenth, in the same way as callers'.
- An HTTP/2 connection has a window of 64 KB and, unless it is a node's, 20 streams, and takes 128 KB from the memory for headers.
- Connections that wait to be accepted are at most half of those that a listener may have: the kernel holds what they send.
- The receiver of `foxtailspool serve` takes the memory of stopped bodies as the callers' listener does.

--- a/connector/buffers.go
+++ b/connector/buffers.go
@@ -28,6 +28,25 @@
 	})
 }
 
+// minPending is the least number of connections that wait to be accepted, which a burst of
+// callers or other nodes may need while the process has no processor time.
+const minPending = 64
+
+// limitPending bounds the connections that wait to be accepted by a listener with limited buffers
+// to half of those that it may have: the kernel holds what their clients send. Further clients
+// connect a second later. The system's own bound is some thousands.
+func limitPending(listener net.Listener, limits ServerLimits) {
+	connection, ok := listener.(syscall.Conn)
+	if !ok || limits.BufferBytes <= 0 {
+		return
+	}
+	raw, err := connection.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) { _ = unix.Listen(int(descriptor), max(minPending, limits.MaxConnections/2)) })
+}
+
 // WithBuffers returns a network whose outgoing connections have buffers in the kernel of at most
 // so many bytes in each direction.
 func (n Network) WithBuffers(bytes int) Network {
--- a/connector/connections.go
+++ b/connector/connections.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
 	"container/list"
 	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/limiter"
 )
 
 // Timeouts bound how long a client may leave a connection without progress. A zero field
@@ -24,6 +27,10 @@
 // connection takes the place of the one that has waited longest for a request.
 type connections struct {
 	limit int
+	// headers bounds the memory of all headers; nil means no bound.
+	headers *limiter.Memory
+	// http2Bytes is what an HTTP/2 connection takes of headers until it is closed.
+	http2Bytes int64
 
 	mutex sync.Mutex
 	open  int
@@ -32,9 +39,15 @@
 	waiting list.List
 	// reading has the connections from which a part of a header has arrived.
 	reading map[*trackedConn]bool
-	// displaced and refused count the connections closed since the last call of takeCounts:
-	// those closed for newer ones, and those closed because no connection was waiting.
-	displaced, refused int
+	// closed counts the connections closed since the last call of takeCounts.
+	closed closedCounts
+}
+
+// closedCounts counts connections closed by the server.
+type closedCounts struct {
+	// displaced were closed for newer ones, refused because no connection was waiting, and headers
+	// because the memory for headers was in use.
+	displaced, refused, headers int
 }
 
 // trackedConn is a connection of a server. The mutex of its table guards the fields from
@@ -54,10 +67,63 @@
 	// isHTTP2 excludes a connection from reading: its frames need not belong to requests.
 	isHTTP2 bool
 	closed  bool
+	// header is the memory of the header that arrives or whose request is in progress, of which
+	// headerBytes have been read.
+	header      *limiter.Lease
+	headerBytes int
+}
+
+func newConnections(limit int, headers *limiter.Memory, http2Bytes int64) *connections {
+	return &connections{limit: limit, headers: headers, http2Bytes: http2Bytes, reading: map[*trackedConn]bool{}}
+}
+
+const (
+	// usualHeaderBytes is the size up to which a header takes no memory besides its connection's.
+	usualHeaderBytes = 1 << 10
+	// parsedHeaderFactor is the memory of a header in short lines for each of its bytes, read and
+	// parsed: 500 unfinished ones of 15 KB took 170 KB each.
+	parsedHeaderFactor = 16
+)
+
+// takeHeaderMemory takes memory for bytes of a header. While there is no room it closes the
+// connection whose header has taken longest to arrive. It returns those to be closed, and false if
+// the connection itself has to end. The caller must hold the mutex.
+func (t *connections) takeHeaderMemory(c *trackedConn, bytes int) (slow []*trackedConn, granted bool) {
+	c.headerBytes += bytes
+	unusual := min(bytes, c.headerBytes-usualHeaderBytes)
+	if unusual <= 0 {
+		return nil, true
+	}
+	return t.growHeader(c, int64(unusual)*parsedHeaderFactor)
 }
 
-func newConnections(limit int) *connections {
-	return &connections{limit: limit, reading: map[*trackedConn]bool{}}
+// growHeader is takeHeaderMemory for an amount of memory.
+func (t *connections) growHeader(c *trackedConn, memory int64) (slow []*trackedConn, granted bool) {
+	if c.header == nil {
+		c.header = t.headers.NewLease()
+	}
+	for !c.header.Grow(memory) {
+		slowest := cmp.Or(t.slowestHeader(), c)
+		t.closed.headers++
+		t.forget(slowest)
+		if slowest == c {
+			return slow, false
+		}
+		slow = append(slow, slowest)
+	}
+	return slow, true
+}
+
+// slowestHeader returns the connection whose header has taken longest to arrive, of those with
+// memory for it and the one that asks for it. The caller must hold the mutex.
+func (t *connections) slowestHeader() *trackedConn {
+	var slowest *trackedConn
+	for c := range t.reading {
+		if c.header != nil && (slowest == nil || c.since.Before(slowest.since)) {
+			slowest = c
+		}
+	}
+	return slowest
 }
 
 // add tracks an accepted connection. It closes another connection to make room, or the
@@ -68,12 +134,12 @@
 	if t.open >= t.limit {
 		displaced = t.displaceable(time.Now())
 		if displaced == nil {
-			t.refused++
+			t.closed.refused++
 			t.mutex.Unlock()
 			_ = accepted.Close()
 			return nil, false
 		}
-		t.displaced++
+		t.closed.displaced++
 		t.forget(displaced)
 	}
 	c := &trackedConn{Conn: accepted, table: t, writeTimeout: writeTimeout}
@@ -129,6 +195,7 @@
 	c.closed = true
 	t.open--
 	t.leavePhase(c)
+	c.header.Release()
 }
 
 // stateChanged follows a connection's requests. It is the ConnState hook of an http.Server.
@@ -146,6 +213,10 @@
 	case c.closed:
 	case state == http.StateIdle:
 		c.answered = true
+		if !c.isHTTP2 {
+			c.header.Release()
+			c.header, c.headerBytes = nil, 0
+		}
 		t.wait(c, time.Now())
 	case state == http.StateActive, state == http.StateHijacked:
 		t.leavePhase(c)
@@ -161,18 +232,35 @@
 	if n == 0 {
 		return n, err
 	}
+	slow, open := c.noteRead(buffer[:n])
+	for _, other := range slow {
+		_ = other.Conn.Close()
+	}
+	if !open {
+		_ = c.Conn.Close()
+		// A request that is not read can be sent again elsewhere.
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// noteRead follows the phases of the connection. It returns connections to be closed for the
+// memory of this one, and whether this one is open.
+func (c *trackedConn) noteRead(content []byte) (slow []*trackedConn, open bool) {
 	c.table.mutex.Lock()
 	defer c.table.mutex.Unlock()
 	if c.closed {
-		// A request that is not read can be sent again elsewhere.
-		return 0, net.ErrClosed
+		return nil, false
 	}
 	if c.element == nil || c.isHTTP2 {
-		return n, err
+		if c.table.reading[c] {
+			return c.table.takeHeaderMemory(c, headerLength(content))
+		}
+		return nil, true
 	}
-	if !c.answered && bytes.HasPrefix(buffer[:n], http2Preface) {
+	if !c.answered && bytes.HasPrefix(content, http2Preface) {
 		c.isHTTP2 = true
-		return n, err
+		return c.table.growHeader(c, c.table.http2Bytes)
 	}
 	c.table.leavePhase(c)
 	c.table.reading[c] = true
@@ -180,9 +268,20 @@
 	if c.answered {
 		c.since = time.Now()
 	}
-	return n, err
+	return c.table.takeHeaderMemory(c, headerLength(content))
 }
 
+// headerLength returns how many bytes at the beginning of what was read belong to a header: what
+// follows its end is of the body.
+func headerLength(content []byte) int {
+	if end := bytes.Index(content, headerEnd); end >= 0 {
+		return end + len(headerEnd)
+	}
+	return len(content)
+}
+
+var headerEnd = []byte("\r\n\r\n")
+
 // Write writes to the connection within the write timeout.
 func (c *trackedConn) Write(content []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
@@ -245,13 +344,13 @@
 	return t.open, t.waiting.Len()
 }
 
-// takeCounts returns and resets the numbers of displaced and refused connections.
-func (t *connections) takeCounts() (displaced, refused int) {
+// takeCounts returns and resets the numbers of connections closed by the server.
+func (t *connections) takeCounts() closedCounts {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	displaced, refused = t.displaced, t.refused
-	t.displaced, t.refused = 0, 0
-	return displaced, refused
+	counts := t.closed
+	t.closed = closedCounts{}
+	return counts
 }
 
 // trackedListener accepts connections into a table.
--- a/connector/events.go
+++ b/connector/events.go
@@ -18,6 +18,8 @@
 		"A connection failed in its TLS handshake or because of a protocol error of the other side.")
 	EventConnectionsFull = logger.Define(1016, logrus.WarnLevel, "connections closed at the limit",
 		"A listener had as many connections as it may. In the last second, displaced ones that waited for a request were closed for newer ones, and refused ones were closed at once because none waited. Clients leave connections open, or there are too few nodes.")
+	EventHeadersFull = logger.Define(1017, logrus.WarnLevel, "connections closed for the memory of headers",
+		"The headers that clients have sent in part, or whose requests are in progress, fill the memory for them. In the last second, connections whose headers had taken longest to arrive were closed. Clients send large or unfinished headers.")
 	EventTLSReloaded = logger.Define(1014, logrus.InfoLevel, "certificates reloaded",
 		"A TLS file changed; new connections use its new content.")
 	EventTLSReloadFailed = logger.Define(1015, logrus.ErrorLevel, "certificates refused",
--- a/connector/server.go
+++ b/connector/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/logger"
 )
 
@@ -41,7 +43,10 @@
 	// system's sizes, which grow to megabytes.
 	BufferBytes int
 	// MaxStreams bounds the concurrent requests on one HTTP/2 connection.
-	MaxStreams     int
+	MaxStreams int
+	// HTTP2Bytes is what each HTTP/2 connection takes of ServerOptions.Headers, for its buffers and
+	// the streams that have begun; zero takes nothing.
+	HTTP2Bytes     int64
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the body of a request, in bytes; reading more fails with
 	// http.MaxBytesError.
@@ -59,6 +64,9 @@
 	// ReadHeaderTimeout and IdleTimeout of Limits. They are checked each second, and must
 	// not be set together with TLS.
 	Timeouts func() Timeouts
+	// Headers bounds the memory of the headers that clients send, and Bodies that of the bodies
+	// that the handler reads; nil means no bound besides that of each one.
+	Headers, Bodies *limiter.Memory
 	// TLS holds the certificates; nil serves without TLS.
 	TLS     *TLS
 	Handler http.Handler
@@ -76,15 +84,15 @@
 // NewServer returns a server that is not listening yet.
 func NewServer(options ServerOptions) *Server {
 	limits := options.Limits
-	s := &Server{options: options, connections: newConnections(limits.MaxConnections)}
+	s := &Server{options: options, connections: newConnections(limits.MaxConnections, options.Headers, limits.HTTP2Bytes)}
 	s.http = &http.Server{
-		Handler:           limitBody(options.Handler, limits.MaxBodyBytes),
+		Handler:           limitBody(options.Handler, limits.MaxBodyBytes, options.Bodies),
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		Protocols:         new(http.Protocols),
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: limits.MaxStreams},
+		HTTP2:             limits.http2(),
 		ErrorLog:          log.New(errorWriter{options}, "", 0),
 		ConnState:         s.connections.stateChanged,
 	}
@@ -101,6 +109,20 @@
 	return s
 }
 
+// http2WindowBytes is the least window of an HTTP/2 connection that net/http allows.
+const http2WindowBytes = 64 << 10
+
+// http2 returns the limits of HTTP/2 connections. Limited buffers include the bytes that a
+// connection has read and its handlers have not.
+func (l ServerLimits) http2() *http.HTTP2Config {
+	limits := &http.HTTP2Config{MaxConcurrentStreams: l.MaxStreams}
+	if l.BufferBytes > 0 {
+		window := max(http2WindowBytes, l.BufferBytes)
+		limits.MaxReceiveBufferPerConnection, limits.MaxReceiveBufferPerStream = window, window
+	}
+	return limits
+}
+
 // Listen opens the listener, so that callers can connect. Run calls it if the caller
 // has not. It fails with ListenFailed.
 func (s *Server) Listen(ctx context.Context) error {
@@ -109,6 +131,7 @@
 		return ListenFailed.Wrap(err, "%s listener at %s", s.options.Name, s.options.Address)
 	}
 	limitBuffers(listener, s.options.Limits.BufferBytes)
+	limitPending(listener, s.options.Limits)
 	s.options.Log.Log(EventListening, s.fields(nil))
 	s.listener = trackedListener{listener, s.connections, s.options.Limits.WriteTimeout}
 	return nil
@@ -178,14 +201,18 @@
 }
 
 func (s *Server) logFull() {
-	displaced, refused := s.connections.takeCounts()
-	if displaced == 0 && refused == 0 {
-		return
-	}
+	counts := s.connections.takeCounts()
 	fields := s.fields(nil)
 	fields["open"], fields["waiting"] = s.connections.counts()
-	fields["displaced"], fields["refused"] = displaced, refused
-	s.options.Log.Log(EventConnectionsFull, fields)
+	if counts.headers > 0 {
+		fields["closed"] = counts.headers
+		s.options.Log.Log(EventHeadersFull, fields)
+		delete(fields, "closed")
+	}
+	if counts.displaced > 0 || counts.refused > 0 {
+		fields["displaced"], fields["refused"] = counts.displaced, counts.refused
+		s.options.Log.Log(EventConnectionsFull, fields)
+	}
 }
 
 // Connections returns the number of open connections, and of those that wait for a request.
@@ -199,13 +226,43 @@
 	return fields
 }
 
-func limitBody(next http.Handler, limit int64) http.Handler {
+func limitBody(next http.Handler, limit int64, memory *limiter.Memory) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		if memory != nil && r.ContentLength != 0 {
+			lease := memory.NewLease()
+			defer lease.Release()
+			controller := http.NewResponseController(w)
+			lease.Await(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+			r.Body = &leasedBody{ReadCloser: r.Body, lease: lease}
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// leasedBody takes memory for what is read of a body. It fails with limiter.ErrNoMemory if there
+// is no room, or if there was none for others while the body made no progress.
+type leasedBody struct {
+	io.ReadCloser
+	lease *limiter.Lease
+}
+
+// readFactor is the memory of a body that is read whole for each of its bytes: a buffer that
+// grows is as large as its content once more.
+const readFactor = 2
+
+func (b *leasedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	b.lease.Progress(int64(n))
+	if n > 0 && !b.lease.Grow(int64(n)*readFactor) {
+		return 0, limiter.ErrNoMemory
+	}
+	if err != nil && !b.lease.EndAwait() {
+		return 0, limiter.ErrNoMemory
+	}
+	return n, err
+}
+
 // errorWriter converts the log lines of net/http to events.
 type errorWriter struct {
 	options ServerOptions
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -99,7 +99,12 @@
 
 // readBody reads a request's body of at most Options.MaxBodyBytes.
 func (r *Receiver) readBody(request *http.Request) ([]byte, error) {
-	body, err := leasesOf(request.Context()).body.ReadAll(request.Body, request.ContentLength, r.options.MaxBodyBytes)
+	lease := leasesOf(request.Context()).body
+	body, err := lease.ReadAll(request.Body, request.ContentLength, r.options.MaxBodyBytes)
+	if !lease.EndAwait() {
+		// The body made no progress while others had no room.
+		err = limiter.ErrNoMemory
+	}
 	if errors.Is(err, limiter.ErrNoMemory) {
 		return nil, refusalError{&router.Refusal{
 			Outcome:    outcomeFromHeader(request.Header),
--- a/receiver/memory.go
+++ b/receiver/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/foxtailspool/foxtailspool/limiter"
 )
@@ -20,6 +21,8 @@
 		held := leases{body: r.options.Bodies.NewLease(), answer: r.options.Answers.NewLease()}
 		defer held.body.Release()
 		defer held.answer.Release()
+		controller := http.NewResponseController(w)
+		held.body.Await(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 		next.ServeHTTP(w, request.WithContext(context.WithValue(request.Context(), leasesKey{}, held)))
 	})
 }
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -45,6 +45,15 @@
 	requestMemoryShare    = 0.2
 	answerMemoryShare     = 0.15
 	connectionMemoryShare = 0.2
+	// maxClientStreams bounds the requests at once on an HTTP/2 connection of a client that is no
+	// node, and http2Bytes is the memory for such a connection: a window of 64 KB, and the state of
+	// streams that have not taken memory for requests.
+	maxClientStreams = 20
+	http2Bytes       = 128 << 10
+	// headerMemoryShare is the fraction for the headers of requests at all listeners, and
+	// peerBodyMemoryShare that for the bodies of other nodes' calls.
+	headerMemoryShare   = 0.1
+	peerBodyMemoryShare = 0.1
 	// auxiliaryMemoryShare, probeMemoryShare and peerMemoryShare are the fractions for the
 	// connections of the directory, of readiness checks or metrics, and of other nodes.
 	auxiliaryMemoryShare = 0.05
@@ -97,7 +106,8 @@
 	IdleTimeout:       30 * time.Second,
 	FinishTimeout:     100 * time.Millisecond,
 	MaxConnections:    500,
-	MaxStreams:        100,
+	MaxStreams:        maxClientStreams,
+	HTTP2Bytes:        http2Bytes,
 	MaxHeaderBytes:    16 << 10,
 	MaxBodyBytes:      64 << 10,
 }
@@ -115,7 +125,8 @@
 		FinishTimeout:     time.Duration(float64(settings.TerminationGrace) * (finishGraceShare - acceptGraceShare)),
 		MaxConnections:    connections,
 		BufferBytes:       connectionBuffers(settings, connectionMemoryShare, connections),
-		MaxStreams:        100,
+		MaxStreams:        maxClientStreams,
+		HTTP2Bytes:        http2Bytes,
 		MaxHeaderBytes:    maxHeaderBytes,
 		MaxBodyBytes:      math.MaxInt64,
 	}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -65,6 +65,8 @@
 	peers      http.RoundTripper
 	// answers has the answers of back ends that are read whole.
 	answers *limiter.Memory
+	// headers has the headers of requests at all listeners.
+	headers *limiter.Memory
 	// callersListener is the listener for callers' requests.
 	callersListener *connector.Server
 	// tablesUsable is set once the node has joined the fleet and asked other nodes.
@@ -176,6 +178,8 @@
 		path, handler := peerService.Handler()
 		peerMux.Handle(path, handler)
 	}
+	s.headers = limiter.NewMemory(limiter.MemoryOptions{Name: "headers", Limit: memoryShare(settings, headerMemoryShare), Scope: s.options.Scope})
+	peerBodies := limiter.NewMemory(limiter.MemoryOptions{Name: "peer-bodies", Limit: memoryShare(settings, peerBodyMemoryShare), Scope: s.options.Scope})
 	auxiliary := withShare(auxiliaryLimits, settings, auxiliaryMemoryShare, auxiliaryFileShare, minAuxiliaryConnections)
 	probes := withShare(auxiliaryLimits, settings, probeMemoryShare, auxiliaryFileShare, minAuxiliaryConnections)
 	callerHandler := platform.NewCallerHandler(platform.CallerHandlerOptions{
@@ -184,9 +188,9 @@
 		Memory:    limiter.NewMemory(limiter.MemoryOptions{Name: "requests", Limit: memoryShare(settings, requestMemoryShare), Scope: s.options.Scope}),
 		Draining:  s.isStopping,
 	})
-	s.callersListener = s.newListener("callers-listener", settings.CallerAddress, callerHandler, callerLimits(settings), s.tables.callerTimeouts)
+	s.callersListener = s.newListener("callers-listener", settings.CallerAddress, callerHandler, callerLimits(settings), s.tables.callerTimeouts, nil)
 	s.supervisor.Register("gauges", &gaugeUpdater{s})
-	s.supervisor.Register("peers-listener", s.newListener("peers-listener", settings.PeerAddress, peerMux, withShare(peerLimits, settings, peerMemoryShare, peerFileShare, minPeerConnections), nil))
+	s.supervisor.Register("peers-listener", s.newListener("peers-listener", settings.PeerAddress, peerMux, withShare(peerLimits, settings, peerMemoryShare, peerFileShare, minPeerConnections), nil, peerBodies))
 	s.supervisor.Register("registrar", s.registrar)
 	s.supervisor.Register("prober", s.prober)
 	s.supervisor.Register("follower", s.follower)
@@ -196,16 +200,17 @@
 	s.supervisor.Register("dispatcher", s.dispatcher)
 	s.supervisor.Register("forwarder", s.forwarder)
 	s.supervisor.Register("switcher", s.switcher)
-	s.supervisor.Register("readiness-listener", s.newListener("readiness-listener", settings.ReadinessAddress, platform.NewReadinessHandler(s.isReady), probes, nil))
-	s.supervisor.Register("directory-listener", s.newListener("directory-listener", settings.DirectoryAddress, platform.NewDirectoryHandler(s.addresser), auxiliary, s.tables.callerTimeouts))
+	s.supervisor.Register("readiness-listener", s.newListener("readiness-listener", settings.ReadinessAddress, platform.NewReadinessHandler(s.isReady), probes, nil, nil))
+	s.supervisor.Register("directory-listener", s.newListener("directory-listener", settings.DirectoryAddress, platform.NewDirectoryHandler(s.addresser), auxiliary, s.tables.callerTimeouts, nil))
 	s.supervisor.Register("callers-listener", s.callersListener)
 	if s.options.Metrics != nil {
-		s.supervisor.Register("metrics-listener", s.newListener("metrics-listener", metricsAddress(settings), s.options.Metrics, probes, nil))
+		s.supervisor.Register("metrics-listener", s.newListener("metrics-listener", metricsAddress(settings), s.options.Metrics, probes, nil, nil))
 	}
 }
 
-// newListener returns a listener. timeouts returns those of its clients, if they can change.
-func (s *Starter) newListener(name string, address identifier.Address, handler http.Handler, limits connector.ServerLimits, timeouts func() connector.Timeouts) *connector.Server {
+// newListener returns a listener. timeouts returns those of its clients, if they can change, and
+// bodies bounds what its handler reads, if that does not do so itself.
+func (s *Starter) newListener(name string, address identifier.Address, handler http.Handler, limits connector.ServerLimits, timeouts func() connector.Timeouts, bodies *limiter.Memory) *connector.Server {
 	return connector.NewServer(connector.ServerOptions{
 		Name:     name,
 		Address:  address,
@@ -214,5 +219,7 @@
 		Log:      s.options.Log,
 		Limits:   limits,
 		Timeouts: timeouts,
+		Headers:  s.headers,
+		Bodies:   bodies,
 	})
 }
