Let the slowest readers lose their answers first

A caller that read its answer slowly kept the memory of that answer for as long as each write ended within 10 s, and other answers had no room. Both the memory for answers and that of the request can now be taken while a caller is given a piece of 16 KB: from the one that has taken longest, a second or more, and only if there is no room for others.

An engine cuts off an answer that nobody reads. This counted as a fault of the engine, since a slow caller holds it up through the buffers; it no longer does for 15 s after a caller has taken a second for one piece.

TestSlowCallerLosesItsAnswer can't be built without the change. Over real sockets the difference is small: the system closes a connection whose window stays shut for 2 s (the liveness of `run`).

--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -41,6 +41,42 @@
 	soundReported bool
 	lastEventAt   time.Time
 	longestPause  time.Duration
+	// awaitedSince is when the caller was last given a piece, and heldUpAt when it last held the
+	// answer up, zero if it never did.
+	awaitedSince, heldUpAt time.Time
+}
+
+const (
+	// heldUpAfter is how long a caller takes for one piece of an answer when it, and not the back
+	// end, holds the answer up.
+	heldUpAfter = time.Second
+	// heldUpFor is how long after that a back end may have cut the answer off because nobody read
+	// it. It exceeds the time for which a write to a caller may wait.
+	heldUpFor = 15 * time.Second
+)
+
+// AwaitCaller notes that the caller is given a piece of the answer. When the node has no memory
+// for other requests and the caller is the slowest, it calls yield, which must end the wait.
+func (r *Reply) AwaitCaller(yield func()) {
+	r.awaitedSince = time.Now()
+	r.call.answers.Await(yield)
+	r.call.request.Memory.Await(yield)
+}
+
+// EndAwaitCaller notes that the caller has taken the piece. It returns false if the answer must be
+// cut off, since its memory was needed for others.
+func (r *Reply) EndAwaitCaller() bool {
+	if now := time.Now(); now.Sub(r.awaitedSince) >= heldUpAfter {
+		r.heldUpAt = now
+	}
+	keptAnswer, keptRequest := r.call.answers.EndAwait(), r.call.request.Memory.EndAwait()
+	return keptAnswer && keptRequest
+}
+
+// isHeldUp reports whether the caller has held the answer up, so that its end is no sign of a
+// fault of the back end, which cuts off what nobody reads.
+func (r *Reply) isHeldUp(now time.Time) bool {
+	return !r.heldUpAt.IsZero() && now.Sub(r.heldUpAt) < heldUpFor
 }
 
 type bufferedBody struct{ *bytes.Reader }
@@ -187,12 +223,16 @@
 // handleReadError ends a reply that the back end cut off or that was cancelled.
 func (r *Reply) handleReadError(cause error) {
 	refusal := r.call.refusalIfEnded()
-	if refusal == nil {
+	switch {
+	case refusal == nil && r.isHeldUp(time.Now()):
+		refusal = unknownRefusal(router.StreamLost, "the caller did not read, and the back end broke its answer off")
+		r.call.balancer.recordResult(time.Now(), r.backend, withdrawn, 0)
+	case refusal == nil:
 		refusal = unknownRefusal(router.StreamLost, "the back end broke its answer off")
 		if r.call.recordSendResult(r.backend, lost, time.Since(r.sentAt), cause) {
 			r.call.grantResult.FailedMember = r.backend.Name
 		}
-	} else {
+	default:
 		r.call.balancer.recordResult(time.Now(), r.backend, withdrawn, 0)
 	}
 	r.body.Close()
--- a/forwarder/reply_test.go
+++ b/forwarder/reply_test.go
@@ -3,6 +3,10 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailspool/foxtailspool/limiter"
 
 	"pgregory.net/rapid"
 )
@@ -41,3 +45,38 @@
 		}
 	}
 }
+
+// TestSlowCallerLosesItsAnswer guards against callers that read slowly and keep the memory that
+// other answers need, and against back ends that count as faulty because a caller did not read.
+func TestSlowCallerLosesItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := limiter.NewMemory(limiter.MemoryOptions{Limit: 200_000})
+		newReply := func() *Reply {
+			c := &call{answers: memory.NewLease(), request: &Request{}}
+			if !c.answers.Grow(100_000) {
+				t.Fatal("no room for an answer")
+			}
+			return &Reply{call: c}
+		}
+		slow, quick := newReply(), newReply()
+		yielded := false
+		slow.AwaitCaller(func() { yielded = true })
+		for range 4 {
+			quick.AwaitCaller(func() { t.Error("a caller that reads lost its answer") })
+			time.Sleep(heldUpAfter / 4)
+			if !quick.EndAwaitCaller() {
+				t.Fatal("a caller that reads lost its answer")
+			}
+		}
+		if yielded {
+			t.Error("a slow caller lost its answer while nobody needed the memory")
+		}
+		newReply()
+		if !yielded || slow.EndAwaitCaller() {
+			t.Errorf("a slow caller kept its answer; yielded: %v", yielded)
+		}
+		if now := time.Now(); !slow.isHeldUp(now) || quick.isHeldUp(now) || slow.isHeldUp(now.Add(heldUpFor)) {
+			t.Error("the slow caller, and only it, has held its answer up for a while")
+		}
+	})
+}
--- a/limiter/memory.go
+++ b/limiter/memory.go
@@ -73,6 +73,8 @@
 	// The memory's mutex guards the fields from held on.
 	held     int64
 	released bool
+	// taken is set if the lease was released for others, since its peer was slow.
+	taken bool
 	// since is when the holder began to wait for the present step of its peer, and step how many
 	// bytes of it the peer has moved, less than stepBytes.
 	since time.Time
@@ -142,6 +144,7 @@
 		}
 		yields = append(yields, leases[at].yield)
 		m.taken.Inc(1)
+		leases[at].taken = true
 		m.release(leases[at])
 	}
 	return yields
@@ -212,7 +215,7 @@
 }
 
 // EndAwait notes that the holder no longer waits for its peer. It returns false if the lease was
-// released meanwhile, so that the holder must stop.
+// taken for others, so that the holder must stop.
 func (l *Lease) EndAwait() bool {
 	if l == nil {
 		return true
@@ -220,7 +223,7 @@
 	l.memory.mutex.Lock()
 	defer l.memory.mutex.Unlock()
 	delete(l.memory.waiting, l)
-	return !l.released
+	return !l.taken
 }
 
 // hasRoom reports whether a lease may grow. The caller must hold the mutex.
--- a/limiter/memory_test.go
+++ b/limiter/memory_test.go
@@ -189,3 +189,14 @@
 		}
 	})
 }
+
+// TestOwnReleaseIsNoLoss guards against an answer that is cut off because its holder gave the
+// memory back itself while the last piece was written.
+func TestOwnReleaseIsNoLoss(t *testing.T) {
+	lease := NewMemory(MemoryOptions{Limit: 1000}).NewLease()
+	lease.Await(func() { t.Error("the holder has to stop") })
+	lease.Release()
+	if !lease.EndAwait() {
+		t.Error("a lease that its holder released counts as taken")
+	}
+}
