--- a/forwarder/rate_test.go
+++ b/forwarder/rate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
@@ -17,7 +18,7 @@
 // TestInvalidRateIsLoggedOnceAProcess guards against a log line for each answer of a back end
 // that names an invalid rate, and against none after its process was replaced.
 func TestInvalidRateIsLoggedOnceAProcess(t *testing.T) {
-	b := newBalancer(unlimited{})
+	b := newBalancer(unlimited{}, tally.NoopScope)
 	first := Backend{Name: "m", Started: time.UnixMilli(1)}
 	second := Backend{Name: "m", Started: time.UnixMilli(2)}
 	for _, step := range []struct {
--- a/limiter/hedger.go
+++ b/limiter/hedger.go
@@ -33,6 +33,7 @@
 	maxTries     = 4
 	maxSentTries = 2
 )
+
 // Panicked is the error type of a try whose Send panicked. The call may have been made.
 var Panicked = errorx.NewNamespace("limiter").NewType("panicked")
 
