Play accounts in the soak

It checks that requests run for their key's account, without the key, not with a key taken away, and that the account stays within its quota and the tolerance in each window.

--- a/starter/fleet_test.go
+++ b/starter/fleet_test.go
@@ -54,6 +54,8 @@
 	capacity int
 	// maxBodyBytes is the limit on bodies of each configuration; zero means 100,000.
 	maxBodyBytes int
+	// apiKey is the key of requests that have none of their own; empty means none.
+	apiKey string
 	// extraServices are further services of each configuration.
 	extraServices []map[string]any
 	// configuration is the latest configuration that was stored.
@@ -377,6 +379,9 @@
 		c.deadline = 2 * time.Second
 	}
 	httpRequest.Header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
+	if f.apiKey != "" && httpRequest.Header.Get("Api-Key") == "" {
+		httpRequest.Header.Set("Api-Key", f.apiKey)
+	}
 	return httpRequest, attempt
 }
 
--- a/starter/soak_callers_test.go
+++ b/starter/soak_callers_test.go
@@ -48,6 +48,10 @@
 	isRouted bool
 	// probedVersion, if set, is the oldest configuration with the request's route.
 	probedVersion int
+	// account is the account of the request's key; empty means soakAccount, if there are accounts.
+	account string
+	// withdrawnVersion, if set, is the only configuration with the request's key.
+	withdrawnVersion int
 }
 
 // newSoakRequest returns a request of the kind, below soakRequestKinds.
@@ -115,6 +119,9 @@
 				caller := &soakCaller{run: s, node: n}
 				for ctx.Err() == nil {
 					s.check(caller.send(s.newSoakRequest(kind, random)))
+					if withdrawn, ok := s.newWithdrawnRequest(); ok && s.kind == accountSoak && kind == 1 {
+						s.check(caller.send(withdrawn))
+					}
 					time.Sleep(20 * time.Millisecond)
 				}
 				caller.disconnect()
@@ -194,13 +201,20 @@
 		s.errorf(o, "the stream has %d events of %d and looks complete", countEvents(o.body), o.events)
 	}
 	switch o.status {
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusRequestEntityTooLarge:
+	case http.StatusUnauthorized:
+		if o.withdrawnVersion == 0 {
+			s.errorf(o, "a proper request was refused")
+		}
+	case http.StatusBadRequest, http.StatusForbidden, http.StatusRequestEntityTooLarge:
 		s.errorf(o, "a proper request was refused")
 	case http.StatusNotFound:
 		if o.probedVersion == 0 {
 			s.errorf(o, "a proper request was refused")
 		}
 	}
+	if s.kind == accountSoak {
+		s.checkAccount(o)
+	}
 	if s.kind == plannedSoak && o.truncated {
 		s.checkCut(o)
 	}
--- a/starter/soak_operator_test.go
+++ b/starter/soak_operator_test.go
@@ -27,6 +27,8 @@
 	next        string
 	// extraRoutes is the number of routes for no request.
 	extraRoutes int
+	// accounts returns the accounts of a configuration; nil if there are none.
+	accounts func(version int) []map[string]any
 }
 
 type configurationAck struct {
@@ -84,6 +86,9 @@
 	}
 	routes = append(routes, manyRoutes(p.extraRoutes)...)
 	p.newest = p.fleet.newConfiguration(service, routes...)
+	if p.accounts != nil {
+		p.newest["tenants"] = p.accounts(version)
+	}
 	p.fleet.objects.Put("config", "main", p.newest)
 	p.acks = append(p.acks, configurationAck{version: version, service: service, from: time.Now()})
 }
--- a/starter/soak_processes_test.go
+++ b/starter/soak_processes_test.go
@@ -28,7 +28,7 @@
 		"listenAddrs": map[string]string{"front": ip + ":8144", "ready": ip + ":8140", "directory": ip + ":8143"},
 		"portRange":   []int{7660, 7670},
 		"limits":      map[string]any{"memoryMb": memoryMb, "maxFds": s.maxFiles},
-		"bounds":      map[string]any{"drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 56, "ttl_max_s": 5},
+		"bounds":      map[string]any{"drainMs": 2000, "graceS": 8, "configApplyMs": 2000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 56, "quotaWindowS": soakQuotaWindow.Seconds(), "quotaOver": soakQuotaOver, "quotaSlack": soakQuotaSlack, "ttl_max_s": 5},
 		"platform":    map[string]any{"address": s.ip(1, 10+n) + ":8000"},
 	})
 	if err != nil {
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -68,26 +68,31 @@
 	// deadlySoak lets requests with one part in their prompts crash the engines that answer
 	// them, beside ends of nodes and planned work.
 	deadlySoak
+	// accountSoak takes keys away while one account sends more than its quota, beside ends and
+	// pauses of nodes, planned work and a store that turns nodes away.
+	accountSoak
 	soakKindCount
 	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed,
-	// unstrainedKindCount that of those below firstStrainedSeed, and unharmedKindCount that of
-	// those below firstDeadlySeed.
+	// unstrainedKindCount that of those below firstStrainedSeed, unharmedKindCount that of those
+	// below firstDeadlySeed, and anonymousKindCount that of those below firstAccountSeed.
 	earlierKindCount    = limitedSoak
 	unstrainedKindCount = strainedSoak
 	unharmedKindCount   = deadlySoak
+	anonymousKindCount  = accountSoak
 )
 
-// firstLimitedSeed, firstStrainedSeed and firstDeadlySeed are the first seeds that may be of a
-// kind from limitedSoak, strainedSoak or deadlySoak on: earlier seeds keep the kind with which
+// firstLimitedSeed, firstStrainedSeed, firstDeadlySeed and firstAccountSeed are the first seeds
+// that may be of a kind from limitedSoak, strainedSoak, deadlySoak or accountSoak on: earlier seeds keep the kind with which
 // they were run.
 const (
 	firstLimitedSeed  = 300_000
 	firstStrainedSeed = 400_000
 	firstDeadlySeed   = 500_000
+	firstAccountSeed  = 600_000
 )
 
 // coverageSeeds run always: the first of each kind that the default seeds do not have.
-var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4, firstDeadlySeed + 3}
+var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4, firstDeadlySeed + 3, firstAccountSeed + 4}
 
 func kindOfSeed(seed uint64) soakKind {
 	switch {
@@ -97,6 +102,8 @@
 		return soakKind(seed) % unstrainedKindCount
 	case seed < firstDeadlySeed:
 		return soakKind(seed) % unharmedKindCount
+	case seed < firstAccountSeed:
+		return soakKind(seed) % anonymousKindCount
 	default:
 		return soakKind(seed) % soakKindCount
 	}
@@ -280,6 +287,9 @@
 	s.startNodes()
 	ctx, stop := context.WithCancel(t.Context())
 	callerGroup := s.startCallers(ctx)
+	if s.kind == accountSoak {
+		callerGroup.Go(func() { s.sendHot(ctx) })
+	}
 	copier := make(chan struct{})
 	s.takeCopy()
 	s.background.Go(func() { s.keepCopies(copier) })
@@ -306,6 +316,9 @@
 		s.fleet.maxBodyBytes = soakMaxBodyBytes
 	}
 	s.operator = &operator{fleet: s.fleet}
+	if s.kind == accountSoak {
+		s.operator.accounts, s.fleet.apiKey = soakAccounts, soakKey
+	}
 	s.fleet.extraServices = []map[string]any{{"name": "slow", "healthPath": "/health", "maxConns": 100 * s.fleet.capacity}}
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Second, DisableCompression: true}
 	s.fleet.client = &http.Client{Transport: transport, Timeout: 10 * time.Second}
@@ -458,6 +471,8 @@
 	case s.kind == deadlySoak && chance < 2:
 		s.kill(s.random.IntN(len(s.processes)))
 		return func() {}
+	case s.kind == accountSoak && chance < 4:
+		return s.startAccountFault()
 	case s.kind == mixedSoak && chance < 4:
 		return s.startOutage()
 	default:
