Refuse a retry before its caller leaves its stream

A retry waited for memory as long as its caller's deadline allowed, up to 8 s.

A route says how long its callers wait for an event, and a retry waits no longer. TestRetryLeavesBeforeItsCaller fails without the change.

--- a/dispatcher/wire.go
+++ b/dispatcher/wire.go
@@ -47,6 +47,9 @@
 		// Zero would mean unknown.
 		message.LeftNanoseconds = int64(max(1, d.TimeLeft-(d.FirstTokenBudget-wait)))
 	}
+	if d.FirstTokenTimeLeft > 0 {
+		message.FirstLeftNanoseconds = int64(max(1, d.FirstTokenTimeLeft-(d.FirstTokenBudget-wait)))
+	}
 	for _, member := range d.Avoid {
 		message.Avoid = append(message.Avoid, string(member))
 	}
@@ -79,9 +82,12 @@
 		QueueTimeout:     boundedDuration(message.GetHoldNanoseconds()),
 		RetryKey:         message.GetReturning(),
 		TimeLeft:         boundedDuration(message.GetLeftNanoseconds()),
-		TargetMissed:     message.GetLate(),
-		Suspect:          message.GetSuspect(),
-		NoResume:         message.GetFresh(),
+
+		FirstTokenTimeLeft: boundedDuration(message.GetFirstLeftNanoseconds()),
+
+		TargetMissed: message.GetLate(),
+		Suspect:      message.GetSuspect(),
+		NoResume:     message.GetFresh(),
 	}
 	for _, member := range message.GetAvoid()[:min(len(message.GetAvoid()), maxAvoided)] {
 		d.Avoid = append(d.Avoid, identifier.Member(member))
--- a/dispatcher/wire_test.go
+++ b/dispatcher/wire_test.go
@@ -19,9 +19,10 @@
 		"sent later":   {8 * time.Second, time.Second, 7 * time.Second},
 		"used up":      {time.Second, 2 * time.Second, 1},
 	} {
-		d := placer.Demand{FirstTokenBudget: 500 * time.Millisecond, TimeLeft: c.left}
-		if got := decodeDemand("m", "n", encodeDemand(&d, d.FirstTokenBudget-c.waited)).TimeLeft; got != c.want {
-			t.Errorf("%s: %v instead of %v", name, got, c.want)
+		d := placer.Demand{FirstTokenBudget: 500 * time.Millisecond, TimeLeft: c.left, FirstTokenTimeLeft: c.left}
+		got := decodeDemand("m", "n", encodeDemand(&d, d.FirstTokenBudget-c.waited))
+		if got.TimeLeft != c.want || got.FirstTokenTimeLeft != c.want {
+			t.Errorf("%s: %v and %v instead of %v", name, got.TimeLeft, got.FirstTokenTimeLeft, c.want)
 		}
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -122,22 +122,34 @@
 	return c.route.Target - time.Since(c.request.Arrived) - firstEventMargin
 }
 
+// patienceLeft returns how long the caller still waits for a stream's first event, at least
+// minGrantWait; zero means unknown.
+func (c *call) patienceLeft() time.Duration {
+	if c.route.Patience <= 0 {
+		return 0
+	}
+	return max(minGrantWait, c.route.Patience-time.Since(c.request.Arrived))
+}
+
 func (c *call) newDemand() placer.Demand {
 	cost := c.request.Cost
 	rejecting, _ := c.balancer.rejecting(time.Now(), c.backendTable().Pool(c.pool.Name, ""))
 	return placer.Demand{
-		Request:          identifier.Request(c.request.Attempt),
-		Attempt:          uint64(time.Now().UnixMilli()),
-		Pool:             c.pool.Name,
-		Route:            c.route.Name,
-		Rank:             identifier.Rank(min(max(0, c.rank()), int(identifier.Lesser))),
-		Account:          c.account.Name,
-		DataCentre:       c.options.DataCentre,
-		Prompt:           max(1, cost.Prompt),
-		MaxOutput:        cost.Limit,
-		OutputHint:       cost.Hint,
-		QueueTimeout:     time.Duration(float64(c.route.Target) * grantWaitShare),
-		TimeLeft:         time.Until(c.deadline),
+		Request:      identifier.Request(c.request.Attempt),
+		Attempt:      uint64(time.Now().UnixMilli()),
+		Pool:         c.pool.Name,
+		Route:        c.route.Name,
+		Rank:         identifier.Rank(min(max(0, c.rank()), int(identifier.Lesser))),
+		Account:      c.account.Name,
+		DataCentre:   c.options.DataCentre,
+		Prompt:       max(1, cost.Prompt),
+		MaxOutput:    cost.Limit,
+		OutputHint:   cost.Hint,
+		QueueTimeout: time.Duration(float64(c.route.Target) * grantWaitShare),
+		TimeLeft:     time.Until(c.deadline),
+
+		FirstTokenTimeLeft: c.patienceLeft(),
+
 		RetryKey:         c.request.Fingerprint,
 		FirstTokenBudget: max(minGrantWait, c.grantTimeLeft()),
 		TargetMissed:     c.grantTimeLeft() <= 0,
--- a/forwarder/table.go
+++ b/forwarder/table.go
@@ -47,6 +47,9 @@
 	Target time.Duration
 	// MaxEventGap is the longest allowed pause between two events of a stream.
 	MaxEventGap time.Duration
+	// Patience is how long a caller waits for the next event of a stream, also for the first;
+	// zero means unknown.
+	Patience time.Duration
 	// Backends is the maximum number of back ends that may run one request, at least one.
 	Backends int
 	// Public means that the route's requests need no API key.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,6 +41,9 @@
 	QueueTimeout time.Duration
 	// TimeLeft is how long the caller still waits for the complete answer; zero means unknown.
 	TimeLeft time.Duration
+	// FirstTokenTimeLeft is how long the caller still waits for the first token; zero means unknown.
+	// It is longer than FirstTokenBudget, after which the answer is late.
+	FirstTokenTimeLeft time.Duration
 	// TargetMissed marks a demand that already missed its first-token target while its
 	// caller still waits. A late answer is better than none.
 	TargetMissed bool
--- a/placer/retries.go
+++ b/placer/retries.go
@@ -18,10 +18,12 @@
 	// run now have ended twice over; a pool without room for that long needs fewer callers, and
 	// each waiting retry keeps its body in its node's memory.
 	maxRetryQueueTime = 8 * time.Second
+	// abandonMargin is the time for a first token to reach a caller that is about to leave.
+	abandonMargin = 150 * time.Millisecond
 )
 
 // limitRetryWait lets a retry wait for memory as long as its caller's time left allows after
-// the time of its run.
+// the time of its run, and as long as its caller waits for a first token.
 func (p *Placer) limitRetryWait(now time.Time, w *waitingDemand) {
 	left := w.demand.TimeLeft
 	if left <= 0 {
@@ -31,6 +33,9 @@
 	}
 	start := p.minReadyTime(now, &w.demand) + p.firstTokenDelay()
 	w.maxWait = min(left-start-p.expectedDecodeTime(w, p.averageTokenTime), maxRetryQueueTime)
+	if first := w.demand.FirstTokenTimeLeft; first > 0 {
+		w.maxWait = min(w.maxWait, first-start-abandonMargin)
+	}
 	w.latestStart = now.Add(w.maxWait)
 	w.deadline = w.latestStart.Add(start)
 }
--- a/placer/retries_test.go
+++ b/placer/retries_test.go
@@ -166,3 +166,17 @@
 		t.Errorf("%s", sum)
 	}
 }
+
+// TestRetryLeavesBeforeItsCaller guards against a retry that is kept in the queue although its
+// caller leaves a stream without a first token sooner than its deadline says: the caller gets
+// neither an answer nor a refusal.
+func TestRetryLeavesBeforeItsCaller(t *testing.T) {
+	p, now := New(time.Unix(0, 0), Settings{UseForecast: true}), time.Unix(0, 0)
+	for _, patience := range []time.Duration{0, 3 * time.Second} {
+		w := &waitingDemand{demand: Demand{Prompt: 1000, TimeLeft: 20 * time.Second, FirstTokenTimeLeft: patience}}
+		p.limitRetryWait(now, w)
+		if want := patience - abandonMargin; patience > 0 && w.maxWait > want || patience == 0 && w.maxWait != maxRetryQueueTime {
+			t.Errorf("a caller that waits %v for its first token: the retry waits %v", patience, w.maxWait)
+		}
+	}
+}
