Call no yield after its holder has gone on

Cause: Lease.Grow released the leases of slow peers under the lock, but called their yields after it. A holder that saw its lease taken could return meanwhile; the yield then set a deadline on a finished request. That panics for HTTP/2, in the goroutine of another request, and for HTTP/1 it ends the next request of the connection.

Change: EndAwait and Release of a taken lease wait until its yield has returned.

Result: TestNoYieldAfterTheWait fails without the change; go test -race of limiter, connector, forwarder and platform passes.

--- a/limiter/memory.go
+++ b/limiter/memory.go
@@ -81,6 +81,8 @@
 	step  int64
 	// yield makes the holder stop waiting.
 	yield func()
+	// yielded, set with taken, is closed once yield has returned.
+	yielded chan struct{}
 }
 
 // NewLease returns an empty lease, to be released. A nil Memory returns a nil lease.
@@ -99,7 +101,7 @@
 	}
 	m := l.memory
 	m.mutex.Lock()
-	yields := m.makeRoom(l, bytes, time.Now())
+	lost := m.makeRoom(l, bytes, time.Now())
 	granted := !l.released && m.hasRoom(l.held, bytes)
 	if granted {
 		l.held += bytes
@@ -109,12 +111,19 @@
 		m.refused.Inc(1)
 	}
 	m.mutex.Unlock()
-	for _, yield := range yields {
-		yield()
+	for _, other := range lost {
+		// Deferred, so that after a panic of one yield the other holders don't wait for good.
+		defer other.callYield()
 	}
 	return granted
 }
 
+// callYield makes the holder of a taken lease stop.
+func (l *Lease) callYield() {
+	defer close(l.yielded)
+	l.yield()
+}
+
 const (
 	// stepBytes is what a peer has to move within slowAfter so that its holder is not the first to
 	// lose its memory. At this pace a body of 4 MB takes over four minutes, longer than any
@@ -124,8 +133,8 @@
 )
 
 // makeRoom takes the leases of the slowest peers until a lease may grow, or no other peer is slow.
-// It returns what makes their holders stop. The caller must hold the mutex.
-func (m *Memory) makeRoom(growing *Lease, bytes int64, now time.Time) (yields []func()) {
+// It returns the leases taken, whose holders must be made to stop. The caller must hold the mutex.
+func (m *Memory) makeRoom(growing *Lease, bytes int64, now time.Time) (lost []*Lease) {
 	if !m.couldHaveRoom(growing, bytes, now) {
 		return nil
 	}
@@ -140,14 +149,14 @@
 		}
 		at := SlowestPeer(peers, now)
 		if at < 0 {
-			return yields
+			return lost
 		}
-		yields = append(yields, leases[at].yield)
+		lost = append(lost, leases[at])
 		m.taken.Inc(1)
-		leases[at].taken = true
+		leases[at].taken, leases[at].yielded = true, make(chan struct{})
 		m.release(leases[at])
 	}
-	return yields
+	return lost
 }
 
 // couldHaveRoom reports whether a lease may grow once all slow peers have lost theirs. The caller
@@ -215,15 +224,19 @@
 }
 
 // EndAwait notes that the holder no longer waits for its peer. It returns false if the lease was
-// taken for others, so that the holder must stop.
+// taken for others, so that the holder must stop. After EndAwait, yield is no longer called.
 func (l *Lease) EndAwait() bool {
 	if l == nil {
 		return true
 	}
 	l.memory.mutex.Lock()
-	defer l.memory.mutex.Unlock()
 	delete(l.memory.waiting, l)
-	return !l.taken
+	taken := l.taken
+	l.memory.mutex.Unlock()
+	if taken {
+		<-l.yielded
+	}
+	return !taken
 }
 
 // hasRoom reports whether a lease may grow. The caller must hold the mutex.
@@ -252,15 +265,19 @@
 	m.used.Update(float64(m.held))
 }
 
-// Release gives all bytes back. The lease can't grow again.
+// Release gives all bytes back. The lease can't grow again, and yield is no longer called.
 func (l *Lease) Release() {
 	if l == nil {
 		return
 	}
 	m := l.memory
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	m.release(l)
+	taken := l.taken
+	m.mutex.Unlock()
+	if taken {
+		<-l.yielded
+	}
 }
 
 // release releases a lease. The caller must hold the mutex.
--- a/limiter/memory_test.go
+++ b/limiter/memory_test.go
@@ -200,3 +200,35 @@
 		t.Error("a lease that its holder released counts as taken")
 	}
 }
+
+// TestNoYieldAfterTheWait guards against a yield that is called once the holder has gone on: it
+// sets a deadline of a request, which panics for HTTP/2 when the request's handler has returned.
+func TestNoYieldAfterTheWait(t *testing.T) {
+	for name, end := range map[string]func(*Lease){
+		"end of the wait": func(l *Lease) { l.EndAwait() },
+		"release":         (*Lease).Release,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := NewMemory(MemoryOptions{Limit: 100_000})
+				slow, late := m.NewLease(), m.NewLease()
+				yielded := false
+				slow.Await(func() {
+					time.Sleep(time.Second)
+					yielded = true
+				})
+				if !slow.Grow(80_000) {
+					t.Fatal("the memory has no room")
+				}
+				time.Sleep(slowAfter)
+				go late.Grow(80_000)
+				synctest.Wait()
+				end(slow)
+				if !yielded {
+					t.Error("the holder goes on before the yield")
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
