Notice slow readers of answers in one way

Cause: two parts that were merged each noticed a caller that leaves its answer unread: one for the back end's health, for 15 s after a write of a second, and one for the outcomes of engines, for the rest of the stream after a pause of half a second. So one short pause early in a stream excused its engine for each later fault.

Change: the outcomes use Reply.isHeldUp too. An engine cuts off what nobody reads for some seconds, during which one write takes more than a second.

Result: the case "caller reads again" of TestEndingsOfStreams fails without the change. The case "caller does not read" now marks the pause as the caller's, as platform does around each write; it expects the same.

--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -19,9 +19,6 @@
 	stallGaps = 10
 	// minPrefillTimeout is the shortest timeout of a prefill that counts against its engine.
 	minPrefillTimeout = 500 * time.Millisecond
-	// slowReaderPause is how long a caller may leave an answer unread before the end of its
-	// stream no longer counts against the engine: engines cut off what nobody reads.
-	slowReaderPause = 500 * time.Millisecond
 )
 
 // endingOfError tells what a failed call says about its engine. crashed is set if the engine
@@ -78,7 +75,7 @@
 // the caller, the deadline or this node ended it.
 func (r *Reply) endingOfStream(refusal *router.Refusal, cause error, crashed bool) placer.Ending {
 	switch {
-	case r.slowReader || r.call.isLeaving(r.backend):
+	case r.isHeldUp(time.Now()) || r.call.isLeaving(r.backend):
 		return placer.EndingUnknown
 	case refusal == nil:
 		return r.call.endingOfError(r.backend, cause, crashed)
--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -125,6 +125,7 @@
 		{name: "caller leaves before an event", fleet: endingFleet{sendTime: time.Minute}, leavesAfter: 3 * time.Second, prefill: placer.Answered},
 		{name: "node drains", fleet: endingFleet{sendTime: time.Minute}, stopsAfter: 3 * time.Second, prefill: placer.Answered},
 		{name: "engine drains", fleet: endingFleet{body: one, bodyError: cut, bodyTime: time.Second}, engineLeaves: true, prefill: placer.Answered},
+		{name: "caller reads again", fleet: endingFleet{body: one, bodyError: cut, bodyTime: 2 * heldUpFor}, readsAfter: 4 * time.Second, timeout: time.Minute, prefill: placer.Answered, decode: placer.BrokenOff},
 		{name: "caller does not read", fleet: endingFleet{body: one, bodyError: cut}, readsAfter: 4 * time.Second, prefill: placer.Answered},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -157,7 +158,9 @@
 					}
 					buffer := make([]byte, 5)
 					_, err := reply.Read(buffer)
+					reply.AwaitCaller(func() {})
 					time.Sleep(test.readsAfter)
+					reply.EndAwaitCaller()
 					for err == nil {
 						_, err = reply.Read(buffer)
 					}
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -42,10 +42,6 @@
 	soundReported bool
 	lastEventAt   time.Time
 	longestPause  time.Duration
-	// lastReadAt is when Read last returned, and slowReader set once the caller has left the
-	// answer unread for long.
-	lastReadAt time.Time
-	slowReader bool
 	// awaitedSince is when the caller was last given a piece, and heldUpAt when it last held the
 	// answer up, zero if it never did.
 	awaitedSince, heldUpAt time.Time
@@ -163,11 +159,7 @@
 			n, err = 0, r.endAfterPanic(value)
 		}
 	}()
-	if began := time.Now(); !r.lastReadAt.IsZero() && began.Sub(r.lastReadAt) >= slowReaderPause {
-		r.slowReader = true
-	}
 	n, err = r.readBody(buffer)
-	r.lastReadAt = time.Now()
 	if err == nil {
 		return n, nil
 	}
