Drop returns and reports in an account's earlier unit

Cause: when the unit of a quota changes, the owner's bucket starts to count in the new one, but still took what nodes gave back or reported in the old one. 5500 tokens given back filled a bucket of requests, and 5500 reported ones emptied it.

Change: the bucket counts as begun anew, so that earlier returns and reports are ignored.

--- a/accountant/bucket.go
+++ b/accountant/bucket.go
@@ -34,7 +34,7 @@
 	promisedUntil time.Time
 	// granted has what was granted and what nodes reported that they had taken from others.
 	granted window
-	// startedAt is when this node began to keep the bucket.
+	// startedAt is when this node began to keep the bucket in its present unit.
 	startedAt time.Time
 	// reporters are the nodes whose reports are counted; nil one window after startedAt.
 	reporters map[identifier.Node]struct{}
@@ -86,8 +86,9 @@
 func (b *bucket) setQuota(now time.Time, bounds Bounds, quota limiter.AccountQuota) {
 	b.refill(now)
 	if quota.Tokens != b.quota.Tokens {
-		// What was counted is in another unit.
+		// What was counted, and what nodes report or give back from before, is in another unit.
 		b.level, b.granted = 0, window{}
+		b.startedAt, b.reporters = now, nil
 	}
 	b.quota, b.capacity = quota, bounds.saved(quota)
 	b.level = min(b.level, b.capacity)
--- a/accountant/bucket_test.go
+++ b/accountant/bucket_test.go
@@ -180,6 +180,28 @@
 	}
 }
 
+// TestReturnsInAnotherUnit guards against tokens that are given back, or reported, to a bucket that
+// counts requests since the account's unit changed: they would fill or empty it.
+func TestReturnsInAnotherUnit(t *testing.T) {
+	a := newOwner()
+	l, now := a.ledger, time.Now()
+	l.observe(now, a.options.View())
+	tokens := l.decide(now, &query{node: "n001", account: "x", quota: tokenQuota(100_000), amount: 5500})
+	now = now.Add(500 * time.Millisecond)
+	l.observe(now, a.options.View())
+	requests := limiter.AccountQuota{Rate: 10, Burst: 10}
+	l.decide(now, &query{node: "n001", account: "x", quota: requests, amount: 1})
+	level := l.buckets["x"].level
+	l.giveBack(now, "x", 5500, tokens.at, tokens.deputy)
+	if got := l.buckets["x"].level; got != level || !tokens.granted {
+		t.Errorf("the level rose from %.1f to %.1f; granted: %v", level, got, tokens.granted)
+	}
+	l.decide(now, &query{node: "n002", account: "x", quota: requests, amount: 1, spent: 5500})
+	if counted := l.buckets["x"].granted.sum; counted > 2 {
+		t.Errorf("%.0f requests are counted", counted)
+	}
+}
+
 // TestOddMessages guards against numbers of another node that make a level or a wait absurd.
 func TestOddMessages(t *testing.T) {
 	a := newOwner()
