Refuse an aborted look-up as of unknown outcome

Cause: limiter.Hedge does not report a try that ends with http.ErrAbortHandler, and only the report noted that the request may have run. The look-up was refused with 503, and what its account had taken was given back.

Change: a try notes it itself, whatever its panic.

Result: TestAbortedLookUpMayHaveRun fails without the change (not-run); go test -race ./forwarder passes.

--- a/forwarder/panic_test.go
+++ b/forwarder/panic_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -146,3 +147,22 @@
 		})
 	}
 }
+
+// abortingFleet aborts each send as a handler of net/http does.
+type abortingFleet struct{ *lookUpBackends }
+
+func (abortingFleet) Send(context.Context, Work) (*Answer, error) { panic(http.ErrAbortHandler) }
+
+// TestAbortedLookUpMayHaveRun guards against a look-up whose tries end with http.ErrAbortHandler,
+// which is not reported as a panic, and that is refused as not run.
+func TestAbortedLookUpMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := &lookUpBackends{}
+		f, _ := newLookUps(backends)
+		f.options.Backends = abortingFleet{backends}
+		_, refusal := f.Forward(t.Context(), &Request{Attempt: "a", Path: "/find", Arrived: time.Now(), Timeout: time.Second})
+		if refusal == nil || refusal.Outcome != router.Unknown {
+			t.Errorf("got %+v", refusal)
+		}
+	})
+}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -211,10 +211,7 @@
 	l := &lookUp{call: c, first: first}
 	reply, release, err := limiter.Hedge(c.ctx, c.options.Budgets.Pool(c.pool.Name), limiter.HedgeOptions[*Reply]{
 		Delay: c.hedgeDelay(), Send: l.try, Unsent: unsent,
-		OnPanic: func(value any, stack []byte) {
-			l.mayHaveRun.Store(true)
-			c.reportPanic("hedge", value, stack)
-		},
+		OnPanic: func(value any, stack []byte) { c.reportPanic("hedge", value, stack) },
 	})
 	release()
 	if l.mayHaveRun.Load() {
@@ -242,10 +239,15 @@
 	if !ok {
 		return nil, errNoBackend
 	}
+	notRun := false
+	defer func() {
+		// Also after a panic, whatever its value.
+		if !notRun {
+			l.mayHaveRun.Store(true)
+		}
+	}()
 	reply, err := l.sendAndRead(ctx, backend, try > 0)
-	if !provenNotRun(err) {
-		l.mayHaveRun.Store(true)
-	}
+	notRun = provenNotRun(err)
 	if err == nil && reply.Status >= http.StatusInternalServerError {
 		l.fault.Store(reply)
 		return nil, errBackendFault
