Prefer no probe that ends too late

Cause: a limited prefill engine that was due for a probe was preferred over all others, also when it is too slow for the demand. The demand was then refused as too late though another engine had room; and as no probe was granted, so were all demands that followed.

Change: the preference applies only if the probe ends in time for the demand.

Result: TestProbeInTime fails without the change (12 of 12 demands refused) and passes with it; go test ./placer ./dispatcher passes.

--- a/placer/outcomes_test.go
+++ b/placer/outcomes_test.go
@@ -396,3 +396,26 @@
 		}
 	})
 }
+
+// TestProbeInTime guards against a probe of an engine that is too slow for a demand: the demand was
+// refused though another engine had room, and so were all that followed, as the probe was still due.
+func TestProbeInTime(t *testing.T) {
+	f := newOutcomeFleet(t, 2, 2)
+	f.play(time.Second, 10)
+	slow := f.placer.engines["p0"]
+	slow.learnedPrefillRate = 500
+	slow.outcomes.limitedSince, slow.outcomes.probedAt = f.now, f.now
+	slow.outcomes.record = OutcomeRecord{failures: maxRecordedFailures, decayedAt: f.now}
+	f.placer.hasOutcomes, f.placer.probeCredit[0] = true, 1
+	f.placements = nil
+	f.play(3*time.Second, 4)
+	refused := 0
+	for _, placed := range f.placements {
+		if placed.prefill == "" {
+			refused++
+		}
+	}
+	if !slow.outcomes.isLimited() || len(f.placements) < 10 || refused > 0 {
+		t.Errorf("%d of %d demands were refused; limited: %v", refused, len(f.placements), slow.outcomes.isLimited())
+	}
+}
--- a/placer/place.go
+++ b/placer/place.go
@@ -145,7 +145,7 @@
 // is too late. It may preempt lesser streams for an urgent demand.
 func (p *Placer) tryPlace(now time.Time, w *waitingDemand) placeResult {
 	d := &w.demand
-	plan := p.bestPrefill(now, d)
+	plan := p.bestPrefill(now, w)
 	prefillWaits := plan.engine == nil || plan.begin.Sub(now) > p.settings.MaxPrefillWait
 	if prefillWaits && p.grantLocalPrefill(now, w) {
 		return placed
@@ -196,8 +196,10 @@
 
 // bestPrefill returns the plan with the earliest ready time; its engine is nil if no
 // engine accepts the demand. CrossDataCentrePenalty is added for engines outside the
-// submitting node's data centre.
-func (p *Placer) bestPrefill(now time.Time, d *Demand) prefillPlan {
+// submitting node's data centre. A limited engine that may get a probe is preferred if it can end
+// the prefill in time.
+func (p *Placer) bestPrefill(now time.Time, w *waitingDemand) prefillPlan {
+	d := &w.demand
 	var best prefillPlan
 	var bestAt time.Time
 	p.matchPrefixes(now, d)
@@ -212,7 +214,9 @@
 			if plan.begin.Sub(now) > p.settings.MaxPrefillWait || plan.linkWait > p.settings.MaxLinkWait {
 				continue
 			}
-			at = at.Add(-preference)
+			if !plan.ready.Add(p.firstTokenDelay()).After(w.deadline) {
+				at = at.Add(-preference)
+			}
 		}
 		if e.DataCentre != d.DataCentre {
 			at = at.Add(p.settings.CrossDataCentrePenalty)
