--- a/connector/panics.go
+++ b/connector/panics.go
@@ -1,16 +1,12 @@
 package connector
 
 import (
-	"fmt"
 	"net/http"
 	"runtime/debug"
 
 	"github.com/foxtailspool/foxtailspool/logger"
 )
 
-// maxStackBytes bounds the stack in a log line.
-const maxStackBytes = 4 << 10
-
 // recoverPanics logs and counts the panics of a server's handler and closes the connection of
 // the request, which may have run. http.ErrAbortHandler passes as it is.
 func recoverPanics(options ServerOptions) http.Handler {
@@ -23,12 +19,11 @@
 			}
 			if value != http.ErrAbortHandler { //nolint:errorlint // net/http compares it in the same way.
 				panics.Inc(1)
-				fields := logger.Fields{"listener": options.Name, "panic": fmt.Sprint(value)}
+				fields := logger.PanicFields(value, debug.Stack())
+				fields["listener"] = options.Name
 				if options.RequestHeader != "" {
 					fields["request"] = r.Header.Get(options.RequestHeader)
 				}
-				stack := debug.Stack()
-				fields["stack"] = string(stack[:min(len(stack), maxStackBytes)])
 				options.Log.Log(EventPanicked, fields)
 			}
 			panic(http.ErrAbortHandler)
--- a/forwarder/panic.go
+++ b/forwarder/panic.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
+	"maps"
 	"net/http"
 	"runtime/debug"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/router"
 )
 
@@ -47,9 +48,6 @@
 	return errPanicked
 }
 
-// maxStackBytes bounds the stack in a log line.
-const maxStackBytes = 4 << 10
-
 // isAbort reports whether a panic is that with which a handler of net/http aborts its answer.
 func isAbort(value any) bool {
 	return value == http.ErrAbortHandler //nolint:errorlint // net/http compares it in the same way.
@@ -62,8 +60,7 @@
 	}
 	c.metrics.scope.Tagged(map[string]string{"where": where}).Counter("panics").Inc(1)
 	fields := c.logFields()
+	maps.Copy(fields, logger.PanicFields(value, stack))
 	fields["where"] = where
-	fields["panic"] = fmt.Sprint(value)
-	fields["stack"] = string(stack[:min(len(stack), maxStackBytes)])
 	c.options.Log.Log(eventPanicked, fields)
 }
