Count promised returns by the steady clock

Cause: the slots of promised returns were numbered by the time of day. A step of it dropped the promises, and refused callers were told the same time again.

Change: slots are counted from a time of the steady clock.

Result: TestPromisesUseSteadyClock checks the origin, which did not exist before; go test ./placer passes.

--- a/placer/returns.go
+++ b/placer/returns.go
@@ -62,21 +62,28 @@
 // promiseRing has the memory, in tokens, that refused callers were told to come back for, by the
 // slot of their return. Entries of the past count as empty.
 type promiseRing struct {
-	slots [returnSlots]promiseSlot
+	// origin is when slots are counted from, an hour before the first promise; zero without one.
+	origin time.Time
+	slots  [returnSlots]promiseSlot
 }
 
-// promiseSlot is the sum of the promises for one slot. Slots are numbered since the Unix epoch.
+// promiseSlot is the sum of the promises for one slot.
 type promiseSlot struct {
 	slot   int64
 	tokens float64
 }
 
-func slotOf(at time.Time) int64 {
-	return at.UnixNano() / int64(returnSlot)
+// slotOf returns the slot of a time. It follows the steady clock: with the time of day, a step of
+// that would drop the promises or move them.
+func (r *promiseRing) slotOf(at time.Time) int64 {
+	return int64(at.Sub(r.origin) / returnSlot)
 }
 
 func (r *promiseRing) add(at time.Time, tokens float64) {
-	slot := slotOf(at)
+	if r.origin.IsZero() {
+		r.origin = at.Add(-time.Hour)
+	}
+	slot := r.slotOf(at)
 	entry := &r.slots[slot%returnSlots]
 	if entry.slot != slot {
 		*entry = promiseSlot{slot: slot}
@@ -86,7 +93,10 @@
 
 // between returns what was promised for the slots after from, up to and with that of until.
 func (r *promiseRing) between(from, until time.Time) float64 {
-	first, last := slotOf(from)+1, slotOf(until)
+	if r.origin.IsZero() {
+		return 0
+	}
+	first, last := r.slotOf(from)+1, r.slotOf(until)
 	sum := 0.0
 	for i := range r.slots {
 		if entry := &r.slots[i]; entry.slot >= first && entry.slot <= last {
--- a/placer/returns_test.go
+++ b/placer/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,6 +79,17 @@
 	}
 }
 
+// TestPromisesUseSteadyClock guards against promises that are dropped or moved because the time of
+// day has jumped.
+func TestPromisesUseSteadyClock(t *testing.T) {
+	var r promiseRing
+	r.add(time.Now(), 1)
+	// Only a time with a reading of the steady clock prints one.
+	if !strings.Contains(r.origin.String(), " m=") {
+		t.Errorf("%s has no reading of the steady clock", r.origin)
+	}
+}
+
 // TestPromisesEndWithTime guards against promises that count after their time, or for another
 // time that uses the same entry of the ring.
 func TestPromisesEndWithTime(t *testing.T) {
