Refuse an aborted call as of unknown outcome

A try notes it itself.

Result: TestAbortedCallMayHaveRun fails without the change (not-run); go test -race ./router passes.

--- a/router/panics_test.go
+++ b/router/panics_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +42,26 @@
 	f.released = append(f.released, grant)
 }
 
+type abortingParts struct{ faultyParts }
+
+func (*abortingParts) Call(context.Context, tabulator.Member, invoker.Call) (invoker.Reply, error) {
+	panic(http.ErrAbortHandler)
+}
+
+// TestAbortedCallMayHaveRun guards against a call whose tries end with http.ErrAbortHandler, which
+// is not reported as a panic, and that is refused as not run.
+func TestAbortedCallMayHaveRun(t *testing.T) {
+	parts := &abortingParts{}
+	r := New(Options{
+		Engines: parts, Placer: parts, Services: parts, Budgets: limiter.New(limiter.Options{Burst: 10}),
+		Limits: Limits{RetryAfter: time.Second}, Log: logger.Discard(), Scope: tally.NoopScope,
+	})
+	pool := tabulator.Pool{Name: "p", Members: []tabulator.Member{{Name: "m-1", Role: identifier.Service}}}
+	if _, refusal := r.callRepeatable(t.Context(), pool, Call{}); refusal == nil || refusal.Outcome != Unknown {
+		t.Errorf("the call ends with %+v", refusal)
+	}
+}
+
 // TestPanicInARequestsGoroutine guards against a fault in a goroutine that a request has
 // started, a try of a call or the cancel of an attempt, which ends the process.
 func TestPanicInARequestsGoroutine(t *testing.T) {
--- a/router/service.go
+++ b/router/service.go
@@ -78,7 +78,6 @@
 	var fault atomic.Pointer[invoker.Reply]
 	reply, release, err := limiter.Hedge(ctx, r.options.Budgets.Pool(pool.Name), limiter.HedgeOptions[*invoker.Reply]{
 		OnPanic: func(value any, stack []byte) {
-			reached.Store(true)
 			r.cleaner.panics.Inc(1)
 			request := cmp.Or(string(call.Outgoing.Key), strconv.FormatUint(call.Fingerprint, 16))
 			r.options.Log.Log(eventPanicked, panicFields(request, value, stack))
@@ -86,10 +85,15 @@
 		Send: func(ctx context.Context, try int) (*invoker.Reply, error) {
 			outgoing := call.Outgoing
 			outgoing.NewConnection = try > 0
+			unreached := false
+			defer func() {
+				// Also after a panic, whatever its value.
+				if !unreached {
+					reached.Store(true)
+				}
+			}()
 			reply, err := r.options.Services.Call(ctx, members[try%len(members)], outgoing)
-			if !errorx.IsOfType(err, invoker.ConnectFailed) {
-				reached.Store(true)
-			}
+			unreached = errorx.IsOfType(err, invoker.ConnectFailed)
 			if err == nil && reply.Status >= http.StatusInternalServerError {
 				fault.Store(&reply)
 				return nil, errServerFault
