Release the accountant's lock after a panic

Cause: a panic of a request's goroutine now ends that request only, but one during a query left the accountant's lock held. All later requests of accounts with a quota would have waited for good.

Change: the part under the lock is a function of its own that defers the unlock.

Result: TestPanicLeavesNoLock fails without the change (call 3 of View); go test ./accountant passes.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -216,25 +216,31 @@
 
 // query queries a candidate. answered is false if it did not answer in time.
 func (a *Accountant) query(ctx context.Context, candidate assigner.Member, q query) (v verdict, answered bool) {
+	v, decided, l := a.decideOrLink(candidate, &q)
+	if decided || l == nil {
+		return v, decided
+	}
+	a.metrics.queries.Inc(1)
+	return l.query(ctx, &q)
+}
+
+// decideOrLink decides on a query if the candidate is this node. Otherwise it completes the query
+// and returns the link to the candidate, or nil while Run is not running.
+func (a *Accountant) decideOrLink(candidate assigner.Member, q *query) (v verdict, decided bool, l *link) {
 	view := a.options.View()
 	q.node = view.Self.Node
 	now := time.Now()
 	a.mutex.Lock()
+	// Deferred, so that a panic, which ends one request, does not leave the others waiting.
+	defer a.mutex.Unlock()
 	s := a.spendingOf(q.account)
 	if s.reportedTo != processOf(candidate) {
 		q.spent = s.spentElsewhere(now, a.options.Bounds, processOf(candidate))
 	}
 	if candidate.Node == view.Self.Node {
-		defer a.mutex.Unlock()
-		return a.decide(now, view, &q), true
-	}
-	l := a.linkTo(candidate)
-	a.mutex.Unlock()
-	if l == nil {
-		return verdict{}, false
+		return a.decide(now, view, q), true, nil
 	}
-	a.metrics.queries.Inc(1)
-	return l.query(ctx, &q)
+	return verdict{}, false, a.linkTo(candidate)
 }
 
 // decide decides on a query as the account's owner or deputy. The caller must hold the mutex.
--- a/accountant/bucket_test.go
+++ b/accountant/bucket_test.go
@@ -202,6 +202,28 @@
 	}
 }
 
+// TestPanicLeavesNoLock guards against a fault of this program during one request's query that makes
+// the requests of all accounts wait for good.
+func TestPanicLeavesNoLock(t *testing.T) {
+	for at := range 6 {
+		a := newOwner()
+		view, calls := a.options.View(), 0
+		a.options.View = func() *assigner.View {
+			if calls++; calls == at+1 {
+				panic("fault")
+			}
+			return view
+		}
+		func() {
+			defer func() { _ = recover() }()
+			a.Take(t.Context(), "x", tokenQuota(100_000), 1000)
+		}()
+		if !a.mutex.TryLock() {
+			t.Errorf("the lock is held after a panic in call %d of View", at+1)
+		}
+	}
+}
+
 // TestOddMessages guards against numbers of another node that make a level or a wait absurd.
 func TestOddMessages(t *testing.T) {
 	a := newOwner()
