--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -55,8 +55,12 @@
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
 
-// fieldRequest is the log field with the id of a request.
-const fieldRequest = "request"
+// fieldRequest is the log field with the id of a request, and fieldMember that with the name of a
+// back end.
+const (
+	fieldRequest = "request"
+	fieldMember  = "member"
+)
 
 // fieldMember is the field with the name of a back end.
 const fieldMember = "member"
