Decide by price what plain requests leave a data centre

Cause: a server in another data centre costs half a request in flight, whatever its bytes cost.

Without the price the choice is as before. The log field "member" becomes a constant, which the linter asked for.

Nothing sets the price yet.

--- a/forwarder/balancer.go
+++ b/forwarder/balancer.go
@@ -87,6 +87,8 @@
 	picks map[pickEvidence]tally.Counter
 	mutex sync.Mutex
 	stats map[identifier.Member]*backendStats
+	// locality decides what leaves the data centre; nil means that remoteCost does.
+	locality *locality
 }
 
 func newBalancer(quotas Quotas, scope tally.Scope) *balancer {
@@ -191,6 +193,9 @@
 	r.inFlight = max(0, r.inFlight-1)
 	r.decay(now)
 	r.times.add(result, took)
+	if b.locality != nil && result == answered && backend.Role == identifier.Service {
+		b.locality.poolOf(backend.Pool).recordAnswerTime(took)
+	}
 	switch result {
 	case answered:
 		r.outcomes++
@@ -281,6 +286,10 @@
 	defer b.mutex.Unlock()
 	minFaultShare, _ := b.poolBaseline(now, list)
 	delays := b.relativeDelays(now, list)
+	away := remoteCost
+	if chosen, decided := b.chooseDataCentre(now, list, dataCentre, rotation); decided {
+		dataCentre, away = chosen, elsewhereCost
+	}
 	costs := make([]float64, len(list))
 	for at, backend := range list {
 		allowance := b.quotas.Allowance(now, backend.Name, backend.Started)
@@ -288,7 +297,10 @@
 			costs[at] = math.Inf(1)
 			continue
 		}
-		costs[at] = b.selectionCost(now, backend, minFaultShare, dataCentre)
+		costs[at] = b.selectionCost(now, backend, minFaultShare)
+		if backend.DataCentre != dataCentre {
+			costs[at] += away
+		}
 		if delays != nil {
 			costs[at] += delays[at]
 		}
@@ -387,9 +399,9 @@
 	limitedBonus = 3
 )
 
-// selectionCost returns the cost of a back end without its delay and triedCost. The caller must
-// hold the mutex.
-func (b *balancer) selectionCost(now time.Time, backend Backend, minFaultShare float64, dataCentre identifier.DataCentre) float64 {
+// selectionCost returns the cost of a back end without those of its delay, of another data centre
+// and triedCost. The caller must hold the mutex.
+func (b *balancer) selectionCost(now time.Time, backend Backend, minFaultShare float64) float64 {
 	r := b.statsFor(backend)
 	r.decay(now)
 	cost := float64(r.inFlight)
@@ -399,9 +411,6 @@
 	if r.isFaulty(minFaultShare) {
 		cost += faultyCost
 	}
-	if backend.DataCentre != dataCentre {
-		cost += remoteCost
-	}
 	return cost
 }
 
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -55,6 +55,9 @@
 		"A KV cache could not be freed at its engine, or too many caches waited to be freed; the engine frees the cache when its handle expires.")
 )
 
+// fieldMember is the log field with the name of a back end.
+const fieldMember = "member"
+
 // fieldRequest is the log field with the id of a request.
 const fieldRequest = "request"
 
@@ -144,7 +147,7 @@
 	}
 	outcomes, faults, poolFaultShare := f.balancer.faultCounts(backend)
 	f.options.Log.Log(event, logger.Fields{
-		"member": backend.Name, "pool": backend.Pool, "outcomes": outcomes, "faults": faults, "pool-share": poolFaultShare,
+		fieldMember: backend.Name, "pool": backend.Pool, "outcomes": outcomes, "faults": faults, "pool-share": poolFaultShare,
 	})
 }
 
@@ -158,13 +161,13 @@
 		event = eventNotSlow
 	}
 	f.options.Log.Log(event, logger.Fields{
-		"member": backend.Name, "pool": backend.Pool, "delay": math.Round(relative*100) / 100,
+		fieldMember: backend.Name, "pool": backend.Pool, "delay": math.Round(relative*100) / 100,
 	})
 }
 
 func (c *call) logSendFailed(backend Backend, result sendResult, err error) {
 	fields := c.logFields()
-	fields["member"] = backend.Name
+	fields[fieldMember] = backend.Name
 	fields["verdict"] = result.String()
 	if err != nil {
 		fields["error"] = err.Error()
@@ -174,14 +177,14 @@
 
 func (c *call) logGrantUnused(member identifier.Member, why string) {
 	fields := c.logFields()
-	fields["member"] = member
+	fields[fieldMember] = member
 	fields["why"] = why
 	c.options.Log.Log(eventGrantUnused, fields)
 }
 
 func (c *call) logNotice(backend Backend, notice Notice) {
 	c.options.Log.Log(eventNotice, logger.Fields{
-		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool,
+		fieldRequest: c.request.Attempt, fieldMember: backend.Name, "pool": backend.Pool,
 		"leaving": notice.Leaving, "pause-ms": notice.Pause.Milliseconds(),
 	})
 }
@@ -189,7 +192,7 @@
 // logRate logs a rate that is news.
 func (c *call) logRate(backend Backend, rate float64, sent int) {
 	c.options.Log.Log(eventRate, logger.Fields{
-		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
+		fieldRequest: c.request.Attempt, fieldMember: backend.Name, "pool": backend.Pool, "rate": rate, "sent": sent,
 	})
 }
 
@@ -205,7 +208,7 @@
 func (c *call) logInvalidRate(backend Backend, named string) {
 	c.metrics.scope.Counter("invalid-rates").Inc(1)
 	c.options.Log.Log(eventInvalidRate, logger.Fields{
-		fieldRequest: c.request.Attempt, "member": backend.Name, "pool": backend.Pool, "named": named,
+		fieldRequest: c.request.Attempt, fieldMember: backend.Name, "pool": backend.Pool, "named": named,
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/localizer"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/placer"
 	"github.com/foxtailspool/foxtailspool/router"
@@ -79,6 +80,9 @@
 	Quotas Quotas
 	// AccountQuotas limits what each account sends through all nodes; nil means no limit.
 	AccountQuotas AccountQuotas
+	// RemotePrice is the price of the bytes between data centres, by which the share of plain
+	// requests that leaves DataCentre is decided; nil means that a fixed cost decides.
+	RemotePrice *localizer.Price
 	// Answers limits the bytes of answers that are read whole; nil means no limit.
 	Answers *limiter.Memory
 	Log     *logger.Logger
@@ -140,6 +144,9 @@
 		freeQueue: make(chan KVSource, maxQueuedFrees),
 		metrics:   newMetrics(options.Scope),
 	}
+	if options.RemotePrice != nil {
+		f.balancer.locality = newLocality(*options.RemotePrice, options.Log, options.Scope.SubScope("forwarder"))
+	}
 	// Nodes that start at once must not choose the same back ends.
 	f.rotation.Store(rand.Uint64())
 	return f
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -94,6 +94,7 @@
 func (c *call) sendAndRead(ctx context.Context, backend Backend, newConnection bool) (*Reply, error) {
 	work := c.newWork(backend)
 	work.NewConnection = newConnection
+	requestBytes := len(c.request.Body)
 	began := time.Now()
 	c.balancer.countSent(backend)
 	recorded := false
@@ -118,6 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.balancer.recordBytes(backend, c.options.DataCentre, requestBytes+len(body))
 	return c.newBufferedReply(backend, answer, body), nil
 }
 
--- a/forwarder/uneven_test.go
+++ b/forwarder/uneven_test.go
@@ -13,6 +13,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/localizer"
+	"github.com/foxtailspool/foxtailspool/logger"
 )
 
 // unevenLoad is the load of a plain service of six servers behind the nodes of three data
@@ -25,6 +27,12 @@
 	slowShare float64
 	// blind hides answer times from the nodes.
 	blind bool
+	// burstsIn is the only data centre that has bursts, counted from one; zero means all.
+	burstsIn int
+	// emptyCentre is a data centre without servers, counted from one; zero means none.
+	emptyCentre int
+	// price is the price of bytes between data centres; nil means none.
+	price *localizer.Price
 }
 
 const (
@@ -40,11 +48,14 @@
 	loadLength     = 2 * time.Minute
 	loadMaxSends   = 3
 	loadSeeds      = 3
+	loadBytes      = 20_000
 )
 
 // loadResult counts the requests of a load by what became of them.
 type loadResult struct {
 	requests, late, declined, failed, remote float64
+	// calmRemote counts the sends to another data centre from 12 s after a burst until the next.
+	calmRemote float64
 	// chosen counts the sends by server, and slow those to a slow server.
 	chosen map[identifier.Member]int
 	slow   float64
@@ -109,9 +120,16 @@
 		d.servers = append(d.servers, &loadServer{backend: Backend{
 			Name: identifier.Member(fmt.Sprintf("desk-%d", i)), Pool: "desk", Role: identifier.Service, DataCentre: centre(i), Started: d.now,
 		}})
+		if load.emptyCentre == i%loadCentres+1 {
+			d.servers[i].backend.DataCentre = centre(i + 1)
+		}
 	}
 	for i := range load.nodes {
-		d.nodeList = append(d.nodeList, &loadNode{balancer: newBalancer(unlimited{}, tally.NoopScope), dataCentre: centre(i)})
+		b := newBalancer(unlimited{}, tally.NoopScope)
+		if load.price != nil {
+			b.locality = newLocality(*load.price, logger.Discard(), tally.NoopScope)
+		}
+		d.nodeList = append(d.nodeList, &loadNode{balancer: b, dataCentre: centre(i)})
 	}
 	return d
 }
@@ -151,7 +169,7 @@
 func (d *loadDay) arrive(centre int) {
 	seconds := d.now.Sub(d.began).Seconds()
 	rate := d.rate / loadCentres * (1 + loadSwing*math.Sin(2*math.Pi*(seconds/60+float64(centre)/loadCentres)))
-	if math.Mod(seconds, 30) > 24 {
+	if math.Mod(seconds, 30) > 24 && (d.burstsIn == 0 || d.burstsIn == centre+1) {
 		rate *= d.burst
 	}
 	d.after(time.Duration(d.world.ExpFloat64()/rate*float64(time.Second)), func() { d.arrive(centre) })
@@ -181,6 +199,9 @@
 	d.result.chosen[backend.Name]++
 	if backend.DataCentre != n.dataCentre {
 		d.result.remote++
+		if seconds := d.now.Sub(d.began).Seconds(); seconds > 12 && math.Mod(seconds, 30) > 12 && math.Mod(seconds, 30) < 24 {
+			d.result.calmRemote++
+		}
 	}
 	if s.slow {
 		d.result.slow++
@@ -219,6 +240,7 @@
 			d.start(s, next)
 		}
 		r.node.balancer.recordResult(d.now, s.backend, d.seen(answered), d.now.Sub(r.sentAt))
+		r.node.balancer.recordBytes(s.backend, r.node.dataCentre, loadBytes)
 		if d.now.Sub(r.arrived) > loadTarget {
 			d.result.late++
 		}
@@ -241,13 +263,14 @@
 		sum.declined += r.declined
 		sum.failed += r.failed
 		sum.remote += r.remote
+		sum.calmRemote += r.calmRemote
 		sum.slow += r.slow
 		for name, count := range r.chosen {
 			sum.chosen[name] += count
 		}
 	}
-	t.Logf("%+v: %.0f requests, late %.4f, declined %.4f, failed %.4f, to another data centre %.3f, to slow servers %.3f",
-		l, sum.requests, sum.late/sum.requests, sum.declined/sum.requests, sum.failed/sum.requests, sum.remote/sum.requests, sum.slow/sum.requests)
+	t.Logf("%+v: %.0f requests, late %.4f, declined %.4f, failed %.4f, to another data centre %.3f (calm %.3f), to slow servers %.3f",
+		l, sum.requests, sum.late/sum.requests, sum.declined/sum.requests, sum.failed/sum.requests, sum.remote/sum.requests, sum.calmRemote/sum.requests, sum.slow/sum.requests)
 	return sum
 }
 
--- a/localizer/localizer.go
+++ b/localizer/localizer.go
@@ -23,29 +23,33 @@
 	// MaxShare is the largest share that leaves home servers. The rest shows when the wait at
 	// home is over.
 	MaxShare = 0.9
-	// RisePerSecond bounds the rise of the share that leaves. Evidence is one to two seconds old;
-	// a share that rises faster would overshoot before its effect shows.
-	RisePerSecond = 0.2
-	// FallPerSecond bounds the fall of the share that leaves when little is gained any more: from
-	// MaxShare to zero within 9 s. A short wait at home may be due to what leaves, so that a
-	// faster fall would bring the wait back.
-	FallPerSecond = 0.1
-	// LossFallPerSecond bounds the fall of the share of a destination where requests wait no less
+	// lossFallPerSecond bounds the fall of the share of a destination where requests wait no less
 	// than at home, so that a destination that fills up is spared soon.
-	LossFallPerSecond = 0.5
-	// halfGain is the gain at which half of the requests leave. With 0.5 s, shares went to and fro
-	// in simulations with evidence that is 1.5 s old.
-	halfGain = time.Second
+	lossFallPerSecond = 0.5
 	// maxStep bounds the time for which a share rises at once after a pause without requests.
 	maxStep = time.Second
 	// minSamples is the number of recent observations from which the wait at home is known.
 	minSamples = 0.5
-	// fullSamples is the number of recent observations of a destination that justifies any
-	// share. A destination with fewer gets at most unknownShare and a part of the rest.
-	fullSamples  = 1.0
-	unknownShare = 0.05
+	// fullSamples is the number of recent observations of a destination that justifies any share.
+	fullSamples = 1.0
 )
 
+// Pace says how fast shares follow their evidence. The older the evidence is when it comes, and
+// the longer queues may grow, the slower shares have to change in order not to go to and fro.
+type Pace struct {
+	// HalfGain is the gain at which half of the requests leave; positive.
+	HalfGain time.Duration
+	// RisePerSecond bounds the rise of the share that leaves; positive.
+	RisePerSecond float64
+	// FallPerSecond bounds the fall of the share that leaves when little is gained any more;
+	// positive. A short wait at home may be due to what leaves, so that a fast fall would bring
+	// the wait back. After MaxShare/FallPerSecond seconds of no gain nothing leaves.
+	FallPerSecond float64
+	// UnknownShare is the largest share of a destination that nobody has observed. One with some
+	// observations, but fewer than fullSamples, gets a part of the rest.
+	UnknownShare float64
+}
+
 // MaxWaitPerGB bounds the price of a GB. At this price, a byte costs a wait of 86.4 us.
 const MaxWaitPerGB = 24 * time.Hour
 
@@ -78,6 +82,7 @@
 	// Bytes is what one request sends between data centres if it leaves, both ways.
 	Bytes float64
 	Price Price
+	Pace  Pace
 }
 
 // Reason says why a share leaves or not.
@@ -167,7 +172,7 @@
 	case len(in.Others) == 0:
 		return Decision{Reason: NoOthers}
 	case in.Home.Samples < minSamples:
-		return Decision{Shares: move(before, gains(in), make([]float64, len(in.Others)), elapsed), Reason: WaitUnknown}
+		return Decision{Shares: move(before, gains(in), make([]float64, len(in.Others)), in.Pace, elapsed), Reason: WaitUnknown}
 	}
 	found := gains(in)
 	best := slices.MaxFunc(found, func(a, b Share) int { return cmp.Compare(a.Gain, b.Gain) }).Gain
@@ -178,7 +183,7 @@
 			next.Reason = DearBytes
 		}
 	}
-	next.Shares = move(before, found, targets(in, found, best, next.IsLeaving), elapsed)
+	next.Shares = move(before, found, targets(in, found, best, next.IsLeaving), in.Pace, elapsed)
 	return next
 }
 
@@ -218,13 +223,13 @@
 }
 
 // targets returns the share that each other data centre should get in the end. What leaves is
-// a half at halfGain, less while less is gained, and shrinks as destinations fill up.
+// a half at HalfGain, less while less is gained, and shrinks as destinations fill up.
 func targets(in Input, found []Share, best time.Duration, leaving bool) []float64 {
 	parts := make([]float64, len(found))
 	if !leaving {
 		return parts
 	}
-	total := min(MaxShare, best.Seconds()/(best+halfGain).Seconds())
+	total := min(MaxShare, best.Seconds()/(best+in.Pace.HalfGain).Seconds())
 	sum := 0.0
 	for _, s := range found {
 		sum += max(0, s.Gain.Seconds())
@@ -232,14 +237,14 @@
 	for i, s := range found {
 		part := total * max(0, s.Gain.Seconds()) / sum
 		known := min(1, in.Others[i].Samples/fullSamples)
-		parts[i] = min(part, unknownShare+(1-unknownShare)*known)
+		parts[i] = min(part, in.Pace.UnknownShare+(1-in.Pace.UnknownShare)*known)
 	}
 	return parts
 }
 
 // move returns shares that have changed towards their targets as far as the elapsed time allows.
 // The share of a data centre that is no longer among the found ones ends at once.
-func move(before, found []Share, parts []float64, elapsed time.Duration) []Share {
+func move(before, found []Share, parts []float64, pace Pace, elapsed time.Duration) []Share {
 	changes := make([]float64, len(found))
 	rises, falls := 0.0, 0.0
 	for i := range found {
@@ -255,8 +260,8 @@
 		}
 	}
 	seconds := max(0, elapsed.Seconds())
-	rise := scale(rises, RisePerSecond*min(seconds, maxStep.Seconds()))
-	fall := scale(falls, FallPerSecond*seconds)
+	rise := scale(rises, pace.RisePerSecond*min(seconds, maxStep.Seconds()))
+	fall := scale(falls, pace.FallPerSecond*seconds)
 	var after []Share
 	for i, s := range found {
 		switch {
@@ -265,7 +270,7 @@
 		case !s.loses:
 			s.Part += changes[i] * fall
 		default:
-			s.Part += max(changes[i], -LossFallPerSecond*seconds)
+			s.Part += max(changes[i], -lossFallPerSecond*seconds)
 		}
 		if s.Part > minPart {
 			after = append(after, s)
--- a/localizer/localizer_test.go
+++ b/localizer/localizer_test.go
@@ -17,6 +17,10 @@
 	pricePerGB     = localizer.Price(1000 * time.Second)
 )
 
+// slow is the pace for evidence that is evidenceLag old and queues without limit. With a HalfGain
+// of half a second, shares went to and fro.
+var slow = localizer.Pace{HalfGain: time.Second, RisePerSecond: 0.2, FallPerSecond: 0.1, UnknownShare: 0.05}
+
 func siteOf(name identifier.DataCentre, wait time.Duration) localizer.Site {
 	return localizer.Site{DataCentre: name, Wait: wait, Samples: 5, Path: time.Millisecond}
 }
@@ -24,7 +28,7 @@
 func inputOf(home time.Duration, others ...localizer.Site) localizer.Input {
 	site := siteOf("home", home)
 	site.Path = 0
-	return localizer.Input{Home: &site, Others: others, Bytes: bytesOfRequest, Price: pricePerGB}
+	return localizer.Input{Home: &site, Others: others, Bytes: bytesOfRequest, Price: pricePerGB, Pace: slow}
 }
 
 // repeat decides every step for some time.
@@ -87,17 +91,17 @@
 	d := localizer.Decision{}
 	for second := 1; second <= 3; second++ {
 		d = repeat(d, inputOf(4*time.Second, siteOf("a", 0), siteOf("b", 0)), time.Second)
-		if most := localizer.RisePerSecond * float64(second); d.Leaving() > most+1e-9 || d.Leaving() < most-0.05 {
+		if most := slow.RisePerSecond * float64(second); d.Leaving() > most+1e-9 || d.Leaving() < most-0.05 {
 			t.Errorf("%.3f leaves after %d s", d.Leaving(), second)
 		}
 	}
-	if d = d.Next(time.Hour, inputOf(4*time.Second, siteOf("a", 0), siteOf("b", 0))); d.Leaving() > 4*localizer.RisePerSecond+1e-9 {
+	if d = d.Next(time.Hour, inputOf(4*time.Second, siteOf("a", 0), siteOf("b", 0))); d.Leaving() > 4*slow.RisePerSecond+1e-9 {
 		t.Errorf("%.3f leaves after a pause", d.Leaving())
 	}
 	d = repeat(d, inputOf(9*time.Second, siteOf("a", 0), siteOf("b", 0)), 10*time.Second)
 	full := d.Leaving()
 	d = repeat(d, inputOf(0, siteOf("a", 0), siteOf("b", 0)), time.Second)
-	if d.Leaving() < full-localizer.FallPerSecond-1e-9 || d.Leaving() > full-localizer.FallPerSecond+0.01 {
+	if d.Leaving() < full-slow.FallPerSecond-1e-9 || d.Leaving() > full-slow.FallPerSecond+0.01 {
 		t.Errorf("falls from %.3f to %.3f in a second", full, d.Leaving())
 	}
 	if d = repeat(d, inputOf(0, siteOf("a", 0), siteOf("b", 0)), 8*time.Second); len(d.Shares) != 0 {
@@ -115,7 +119,7 @@
 
 // TestNoServersAtHome guards against requests that are refused, or wait, for the price of bytes.
 func TestNoServersAtHome(t *testing.T) {
-	in := localizer.Input{Others: []localizer.Site{siteOf("b", 200*time.Millisecond), siteOf("a", 10*time.Millisecond)}, Bytes: 1e9, Price: localizer.Price(localizer.MaxWaitPerGB)}
+	in := localizer.Input{Others: []localizer.Site{siteOf("b", 200*time.Millisecond), siteOf("a", 10*time.Millisecond)}, Bytes: 1e9, Price: localizer.Price(localizer.MaxWaitPerGB), Pace: slow}
 	d := (&localizer.Decision{}).Next(0, in)
 	if math.Abs(d.Leaving()-1) > 1e-9 || d.Reason != localizer.NoHomeServers || d.Shares[0].Part <= d.Shares[1].Part {
 		t.Errorf("%+v", d)
@@ -222,7 +226,7 @@
 		for home, nodes := range f.nodes {
 			leaving[home] = 0
 			for n := range nodes {
-				in := localizer.Input{Bytes: bytesOfRequest, Price: pricePerGB}
+				in := localizer.Input{Bytes: bytesOfRequest, Price: pricePerGB, Pace: slow}
 				for i, name := range fillingNames {
 					site := siteOf(name, time.Duration(float64(waits[i])*(0.8+0.4*f.random.Float64())))
 					if i == home {
