--- a/cmd/run.go
+++ b/cmd/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/localizer"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/meter"
 	"github.com/foxtailspool/foxtailspool/platform"
@@ -29,6 +30,8 @@
 type runCommand struct {
 	serveCommand
 	level string
+	// remotePrice is how long a caller's wait is worth one GB between data centres.
+	remotePrice priceFlag
 }
 
 func newRunCommand() *cobra.Command {
@@ -49,6 +52,7 @@
 		RunE: func(command *cobra.Command, _ []string) error { return c.run(command) },
 	}
 	command.Flags().StringVar(&c.level, "log-level", "info", "least severe `level` of the events that are logged")
+	command.Flags().Var(&c.remotePrice, "wait-for-remote-gb", "how long a caller's wait is worth one GB between data centres, from 0s (bytes are free) to 24h0m0s; without it fixed preferences decide")
 	return command
 }
 
@@ -73,7 +77,7 @@
 	}
 	stopLogWriter := startLogWriter(command.Context(), lines)
 	defer stopLogWriter()
-	return c.serve(command.Context(), assemblePlatform(settings, lines, log), signals, log)
+	return c.serve(command.Context(), assemblePlatform(settings, c.remotePrice.price, lines, log), signals, log)
 }
 
 func readPlatformSettings(path string) (platform.Settings, error) {
@@ -108,7 +112,7 @@
 }
 
 // assemblePlatform returns a node with its metrics, built from the platform's settings.
-func assemblePlatform(settings platform.Settings, lines *logger.Queue, log *logger.Logger) runner {
+func assemblePlatform(settings platform.Settings, remotePrice *localizer.Price, lines *logger.Queue, log *logger.Logger) runner {
 	metrics := meter.New(meter.Options{
 		Node:       settings.Node,
 		DataCentre: settings.DataCentre,
@@ -119,6 +123,7 @@
 	node := starter.New(starter.Options{
 		UpdateMetrics: func() { dropped.Update(float64(lines.Dropped())) },
 		Settings:      settings,
+		RemotePrice:   remotePrice,
 		Incarnation:   identifier.Incarnation(time.Now().UnixNano()),
 		Network:       connector.NewNetworkWithLiveness(liveness),
 		Metrics:       metrics.Handler,
--- a/starter/services.go
+++ b/starter/services.go
@@ -214,6 +214,7 @@
 		Budgets:       limiter.New(s.retryBudget(settings.RetryBudget)),
 		Quotas:        s.quotas,
 		AccountQuotas: s.accountant,
+		RemotePrice:   s.options.RemotePrice,
 		Answers:       s.answers,
 		Log:           s.options.Log,
 		Scope:         s.options.Scope,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
+	"github.com/foxtailspool/foxtailspool/localizer"
 	"github.com/foxtailspool/foxtailspool/logger"
 	"github.com/foxtailspool/foxtailspool/platform"
 	"github.com/foxtailspool/foxtailspool/prober"
@@ -33,6 +34,9 @@
 // Options configures a node.
 type Options struct {
 	Settings platform.Settings
+	// RemotePrice is the price of the bytes between data centres; nil means that fixed
+	// preferences decide what leaves a data centre.
+	RemotePrice *localizer.Price
 	// Incarnation must increase with each start of the node that Settings names.
 	Incarnation identifier.Incarnation
 	// Network opens all listeners and connections.
