Learn the times of servers elsewhere from one request

Cause: a node that starts while its own servers are busy takes their time for the usual one, so that nothing leaves (seen in TestCutLinkKeepsRequestsAtHome, whose home is slow from the start).

Change: after ten answers, and then every 30 s until an answer comes, one request of a node goes to another data centre.

--- a/forwarder/locality.go
+++ b/forwarder/locality.go
@@ -20,6 +20,12 @@
 	// quietRiseWeight that of a slower one, so that the quiet time is that of the quickest answers.
 	quietFallWeight = 0.3
 	quietRiseWeight = 0.01
+	// probeAfter is the number of answers after which a node sends one request to another data
+	// centre if it has had no answer from there: where servers at home have been busy since the
+	// node's start, their own answers don't show that they are. probeInterval is the time until
+	// the next one if no answer came.
+	probeAfter    = 10
+	probeInterval = 30 * time.Second
 	// bytesWeight is the weight of a request in the average size.
 	bytesWeight = 0.1
 )
@@ -47,6 +53,11 @@
 	quiet float64
 	// bytes is the average size of a request and its answer.
 	bytes float64
+	// answers is the number of good answers, and seenAway set once one came from another data
+	// centre. probedAt is when a request was last sent there to get one.
+	answers  int
+	seenAway bool
+	probedAt time.Time
 }
 
 func newLocality(price localizer.Price, log *logger.Logger, scope tally.Scope) *locality {
@@ -65,6 +76,7 @@
 // recordAnswerTime records the time of a good answer.
 func (p *poolLocality) recordAnswerTime(took time.Duration) {
 	seconds := took.Seconds()
+	p.answers++
 	switch {
 	case p.quiet <= 0:
 		p.quiet = seconds
@@ -87,6 +99,7 @@
 		pool.bytes = float64(bytes)
 	}
 	pool.bytes += (float64(bytes) - pool.bytes) * bytesWeight
+	pool.seenAway = pool.seenAway || backend.DataCentre != dataCentre
 	localizer.Count(b.locality.scope, backend.Role, backend.DataCentre != dataCentre, int64(bytes))
 }
 
@@ -113,9 +126,22 @@
 	if destination, leaves := pool.decision.Choose(localizer.Spread(rotation)); leaves {
 		return destination, true
 	}
+	if len(in.Others) > 0 && pool.takeProbe(now) {
+		return in.Others[rotation%uint64(len(in.Others))].DataCentre, true
+	}
 	return home, true
 }
 
+// takeProbe reports whether a request should go to another data centre to learn how quick an
+// answer can be.
+func (p *poolLocality) takeProbe(now time.Time) bool {
+	if p.seenAway || p.answers < probeAfter || now.Sub(p.probedAt) < probeInterval {
+		return false
+	}
+	p.probedAt = now
+	return true
+}
+
 // localityInput returns the evidence for a decision, from the answers of the back ends of each
 // data centre that take requests. The time of the path is part of the answer times. The caller
 // must hold the mutex.
