--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -62,9 +62,6 @@
 	fieldMember  = "member"
 )
 
-// fieldMember is the field with the name of a back end.
-const fieldMember = "member"
-
 var sendResultNames = [...]string{
 	answered: "answered", faulted: "faulted", declined: "declined", replaced: "replaced", lost: "lost", unreached: "unreached", silent: "silent", withdrawn: "withdrawn",
 }
