--- a/forwarder/locality.go
+++ b/forwarder/locality.go
@@ -32,7 +32,7 @@
 
 // plainPace is the pace of plain services, whose servers hold few requests: a full server's wait is
 // some hundred milliseconds, and requests in flight show a wait before an answer does. Of the paces
-// that were simulated (docs/design/zones.md), slower ones left more requests late in bursts.
+// in docs/design/zones.md, slower ones leave more requests late in bursts.
 var plainPace = localizer.Pace{HalfGain: 50 * time.Millisecond, RisePerSecond: 2, FallPerSecond: 0.2, UnknownShare: 0.2}
 
 // locality decides for each pool of a plain service how many requests of this node leave its
