--- /dev/null
+++ b/review/standins-3/main.go
@@ -0,0 +1,33 @@
+// Command case runs one case of the third review: it starts nodes of the deploy file's program
+// with stand-ins of the platform, of servers and of clients, and judges what these have seen.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases returns whether the rule held.
+var cases = map[string]func(f *fleet, trouble bool) bool{
+	"slow-reader": slowReader,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: case NAME FOLDER")
+		os.Exit(2)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	f := newFleet(os.Args[2])
+	held := cases[os.Args[1]](f, trouble)
+	verdict := "the rule held"
+	if !held {
+		verdict = "the rule was broken"
+	}
+	f.record.write("trouble %v: %s", trouble, verdict)
+	fmt.Printf("trouble %v: %s\n", trouble, verdict)
+	f.close()
+	if !held {
+		os.Exit(1)
+	}
+}
