--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -43,6 +43,7 @@
 	store   *store
 	servers []*server
 	nodes   []*node
+	engines []*engineProcess
 	prefix  string
 	hosts   int
 	address string
@@ -108,10 +109,12 @@
 	}
 	report := route("report", "streaming", "llm", 0, 14_000, 800, 1)
 	report["gapAimMs"], report["sticky"], report["resumable"] = 300, true, false
+	summary := route("summary", "streaming", "llm", 2, 14_000, 2_000, 2)
+	summary["gapAimMs"], summary["sticky"], summary["resumable"] = 300, true, true
 	configuration := map[string]any{
 		"version": f.version,
 		"routes": []map[string]any{
-			report,
+			report, summary,
 			route("book", "unsafe", "desk", 2, 1_000, 150, 1),
 			route("look", "safe", "desk", 2, 1_000, 150, 2),
 		},
@@ -235,6 +238,9 @@
 			<-n.exited
 		}
 	}
+	for _, p := range f.engines {
+		p.kill()
+	}
 	_ = f.http.Close()
 	for _, s := range f.servers {
 		_ = s.http.Close()
