--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -9,8 +9,9 @@
 
 // cases returns whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) bool{
-	"slow-reader":    slowReader,
-	"crashed-stream": crashedStream,
+	"slow-reader":     slowReader,
+	"foreign-entries": foreignEntriesCase,
+	"crashed-stream":  crashedStream,
 }
 
 func main() {
