review: drop the stream of a crashed engine, which review/6 shows already

The case was found apart from review/6 (a slow caller and a restarted engine, no cut), but rule and code are the same.

--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -43,7 +43,6 @@
 	store   *store
 	servers []*server
 	nodes   []*node
-	engines []*engineProcess
 	prefix  string
 	hosts   int
 	address string
@@ -238,9 +237,6 @@
 			<-n.exited
 		}
 	}
-	for _, p := range f.engines {
-		p.kill()
-	}
 	_ = f.http.Close()
 	for _, s := range f.servers {
 		_ = s.http.Close()
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -11,13 +11,9 @@
 var cases = map[string]func(f *fleet, trouble bool) bool{
 	"slow-reader":     slowReader,
 	"foreign-entries": foreignEntriesCase,
-	"crashed-stream":  crashedStream,
 }
 
 func main() {
-	if len(os.Args) == 7 && os.Args[1] == "engine" {
-		engineMain(os.Args[2:])
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: case NAME FOLDER")
 		os.Exit(2)
