--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -48,6 +48,9 @@
 	address string
 	http    *http.Server
 	version int
+	// mutex guards crashedAt and what cases keep.
+	mutex     sync.Mutex
+	crashedAt []time.Time
 }
 
 type node struct {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -9,6 +9,8 @@
 
 // cases returns whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) bool{
+	"deadly-part":     deadlyPartCase,
+	"long-id":         longIDCase,
 	"slow-reader":     slowReader,
 	"foreign-entries": foreignEntriesCase,
 }
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -23,10 +23,14 @@
 	events, eventBytes int
 	eventGap           time.Duration
 	record             *record
+	// onRun, if set, is called when a run begins; the run ends if it returns false.
+	onRun func(r *http.Request) bool
 
 	mutex   sync.Mutex
 	handles map[string]bool
 	issued  int
+	isDown  bool
+	crashes int
 	// runs counts the runs of each attempt, completed those that ended well.
 	runs, completed map[string]int
 	http            *http.Server
@@ -150,6 +154,9 @@
 }
 
 func (s *server) stream(w http.ResponseWriter, r *http.Request, attempt string) {
+	if s.onRun != nil && !s.onRun(r) {
+		panic(http.ErrAbortHandler)
+	}
 	s.began(attempt)
 	w.Header().Set("X-Server-Seal", s.id)
 	w.Header().Set("Content-Type", "text/event-stream")
