--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(f *fleet, trouble bool) bool{
 	"deadly-part":     deadlyPartCase,
 	"long-id":         longIDCase,
+	"poison-query":    poisonQuery,
 	"slow-reader":     slowReader,
 	"foreign-entries": foreignEntriesCase,
 }
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -118,6 +118,9 @@
 }
 
 func (s *server) plain(w http.ResponseWriter, r *http.Request, attempt string) {
+	if s.onRun != nil && !s.onRun(r) {
+		panic(http.ErrAbortHandler)
+	}
 	s.began(attempt)
 	select {
 	case <-time.After(s.work):
