--- a/review/standins-3/fleet_test.go
+++ b/review/standins-3/fleet_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// record is record.txt: what was sent, answered and run.
+// record is the file that run.sh names, record.txt: what was sent, answered and run.
 type record struct {
 	mutex sync.Mutex
 	file  *os.File
@@ -63,12 +63,12 @@
 
 var current *fleet
 
-func newFleet(dir string) *fleet {
+func newFleet(recordPath string) *fleet {
 	temp, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		fail("temporary folder: %v", err)
 	}
-	f := &fleet{record: newRecord(filepath.Join(dir, "record.txt")), temp: temp, store: newStore(), version: 10}
+	f := &fleet{record: newRecord(recordPath), temp: temp, store: newStore(), version: 10}
 	f.prefix = fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250))
 	current = f
 	listener, err := net.Listen("tcp", f.nextIP()+":0")
--- a/review/standins-3/main_test.go
+++ b/review/standins-3/main_test.go
@@ -21,7 +21,7 @@
 // the platform.
 func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: case NAME FOLDER")
+		fmt.Println("usage: case NAME RECORD")
 		os.Exit(2)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
