exchanger: a reset during the upload is not the end of an answer

What callers saw: a back end answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still written. The caller got the part as the complete answer. A stream of events was passed on likewise, if the part ended between two events.

Cause: the end of such an answer is the end of its connection, and the exchanger took io.EOF for an orderly end. The kernel reports a reset only once. If the write that still waits gets it, the reads after it return what has arrived and then io.EOF.

Why this works: connector.VerifiedConn returns io.EOF only after an orderly end: no write has failed, the kernel has no error pending, and the peer acknowledged all that was written. Otherwise the read fails, and the answer counts as lost, with its event and metric. Answers that say where they end don't depend on the end of the connection and come through as before, as does an answer without a length to a request that was read whole (TestUnframedAnswerToWholeRequest).

--- /dev/null
+++ b/connector/end.go
@@ -0,0 +1,112 @@
+package connector
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// VerifiedConn is a connection whose reads return io.EOF only if its peer has received all that
+// was written and has closed the connection in order. Otherwise they fail.
+//
+// The kernel reports a reset only once. If a write gets the error, the reads after it return what
+// has arrived and then io.EOF, as if the peer had closed the connection. A reader that takes the
+// end of the connection for the end of an answer would take a part of it for the whole.
+type VerifiedConn struct {
+	net.Conn
+
+	// writing is held during each write and guards writeError.
+	writing sync.Mutex
+	// writeError is the error of the first write that failed.
+	writeError error
+}
+
+// VerifyEnd returns a connection that verifies its end. All reads and writes must go through it.
+func VerifyEnd(connection net.Conn) *VerifiedConn {
+	return &VerifiedConn{Conn: connection}
+}
+
+// Write writes to the connection.
+func (c *VerifiedConn) Write(content []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(content)
+	c.recordWrite(err)
+	return n, err
+}
+
+// WriteBuffers writes several buffers, with one system call if the connection allows it.
+func (c *VerifiedConn) WriteBuffers(buffers net.Buffers) (int64, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := buffers.WriteTo(c.Conn)
+	c.recordWrite(err)
+	return n, err
+}
+
+// recordWrite keeps the first error of a write. The caller must hold writing.
+func (c *VerifiedConn) recordWrite(err error) {
+	if c.writeError == nil {
+		c.writeError = err
+	}
+}
+
+// Read reads from the connection. At its end it waits for a write in progress.
+func (c *VerifiedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = c.verifyEnd()
+	}
+	return n, err
+}
+
+// verifyEnd returns io.EOF, or why the connection did not end in order.
+func (c *VerifiedConn) verifyEnd() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeError != nil {
+		return fmt.Errorf("the connection ended after a failed write: %w", c.writeError)
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return io.EOF
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	if err := control.Control(func(fd uintptr) { failure = socketFailure(int(fd)) }); err != nil {
+		return err
+	}
+	if failure != nil {
+		return failure
+	}
+	return io.EOF
+}
+
+// socketFailure returns an error if a socket whose peer has closed it was reset afterwards, or
+// has data that the peer did not receive. The segment that closes a connection also acknowledges
+// all that its sender has received.
+func socketFailure(fd int) error {
+	pending, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err != nil {
+		return err
+	}
+	if pending != 0 {
+		return syscall.Errno(pending)
+	}
+	unacknowledged, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	if err != nil {
+		return err
+	}
+	if unacknowledged > 0 {
+		return fmt.Errorf("the peer closed the connection before it received the last %d bytes: %w", unacknowledged, io.ErrUnexpectedEOF)
+	}
+	return nil
+}
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/limiter"
 )
@@ -31,7 +32,7 @@
 type connection struct {
 	exchanger *Exchanger
 	address   identifier.Address
-	net.Conn
+	*connector.VerifiedConn
 	reader *bufio.Reader
 	source *boundedReader
 	// stopAbort undoes abortOnDone. It returns false if the context has ended.
@@ -43,13 +44,14 @@
 }
 
 func newConnection(x *Exchanger, address identifier.Address, opened net.Conn) *connection {
-	source := &boundedReader{source: opened}
+	verified := connector.VerifyEnd(opened)
+	source := &boundedReader{source: verified}
 	return &connection{
-		exchanger: x,
-		address:   address,
-		Conn:      opened,
-		source:    source,
-		reader:    bufio.NewReaderSize(source, readBufferBytes),
+		exchanger:    x,
+		address:      address,
+		VerifiedConn: verified,
+		source:       source,
+		reader:       bufio.NewReaderSize(source, readBufferBytes),
 	}
 }
 
@@ -166,12 +168,12 @@
 // roundTrip writes a request and reads the header of its answer. It skips answers that
 // carry the id of another request.
 func (c *connection) roundTrip(request Request) (*Response, error) {
-	written, writeError := request.writeTo(c.Conn)
+	written, writeError := request.writeTo(c)
 	if writeError != nil && written == 0 {
 		return nil, NotSent.Wrap(writeError, "send to %s", c.address)
 	}
 	// A server may answer early and close before it has read the whole body, so read
-	// the answer even after a failed write.
+	// the answer even after a failed write. Then it is complete only if it says where it ends.
 	requestID := request.Header.Get(c.exchanger.options.EchoHeader)
 	for range maxStrayAnswers + 1 {
 		response, err := c.readHeader(request.Method) //nolint:bodyclose // The Response closes the connection.
@@ -246,14 +248,13 @@
 const maxCopiedBody = 16 << 10
 
 // writeTo sends the whole request and returns the number of bytes sent.
-func (r Request) writeTo(w io.Writer) (int64, error) {
+func (r Request) writeTo(c *connection) (int64, error) {
 	head := r.encodeHead()
 	if len(r.Body) <= maxCopiedBody {
-		n, err := w.Write(append(head, r.Body...))
+		n, err := c.Write(append(head, r.Body...))
 		return int64(n), err
 	}
-	buffers := net.Buffers{head, r.Body}
-	return buffers.WriteTo(w)
+	return c.WriteBuffers(net.Buffers{head, r.Body})
 }
 
 // encodeHead returns the request line and the header.
