connector: a reset during a call's body is not the end of its answer

What callers saw: nothing yet. `serve`, the product's own interface, and the clients of the store and of other nodes were not tried in the incident. TestEarlyAnswerToCall tries them: a service that answers a long call without a length, sends a part and resets the connection.

If the write gets the reset and the reader sees io.EOF before the writer has closed the connection, the part is the answer.

Why this works: the HTTP/1 connections of Network.Transport verify their end, and the check waits for a write in progress. HTTP/2 marks the end of each answer itself and keeps its connections.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -86,13 +86,18 @@
 	return errors.Join(err, failure)
 }
 
-// dial opens a connection. With pings it counts the reads, for CloseUnresponsive.
+// dial opens a connection. With HTTP/1, whose answers may end with their connection, it verifies
+// the end. With pings it counts the reads, for CloseUnresponsive.
 func (n Network) dial(ctx context.Context, network, address string, limits Limits) (net.Conn, error) {
 	opened, err := n.Dial(ctx, network, address)
-	if err != nil || limits.PingInterval <= 0 {
-		return opened, err
+	switch {
+	case err != nil:
+		return nil, err
+	case limits.PingInterval > 0:
+		return &readCountingConn{Conn: opened}, nil
+	default:
+		return VerifyEnd(opened), nil
 	}
-	return &readCountingConn{Conn: opened}, nil
 }
 
 // maxResponseHeaderBytes bounds the header of an answer.
--- /dev/null
+++ b/invoker/reset_test.go
@@ -0,0 +1,147 @@
+package invoker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/identifier"
+	"github.com/foxtailspool/foxtailspool/tabulator"
+)
+
+// answerTimeout bounds a call over real connections.
+const answerTimeout = 30 * time.Second
+
+// writeFirstConn is a connection whose failure its writer learns of before its reader, which then
+// reads the end before the writer can close the connection.
+type writeFirstConn struct {
+	net.Conn
+	writeFailed, endRead chan struct{}
+	content              atomic.Bool
+}
+
+func (c *writeFirstConn) Write(content []byte) (int, error) {
+	n, err := c.Conn.Write(content)
+	if err != nil {
+		close(c.writeFailed)
+		<-c.endRead
+	}
+	return n, err
+}
+
+func (c *writeFirstConn) Read(buffer []byte) (int, error) {
+	if c.content.Swap(true) {
+		<-c.writeFailed
+	}
+	n, err := c.Conn.Read(buffer)
+	if err != nil {
+		close(c.endRead)
+	}
+	return n, err
+}
+
+func dialWriteFirst(ctx context.Context, network, address string) (net.Conn, error) {
+	opened, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &writeFirstConn{Conn: opened, writeFailed: make(chan struct{}), endRead: make(chan struct{})}, nil
+}
+
+// newLoopbackInvoker returns an invoker that uses real connections.
+func newLoopbackInvoker(network connector.Network) *Invoker {
+	limits := connector.Limits{DialTimeout: answerTimeout, HeaderTimeout: answerTimeout, IdleTimeout: answerTimeout, MaxConnectionsPerHost: 4}
+	unpooled := network.Transport(limits)
+	unpooled.DisableKeepAlives = true
+	return New(Options{
+		Transport: network.Transport(limits), UnpooledTransport: unpooled,
+		CallTimeout: answerTimeout, PrefillTimeout: answerTimeout, ImportTimeout: answerTimeout, ProgressTimeout: answerTimeout,
+		MaxAnswerBytes: 1 << 20,
+	})
+}
+
+// listenAsMember serves each connection to a real loopback address with a function, which must
+// close the connection.
+func listenAsMember(t *testing.T, serve func(connection *net.TCPConn)) tabulator.Member {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(connection.(*net.TCPConn))
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-ended
+	})
+	return tabulator.Member{Name: "m", Address: identifier.Address(listener.Addr().String())}
+}
+
+// TestEarlyAnswerToCall guards against a part of an answer that a service's reset makes look
+// whole while the call's body is still written. What says where it ends is whole all the same.
+func TestEarlyAnswerToCall(t *testing.T) {
+	const tries = 20
+	for _, c := range []struct {
+		name, answer string
+		whole        bool
+	}{
+		{"unframed", "HTTP/1.1 200 OK\r\n\r\npart", false},
+		{"refusal with a length", "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\npart", true},
+	} {
+		for order, network := range map[string]connector.Network{"any": connector.NewNetwork(), "write first": {Dial: dialWriteFirst}} {
+			if c.whole && order == "write first" {
+				continue // The reader needs no end.
+			}
+			for _, key := range []identifier.Key{"", "k"} {
+				t.Run(fmt.Sprintf("%s key=%q order=%s", c.name, key, order), func(t *testing.T) {
+					member := listenAsMember(t, answerEarly(c.answer))
+					i := newLoopbackInvoker(network)
+					wrong, lost := 0, 0
+					for range tries {
+						reply, err := i.Call(t.Context(), member, Call{Method: http.MethodPost, Target: "/", Body: make([]byte, 16<<20), Key: key})
+						switch {
+						case errorx.IsOfType(err, AnswerLost):
+							lost++
+						case !c.whole || err != nil || reply.Status != http.StatusRequestEntityTooLarge || string(reply.Body) != "part":
+							wrong++
+						}
+					}
+					t.Logf("%d of %d answers were lost", lost, tries)
+					if wrong > 0 {
+						t.Errorf("%d of %d calls got a wrong answer", wrong, tries)
+					}
+				})
+			}
+		}
+	}
+}
+
+// answerEarly returns a service that reads the first bytes of a call, writes an answer and resets
+// the connection.
+func answerEarly(answer string) func(connection *net.TCPConn) {
+	return func(connection *net.TCPConn) {
+		defer func() { _ = connection.Close() }()
+		if _, err := io.ReadFull(connection, make([]byte, 64)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, answer)
+		_ = connection.SetLinger(0)
+	}
+}
