connector: a read after a reset fails like the one that met it

What callers saw: nothing yet; found while the cause of the resets was followed through the readers of answers.

Cause: as for writes, the kernel reports a reset to one read only, and the next one returns io.EOF. net/textproto drops the error of a look-ahead, and bufio.Reader returns an error once, so that a reader after them could take a reset for an orderly end.

Evidence: TestEndOfConnection reads once more after the end. Before the change the second read returned io.EOF in "reset after a write" and "half closed, then reset".

Why this works: VerifiedConn keeps the error of a read, except for that of a deadline, which can be moved.

--- a/connector/end.go
+++ b/connector/end.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 
@@ -17,6 +18,7 @@
 // The kernel reports a reset only once. If a write gets the error, the reads after it return what
 // has arrived and then io.EOF, as if the peer had closed the connection. A reader that takes the
 // end of the connection for the end of an answer would take a part of it for the whole.
+// VerifiedConn therefore keeps the errors of both directions.
 type VerifiedConn struct {
 	net.Conn
 
@@ -24,6 +26,9 @@
 	writing sync.Mutex
 	// writeError is the error of the first write that failed.
 	writeError error
+	// readError is returned by all reads after the one that it ended: some readers overlook the
+	// error of a look-ahead. Reads must not be concurrent.
+	readError error
 }
 
 // VerifyEnd returns a connection that verifies its end. All reads and writes must go through it.
@@ -58,10 +63,16 @@
 
 // Read reads from the connection. At its end it waits for a write in progress.
 func (c *VerifiedConn) Read(buffer []byte) (int, error) {
+	if c.readError != nil {
+		return 0, c.readError
+	}
 	n, err := c.Conn.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		err = c.verifyEnd()
 	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readError = err
+	}
 	return n, err
 }
 
--- a/connector/end_test.go
+++ b/connector/end_test.go
@@ -136,6 +136,10 @@
 			if (err == nil) != c.orderly || c.orderly && string(content) != "part" {
 				t.Errorf("%q, %v", content, err)
 			}
+			// The kernel has reported the reset, and tells the next read of the end only.
+			if _, again := client.Read(make([]byte, 1)); errors.Is(again, io.EOF) != c.orderly {
+				t.Errorf("read again: %v", again)
+			}
 		})
 	}
 }
