connector, exchanger: a status that HTTP doesn't have is no answer

What callers saw: an answer whose status was 000 reached them as an answer. Through `run` that was so if something sound followed: the 000 was taken for a provisional head and skipped, and the next head was the answer. A 000 with a body gave 502 already. Statuses from 600 on were passed on. Through the clients of `serve`, of the store and of other nodes a 000 was an answer with that status: a delete at the store, an order and a cancel counted as done, and the handler of a call panicked as it wrote the status.

Cause: net/http parses three characters as a number and does not look at its range, and the readers compare it with one bound only ("< 200 is provisional", "< 400 is done").

Why this works: each head, provisional ones and those of answers to other requests included, is checked where it is read, before anything is concluded from it: in the exchanger and in the transport that all HTTP clients of the product use.

--- /dev/null
+++ b/connector/answer_test.go
@@ -0,0 +1,74 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/foxtailspool/foxtailspool/connector"
+)
+
+// dialAnswering opens connections to a server that answers each request with the same bytes and
+// closes the connection.
+func dialAnswering(answer string) connector.Network {
+	return connector.Network{Dial: func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			if request, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(server, answer)
+			}
+		}()
+		return client, nil
+	}}
+}
+
+// TestAnswersOfTransport guards against an answer that is not HTTP and that a transport returns,
+// and checks that sound answers of all forms come through.
+func TestAnswersOfTransport(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	for name, c := range map[string]struct {
+		answer string
+		valid  bool
+	}{
+		"length":                        {sound, true},
+		"unframed":                      {"HTTP/1.1 200 OK\r\n\r\nbody", true},
+		"chunks":                        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
+		"trailer":                       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n", true},
+		"provisional":                   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + sound, true},
+		"HTTP/1.0":                      {"HTTP/1.0 200 OK\r\n\r\nbody", true},
+		"unusual status":                {"HTTP/1.1 299 \r\nContent-Length: 4\r\n\r\nbody", true},
+		"status 000":                    {"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status 000 without a body":     {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", false},
+		"status 000 before a sound one": {"HTTP/1.1 000 OK\r\n\r\n" + sound, false},
+		"status 099":                    {"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status -00":                    {"HTTP/1.1 -00 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status 600":                    {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			transport := dialAnswering(c.answer).Transport(connector.Limits{DialTimeout: time.Second, IdleTimeout: time.Second, MaxConnectionsPerHost: 1})
+			defer transport.CloseIdleConnections()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://test/", strings.NewReader("request"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var body []byte
+			response, err := transport.RoundTrip(request)
+			if err == nil {
+				body, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			if c.valid && (err != nil || string(body) != "body") || !c.valid && !errorx.IsOfType(err, connector.InvalidAnswer) {
+				t.Errorf("%q, %v", body, err)
+			}
+		})
+	}
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -104,7 +104,7 @@
 const maxResponseHeaderBytes = 64 << 10
 
 // Transport returns an HTTP transport that connects through the network.
-func (n Network) Transport(limits Limits) *http.Transport {
+func (n Network) Transport(limits Limits) *Transport {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, limits.DialTimeout)
@@ -129,5 +129,5 @@
 	if limits.TLS != nil {
 		transport.DialTLSContext = n.dialTLS(limits)
 	}
-	return transport
+	return &Transport{Transport: transport, http2: limits.PingInterval > 0}
 }
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -222,6 +222,9 @@
 		if err != nil {
 			return nil, c.classifyReadError(err)
 		}
+		if err := connector.CheckHead(response); err != nil {
+			return nil, InvalidAnswer.Wrap(err, "answer of %s", c.address)
+		}
 		if response.StatusCode >= http.StatusOK {
 			if maxHeaderBytes-c.source.budget-c.reader.Buffered() <= usualHeaderBytes {
 				c.endLease() // The rest of what was read is of the body.
--- a/gauger/gauger.go
+++ b/gauger/gauger.go
@@ -172,7 +172,7 @@
 type node struct {
 	prober        *prober.Prober
 	server        *http.Server
-	peerTransport *http.Transport
+	peerTransport *connector.Transport
 	cancel        context.CancelFunc
 	// exits receives one result from the prober and one from the server.
 	exits chan error
--- a/prober/service_test.go
+++ b/prober/service_test.go
@@ -112,7 +112,7 @@
 	ages chan time.Duration
 }
 
-func (n *network) start(name string, transport *http.Transport) *node {
+func (n *network) start(name string, transport *connector.Transport) *node {
 	limits := connector.Limits{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxConnectionsPerHost: 2}
 	p := prober.New(prober.Options{
 		Self: assigner.Member{
--- a/prover/secured_test.go
+++ b/prover/secured_test.go
@@ -89,7 +89,7 @@
 	return http.DefaultTransport.RoundTrip(request)
 }
 
-func (f *securedFleet) transport(files connector.TLSFiles) *http.Transport {
+func (f *securedFleet) transport(files connector.TLSFiles) *connector.Transport {
 	transport := connector.NewNetwork().Transport(connector.Limits{
 		DialTimeout: 5 * time.Second, HeaderTimeout: processWait, IdleTimeout: time.Second, MaxConnectionsPerHost: 8, TLS: f.tls(files),
 	})
--- a/server/services.go
+++ b/server/services.go
@@ -45,7 +45,7 @@
 }
 
 // newTransport returns an HTTP/1 transport with a connection pool.
-func (s *Server) newTransport(client configurator.Client, certificates *connector.TLS) *http.Transport {
+func (s *Server) newTransport(client configurator.Client, certificates *connector.TLS) *connector.Transport {
 	return s.options.Network.Transport(clientLimits(client, certificates))
 }
 
@@ -60,7 +60,7 @@
 }
 
 // newUnpooledTransport returns a transport that opens a connection for each call.
-func (s *Server) newUnpooledTransport(client configurator.Client, certificates *connector.TLS) *http.Transport {
+func (s *Server) newUnpooledTransport(client configurator.Client, certificates *connector.TLS) *connector.Transport {
 	transport := s.newTransport(client, certificates)
 	transport.DisableKeepAlives = true
 	return transport
