connector, exchanger: a switch of protocols is no provisional answer

What callers saw: nothing yet; found by asking what a reader may conclude from each status. After "101 Switching Protocols" the bytes belong to another protocol, but the exchanger skipped the head as a provisional one, and what followed it reached the caller as the answer. The clients of `serve` took the rest of the connection for the body, and a delete, an order or a cancel for done.

Cause: the exchanger took all of 1xx for provisional. 101 ends the exchange of HTTP, and no request of the product asks for it.

Evidence: "switch of protocols" in TestInvalidHeadReachesCallerAsFailure (plain answer and stream) and in TestAnswersOfTransport failed before the change.

Why this works: CheckHead, which sees each head, refuses the status. Other provisional answers come through as before.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -18,8 +18,11 @@
 // CheckHead returns InvalidAnswer if the head of an answer, or of a provisional one, is not valid
 // HTTP.
 func CheckHead(response *http.Response) error {
-	if status := response.StatusCode; status < minStatus || status > maxStatus {
+	switch status := response.StatusCode; {
+	case status < minStatus || status > maxStatus:
 		return InvalidAnswer.New("status %03d is not one of HTTP", status)
+	case status == http.StatusSwitchingProtocols:
+		return InvalidAnswer.New("a switch of protocols that was not asked for")
 	}
 	return nil
 }
--- a/connector/answer_test.go
+++ b/connector/answer_test.go
@@ -51,6 +51,7 @@
 		"status 000 before a sound one": {"HTTP/1.1 000 OK\r\n\r\n" + sound, false},
 		"status 099":                    {"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 		"status -00":                    {"HTTP/1.1 -00 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"switch of protocols":           {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound, false},
 		"status 600":                    {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/starter/invalid_head_test.go
+++ b/starter/invalid_head_test.go
@@ -12,7 +12,9 @@
 func invalidHeads(head, body string) map[string]string {
 	_, fields, _ := strings.Cut(head, "\r\n")
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	forms := map[string]string{}
+	forms := map[string]string{
+		"switch of protocols": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + length,
+	}
 	for _, status := range []string{"000", "099", "+20", "-00", "600", "999", "20", "2000", "2x0"} {
 		forms["status "+status] = "HTTP/1.1 " + status + " OK\r\n" + fields + length
 		forms["status "+status+" before a sound answer"] = "HTTP/1.1 " + status + " OK\r\n\r\n" + head + length
