connector, exchanger: a name with a blank makes an answer invalid

What callers saw: an answer in whose head the name of a field held a blank reached them as an answer, with the line passed on, or, if the name was meant for Content-Length or Transfer-Encoding, with a body that was not the engine's: the lines of the chunks in it, or what the connection carried up to its end. Plain answers and streams alike; a prefill counted as done. A control byte in a name gave 502 already.

Cause: net/http accepts blanks in names and does not recognise the field, so the framing was concluded from a head that doesn't state it.

Why this works: CheckHead refuses each head, provisional ones and those of answers to other requests included, whose names are not all tokens, by httpguts, so that the blank's place and the field don't matter.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -1,9 +1,14 @@
 package connector
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 )
 
 // InvalidAnswer is the error type of an answer that net/http reads though it is not valid HTTP.
@@ -24,6 +29,21 @@
 	case status == http.StatusSwitchingProtocols:
 		return InvalidAnswer.New("a switch of protocols that was not asked for")
 	}
+	return CheckFields(response.Header)
+}
+
+// maxLoggedName bounds what an error has of an invalid name, in bytes.
+const maxLoggedName = 40
+
+// CheckFields returns InvalidAnswer if a name in a header or a trailer is not a token. net/http
+// accepts names with blanks, and doesn't recognise the field that such a name is meant for, which
+// may be the one that says where the answer ends.
+func CheckFields(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return InvalidAnswer.New("the field name %q is not a token", name[:min(len(name), maxLoggedName)])
+		}
+	}
 	return nil
 }
 
@@ -42,7 +62,12 @@
 		return checkAnswer(response, err, nil)
 	}
 	var connection net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			return CheckFields(http.Header(header))
+		},
+	}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	return checkAnswer(response, err, connection)
 }
@@ -51,6 +76,10 @@
 // and its connection, on which nothing that follows can be trusted; nil leaves the connection open.
 func checkAnswer(response *http.Response, err error, connection net.Conn) (*http.Response, error) {
 	if err != nil {
+		// net/http wraps the error of a provisional answer.
+		if invalid := (*errorx.Error)(nil); errors.As(err, &invalid) && invalid.IsOfType(InvalidAnswer) {
+			return nil, invalid
+		}
 		return nil, err
 	}
 	if err := CheckHead(response); err != nil {
--- a/connector/answer_test.go
+++ b/connector/answer_test.go
@@ -39,20 +39,24 @@
 		answer string
 		valid  bool
 	}{
-		"length":                        {sound, true},
-		"unframed":                      {"HTTP/1.1 200 OK\r\n\r\nbody", true},
-		"chunks":                        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
-		"trailer":                       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n", true},
-		"provisional":                   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + sound, true},
-		"HTTP/1.0":                      {"HTTP/1.0 200 OK\r\n\r\nbody", true},
-		"unusual status":                {"HTTP/1.1 299 \r\nContent-Length: 4\r\n\r\nbody", true},
-		"status 000":                    {"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody", false},
-		"status 000 without a body":     {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", false},
-		"status 000 before a sound one": {"HTTP/1.1 000 OK\r\n\r\n" + sound, false},
-		"status 099":                    {"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody", false},
-		"status -00":                    {"HTTP/1.1 -00 OK\r\nContent-Length: 4\r\n\r\nbody", false},
-		"switch of protocols":           {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound, false},
-		"status 600":                    {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"length":                          {sound, true},
+		"unframed":                        {"HTTP/1.1 200 OK\r\n\r\nbody", true},
+		"chunks":                          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
+		"trailer":                         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n", true},
+		"provisional":                     {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + sound, true},
+		"HTTP/1.0":                        {"HTTP/1.0 200 OK\r\n\r\nbody", true},
+		"unusual status":                  {"HTTP/1.1 299 \r\nContent-Length: 4\r\n\r\nbody", true},
+		"status 000":                      {"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status 000 without a body":       {"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", false},
+		"status 000 before a sound one":   {"HTTP/1.1 000 OK\r\n\r\n" + sound, false},
+		"status 099":                      {"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"status -00":                      {"HTTP/1.1 -00 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"switch of protocols":             {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound, false},
+		"name with a blank":               {"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 4\r\n\r\nbody", false},
+		"name of the length with a blank": {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", false},
+		"name of the chunks with a blank": {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+		"provisional with a blank":        {"HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + sound, false},
+		"status 600":                      {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			transport := dialAnswering(c.answer).Transport(connector.Limits{DialTimeout: time.Second, IdleTimeout: time.Second, MaxConnectionsPerHost: 1})
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -150,10 +150,13 @@
 		answerTo func(id string) string
 		fails    bool
 	}{
-		"directly after":  {func(id string) string { return formatAnswer(id, id) + formatAnswer("other", "other") }, false},
-		"before":          {func(id string) string { return formatAnswer("other", "other") + formatAnswer(id, id) }, false},
-		"provisional":     {func(id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + formatAnswer(id, id) }, false},
-		"instead":         {func(string) string { return strings.Repeat(formatAnswer("other", "other"), 4) }, true},
+		"directly after": {func(id string) string { return formatAnswer(id, id) + formatAnswer("other", "other") }, false},
+		"before":         {func(id string) string { return formatAnswer("other", "other") + formatAnswer(id, id) }, false},
+		"provisional":    {func(id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + formatAnswer(id, id) }, false},
+		"instead":        {func(string) string { return strings.Repeat(formatAnswer("other", "other"), 4) }, true},
+		"before, not HTTP": {func(id string) string {
+			return strings.Replace(formatAnswer("other", "other"), "\r\n", "\r\nX Y: z\r\n", 1) + formatAnswer(id, id)
+		}, true},
 		"no answer":       {func(string) string { return "\x00\x01\x02\r\n\r\n" }, true},
 		"header too long": {func(string) string { return "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 200_000) }, true},
 	} {
--- a/starter/invalid_head_test.go
+++ b/starter/invalid_head_test.go
@@ -13,7 +13,23 @@
 	_, fields, _ := strings.Cut(head, "\r\n")
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	forms := map[string]string{
-		"switch of protocols": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + length,
+		"switch of protocols":               "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + length,
+		"name of the length with a blank":   head + "Content-Length : 3\r\n",
+		"name of the length with two words": head + "Content Length: 3\r\n",
+		"name of the chunks with a blank":   head + "Transfer-Encoding : chunked\r\n",
+		"name with a blank":                 head + "X Y: z\r\n" + length,
+		"name with a blank at its end":      head + "X-Y : z\r\n" + length,
+		"name with a tab":                   head + "X\tY: z\r\n" + length,
+		"name with a control byte":          head + "X\x01Y: z\r\n" + length,
+		"name with a NUL":                   head + "X\x00: z\r\n" + length,
+		"name beyond ASCII":                 head + "X\u00e9: z\r\n" + length,
+		"no name":                           head + ": z\r\n" + length,
+		"no colon":                          head + "X-Y\r\n" + length,
+		"value with a control byte":         head + "X-Y: \x01\r\n" + length,
+		"value with a carriage return":      head + "X-Y: a\rb\r\n" + length,
+		"two lengths":                       head + length + "Content-Length: 1\r\n",
+		"provisional with a blank":          "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + head + length,
+		"provisional with a control byte":   "HTTP/1.1 103 Early Hints\r\nX\x01: z\r\n\r\n" + head + length,
 	}
 	for _, status := range []string{"000", "099", "+20", "-00", "600", "999", "20", "2000", "2x0"} {
 		forms["status "+status] = "HTTP/1.1 " + status + " OK\r\n" + fields + length
@@ -39,7 +55,9 @@
 						return invalidHeads(sound+"X-Attempt-Id: "+attempt+"\r\nX-Server-Seal: 3e1b.07\r\n", body)[form] + "\r\n" + body
 					}
 					whole := rawAnswers()["length"]
-					handle := func(body string) string { return strings.ReplaceAll(body, rawBody, fmt.Sprintf("%-*s", len(rawBody), `{"transferHandle":"h"}`)) }
+					handle := func(body string) string {
+						return strings.ReplaceAll(body, rawBody, fmt.Sprintf("%-*s", len(rawBody), `{"transferHandle":"h"}`))
+					}
 					backend := &rawBackend{cutPrefill: target.prefill}
 					backend.cut.Store(1 << 20)
 					backend.answer, backend.prefillAnswer = whole, func(attempt string) string { return handle(whole(attempt)) }
