connector, exchanger: a name with a blank makes a trailer invalid

What callers saw: nothing, as trailers are not passed on; found by asking where a head may stand. An answer in chunks whose trailer is not HTTP read as complete, and its connection was used again.

Cause: that of the names in heads. net/http reads trailers the same way.

Evidence: TestInvalidTrailer ("X Y: z" of five forms; the others were handled) and "trailer with a blank" of TestAnswersOfTransport failed before the change.

Why this works: both readers check the trailer when they meet the end of the body and report the end only if it is valid. The error takes the way of a body that breaks off.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -89,5 +90,25 @@
 		}
 		return nil, err
 	}
+	if response.ProtoMajor == 1 && len(response.TransferEncoding) > 0 {
+		response.Body = trailedBody{response.Body, response}
+	}
 	return response, nil
 }
+
+// trailedBody is the body of an answer in chunks, which may end with a trailer.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads the body. It returns io.EOF only if the trailer is valid.
+func (b trailedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		if invalid := CheckFields(b.response.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
+	return n, err
+}
--- a/connector/answer_test.go
+++ b/connector/answer_test.go
@@ -56,6 +56,7 @@
 		"name of the length with a blank": {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", false},
 		"name of the chunks with a blank": {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
 		"provisional with a blank":        {"HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + sound, false},
+		"trailer with a blank":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: z\r\n\r\n", false},
 		"status 600":                      {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// TestInvalidTrailer guards against an answer whose trailer is not HTTP and that reads as complete.
+func TestInvalidTrailer(t *testing.T) {
+	for _, field := range []string{"X Y: z", "X-Y : z", "X\x01: z", "X", ": z"} {
+		s := &scriptedServer{answer: func(_, _ int, id string) (string, bool) {
+			return "HTTP/1.1 200 OK\r\n" + echoHeader + ": " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + field + "\r\n\r\n", false
+		}}
+		runWithServer(t, s, func(t *testing.T, x *exchanger.Exchanger) {
+			for range 2 {
+				if got, err := sendRequest(t.Context(), x, "id"); !errorx.IsOfType(err, exchanger.InvalidAnswer) {
+					t.Errorf("%q: %q, %v", field, got, err)
+				}
+			}
+			if s.opened != 2 {
+				t.Errorf("%q: %d connections", field, s.opened)
+			}
+		})
+	}
+}
+
 func TestConnectFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := emulator.NewNetwork(time.Millisecond)
--- a/exchanger/response.go
+++ b/exchanger/response.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/foxtailspool/foxtailspool/connector"
 )
 
 // Response is an answer whose body is not read yet. The caller must close it.
@@ -36,6 +38,12 @@
 		return 0, io.EOF
 	}
 	n, err := r.answer.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		// The trailer of a body in chunks has been read with its end.
+		if invalid := connector.CheckFields(r.answer.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
 	switch {
 	case err == nil:
 		return n, nil
