connector, exchanger: a status line of another protocol is no answer

What callers saw: nothing yet; found by asking what a reader may conclude from a head. An answer whose status line names HTTP/2.0 or HTTP/0.9, or whose reason has a control character, reached callers as an answer; with 0.9 a prefill counted as done.

Cause: net/http parses the version and doesn't look at the major number, and doesn't look at the reason.

Evidence: "version 2", "version 0.9" and "status line with a control byte" of TestInvalidHeadReachesCallerAsFailure and three forms of TestAnswersOfTransport failed before the change.

Why this works: CheckHead knows that the connection speaks HTTP/1 and refuses other major versions and such reasons. Higher minor versions, a reason beyond ASCII and none at all come through, which the test checks. Over HTTP/2 net/http checks all but the status.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
@@ -22,15 +23,30 @@
 )
 
 // CheckHead returns InvalidAnswer if the head of an answer, or of a provisional one, is not valid
-// HTTP.
+// HTTP/1.
 func CheckHead(response *http.Response) error {
-	switch status := response.StatusCode; {
+	_, reason, _ := strings.Cut(response.Status, " ")
+	switch {
+	case response.ProtoMajor != 1:
+		return InvalidAnswer.New("version %d.%d of HTTP on a connection of HTTP/1", response.ProtoMajor, response.ProtoMinor)
+	case !httpguts.ValidHeaderFieldValue(reason):
+		return InvalidAnswer.New("the status line has control characters")
+	}
+	if err := checkStatus(response.StatusCode); err != nil {
+		return err
+	}
+	return CheckFields(response.Header)
+}
+
+func checkStatus(status int) error {
+	switch {
 	case status < minStatus || status > maxStatus:
 		return InvalidAnswer.New("status %03d is not one of HTTP", status)
 	case status == http.StatusSwitchingProtocols:
 		return InvalidAnswer.New("a switch of protocols that was not asked for")
+	default:
+		return nil
 	}
-	return CheckFields(response.Header)
 }
 
 // maxLoggedName bounds what an error has of an invalid name, in bytes.
@@ -59,8 +75,7 @@
 // RoundTrip sends a request and returns its answer.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	if t.http2 {
-		response, err := t.Transport.RoundTrip(request)
-		return checkAnswer(response, err, nil)
+		return t.roundTripHTTP2(request)
 	}
 	var connection net.Conn
 	trace := &httptrace.ClientTrace{
@@ -70,12 +85,6 @@
 		},
 	}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	return checkAnswer(response, err, connection)
-}
-
-// checkAnswer returns the result of a call if its answer is valid. Otherwise it closes the answer
-// and its connection, on which nothing that follows can be trusted; nil leaves the connection open.
-func checkAnswer(response *http.Response, err error, connection net.Conn) (*http.Response, error) {
 	if err != nil {
 		// net/http wraps the error of a provisional answer.
 		if invalid := (*errorx.Error)(nil); errors.As(err, &invalid) && invalid.IsOfType(InvalidAnswer) {
@@ -85,17 +94,29 @@
 	}
 	if err := CheckHead(response); err != nil {
 		_ = response.Body.Close()
-		if connection != nil {
-			_ = connection.Close()
-		}
+		// What follows on the connection may be no answer either.
+		_ = connection.Close()
 		return nil, err
 	}
-	if response.ProtoMajor == 1 && len(response.TransferEncoding) > 0 {
+	if len(response.TransferEncoding) > 0 {
 		response.Body = trailedBody{response.Body, response}
 	}
 	return response, nil
 }
 
+// roundTripHTTP2 is RoundTrip for HTTP/2, of which net/http checks all but the status.
+func (t *Transport) roundTripHTTP2(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
 // trailedBody is the body of an answer in chunks, which may end with a trailer.
 type trailedBody struct {
 	io.ReadCloser
--- a/connector/answer_test.go
+++ b/connector/answer_test.go
@@ -57,6 +57,12 @@
 		"name of the chunks with a blank": {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
 		"provisional with a blank":        {"HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + sound, false},
 		"trailer with a blank":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: z\r\n\r\n", false},
+		"version 2":                       {"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"version 0.9":                     {"HTTP/0.9 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"version 1.2":                     {"HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\nbody", true},
+		"reason with a control byte":      {"HTTP/1.1 200 O\x00K\r\nContent-Length: 4\r\n\r\nbody", false},
+		"reason beyond ASCII":             {"HTTP/1.1 200 \u00e9\r\nContent-Length: 4\r\n\r\nbody", true},
+		"no reason":                       {"HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nbody", true},
 		"status 600":                      {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/starter/invalid_head_test.go
+++ b/starter/invalid_head_test.go
@@ -13,6 +13,9 @@
 	_, fields, _ := strings.Cut(head, "\r\n")
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	forms := map[string]string{
+		"status line with a control byte":   "HTTP/1.1 200 O\x00K\r\n" + fields + length,
+		"version 2":                         "HTTP/2.0 200 OK\r\n" + fields + length,
+		"version 0.9":                       "HTTP/0.9 200 OK\r\n" + fields + length,
 		"switch of protocols":               "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + length,
 		"name of the length with a blank":   head + "Content-Length : 3\r\n",
 		"name of the length with two words": head + "Content Length: 3\r\n",
