--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -320,7 +320,7 @@
 	if err != nil {
 		return nil, classifyCallError(err, member.Name)
 	}
-	if response.StatusCode < http.StatusBadRequest {
+	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
 		return response, nil
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -345,6 +345,8 @@
 func classifyStatus(method string, response *http.Response, member identifier.Member) error {
 	status := response.StatusCode
 	switch {
+	case status < http.StatusBadRequest:
+		return AnswerLost.New("%s: status %d", member, status)
 	case status == http.StatusNotFound && method != http.MethodPost:
 		return NotFound.New("%s: status %d", member, status)
 	case status == http.StatusGone:
--- a/invoker/redirect_test.go
+++ b/invoker/redirect_test.go
@@ -6,6 +6,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
@@ -26,3 +29,22 @@
 		t.Fatalf("status %d, %d executions, error %v", reply.Status, executions, err)
 	}
 }
+
+// TestStatusThatConfirmsNothing guards against an order or a cancel that counts as done though the
+// status of the engine's answer is no success.
+func TestStatusThatConfirmsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusMultipleChoices, http.StatusFound, http.StatusNotModified, http.StatusTemporaryRedirect} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		i := New(Options{Transport: http.DefaultTransport, UnpooledTransport: http.DefaultTransport, CallTimeout: 10 * time.Second})
+		member := tabulator.Member{Name: "m", Address: identifier.Address(strings.TrimPrefix(server.URL, "http://"))}
+		for name, err := range map[string]error{
+			"order":  i.Order(t.Context(), member, Order{}),
+			"cancel": i.Cancel(t.Context(), member, "a", 1),
+		} {
+			if !errorx.IsOfType(err, AnswerLost) {
+				t.Errorf("%s, status %d: %v", name, status, err)
+			}
+		}
+		server.Close()
+	}
+}
--- a/storer/client.go
+++ b/storer/client.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, TransportError(err, method, path)
 	}
-	if response.StatusCode < http.StatusBadRequest {
+	if IsSuccess(response.StatusCode) {
 		return response, nil
 	}
 	_ = response.Body.Close()
@@ -194,7 +194,12 @@
 	return Uncertain.Wrap(err, "%s %s", method, path)
 }
 
-// StatusError returns the error for an HTTP error status.
+// IsSuccess reports whether a status confirms a call.
+func IsSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// StatusError returns the error for an HTTP status that is no success.
 func StatusError(status int, method, path string) error {
 	switch {
 	case status == http.StatusNotFound:
@@ -205,7 +210,7 @@
 		return Expired.New("%s %s", method, path)
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return Unavailable.New("%s %s: status %d", method, path, status)
-	case status >= http.StatusInternalServerError:
+	case status >= http.StatusInternalServerError, status < http.StatusBadRequest:
 		return Uncertain.New("%s %s: status %d", method, path, status)
 	default:
 		return Invalid.New("%s %s: status %d", method, path, status)
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -138,3 +138,14 @@
 type transport func(*http.Request) (*http.Response, error)
 
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) { return t(r) }
+
+// TestStatusThatConfirmsNothing guards against a write that counts as done though the answer's
+// status is no success.
+func TestStatusThatConfirmsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusMultipleChoices, http.StatusFound, http.StatusNotModified, http.StatusTemporaryRedirect} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		client := storer.NewClient(storer.ClientOptions{URL: server.URL, Transport: server.Client().Transport, CallTimeout: 5 * time.Second})
+		wantErrorType(t, client.Delete(t.Context(), storer.Object{Kind: storer.KindTable, Name: "routes", Version: "1"}), storer.Uncertain)
+		server.Close()
+	}
+}
