connector, exchanger: a Transfer-Encoding in HTTP/1.0 makes an answer invalid

What callers saw: nothing yet; found by asking what a reader may conclude from each framing. An answer in HTTP/1.0 with Transfer-Encoding: chunked reached callers as a 200 whose body had the sizes of the chunks as lines; a prefill counted as done.

Cause: in HTTP/1.0 the field makes the framing faulty (RFC 9112, 6.1). net/http drops it and reads up to the length or to the end of the connection.

Evidence: "chunks in HTTP/1.0" of TestInvalidHeadReachesCallerAsFailure (plain answer, stream and prefill) and two forms of TestAnswersOfTransport failed before the change.

Why this works: net/http leaves no trace of the field, so the connection keeps the head of an answer that begins with HTTP/1.0, and only of such a one, until it has been parsed and can be checked. Answers in HTTP/1.0 with a length or without one come through. Over TLS the transport's check does not see the head; the back ends of `serve` are called without TLS.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -79,7 +79,12 @@
 	}
 	var connection net.Conn
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connection = info.Conn
+			if verified, ok := connection.(*VerifiedConn); ok {
+				verified.BeginAnswer(nil)
+			}
+		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			return CheckFields(http.Header(header))
 		},
@@ -92,7 +97,11 @@
 		}
 		return nil, err
 	}
-	if err := CheckHead(response); err != nil {
+	err = CheckHead(response)
+	if verified, ok := connection.(*VerifiedConn); err == nil && ok {
+		err = verified.CheckFraming()
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		// What follows on the connection may be no answer either.
 		_ = connection.Close()
--- a/connector/end.go
+++ b/connector/end.go
@@ -29,6 +29,8 @@
 	// readError is returned by all reads after the one that it ended: some readers overlook the
 	// error of a look-ahead. Reads must not be concurrent.
 	readError error
+
+	framing framingCheck
 }
 
 // VerifyEnd returns a connection that verifies its end. All reads and writes must go through it.
@@ -67,6 +69,7 @@
 		return 0, c.readError
 	}
 	n, err := c.Conn.Read(buffer)
+	c.framing.add(buffer[:n])
 	if errors.Is(err, io.EOF) {
 		err = c.verifyEnd()
 	}
@@ -76,6 +79,13 @@
 	return n, err
 }
 
+// BeginAnswer notes that an answer begins, of which a part may have been read.
+func (c *VerifiedConn) BeginAnswer(buffered []byte) { c.framing.begin(buffered) }
+
+// CheckFraming returns InvalidAnswer if the framing of the answer, whose head has been read, is
+// faulty in a way that net/http overlooks.
+func (c *VerifiedConn) CheckFraming() error { return c.framing.end() }
+
 // verifyEnd returns io.EOF, or why the connection did not end in order.
 func (c *VerifiedConn) verifyEnd() error {
 	c.writing.Lock()
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -217,12 +218,14 @@
 	c.source.budget = maxHeaderBytes
 	defer func() { c.source.budget = -1 }()
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // It has as many bytes.
+		c.BeginAnswer(buffered)
 		// ReadResponse needs the method to know whether the answer has a body.
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, c.classifyReadError(err)
 		}
-		if err := connector.CheckHead(response); err != nil {
+		if err := cmp.Or(connector.CheckHead(response), c.CheckFraming()); err != nil {
 			return nil, InvalidAnswer.Wrap(err, "answer of %s", c.address)
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/exchanger/cut_test.go
+++ b/exchanger/cut_test.go
@@ -53,6 +53,7 @@
 		"folded":        head + "X-Long: a\r\n  b\r\n\tc\r\n" + length + "\r\n" + answerBody,
 		"line feeds":    strings.ReplaceAll(head+length+"\r\n", "\r\n", "\n") + answerBody,
 		"length twice":  head + length + length + "\r\n" + answerBody,
+		"HTTP/1.0":      strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1) + length + "\r\n" + answerBody,
 		"blank padding": head + "X-Blank: \r\n" + length + "\r\n" + answerBody,
 	}
 }
--- a/starter/invalid_head_test.go
+++ b/starter/invalid_head_test.go
@@ -13,6 +13,7 @@
 	_, fields, _ := strings.Cut(head, "\r\n")
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	forms := map[string]string{
+		"chunks in HTTP/1.0":                "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n",
 		"status line with a control byte":   "HTTP/1.1 200 O\x00K\r\n" + fields + length,
 		"version 2":                         "HTTP/2.0 200 OK\r\n" + fields + length,
 		"version 0.9":                       "HTTP/0.9 200 OK\r\n" + fields + length,
