emulator, starter: answers that are not HTTP or break off, in the soak

The emulator's back ends can answer with a head that is not HTTP/1 (InvalidAnswers, in each form of InvalidHeads) and answer a long upload with a part before they read it and reset the connection (EarlyAnswers). Seeds from 700000 on may be of a kind that injects both; earlier seeds keep their kind, and 700007 runs always. The proxies of this kind pass resets on; they closed the other side in order so far, which is why the soak never met a reset behind a proxy.

--- a/emulator/endless.go
+++ b/emulator/endless.go
@@ -94,7 +94,7 @@
 		i.mutex.Lock()
 		form := i.faults.EndlessForm
 		i.mutex.Unlock()
-		beginning, piece := endlessText(form, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+attempt+"\r\nX-Server-Seal: "+i.options.ID+"\r\n")
+		beginning, piece := endlessText(form, i.soundHead(attempt))
 		dripRaw(w, beginning, piece)
 	default:
 		return false
@@ -110,12 +110,9 @@
 
 // dripRaw writes a beginning and then pieces without end, until the peer closes.
 func dripRaw(w http.ResponseWriter, beginning string, piece func(n int) string) {
-	connection, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	connection := hijack(w)
 	defer func() { _ = connection.Close() }()
-	_, err = io.WriteString(connection, beginning)
+	_, err := io.WriteString(connection, beginning)
 	for n := 0; err == nil; n++ {
 		time.Sleep(time.Millisecond)
 		_, err = io.WriteString(connection, piece(n))
--- a/emulator/instance.go
+++ b/emulator/instance.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -104,6 +105,12 @@
 	// EndlessAnswers is how many requests are answered without an end in EndlessForm.
 	EndlessAnswers int
 	EndlessForm    EndlessForm
+	// InvalidAnswers is how many requests are answered with a head of InvalidForm, one of
+	// InvalidForms. EarlyAnswers is how many requests with a body of at least EarlyAnswerBytes are
+	// answered with a part before their body is read.
+	InvalidAnswers int
+	InvalidForm    string
+	EarlyAnswers   int
 	// AnswerBytes is the least size of the body of each plain answer.
 	AnswerBytes int
 	// EndlessBodies is how many plain requests run and are answered with an endless body.
@@ -251,6 +258,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if i.writeEarly(w, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -260,7 +270,7 @@
 		return
 	}
 	i.announce(w, r.Header.Get("X-Attempt-Id"))
-	if i.writeEndless(w, r.Header.Get("X-Attempt-Id")) {
+	if attempt := r.Header.Get("X-Attempt-Id"); i.writeEndless(w, attempt) || i.writeInvalid(w, attempt) {
 		return
 	}
 	if i.declineDuringSwitch() || i.takeFault(func(f *InstanceFaults) *int { return &f.Shed }) {
@@ -732,12 +742,18 @@
 	return stream.String()
 }
 
-// writeRaw writes content to the connection in place of an HTTP answer and closes it.
-func writeRaw(w http.ResponseWriter, content string) {
+// hijack takes a request's connection over.
+func hijack(w http.ResponseWriter) net.Conn {
 	connection, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	return connection
+}
+
+// writeRaw writes content to the connection in place of an HTTP answer and closes it.
+func writeRaw(w http.ResponseWriter, content string) {
+	connection := hijack(w)
 	_, _ = io.WriteString(connection, content)
 	_ = connection.Close()
 }
--- a/starter/proxy_test.go
+++ b/starter/proxy_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/connector"
 )
 
 // proxy is a TCP proxy on loopback that injects network faults in front of one server.
@@ -16,6 +20,8 @@
 	fault    proxyFault
 	// connections maps each open client connection to its server connection.
 	connections map[net.Conn]net.Conn
+	// passesResets makes a reset of one side reset the other, which is closed in order otherwise.
+	passesResets bool
 	// silenced marks connections that drop all data; later connections work.
 	silenced map[net.Conn]bool
 	group    sync.WaitGroup
@@ -62,11 +68,12 @@
 		if err != nil {
 			return
 		}
-		server, err := (&net.Dialer{Timeout: time.Second}).Dial("tcp", p.target)
+		opened, err := (&net.Dialer{Timeout: time.Second}).Dial("tcp", p.target)
 		if err != nil {
 			_ = client.Close()
 			continue
 		}
+		server := connector.VerifyEnd(opened)
 		p.mutex.Lock()
 		p.connections[client] = server
 		p.mutex.Unlock()
@@ -78,16 +85,19 @@
 // forward copies one direction until either side closes.
 func (p *proxy) forward(from, to, client net.Conn, blocked func(proxyFault) bool) {
 	buffer := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buffer)
+	var failure error
+	for failure == nil {
+		var n int
+		n, failure = from.Read(buffer)
 		if n > 0 && p.waitToForward(client, blocked) {
-			if _, failure := to.Write(buffer[:n]); failure != nil {
-				err = failure
+			if _, err := to.Write(buffer[:n]); err != nil {
+				failure = err
 			}
 		}
-		if err != nil {
-			break
-		}
+	}
+	if p.passesReset(failure) {
+		resetOnClose(from)
+		resetOnClose(to)
 	}
 	// Closing one side closes both: HTTP needs no half-closed connections.
 	_ = from.Close()
@@ -98,6 +108,30 @@
 	p.mutex.Unlock()
 }
 
+// passesReset reports whether what ended a connection must reset both sides.
+func (p *proxy) passesReset(failure error) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.passesResets && !errors.Is(failure, io.EOF) && !errors.Is(failure, net.ErrClosed)
+}
+
+// resetOnClose makes the close of a connection reset it.
+func resetOnClose(connection net.Conn) {
+	if verified, ok := connection.(*connector.VerifiedConn); ok {
+		connection = verified.Conn
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// passResets makes the proxy pass resets on from now on.
+func (p *proxy) passResets() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.passesResets = true
+}
+
 // waitToForward waits while the direction is blocked; false means to drop the data.
 func (p *proxy) waitToForward(client net.Conn, blocked func(proxyFault) bool) bool {
 	for {
@@ -128,9 +162,7 @@
 	defer p.mutex.Unlock()
 	for client, server := range p.connections {
 		for _, side := range []net.Conn{client, server} {
-			if tcp, ok := side.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
+			resetOnClose(side)
 			_ = side.Close()
 		}
 	}
--- a/starter/soak_callers_test.go
+++ b/starter/soak_callers_test.go
@@ -221,6 +221,9 @@
 	if s.kind == strainedSoak {
 		s.checkAnswered(o)
 	}
+	if s.kind == invalidSoak {
+		s.checkInvalid(o)
+	}
 	s.checkVersion(o)
 	s.checkLeft(o)
 }
--- a/starter/soak_test.go
+++ b/starter/soak_test.go
@@ -71,28 +71,34 @@
 	// accountSoak takes keys away while one account sends more than its quota, beside ends and
 	// pauses of nodes, planned work and a store that turns nodes away.
 	accountSoak
+	// invalidSoak lets back ends give answers that are not valid HTTP or are broken off while the
+	// request is still sent, beside ends of nodes and planned work.
+	invalidSoak
 	soakKindCount
 	// earlierKindCount is the number of kinds of the seeds below firstLimitedSeed,
 	// unstrainedKindCount that of those below firstStrainedSeed, unharmedKindCount that of those
-	// below firstDeadlySeed, and anonymousKindCount that of those below firstAccountSeed.
+	// below firstDeadlySeed, anonymousKindCount that of those below firstAccountSeed, and
+	// validKindCount that of those below firstInvalidSeed.
 	earlierKindCount    = limitedSoak
 	unstrainedKindCount = strainedSoak
 	unharmedKindCount   = deadlySoak
 	anonymousKindCount  = accountSoak
+	validKindCount      = invalidSoak
 )
 
-// firstLimitedSeed, firstStrainedSeed, firstDeadlySeed and firstAccountSeed are the first seeds
-// that may be of a kind from limitedSoak, strainedSoak, deadlySoak or accountSoak on: earlier seeds keep the kind with which
-// they were run.
+// firstLimitedSeed, firstStrainedSeed, firstDeadlySeed, firstAccountSeed and firstInvalidSeed are
+// the first seeds that may be of a kind from limitedSoak, strainedSoak, deadlySoak, accountSoak or
+// invalidSoak on: earlier seeds keep the kind with which they were run.
 const (
 	firstLimitedSeed  = 300_000
 	firstStrainedSeed = 400_000
 	firstDeadlySeed   = 500_000
 	firstAccountSeed  = 600_000
+	firstInvalidSeed  = 700_000
 )
 
 // coverageSeeds run always: the first of each kind that the default seeds do not have.
-var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4, firstDeadlySeed + 3, firstAccountSeed + 4}
+var coverageSeeds = []uint64{firstLimitedSeed + 3, firstStrainedSeed + 4, firstDeadlySeed + 3, firstAccountSeed + 4, firstInvalidSeed + 7}
 
 func kindOfSeed(seed uint64) soakKind {
 	switch {
@@ -104,6 +110,8 @@
 		return soakKind(seed) % unharmedKindCount
 	case seed < firstAccountSeed:
 		return soakKind(seed) % anonymousKindCount
+	case seed < firstInvalidSeed:
+		return soakKind(seed) % validKindCount
 	default:
 		return soakKind(seed) % soakKindCount
 	}
@@ -312,7 +320,7 @@
 		backendProxies: map[string]*proxy{}, memoryMb: soakMemoryMb, maxFiles: soakMaxFiles,
 		fleet: &fleet{t: t, objects: emulator.NewObjects(), instances: map[string]*emulator.Instance{}, logs: io.Discard, capacity: soakCapacity()},
 	}
-	if s.kind == strainedSoak {
+	if s.kind == strainedSoak || s.kind == invalidSoak {
 		s.fleet.maxBodyBytes = soakMaxBodyBytes
 	}
 	s.operator = &operator{fleet: s.fleet}
@@ -473,6 +481,8 @@
 		return func() {}
 	case s.kind == accountSoak && chance < 4:
 		return s.startAccountFault()
+	case s.kind == invalidSoak && chance < 5:
+		return s.startInvalidAnswers()
 	case s.kind == mixedSoak && chance < 4:
 		return s.startOutage()
 	default:
