forwarder: the end of a crashed engine is not that of its failure

What callers saw: nothing yet; found by asking what a reader may conclude from each end. A model engine's failure without a length or chunks, whose engine crashed as it wrote it, reached the caller as the whole answer.

Cause: where only the end of the connection marks that of the body, the forwarder asks whether the back end still lives, but did so for plain answers and streams only.

Evidence: "ended" of TestUnframedFailureOfEndedEngine failed before the change. A failure with a length and that of an engine that lives come through, before and after.

Why this works: the question moves to readAnswer, which reads both kinds of answers whole.

--- a/forwarder/outcome_test.go
+++ b/forwarder/outcome_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"github.com/foxtailspool/foxtailspool/isolator"
 	"github.com/foxtailspool/foxtailspool/limiter"
 	"github.com/foxtailspool/foxtailspool/placer"
+	"github.com/foxtailspool/foxtailspool/router"
 )
 
 // endingFleet is a fleet of one decode engine that fails in one way, and records what the node
@@ -28,6 +30,8 @@
 	bodyError error
 	bodyTime  time.Duration
 	status    int
+	// unframed means that the answer ends with its connection.
+	unframed bool
 	// unreachable means that the engine takes no connections.
 	unreachable bool
 	released    []placer.Result
@@ -59,7 +63,7 @@
 	if f.sendError != nil {
 		return nil, f.sendError
 	}
-	return &Answer{Status: max(200, f.status), Length: -1, Framed: true, Body: &endingBody{ctx, f, strings.NewReader(f.body)}}, nil
+	return &Answer{Status: max(200, f.status), Length: -1, Framed: !f.unframed, Body: &endingBody{ctx, f, strings.NewReader(f.body)}}, nil
 }
 
 func waitFor(ctx context.Context, span time.Duration) bool {
@@ -89,6 +93,38 @@
 
 func (b *endingBody) Close() {}
 
+// TestUnframedFailureOfEndedEngine guards against a part of an engine's failure that reaches the
+// caller as the whole one, because the engine crashed and its connection marks the end.
+func TestUnframedFailureOfEndedEngine(t *testing.T) {
+	for name, test := range map[string]struct {
+		fleet    endingFleet
+		answered bool
+	}{
+		"lives":                {endingFleet{unframed: true}, true},
+		"ended":                {endingFleet{unframed: true, unreachable: true}, false},
+		"ended, with a length": {endingFleet{unreachable: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := &test.fleet
+				fleet.status, fleet.body, fleet.bodyError = http.StatusInternalServerError, "fault", io.EOF
+				fleet.grants, fleet.table = []identifier.Member{"decode-1"}, testTable()
+				f := New(Options{
+					Table: func() *Table { return fleet.table }, Placer: fleet, Backends: fleet, Reacher: fleet, Stopping: t.Context(),
+					Isolator: isolator.New(isolator.Options{}), Budgets: limiter.New(limiter.Options{Burst: 10}),
+				})
+				reply, refusal := f.Forward(t.Context(), &Request{Attempt: "a", Path: "/quote", Arrived: time.Now(), Timeout: time.Minute})
+				if reply != nil {
+					reply.Close()
+				}
+				if (reply != nil) != test.answered || !test.answered && refusal.Outcome != router.Unknown {
+					t.Errorf("answered: %v, refusal %+v", reply != nil, refusal)
+				}
+			})
+		})
+	}
+}
+
 // TestEndingsOfStreams guards against an engine that breaks its streams off and is not blamed, and
 // against one that is blamed for what its callers, its node or a prompt did.
 func TestEndingsOfStreams(t *testing.T) {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -110,8 +110,6 @@
 		body, err = c.readAnswer(backend, answer)
 		if err != nil {
 			answer.Body.Close()
-		} else if !answer.Framed && c.hasEnded(backend) {
-			err = Lost.New("%s ended with its answer", backend.Name)
 		}
 	}
 	recorded = true
@@ -124,12 +122,16 @@
 }
 
 // readAnswer reads the whole body of an answer. It fails with Lost if the body is truncated or
-// too long, or the memory for answers is in use.
+// too long, or the memory for answers is in use, or if the end of the connection marks that of the
+// body and the back end has ended.
 func (c *call) readAnswer(backend Backend, answer *Answer) ([]byte, error) {
 	body, err := c.answers.ReadAll(answer.Body, answer.Length, maxAnswerBytes)
 	if err != nil {
 		return nil, Lost.Wrap(err, "answer of %s", backend.Name)
 	}
+	if !answer.Framed && c.hasEnded(backend) {
+		return nil, Lost.New("%s ended with its answer", backend.Name)
+	}
 	return body, nil
 }
 
