connector: an aborted answer looks cut to callers of HTTP/1.0

What callers saw: nothing reported; found by asking what a caller may conclude from the end of our own answers. A caller of HTTP/1.0 whose answer was aborted, for example a stream that its engine broke off, saw an orderly end and took the part for the whole.

Cause: an answer without a length ends with its connection in HTTP/1.0, where there are no chunks, and an aborted handler closes the connection in order.

Evidence: TestAbortedAnswerOfHTTP10 failed before the change.

Why this works: an abort of a request in HTTP/1.0 resets the connection, which its reader can't take for the end. HTTP/1.1 and HTTP/2 mark the end of each answer and are closed as before.

--- /dev/null
+++ b/connector/abort_test.go
@@ -0,0 +1,62 @@
+package connector_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/logger"
+)
+
+// TestAbortedAnswerOfHTTP10 guards against an aborted answer that looks complete to a client of
+// HTTP/1.0, for which only the end of the connection marks that of an answer without a length.
+func TestAbortedAnswerOfHTTP10(t *testing.T) {
+	for _, aborts := range []bool{false, true} {
+		network := connector.NewNetwork()
+		listen := network.Listen
+		address := ""
+		network.Listen = func(ctx context.Context, at string) (net.Listener, error) {
+			listener, err := listen(ctx, at)
+			if err == nil {
+				address = listener.Addr().String()
+			}
+			return listener, err
+		}
+		server := connector.NewServer(connector.ServerOptions{
+			Name: "test", Address: "127.0.0.1:0", Network: network, Limits: limits, Log: logger.Discard(),
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				if err := http.NewResponseController(w).Flush(); err != nil || aborts {
+					panic(http.ErrAbortHandler)
+				}
+			}),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		if err := server.Listen(ctx); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- server.Run(ctx) }()
+		client, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.WriteString(client, "GET / HTTP/1.0\r\n\r\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := io.ReadAll(client)
+		if (err != nil) != aborts || !aborts && !strings.HasSuffix(string(answer), "part") {
+			t.Errorf("aborted: %v, %q, %v", aborts, answer, err)
+		}
+		_ = client.Close()
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/connector/panics.go
+++ b/connector/panics.go
@@ -1,6 +1,9 @@
 package connector
 
 import (
+	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
 	"runtime/debug"
 
@@ -26,8 +29,36 @@
 				}
 				options.Log.Log(EventPanicked, fields)
 			}
+			if !r.ProtoAtLeast(1, 1) {
+				// An answer without a length ends with its connection, so closing that in order would
+				// make a part look complete.
+				resetOnClose(r.Context())
+			}
 			panic(http.ErrAbortHandler)
 		}()
 		options.Handler.ServeHTTP(w, r)
 	})
 }
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// withConnection adds a request's connection to its context. It is the ConnContext hook of an
+// http.Server.
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	if secured, ok := connection.(*tls.Conn); ok {
+		connection = secured.NetConn()
+	}
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// resetOnClose makes the close of a request's connection reset it.
+func resetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(connectionKey{}).(*trackedConn)
+	if !ok {
+		return
+	}
+	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+}
--- a/connector/server.go
+++ b/connector/server.go
@@ -105,6 +105,7 @@
 		HTTP2:             limits.http2(),
 		ErrorLog:          log.New(errorWriter{options}, "", 0),
 		ConnState:         s.connections.stateChanged,
+		ConnContext:       withConnection,
 	}
 	if options.Timeouts != nil {
 		// Negative values disable net/http's own timeouts, which can't change.
