--- a/connector/abort_test.go
+++ b/connector/abort_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/logger"
@@ -60,3 +62,31 @@
 		}
 	}
 }
+
+// TestAbortedAnswerOfPeer checks that an aborted answer fails in the transports to other nodes,
+// over HTTP/2 and HTTP/1.
+func TestAbortedAnswerOfPeer(t *testing.T) {
+	for name, ping := range map[string]time.Duration{"HTTP/2": time.Second, "HTTP/1": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pipes, stop := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+					_, _ = io.WriteString(w, "part")
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				})
+				client := &http.Client{Transport: pipes.network().Transport(connector.Limits{
+					DialTimeout: time.Second, IdleTimeout: time.Second, MaxConnectionsPerHost: 1, PingInterval: ping,
+				})}
+				response := get(t, client)
+				if body, err := io.ReadAll(response.Body); err == nil || string(body) != "part" {
+					t.Errorf("%q, %v", body, err)
+				}
+				_ = response.Body.Close()
+				client.CloseIdleConnections()
+				if err := stop(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
