connector: a server that answers before it has read the request may end first

What callers saw: nothing; a sound answer that the check of the end would break off. A server that sends an answer without a length, closes its side of the connection and then reads the rest of a long request had its answer taken for a part, if the rest was still on its way.

Cause: VerifyEnd looked at once at what the peer had acknowledged.

--- a/connector/end_test.go
+++ b/connector/end_test.go
@@ -85,6 +85,12 @@
 			read(t, server, 50_000)
 			_ = server.CloseWrite()
 		}, true},
+		{"half closed, received afterwards", 100_000, false, func(t *testing.T, server *net.TCPConn) {
+			_ = server.CloseWrite()
+			received := make(chan struct{})
+			go func() { defer close(received); read(t, server, 100_000) }()
+			t.Cleanup(func() { <-received })
+		}, true},
 		{"reset during a write", 64 << 20, true, func(t *testing.T, server *net.TCPConn) {
 			read(t, server, 64)
 			_ = server.SetLinger(0)
