--- a/exchanger/reset_test.go
+++ b/exchanger/reset_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/foxtailspool/foxtailspool/emulator"
 	"github.com/foxtailspool/foxtailspool/exchanger"
 	"github.com/foxtailspool/foxtailspool/identifier"
 )
@@ -24,30 +25,15 @@
 	exchangeTimeout = 30 * time.Second
 )
 
-// listenOnLoopback serves each connection to a real loopback address with a function, which
-// must close the connection.
+// listenOnLoopback serves each connection to a real loopback address with a function.
 func listenOnLoopback(t *testing.T, serve func(connection *net.TCPConn)) identifier.Address {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, stop, err := emulator.ServeConnections(t.Context(), serve)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serve(connection.(*net.TCPConn))
-		}
-	}()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-ended
-	})
-	return identifier.Address(listener.Addr().String())
+	t.Cleanup(stop)
+	return identifier.Address(address)
 }
 
 // upload sends a request with a body and returns the body of its answer.
@@ -66,34 +52,6 @@
 	return response.Status, string(content), err
 }
 
-// ending is how a server ends a connection on which it has not read the whole request.
-type ending string
-
-const (
-	// reset discards the connection at once.
-	reset ending = "reset"
-	// closedEarly ends the answer in order, and resets the connection when more of the request
-	// arrives.
-	closedEarly ending = "closed"
-)
-
-// answerEarly returns a server that reads the first bytes of a request, writes an answer and ends
-// the connection.
-func answerEarly(answer string, ending ending) func(connection *net.TCPConn) {
-	return func(connection *net.TCPConn) {
-		defer func() { _ = connection.Close() }()
-		if _, err := io.ReadFull(connection, make([]byte, 64)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, answer)
-		if ending == reset {
-			_ = connection.SetLinger(0)
-			return
-		}
-		_ = connection.CloseWrite()
-	}
-}
-
 // TestEarlyAnswerToUpload guards against an answer that looks complete though its server broke it
 // off and reset the connection while the request was still written. The kernel reports the reset
 // to the write, so that the reads which follow end as if the server had closed the connection. An
@@ -115,9 +73,9 @@
 		{"refusal with a length", http.StatusRequestEntityTooLarge, fmt.Sprintf(head, http.StatusRequestEntityTooLarge) + "Content-Length: 4\r\n\r\npart", true},
 		{"refusal in chunks", http.StatusRequestEntityTooLarge, fmt.Sprintf(head, http.StatusRequestEntityTooLarge) + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", true},
 	} {
-		for _, end := range []ending{reset, closedEarly} {
+		for _, end := range []emulator.EarlyEnding{emulator.EarlyReset, emulator.EarlyClose} {
 			t.Run(c.name+" "+string(end), func(t *testing.T) {
-				status, body, err := upload(t, listenOnLoopback(t, answerEarly(c.answer, end)), make([]byte, uploadBytes))
+				status, body, err := upload(t, listenOnLoopback(t, emulator.AnswerEarly(c.answer, end)), make([]byte, uploadBytes))
 				switch {
 				case c.whole && (err != nil || status != c.status || body != "part"):
 					t.Errorf("status %d, %q, %v", status, body, err)
--- a/invoker/reset_test.go
+++ b/invoker/reset_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/foxtailspool/foxtailspool/connector"
+	"github.com/foxtailspool/foxtailspool/emulator"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
@@ -68,32 +68,6 @@
 	})
 }
 
-// listenAsMember serves each connection to a real loopback address with a function, which must
-// close the connection.
-func listenAsMember(t *testing.T, serve func(connection *net.TCPConn)) tabulator.Member {
-	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serve(connection.(*net.TCPConn))
-		}
-	}()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-ended
-	})
-	return tabulator.Member{Name: "m", Address: identifier.Address(listener.Addr().String())}
-}
-
 // TestEarlyAnswerToCall guards against a part of an answer that a service's reset makes look
 // whole while the call's body is still written. What says where it ends is whole all the same.
 func TestEarlyAnswerToCall(t *testing.T) {
@@ -111,7 +85,12 @@
 			}
 			for _, key := range []identifier.Key{"", "k"} {
 				t.Run(fmt.Sprintf("%s key=%q order=%s", c.name, key, order), func(t *testing.T) {
-					member := listenAsMember(t, answerEarly(c.answer))
+					address, stop, err := emulator.ServeConnections(t.Context(), emulator.AnswerEarly(c.answer, emulator.EarlyReset))
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer stop()
+					member := tabulator.Member{Name: "m", Address: identifier.Address(address)}
 					i := newLoopbackInvoker(network)
 					wrong, lost := 0, 0
 					for range tries {
@@ -132,16 +111,3 @@
 		}
 	}
 }
-
-// answerEarly returns a service that reads the first bytes of a call, writes an answer and resets
-// the connection.
-func answerEarly(answer string) func(connection *net.TCPConn) {
-	return func(connection *net.TCPConn) {
-		defer func() { _ = connection.Close() }()
-		if _, err := io.ReadFull(connection, make([]byte, 64)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(connection, answer)
-		_ = connection.SetLinger(0)
-	}
-}
