--- a/starter/early_answer_test.go
+++ b/starter/early_answer_test.go
@@ -19,9 +19,6 @@
 // whole one: a back end answers a long upload without a length and resets the connection while the
 // upload is still sent. Only processes have connections whose kernel tells of the reset.
 func TestEarlyAnswerThroughProcess(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts real processes")
-	}
 	s := newSoakRun(t, buildProgram(t, false), earlyAnswerSeed)
 	s.kind, s.withRace = invalidSoak, false
 	s.fleet.maxBodyBytes = soakMaxBodyBytes
