connector: over TLS, too, a Transfer-Encoding in HTTP/1.0 makes an answer invalid

What callers saw: over TLS an answer in HTTP/1.0 with chunks came through as a valid one whose body held the lines that frame the chunks, and with a Content-Length besides also a part of it.

Cause: the transports looked for the field on the connection below TLS, where the heads are encrypted, and skipped the check there.

Evidence: TestAnswersOfTransport, now run over TLS as well, failed in both cases of chunks in HTTP/1.0 ("4\r\nbody\r\n0\r\n\r\n" and "4\r\nbody\r\n"); all other cases passed.

Why this works: the connection that the transport gets is a VerifiedConn around that of TLS, so the check reads what net/http reads. Connections that use the system's authorities are opened in the same way; before, http.Transport added TLS itself, above every check.

--- a/connector/answer_test.go
+++ b/connector/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -16,10 +17,13 @@
 )
 
 // dialAnswering opens connections to a server that answers each request with the same bytes and
-// closes the connection.
-func dialAnswering(answer string) connector.Network {
+// closes the connection. It uses TLS if config is not nil.
+func dialAnswering(answer string, config *tls.Config) connector.Network {
 	return connector.Network{Dial: func(context.Context, string, string) (net.Conn, error) {
 		client, server := net.Pipe()
+		if config != nil {
+			server = tls.Server(server, config)
+		}
 		go func() {
 			defer func() { _ = server.Close() }()
 			if request, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
@@ -35,6 +39,8 @@
 // and checks that sound answers of all forms come through.
 func TestAnswersOfTransport(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	certificates := newCertificates(t)
+	secured := serverConfigHTTP1(certificates)
 	for name, c := range map[string]struct {
 		answer string
 		valid  bool
@@ -69,20 +75,24 @@
 		"status 600":                       {"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			transport := dialAnswering(c.answer).Transport(connector.Limits{DialTimeout: time.Second, IdleTimeout: time.Second, MaxConnectionsPerHost: 1})
-			defer transport.CloseIdleConnections()
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://test/", strings.NewReader("request"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			var body []byte
-			response, err := transport.RoundTrip(request)
-			if err == nil {
-				body, err = io.ReadAll(response.Body)
-				_ = response.Body.Close()
-			}
-			if c.valid && (err != nil || string(body) != "body") || !c.valid && !errorx.IsOfType(err, connector.InvalidAnswer) {
-				t.Errorf("%q, %v", body, err)
+			for scheme, config := range map[string]*tls.Config{"http": nil, "https": secured} {
+				transport := dialAnswering(c.answer, config).Transport(connector.Limits{
+					DialTimeout: time.Minute, IdleTimeout: time.Minute, MaxConnectionsPerHost: 1, TLS: certificates,
+				})
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, scheme+"://127.0.0.1/", strings.NewReader("request"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				var body []byte
+				response, err := transport.RoundTrip(request)
+				if err == nil {
+					body, err = io.ReadAll(response.Body)
+					_ = response.Body.Close()
+				}
+				if c.valid && (err != nil || string(body) != "body") || !c.valid && !errorx.IsOfType(err, connector.InvalidAnswer) {
+					t.Errorf("%s: %q, %v", scheme, body, err)
+				}
+				transport.CloseIdleConnections()
 			}
 		})
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -126,8 +126,6 @@
 		transport.Protocols.SetUnencryptedHTTP2(true)
 		transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: limits.PingInterval, PingTimeout: limits.DialTimeout}
 	}
-	if limits.TLS != nil {
-		transport.DialTLSContext = n.dialTLS(limits)
-	}
+	transport.DialTLSContext = n.dialTLS(limits)
 	return &Transport{Transport: transport, http2: limits.PingInterval > 0}
 }
--- a/connector/server.go
+++ b/connector/server.go
@@ -287,7 +287,8 @@
 	return len(line), nil
 }
 
-// dialTLS returns a dial function that uses the current certificates.
+// dialTLS returns a dial function that uses the current certificates. With HTTP/1 its connections
+// see the answers as they are inside TLS, as dial's see those of plain connections.
 func (n Network) dialTLS(limits Limits) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, limits.DialTimeout)
@@ -305,6 +306,9 @@
 			_ = raw.Close()
 			return nil, err
 		}
-		return connection, nil
+		if limits.PingInterval > 0 {
+			return connection, nil
+		}
+		return VerifyEnd(connection), nil
 	}
 }
--- a/connector/tls.go
+++ b/connector/tls.go
@@ -91,8 +91,13 @@
 	return config
 }
 
+// clientConfig returns the configuration of one connection. A nil TLS has no certificate and uses
+// the system's authorities.
 func (t *TLS) clientConfig(http2 bool) *tls.Config {
-	latest := t.reloadChanged()
+	var latest certificates
+	if t != nil {
+		latest = t.reloadChanged()
+	}
 	config := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: latest.authority}
 	config.NextProtos = []string{"http/1.1"}
 	if http2 {
--- a/connector/tls_test.go
+++ b/connector/tls_test.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -61,6 +62,25 @@
 	return connector.TLSFiles{Certificate: certificate, Key: certificate + ".key", Authority: certificate}
 }
 
+// newCertificates returns a certificate that is also its own authority.
+func newCertificates(t *testing.T) *connector.TLS {
+	t.Helper()
+	files := testFiles(t)
+	writeCertificate(t, files, 1)
+	certificates, err := connector.NewTLS(files, logger.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return certificates
+}
+
+// serverConfigHTTP1 returns the configuration of a server of HTTP/1.
+func serverConfigHTTP1(certificates *connector.TLS) *tls.Config {
+	config := certificates.ServerConfig()
+	config.GetConfigForClient, config.NextProtos = nil, nil
+	return config
+}
+
 func serial(t *testing.T, certificates *connector.TLS) int64 {
 	t.Helper()
 	own, err := certificates.ServerConfig().GetCertificate(nil)
