connector: an early answer outlives the write that was reset

What callers saw: a service or an engine that serve calls refuses a long upload at once, says where its answer ends and closes the connection. The caller got "unknown" in place of the refusal.

Cause: http.Transport gives a request up when its write fails, and the kernel reports the reset to the write at the same time as it has the answer ready for the reads.

The answers counted as lost there before, not as failures: the test now fails for each.

Why this works: a write that the peer's reset ends returns its error only when the connection is closed. The reads return the answer, or fail, and then http.Transport closes the connection itself. Hiding the error instead was tried: http.Transport then kept the broken connection for other requests, of which it lost one in a run with -race. Where the answer comes through a pooled connection its end waits 50 ms, in which http.Transport hopes for the end of the write. An answer without a length still fails: its reads meet the end after a failed write.

--- a/connector/answer.go
+++ b/connector/answer.go
@@ -81,8 +81,8 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connection = info.Conn
-			if verified, ok := connection.(*VerifiedConn); ok {
-				verified.BeginAnswer(nil)
+			if exchange, ok := connection.(*exchangeConn); ok {
+				exchange.BeginAnswer(nil)
 			}
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
@@ -98,8 +98,8 @@
 		return nil, err
 	}
 	err = CheckHead(response)
-	if verified, ok := connection.(*VerifiedConn); err == nil && ok {
-		err = verified.CheckFraming()
+	if exchange, ok := connection.(*exchangeConn); err == nil && ok {
+		err = exchange.CheckFraming()
 	}
 	if err != nil {
 		_ = response.Body.Close()
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -109,7 +109,11 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, limits.DialTimeout)
 			defer cancel()
-			return n.dial(ctx, network, address, limits)
+			opened, err := n.dial(ctx, network, address, limits)
+			if verified, ok := opened.(*VerifiedConn); ok {
+				return newExchangeConn(verified), nil
+			}
+			return opened, err
 		},
 		TLSHandshakeTimeout:   limits.DialTimeout,
 		ResponseHeaderTimeout: limits.HeaderTimeout,
--- a/connector/server.go
+++ b/connector/server.go
@@ -309,6 +309,6 @@
 		if limits.PingInterval > 0 {
 			return connection, nil
 		}
-		return VerifyEnd(connection), nil
+		return newExchangeConn(VerifyEnd(connection)), nil
 	}
 }
--- a/invoker/reset_test.go
+++ b/invoker/reset_test.go
@@ -69,15 +69,20 @@
 }
 
 // TestEarlyAnswerToCall guards against a part of an answer that a service's reset makes look
-// whole while the call's body is still written. What says where it ends is whole all the same.
+// whole while the call's body is still written, and against the loss of an answer that says where
+// it ends, which is whole all the same.
 func TestEarlyAnswerToCall(t *testing.T) {
 	const tries = 20
+	body := make([]byte, 16<<20)
 	for _, c := range []struct {
 		name, answer string
+		ending       emulator.EarlyEnding
 		whole        bool
 	}{
-		{"unframed", "HTTP/1.1 200 OK\r\n\r\npart", false},
-		{"refusal with a length", "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\npart", true},
+		{"unframed", "HTTP/1.1 200 OK\r\n\r\npart", emulator.EarlyReset, false},
+		{"refusal with a length", "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\npart", emulator.EarlyReset, true},
+		{"refusal with a length, closed", "HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\npart", emulator.EarlyClose, true},
+		{"refusal in chunks", "HTTP/1.1 413 Too Large\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", emulator.EarlyReset, true},
 	} {
 		for order, network := range map[string]connector.Network{"any": connector.NewNetwork(), "write first": {Dial: dialWriteFirst}} {
 			if c.whole && order == "write first" {
@@ -85,7 +90,8 @@
 			}
 			for _, key := range []identifier.Key{"", "k"} {
 				t.Run(fmt.Sprintf("%s key=%q order=%s", c.name, key, order), func(t *testing.T) {
-					address, stop, err := emulator.ServeConnections(t.Context(), emulator.AnswerEarly(c.answer, emulator.EarlyReset))
+					t.Parallel()
+					address, stop, err := emulator.ServeConnections(t.Context(), emulator.AnswerEarly(c.answer, c.ending))
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -94,12 +100,13 @@
 					i := newLoopbackInvoker(network)
 					wrong, lost := 0, 0
 					for range tries {
-						reply, err := i.Call(t.Context(), member, Call{Method: http.MethodPost, Target: "/", Body: make([]byte, 16<<20), Key: key})
+						reply, err := i.Call(t.Context(), member, Call{Method: http.MethodPost, Target: "/", Body: body, Key: key})
 						switch {
-						case errorx.IsOfType(err, AnswerLost):
+						case !c.whole && errorx.IsOfType(err, AnswerLost):
 							lost++
 						case !c.whole || err != nil || reply.Status != http.StatusRequestEntityTooLarge || string(reply.Body) != "part":
 							wrong++
+							t.Logf("%d %q, %v", reply.Status, reply.Body, err)
 						}
 					}
 					t.Logf("%d of %d answers were lost", lost, tries)
