connector, storer, platform, administrator: a redirect confirms no call

What callers saw: the store, or what stands before it, answers a write with a redirect (302, 303, 307). The client followed it and took the answer of the other address for that to the write, which counted as done. The same held for an operator's edit, which was reported as accepted.

Cause: http.Client follows redirects by itself, after 302 and 303 with a GET without a body. Only the calls to backend servers returned them.

Why this works: the clients are made by connector.NewClient, which returns the redirect. Its status is no success, so the effect is unknown, as after any other such status. The calls between nodes were safe before: Twirp's clients don't follow redirects either.

--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -130,3 +130,23 @@
 		t.Errorf("an unreachable node: %v", err)
 	}
 }
+
+// TestRedirectConfirmsNothing guards against an edit that counts as accepted because the answer
+// refers to another call that succeeds.
+func TestRedirectConfirmsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/elsewhere" {
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(status)
+				return
+			}
+			_, _ = w.Write([]byte("{}"))
+		}))
+		client := administrator.NewClient(administrator.ClientOptions{URL: server.URL, Transport: server.Client().Transport, Timeout: 10 * time.Second})
+		if _, err := client.Apply(t.Context(), administrator.Edit{}); !errorx.IsOfType(err, administrator.Unknown) {
+			t.Errorf("status %d: %v", status, err)
+		}
+		server.Close()
+	}
+}
--- a/administrator/client.go
+++ b/administrator/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/connector"
 )
 
 // maxAnswerBytes limits the response body that the client reads.
@@ -31,7 +33,9 @@
 
 // NewClient returns a client of one node.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, http: &http.Client{Transport: options.Transport, Timeout: options.Timeout}}
+	client := connector.NewClient(options.Transport)
+	client.Timeout = options.Timeout
+	return &Client{options: options, http: client}
 }
 
 // Status returns the node's status.
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -20,6 +20,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/foxtailspool/foxtailspool/connector"
 	"github.com/foxtailspool/foxtailspool/identifier"
 	"github.com/foxtailspool/foxtailspool/tabulator"
 )
@@ -77,17 +78,12 @@
 	unpooled *http.Client
 }
 
-// returnRedirect makes a client return redirects; following one could run a call twice.
-func returnRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // New returns an invoker.
 func New(options Options) *Invoker {
 	return &Invoker{
 		options:  options,
-		pooled:   &http.Client{Transport: options.Transport, CheckRedirect: returnRedirect},
-		unpooled: &http.Client{Transport: options.UnpooledTransport, CheckRedirect: returnRedirect},
+		pooled:   connector.NewClient(options.Transport),
+		unpooled: connector.NewClient(options.UnpooledTransport),
 	}
 }
 
--- a/storer/client.go
+++ b/storer/client.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/foxtailspool/foxtailspool/connector"
 )
 
 // apiPath is the root of foxtailspool's kinds in the platform's API.
@@ -40,7 +42,7 @@
 
 // NewClient returns a client of the platform.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, http: &http.Client{Transport: options.Transport}}
+	return &Client{options: options, http: connector.NewClient(options.Transport)}
 }
 
 type wireMetadata struct {
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -140,10 +140,15 @@
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) { return t(r) }
 
 // TestStatusThatConfirmsNothing guards against a write that counts as done though the answer's
-// status is no success.
+// status is no success, also if the status refers to another call that succeeds.
 func TestStatusThatConfirmsNothing(t *testing.T) {
-	for _, status := range []int{http.StatusMultipleChoices, http.StatusFound, http.StatusNotModified, http.StatusTemporaryRedirect} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	for _, status := range []int{http.StatusMultipleChoices, http.StatusFound, http.StatusSeeOther, http.StatusNotModified, http.StatusTemporaryRedirect} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/elsewhere" {
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(status)
+			}
+		}))
 		client := storer.NewClient(storer.ClientOptions{URL: server.URL, Transport: server.Client().Transport, CallTimeout: 5 * time.Second})
 		wantErrorType(t, client.Delete(t.Context(), storer.Object{Kind: storer.KindTable, Name: "routes", Version: "1"}), storer.Uncertain)
 		server.Close()
