--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -143,14 +143,19 @@
 // status is no success, also if the status refers to another call that succeeds.
 func TestStatusThatConfirmsNothing(t *testing.T) {
 	for _, status := range []int{http.StatusMultipleChoices, http.StatusFound, http.StatusSeeOther, http.StatusNotModified, http.StatusTemporaryRedirect} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path != "/elsewhere" {
-				w.Header().Set("Location", "/elsewhere")
+		for _, location := range []string{"", "/elsewhere"} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/elsewhere" {
+					return
+				}
+				if location != "" {
+					w.Header().Set("Location", location)
+				}
 				w.WriteHeader(status)
-			}
-		}))
-		client := storer.NewClient(storer.ClientOptions{URL: server.URL, Transport: server.Client().Transport, CallTimeout: 5 * time.Second})
-		wantErrorType(t, client.Delete(t.Context(), storer.Object{Kind: storer.KindTable, Name: "routes", Version: "1"}), storer.Uncertain)
-		server.Close()
+			}))
+			client := storer.NewClient(storer.ClientOptions{URL: server.URL, Transport: server.Client().Transport, CallTimeout: 5 * time.Second})
+			wantErrorType(t, client.Delete(t.Context(), storer.Object{Kind: storer.KindTable, Name: "routes", Version: "1"}), storer.Uncertain)
+			server.Close()
+		}
 	}
 }
