--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -22,7 +22,7 @@
 }
 
 // Write writes to the connection. If the peer has reset it, the write fails only once it is closed.
-// The failure is still returned: http.Transport would keep the connection for other requests.
+// Were the failure hidden, http.Transport would keep the connection for other requests.
 func (c *exchangeConn) Write(content []byte) (int, error) {
 	n, err := c.VerifiedConn.Write(content)
 	if isReset(err) {
