connector: a peer that reads slowly is not one that has vanished

Cause: TCP_USER_TIMEOUT of 2 s, set to notice peers that vanish. Linux counts all time since a window was first closed towards it, though the peer acknowledges each probe. TCP_INFO of such a connection shows the probes answered and 14 KB taken before the reset, 2.0 s after the first probe. Behind that bound were others: each write to a caller ended after 10 s whatever its deadline, and a connection that was closed behind its answer, for its idle timeout or at shutdown lost what was not read.

A caller that lives has until its deadline, and less only where others need the memory. A closed connection goes on sending until its answer is read. Event 1019 and two counters tell of answers that are not read.

--- a/connector/connections.go
+++ b/connector/connections.go
@@ -4,10 +4,15 @@
 	"bytes"
 	"cmp"
 	"container/list"
+	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/foxtailspool/foxtailspool/limiter"
@@ -46,8 +51,9 @@
 // closedCounts counts connections closed by the server.
 type closedCounts struct {
 	// displaced were closed for newer ones, refused because no connection was waiting, and headers
-	// because the memory for headers was in use.
-	displaced, refused, headers int
+	// because the memory for headers was in use. stalled were closed because their clients did not
+	// read an answer in time, and vanished because they acknowledged nothing.
+	displaced, refused, headers, stalled, vanished int
 }
 
 // trackedConn is a connection of a server. The mutex of its table guards the fields from
@@ -55,8 +61,13 @@
 type trackedConn struct {
 	net.Conn
 	table *connections
-	// writeTimeout bounds each write.
+	// writeTimeout bounds each write that begins later than that before answerBy.
 	writeTimeout time.Duration
+	// answerBy is until when the clients of the connection's requests wait for their answers; nil
+	// means that this is not known.
+	answerBy atomic.Pointer[time.Time]
+	// resets is set if the close of the connection has to reset it.
+	resets atomic.Bool
 
 	// element is the connection's place in waiting, nil while it is not there.
 	element *list.Element
@@ -67,6 +78,9 @@
 	// isHTTP2 excludes a connection from reading: its frames need not belong to requests.
 	isHTTP2 bool
 	closed  bool
+	// lingering is set once the server has closed the connection and its client has not read the
+	// whole answer.
+	lingering bool
 	// header is the memory of the header that arrives or whose request is in progress, of which
 	// headerBytes have been read.
 	header      *limiter.Lease
@@ -155,9 +169,22 @@
 // slowHeader is after how long a header that has not ended makes room for a new connection.
 const slowHeader = time.Second
 
+// maxUnread bounds the connections with unread answers that displaceable passes over.
+const maxUnread = 16
+
 // displaceable returns the connection that has waited longest for a request, or else for the end
-// of a slow header; nil if there is none. The caller must hold the mutex.
+// of a slow header; nil if there is none. One with an unread answer is the last choice of those
+// that wait. The caller must hold the mutex.
 func (t *connections) displaceable(now time.Time) *trackedConn {
+	unread := 0
+	for element := t.waiting.Front(); element != nil && unread < maxUnread; element = element.Next() {
+		c := element.Value.(*trackedConn)
+		if !c.isRead(now) {
+			unread++
+			continue
+		}
+		return c
+	}
 	if first := t.waiting.Front(); first != nil {
 		return first.Value.(*trackedConn)
 	}
@@ -282,12 +309,58 @@
 
 var headerEnd = []byte("\r\n\r\n")
 
-// Write writes to the connection within the write timeout.
+// Write writes to the connection, for as long as the client waits for its answer, or else within
+// the write timeout.
 func (c *trackedConn) Write(content []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+	deadline := time.Now().Add(c.writeTimeout)
+	if by := c.answerBy.Load(); by != nil && by.After(deadline) {
+		deadline = *by
+	}
+	if err := c.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(content)
+	n, err := c.Conn.Write(content)
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT):
+		c.table.count(func(counts *closedCounts) { counts.vanished++ })
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(deadline):
+		c.table.count(func(counts *closedCounts) { counts.stalled++ })
+	}
+	return n, err
+}
+
+// AwaitReader lets the client of a request take until a time to read its answer, if that is longer
+// than the server's WriteTimeout. ctx is that of the request.
+func AwaitReader(ctx context.Context, until time.Time) {
+	c, ok := ctx.Value(connectionKey{}).(*trackedConn)
+	if !ok {
+		return
+	}
+	for {
+		known := c.answerBy.Load()
+		if known != nil && !known.Before(until) || c.answerBy.CompareAndSwap(known, &until) {
+			return
+		}
+	}
+}
+
+// pendingConn is a connection that knows what its peer has not received.
+type pendingConn interface {
+	// HasPending reports whether the peer has not acknowledged all that was written.
+	HasPending() bool
+	// CloseWithin closes the connection and lets the kernel go on sending what is pending.
+	CloseWithin(timeout time.Duration) error
+}
+
+// isRead reports whether nothing is left of the connection's answers that its client still waits
+// for.
+func (c *trackedConn) isRead(now time.Time) bool {
+	by := c.answerBy.Load()
+	if by == nil || !now.Before(*by) {
+		return true
+	}
+	pending, ok := c.Conn.(pendingConn)
+	return !ok || !pending.HasPending()
 }
 
 // CloseWrite closes the connection for writing, so that a peer which still sends can read an
@@ -299,14 +372,69 @@
 	return nil
 }
 
-// Close closes the connection.
+// Close closes the connection. If its client has not read the whole answer, it is closed for
+// writing first, and altogether when that has been read, the client waits no longer or another
+// connection needs the room.
 func (c *trackedConn) Close() error {
-	c.table.mutex.Lock()
-	c.table.forget(c)
-	c.table.mutex.Unlock()
+	if c.table.linger(c) {
+		return c.CloseWrite()
+	}
 	return c.Conn.Close()
 }
 
+// linger stops counting a connection that is closed, and reports whether its answer has to be read
+// first. Then it waits as if for a request.
+func (t *connections) linger(c *trackedConn) bool {
+	now := time.Now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if c.closed || c.lingering || c.resets.Load() || c.isRead(now) {
+		t.forget(c)
+		return false
+	}
+	c.lingering = true
+	c.header.Release()
+	t.wait(c, now)
+	return true
+}
+
+// closeRead closes the lingering connections whose answers have been read, and returns how many
+// are left.
+func (t *connections) closeRead(now time.Time) (left int) {
+	for _, c := range t.forgetLingering(func(c *trackedConn) bool { return c.isRead(now) }, &left) {
+		_ = c.Conn.Close()
+	}
+	return left
+}
+
+// abandonLingering leaves the lingering connections to the kernel.
+func (t *connections) abandonLingering(now time.Time) {
+	var left int
+	for _, c := range t.forgetLingering(func(*trackedConn) bool { return true }, &left) {
+		_ = c.Conn.(pendingConn).CloseWithin(c.answerBy.Load().Sub(now))
+	}
+}
+
+// forgetLingering forgets and returns the lingering connections that are to be closed, and counts
+// the others.
+func (t *connections) forgetLingering(isClosed func(c *trackedConn) bool, left *int) (list []*trackedConn) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for element := t.waiting.Front(); element != nil; element = element.Next() {
+		switch c := element.Value.(*trackedConn); {
+		case !c.lingering:
+		case isClosed(c):
+			list = append(list, c)
+		default:
+			*left++
+		}
+	}
+	for _, c := range list {
+		t.forget(c)
+	}
+	return list
+}
+
 // closeExpired closes the connections that have exceeded a timeout.
 func (t *connections) closeExpired(now time.Time, timeouts Timeouts) {
 	for _, c := range t.expired(now, timeouts) {
@@ -322,7 +450,9 @@
 	var list []*trackedConn
 	for element := t.waiting.Front(); element != nil; element = element.Next() {
 		c := element.Value.(*trackedConn)
-		if c.answered && exceeds(c, timeouts.Idle) || !c.answered && exceeds(c, timeouts.Header) {
+		switch {
+		case c.lingering:
+		case c.answered && exceeds(c, timeouts.Idle) && c.isRead(now), !c.answered && exceeds(c, timeouts.Header):
 			list = append(list, c)
 		}
 	}
@@ -344,6 +474,13 @@
 	return t.open, t.waiting.Len()
 }
 
+// count changes the counts of closed connections.
+func (t *connections) count(change func(counts *closedCounts)) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	change(&t.closed)
+}
+
 // takeCounts returns and resets the numbers of connections closed by the server.
 func (t *connections) takeCounts() closedCounts {
 	t.mutex.Lock()
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -5,14 +5,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"golang.org/x/sys/unix"
 )
 
 // Errors is the namespace of this package's error types.
@@ -41,51 +38,6 @@
 	TLS *TLS
 }
 
-// Liveness configures the detection of dead TCP connections.
-type Liveness struct {
-	// KeepAlive detects dead connections while no data is sent.
-	KeepAlive net.KeepAliveConfig
-	// UnacknowledgedTimeout is how long sent data may stay unacknowledged before the
-	// connection is closed (TCP_USER_TIMEOUT). Zero selects the system's default.
-	UnacknowledgedTimeout time.Duration
-}
-
-// defaultLiveness sends few probes: connections rarely die unnoticed.
-var defaultLiveness = Liveness{
-	KeepAlive: net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3},
-}
-
-// NewNetwork returns the network of the operating system.
-func NewNetwork() Network {
-	return NewNetworkWithLiveness(defaultLiveness)
-}
-
-// NewNetworkWithLiveness returns the network of the operating system with the given
-// detection of dead connections.
-func NewNetworkWithLiveness(liveness Liveness) Network {
-	control := liveness.control
-	dialer := &net.Dialer{KeepAliveConfig: liveness.KeepAlive, Control: control}
-	listening := net.ListenConfig{KeepAliveConfig: liveness.KeepAlive, Control: control}
-	return Network{
-		Dial: dialer.DialContext,
-		Listen: func(ctx context.Context, address string) (net.Listener, error) {
-			return listening.Listen(ctx, "tcp", address)
-		},
-	}
-}
-
-// control sets TCP_USER_TIMEOUT on a socket.
-func (l Liveness) control(_, _ string, raw syscall.RawConn) error {
-	if l.UnacknowledgedTimeout <= 0 {
-		return nil
-	}
-	var failure error
-	err := raw.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.UnacknowledgedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failure)
-}
-
 // dial opens a connection. With HTTP/1, whose answers may end with their connection, it verifies
 // the end. With pings it counts the reads, for CloseUnresponsive.
 func (n Network) dial(ctx context.Context, network, address string, limits Limits) (net.Conn, error) {
--- a/connector/end.go
+++ b/connector/end.go
@@ -52,7 +52,15 @@
 func (c *VerifiedConn) WriteBuffers(buffers net.Buffers) (int64, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	n, err := buffers.WriteTo(c.Conn)
+	var n int64
+	var err error
+	if next, ok := c.Conn.(interface {
+		WriteBuffers(buffers net.Buffers) (int64, error)
+	}); ok {
+		n, err = next.WriteBuffers(buffers)
+	} else {
+		n, err = buffers.WriteTo(c.Conn)
+	}
 	c.recordWrite(err)
 	return n, err
 }
--- a/connector/events.go
+++ b/connector/events.go
@@ -22,6 +22,8 @@
 		"A fault of this program ended one request, whose connection was closed. Report the value and the stack.")
 	EventHeadersFull = logger.Define(1017, logrus.WarnLevel, "connections closed for the memory of headers",
 		"The headers that clients have sent in part, or whose requests are in progress, fill the memory for them. In the last second, connections whose headers had taken longest to arrive were closed. Clients send large or unfinished headers.")
+	EventNotRead = logger.Define(1019, logrus.WarnLevel, "connections closed because answers were not read",
+		"In the last second, writes of answers failed: stalled ones because the client took nothing until its deadline or the write timeout, vanished ones because its system acknowledged nothing any more.")
 	EventTLSReloaded = logger.Define(1014, logrus.InfoLevel, "certificates reloaded",
 		"A TLS file changed; new connections use its new content.")
 	EventTLSReloadFailed = logger.Define(1015, logrus.ErrorLevel, "certificates refused",
--- a/connector/panics.go
+++ b/connector/panics.go
@@ -58,6 +58,7 @@
 	if !ok {
 		return
 	}
+	c.resets.Store(true)
 	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = lingerer.SetLinger(0)
 	}
--- a/connector/server.go
+++ b/connector/server.go
@@ -32,7 +32,7 @@
 	// ReadTimeout bounds the wait for a request's header and body together.
 	ReadTimeout time.Duration
 	// WriteTimeout bounds each write, not the whole answer, so that a stream may last longer
-	// while its reader keeps reading.
+	// while its reader keeps reading. AwaitReader extends it.
 	WriteTimeout time.Duration
 	IdleTimeout  time.Duration
 	// FinishTimeout bounds the wait for open requests when the server shuts down.
@@ -86,6 +86,7 @@
 	http        *http.Server
 	listener    net.Listener
 	connections *connections
+	scope       tally.Scope
 }
 
 // NewServer returns a server that is not listening yet.
@@ -94,7 +95,11 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
-	s := &Server{options: options, connections: newConnections(limits.MaxConnections, options.Headers, limits.HTTP2Bytes)}
+	s := &Server{
+		options:     options,
+		connections: newConnections(limits.MaxConnections, options.Headers, limits.HTTP2Bytes),
+		scope:       options.Scope.SubScope("connector").Tagged(map[string]string{"listener": options.Name}),
+	}
 	s.http = &http.Server{
 		Handler:           limitBody(recoverPanics(options), limits.MaxBodyBytes, options.Bodies),
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
@@ -188,6 +193,25 @@
 		s.options.Log.Log(EventRequestsAborted, s.fields(err))
 		_ = s.http.Close()
 	}
+	s.awaitReaders(finish)
+}
+
+// lingerInterval is the time between two checks of lingering connections at shutdown.
+const lingerInterval = 20 * time.Millisecond
+
+// awaitReaders waits until the clients have read the answers of closed connections, or ctx ends.
+// The kernel goes on sending what is left then.
+func (s *Server) awaitReaders(ctx context.Context) {
+	ticker := time.NewTicker(lingerInterval)
+	defer ticker.Stop()
+	for s.connections.closeRead(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			s.connections.abandonLingering(time.Now())
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // watchInterval is the time between two checks of the connections.
@@ -206,13 +230,21 @@
 			if s.options.Timeouts != nil {
 				s.connections.closeExpired(now, s.options.Timeouts())
 			}
-			s.logFull()
+			s.connections.closeRead(now)
+			s.logClosed()
 		}
 	}
 }
 
-func (s *Server) logFull() {
+func (s *Server) logClosed() {
 	counts := s.connections.takeCounts()
+	if counts.stalled > 0 || counts.vanished > 0 {
+		s.scope.Counter("stalled-readers").Inc(int64(counts.stalled))
+		s.scope.Counter("vanished-readers").Inc(int64(counts.vanished))
+		fields := s.fields(nil)
+		fields["stalled"], fields["vanished"] = counts.stalled, counts.vanished
+		s.options.Log.Log(EventNotRead, fields)
+	}
 	fields := s.fields(nil)
 	fields["open"], fields["waiting"] = s.connections.counts()
 	if counts.headers > 0 {
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -52,10 +52,13 @@
 	// end, holds the answer up.
 	heldUpAfter = time.Second
 	// heldUpFor is how long after that a back end may have cut the answer off because nobody read
-	// it. It exceeds the time for which a write to a caller may wait.
+	// it. The node first reads what the buffers between them hold.
 	heldUpFor = 15 * time.Second
 )
 
+// Deadline returns when the answer must be complete.
+func (r *Reply) Deadline() time.Time { return r.call.deadline }
+
 // AwaitCaller notes that the caller is given a piece of the answer. When the node has no memory
 // for other requests and the caller is the slowest, it calls yield, which must end the wait.
 func (r *Reply) AwaitCaller(yield func()) {
