isolator: a deadly part is found at any place of a prompt

A report now has all parts up to 64, in several messages with one id, and is evidence once all have come. Of a longer prompt it has those that ran well least recently; the rest is counted. Names of engines too long for a message are replaced by a hash. The verdict explains parts with the same requests once, and prefers an explanation that starts from a part that never ran well: in long prompts some sound parts are in all crashes by chance.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -131,6 +131,10 @@
 	return max(minGrantWait, c.route.Patience-time.Since(c.request.Arrived))
 }
 
+// maxDemandPrefixes bounds the parts by which an engine with a cached prompt is chosen. They are the
+// first, as a part is cached only behind all before it.
+const maxDemandPrefixes = 64
+
 func (c *call) newDemand() placer.Demand {
 	cost := c.request.Cost
 	rejecting, _ := c.balancer.rejecting(time.Now(), c.backendTable().Pool(c.pool.Name, ""))
@@ -154,7 +158,7 @@
 		FirstTokenBudget: max(minGrantWait, c.grantTimeLeft()),
 		TargetMissed:     c.grantTimeLeft() <= 0,
 		MaxTokenInterval: c.route.MaxEventGap,
-		Prefixes:         cost.Prefixes,
+		Prefixes:         cost.Prefixes[:min(len(cost.Prefixes), maxDemandPrefixes)],
 		NoResume:         true,
 		Suspect:          c.options.Isolator.IsSuspect(c.request.Fingerprint),
 		Avoid:            append(rejecting, c.tried...),
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -3,8 +3,12 @@
 package identifier
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 )
 
 // Node is the name of a router process on an entry VM, unique in the fleet.
@@ -25,6 +29,25 @@
 // Member is the name of a backend server, unique within its pool.
 type Member string
 
+const (
+	// maxShortMember is the length in bytes up to which messages between nodes have the name of a
+	// member itself. They have room for 512 bytes.
+	maxShortMember = 40
+	// memberHashBytes is the part of a hash that takes the place of a longer name.
+	memberHashBytes = 12
+)
+
+// Short returns the name, or a hash of one that is too long for messages between nodes, or would be
+// when encoded. It is the same on all nodes.
+func (m Member) Short() Member {
+	isPlain := func(b byte) bool { return b > ' ' && b <= '~' && !strings.ContainsRune(`"\\<>&`, rune(b)) }
+	if len(m) <= maxShortMember && !slices.ContainsFunc([]byte(m), func(b byte) bool { return !isPlain(b) }) {
+		return m
+	}
+	digest := sha256.Sum256([]byte(m))
+	return Member("#" + hex.EncodeToString(digest[:memberHashBytes]))
+}
+
 // Account is the name of a caller's account.
 type Account string
 
--- a/isolator/evidence.go
+++ b/isolator/evidence.go
@@ -18,12 +18,18 @@
 // crashReport says that an engine's process ended with a request in flight.
 type crashReport struct {
 	member identifier.Member
-	// parts are the shared parts of the request's prompt, sorted, without duplicates.
+	// parts are the shared parts of the request's prompt, sorted, without duplicates. Those of a
+	// long prompt come in several messages.
 	parts []Part
+	// count is the number of parts that the report has.
+	count int
 	// sentAt is when the request was sent, endedAt when its node saw the process end.
 	sentAt, endedAt time.Time
 }
 
+// isComplete reports whether all parts of the report have come.
+func (r crashReport) isComplete() bool { return len(r.parts) >= r.count }
+
 // soundRun is the latest known request that ran well with a part.
 type soundRun struct {
 	id evidenceID
@@ -48,8 +54,12 @@
 }
 
 const (
-	// maxReports bounds the reports of evidence; the latest are kept.
-	maxReports = 512
+	// maxReports bounds the reports of evidence, and maxReportedParts their parts together; the
+	// latest are kept.
+	maxReports       = 512
+	maxReportedParts = 8192
+	// maxSoundParts bounds the parts of evidence of which a request ran well; the latest are kept.
+	maxSoundParts = 2048
 	// maxTrials bounds the trials of evidence; the latest are kept.
 	maxTrials = 64
 	// restartTime is shorter than an engine's restart: a request that was sent less than this
@@ -72,14 +82,18 @@
 	}
 }
 
-// addReport merges a report. Of two copies the one with the earlier time counts, as delays
-// of messages only make an observation look later.
+// addReport merges a report, or a part of one. Of two copies the one with the earlier time
+// counts, as delays of messages only make an observation look later.
 func (e *evidence) addReport(id evidenceID, r crashReport) {
 	if known, ok := e.reports[id]; ok {
 		r.sentAt, r.endedAt = earlierOf(r.sentAt, known.sentAt), earlierOf(r.endedAt, known.endedAt)
+		r.parts, r.count = sortedParts(slices.Concat(r.parts, known.parts)), max(r.count, known.count)
+		r.parts = r.parts[:min(len(r.parts), maxReportParts)]
 	}
 	e.reports[id] = r
-	keepLatest(e.reports, maxReports, func(r crashReport) time.Time { return r.endedAt })
+	at := func(r crashReport) time.Time { return r.endedAt }
+	keepLatest(e.reports, maxReports, at, nil)
+	keepLatest(e.reports, maxReportedParts, at, func(r crashReport) int { return len(r.parts) })
 }
 
 // hasSame reports whether another request with the same parts was in flight at the same crash.
@@ -103,7 +117,7 @@
 			e.sound[part] = run
 		}
 	}
-	keepLatest(e.sound, maxReports, func(run soundRun) time.Time { return run.began })
+	keepLatest(e.sound, maxSoundParts, func(run soundRun) time.Time { return run.began }, nil)
 }
 
 // addTrial merges a trial. It keeps the latest of each combination.
@@ -116,7 +130,7 @@
 		return
 	}
 	e.trials[key] = t
-	keepLatest(e.trials, maxTrials, func(t trial) time.Time { return t.startedAt })
+	keepLatest(e.trials, maxTrials, func(t trial) time.Time { return t.startedAt }, nil)
 }
 
 // removeBefore removes observations from before a time.
@@ -126,18 +140,42 @@
 	maps.DeleteFunc(e.trials, func(_ combinationKey, t trial) bool { return t.startedAt.Before(oldest) })
 }
 
-// keepLatest removes the earliest values above a limit.
-func keepLatest[K cmp.Ordered, V any](values map[K]V, limit int, at func(V) time.Time) {
-	for len(values) > limit {
-		var earliest K
-		var earliestAt time.Time
-		isFirst := true
-		for key, value := range values {
-			if order := at(value).Compare(earliestAt); isFirst || order < 0 || order == 0 && key > earliest {
-				earliest, earliestAt, isFirst = key, at(value), false
-			}
+// countIncomplete returns the number of reports of which a message is missing.
+func (e *evidence) countIncomplete() int {
+	count := 0
+	for _, r := range e.reports {
+		if !r.isComplete() {
+			count++
+		}
+	}
+	return count
+}
+
+// keepLatest removes the earliest values above a limit of their sizes together; a nil size is one.
+func keepLatest[K cmp.Ordered, V any](values map[K]V, limit int, at func(V) time.Time, size func(V) int) {
+	total := len(values)
+	if size != nil {
+		total = 0
+		for _, value := range values {
+			total += size(value)
+		}
+	}
+	if total <= limit {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(values), func(a, b K) int {
+		return cmp.Or(at(values[a]).Compare(at(values[b])), cmp.Compare(b, a))
+	})
+	for _, key := range keys {
+		if total <= limit {
+			return
+		}
+		if size != nil {
+			total -= size(values[key])
+		} else {
+			total--
 		}
-		delete(values, earliest)
+		delete(values, key)
 	}
 }
 
@@ -159,15 +197,16 @@
 	at time.Time
 	// ended has when each of the processes ended.
 	ended map[identifier.Member]time.Time
-	// requests has the parts of each request in flight, without duplicates.
+	// requests has the parts of each request in flight, sorted, without duplicates.
 	requests [][]Part
 }
 
-// crashes returns the crashes that the reports are about, in order of time.
+// crashes returns the crashes that the complete reports are about, in order of time.
 func (e *evidence) crashes() []crash {
 	ids := slices.SortedFunc(maps.Keys(e.reports), func(a, b evidenceID) int {
 		return cmp.Or(e.reports[a].endedAt.Compare(e.reports[b].endedAt), cmp.Compare(a, b))
 	})
+	ids = slices.DeleteFunc(ids, func(id evidenceID) bool { return !e.reports[id].isComplete() })
 	type ending struct {
 		member identifier.Member
 		at     time.Time
--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -30,6 +30,8 @@
 	// so is the last if commonLast is set. Each of the others is one of collections.
 	parts, collections int
 	commonLast         bool
+	// commonOthers puts the same part in all places but that of the deadly one.
+	commonOthers bool
 	// deadlyAt has the place of each deadly part; empty means that crashes have no part at
 	// fault. Place -1 makes a part deadly that sound requests have had.
 	deadlyAt []int
@@ -206,6 +208,10 @@
 			parts = append(parts, 2)
 			continue
 		}
+		if s.commonOthers && !slices.Contains(s.deadlyAt, place) {
+			parts = append(parts, Part(100*place))
+			continue
+		}
 		parts = append(parts, Part(100*place+s.random.IntN(s.collections)))
 	}
 	return parts
@@ -327,6 +333,9 @@
 	if float64(refused) > s.refusedShare*float64(sent) {
 		t.Errorf("%d of %d sound requests were refused from %v on", refused, sent, judgedFrom)
 	}
+	if s.refusedShare == 0 {
+		s.checkHeld(t)
+	}
 	first := s.members[0].currentVerdict(time.Now()).combinations()
 	for n, i := range s.members {
 		if got := i.currentVerdict(time.Now()).combinations(); !slices.EqualFunc(got, first, slices.Equal) {
@@ -335,6 +344,16 @@
 	}
 }
 
+// checkHeld checks that nothing is refused in place of the deadly parts.
+func (s *simulation) checkHeld(t *testing.T) {
+	t.Helper()
+	for _, held := range s.members[0].currentVerdict(time.Now()).combinations() {
+		if !slices.ContainsFunc(held, func(part Part) bool { return len(s.crashes[part]) > 0 }) {
+			t.Errorf("%x is refused, which crashed nothing", held)
+		}
+	}
+}
+
 func countIf(times []time.Duration, holds func(time.Duration) bool) int {
 	count := 0
 	for _, at := range times {
@@ -390,13 +409,41 @@
 	}
 	for name, s := range scenarios {
 		for seed := range *scenarioSeeds {
-			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					played := simulation{scenario: s, crashes: map[Part][]time.Duration{}, deadlyRuns: map[Part][]time.Duration{}, random: rand.New(rand.NewPCG(seed, 0))}
-					played.play()
-					played.check(t)
-				})
-			})
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) { s.test(t, seed) })
+		}
+	}
+}
+
+func (s scenario) test(t *testing.T, seed uint64) {
+	synctest.Test(t, func(t *testing.T) {
+		played := simulation{scenario: s, crashes: map[Part][]time.Duration{}, deadlyRuns: map[Part][]time.Duration{}, random: rand.New(rand.NewPCG(seed, 0))}
+		played.play()
+		played.check(t)
+	})
+}
+
+// TestDeadlyPartIsFoundAtAnyPlace guards against a deadly part that is never quarantined because it
+// stands behind the parts that messages have room for, or because engines crash often: in prompts
+// of 2 to 300 parts, the last of which is the request's own.
+func TestDeadlyPartIsFoundAtAnyPlace(t *testing.T) {
+	rates := []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, 5 * time.Second}
+	for _, parts := range []int{2, 10, 25, 26, 64, 65, 66, 300} {
+		shared := parts - 1
+		for place := range shared {
+			if shared > 10 && !slices.Contains([]int{0, 1, 7, 8, 9, 23, 24, 25, shared / 2, shared - 2, shared - 1}, place) {
+				continue
+			}
+			for _, common := range []bool{true, false} {
+				s := scenario{
+					nodes: 3, engines: 3, parts: shared, collections: 4, commonOthers: common, deadlyAt: []int{place},
+					soundEvery: 400 * time.Millisecond, deadlyEvery: rates[(place+parts)%len(rates)], answerTime: 400 * time.Millisecond,
+				}
+				for seed := range (*scenarioSeeds + 2) / 3 {
+					t.Run(fmt.Sprintf("%d of %d, each %v, common %t/%d", place+1, parts, s.deadlyEvery, common, seed), func(t *testing.T) {
+						s.test(t, uint64(place)+1000*seed)
+					})
+				}
+			}
 		}
 	}
 }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -74,10 +74,13 @@
 
 // Isolator holds one node's records of crashes. It is safe for concurrent use.
 type Isolator struct {
-	options         Options
-	refusalCounter  tally.Counter
-	crashCounter    tally.Counter
-	trialCounter    tally.Counter
+	options        Options
+	refusalCounter tally.Counter
+	crashCounter   tally.Counter
+	trialCounter   tally.Counter
+	// leftOutCounter counts the parts of long prompts that crash reports lack.
+	leftOutCounter  tally.Counter
+	incompleteGauge tally.Gauge
 	quarantineGauge tally.Gauge
 	mutex           sync.Mutex
 	// records has the requests in flight at crashes, by fingerprint.
@@ -157,6 +160,8 @@
 		refusalCounter:  scope.Counter("held"),
 		crashCounter:    scope.Counter("crashes"),
 		trialCounter:    scope.Counter("trials"),
+		leftOutCounter:  scope.Counter("parts-left-out"),
+		incompleteGauge: scope.Gauge("incomplete-reports"),
 		quarantineGauge: scope.Gauge("quarantined-combinations"),
 		records:         map[uint64]*requestRecord{},
 		evidence:        newEvidence(),
@@ -225,6 +230,7 @@
 	}
 	i.crashCounter.Inc(1)
 	i.options.Log.Log(eventCrash, logger.Fields{"member": member, "in-flight": len(fingerprints)})
+	member = member.Short()
 	for part := range slices.Chunk(fingerprints, maxFingerprintsPerMessage) {
 		message := wireMessage{Member: member, Fingerprints: part}
 		i.apply(message, 0, true)
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -1,7 +1,7 @@
 package isolator
 
 import (
-	"encoding/json"
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -29,43 +29,28 @@
 	repeatedCrashes = doubtfulThreshold
 	// maxRepeats bounds the messages of one broadcast of evidence.
 	maxRepeats = 2
-	// maxMessageBytes is the gossip's size limit.
-	maxMessageBytes = 512
-	// maxPartsPerMessage keeps a message below maxMessageBytes.
-	maxPartsPerMessage = 8
+	// maxReportParts bounds the parts of a crash report. Of a longer prompt it has those that ran
+	// well least recently.
+	maxReportParts = 64
 	// trialSlot is the time for which one node may start a trial, if a request comes in the
 	// first trialWindow of it. The rest is for the start to become known.
 	trialSlot   = time.Second
 	trialWindow = 600 * time.Millisecond
 )
 
-// wireEvidence is one observation. Its ages are used instead of times because the nodes'
-// clocks differ.
-type wireEvidence struct {
-	ID    evidenceID `json:"id"`
-	Parts []Part     `json:"parts"`
-	// Member is the engine that crashed, in a crash report.
-	Member identifier.Member `json:"member,omitempty"`
-	// Trial makes it the start of a trial. Without it and Member, a request ran well.
-	Trial bool `json:"trial,omitempty"`
-	// AgeMilliseconds is how long ago the crash was, the answer began or the trial started.
-	AgeMilliseconds int64 `json:"age-milliseconds"`
-	// SentAgeMilliseconds, of a crash report, is how long ago the request was sent.
-	SentAgeMilliseconds int64 `json:"sent-age-milliseconds,omitempty"`
-}
-
 // ReportEngineCrash records and broadcasts the crash of an engine's process with a request
 // of this node in flight. The engine must have ended; an engine that cannot be reached
 // says nothing about the prompt.
 func (i *Isolator) ReportEngineCrash(c Crash) {
 	i.ReportCrash(c.Member, []uint64{c.Fingerprint})
-	parts := sortedParts(c.Parts)
+	parts, leftOut := i.reportedParts(sortedParts(c.Parts))
 	if len(parts) == 0 {
 		return
 	}
-	i.options.Log.Log(eventPartsCrash, logger.Fields{"member": c.Member, "parts": formatParts(parts)})
+	i.leftOutCounter.Inc(int64(leftOut))
+	i.options.Log.Log(eventPartsCrash, logger.Fields{"member": c.Member, "parts": formatParts(parts), "left-out": leftOut})
 	now := time.Now()
-	report := crashReport{member: c.Member, parts: parts, sentAt: c.SentAt, endedAt: c.EndedAt}
+	report := crashReport{member: c.Member.Short(), parts: parts, count: len(parts), sentAt: c.SentAt, endedAt: c.EndedAt}
 	if report.endedAt.IsZero() {
 		report.endedAt = now
 	}
@@ -75,6 +60,29 @@
 	i.broadcastEvidence(i.addCrash(now, report))
 }
 
+// reportedParts returns the parts of a prompt for a crash report, sorted, and how many others there
+// are. A part that has been in flight at crashes and never ran well is the likeliest cause, and one
+// that ran well a moment ago the least likely.
+func (i *Isolator) reportedParts(parts []Part) (reported []Part, leftOut int) {
+	if len(parts) <= maxReportParts {
+		return parts, 0
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	ranWellAt := make(map[Part]time.Time, len(parts))
+	for _, part := range parts {
+		run, _ := i.recent.find(part)
+		ranWellAt[part] = laterOf(run.began, i.evidence.sound[part].began)
+	}
+	reported = slices.Clone(parts)
+	slices.SortFunc(reported, func(a, b Part) int {
+		return cmp.Or(ranWellAt[a].Compare(ranWellAt[b]), i.lastCrashes[b].Compare(i.lastCrashes[a]), cmp.Compare(a, b))
+	})
+	reported = reported[:maxReportParts]
+	slices.Sort(reported)
+	return reported, len(parts) - len(reported)
+}
+
 // addCrash records a crash and returns the messages about it.
 func (i *Isolator) addCrash(now time.Time, report crashReport) []wireEvidence {
 	i.mutex.Lock()
@@ -84,7 +92,7 @@
 	}
 	id := i.newEvidenceID()
 	i.addReport(id, report)
-	messages := append([]wireEvidence{report.wire(now, id)}, i.shareRecent(now, report.parts)...)
+	messages := append(report.wire(now, id), i.shareRecent(now, report.parts)...)
 	i.verdictIsStale = true
 	return messages
 }
@@ -102,8 +110,10 @@
 	defer i.mutex.Unlock()
 	run := soundRun{i.newEvidenceID(), began}
 	var cleared []Part
-	for _, part := range parts {
-		i.recent.add(part, run)
+	for n, part := range parts {
+		if n < maxRecentPerRequest {
+			i.recent.add(part, run)
+		}
 		if at, ok := i.lastCrashes[part]; ok && !i.evidence.isSound(part, at) && began.After(at.Add(soundMargin)) {
 			cleared = append(cleared, part)
 		}
@@ -111,7 +121,7 @@
 	var messages []wireEvidence
 	if len(cleared) > 0 {
 		i.evidence.addSound(cleared, run)
-		messages = append(messages, run.wire(now, cleared))
+		messages = run.wire(now, cleared)
 		i.verdictIsStale = true
 	}
 	return messages
@@ -135,8 +145,13 @@
 func (i *Isolator) judgePrompt(now time.Time, fingerprint uint64, parts []Part) (refused bool, messages []wireEvidence) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	quarantines := i.currentVerdict(now).quarantines
+	if len(quarantines) == 0 {
+		return false, nil
+	}
 	var matching []quarantine
-	for _, q := range i.currentVerdict(now).quarantines {
+	parts = sortedParts(parts)
+	for _, q := range quarantines {
 		if q.parts.isIn(parts) {
 			matching = append(matching, q)
 		}
@@ -168,7 +183,7 @@
 	i.verdictIsStale = true
 	i.trialCounter.Inc(1)
 	i.options.Log.Log(eventPartTrial, logger.Fields{"parts": formatParts(q.parts), "crashes": q.crashes})
-	return false, &wireEvidence{ID: t.id, Parts: q.parts, Trial: true}
+	return false, &wireEvidence{ID: t.id, Trial: key}
 }
 
 // mayStartTrial reports whether this node may let a request through now. The caller must hold
@@ -180,7 +195,7 @@
 	}
 	// The crash of a request that has other suspects would say nothing about these.
 	for _, part := range parts {
-		if q.doubtful && i.verdict.suspects[part] && !slices.Contains(q.parts, part) {
+		if q.doubtful && i.verdict.suspects[part] && !hasPart(q.parts, part) {
 			return false
 		}
 	}
@@ -200,16 +215,17 @@
 func (i *Isolator) applyEvidence(now time.Time, age time.Duration, received []wireEvidence) {
 	for _, w := range received {
 		parts := sortedParts(w.Parts)
+		parts = parts[:min(len(parts), maxReportParts)]
 		at := now.Add(-age - time.Duration(w.AgeMilliseconds)*time.Millisecond)
 		sentAt := now.Add(-age - time.Duration(w.SentAgeMilliseconds)*time.Millisecond)
-		if len(parts) == 0 || !w.isValid(i.options.Expiry) {
+		if len(parts) == 0 && w.Trial == 0 || !w.isValid(i.options.Expiry) {
 			continue
 		}
 		switch {
-		case w.Trial:
-			i.evidence.addTrial(combination(parts).key(), trial{w.ID, at})
+		case w.Trial != 0:
+			i.evidence.addTrial(w.Trial, trial{w.ID, at})
 		case w.Member != "":
-			i.addReport(w.ID, crashReport{w.Member, parts, earlierOf(sentAt, at), at})
+			i.addReport(w.ID, crashReport{member: w.Member, parts: parts, count: min(w.PartCount, maxReportParts), sentAt: earlierOf(sentAt, at), endedAt: at})
 		default:
 			i.evidence.addSound(parts, soundRun{w.ID, at})
 		}
@@ -217,13 +233,6 @@
 	i.verdictIsStale = true
 }
 
-// isValid reports whether the ages are in bounds. It must be called before they are used as
-// durations.
-func (w wireEvidence) isValid(oldest time.Duration) bool {
-	return w.AgeMilliseconds >= 0 && w.AgeMilliseconds <= oldest.Milliseconds() &&
-		w.SentAgeMilliseconds >= 0 && w.SentAgeMilliseconds <= oldest.Milliseconds()
-}
-
 // addReport adds a report to the evidence. The caller must hold the mutex.
 func (i *Isolator) addReport(id evidenceID, r crashReport) {
 	i.evidence.addReport(id, r)
@@ -260,6 +269,7 @@
 		return i.verdict
 	}
 	i.removeExpiredEvidence(now)
+	i.incompleteGauge.Update(float64(i.evidence.countIncomplete()))
 	i.verdict, i.verdictAt, i.verdictIsStale = i.evidence.judge(), now, false
 	i.nextVerdictAt = now.Add(verdictRest * time.Since(now))
 	quarantined := map[combinationKey]combination{}
@@ -298,7 +308,7 @@
 	var messages []wireEvidence
 	for run, parts := range byRun {
 		i.evidence.addSound(parts, run)
-		messages = append(messages, run.wire(now, parts))
+		messages = append(messages, run.wire(now, parts)...)
 	}
 	return messages
 }
@@ -336,14 +346,15 @@
 	var messages []wireEvidence
 	known := map[soundRun][]Part{}
 	included := map[Part]bool{}
-	last := time.Time{}
+	last, reports := time.Time{}, 0
 	for _, id := range ids {
 		r := i.evidence.reports[id]
-		if !q.parts.isIn(r.parts) || len(messages) == repeatedCrashes || !last.IsZero() && last.Sub(r.endedAt) <= simultaneousCrashes {
+		if !r.isComplete() || !q.parts.isIn(r.parts) || reports == repeatedCrashes || !last.IsZero() && last.Sub(r.endedAt) <= simultaneousCrashes {
 			continue
 		}
 		last = r.endedAt
-		messages = append(messages, r.wire(now, id))
+		reports++
+		messages = append(messages, r.wire(now, id)...)
 		for _, part := range r.parts {
 			if run, ok := i.evidence.sound[part]; ok && !included[part] {
 				included[part] = true
@@ -352,51 +363,20 @@
 		}
 	}
 	for run, parts := range known {
-		for chunk := range slices.Chunk(parts, maxPartsPerMessage) {
-			messages = append(messages, run.wire(now, chunk))
-		}
+		messages = append(messages, run.wire(now, parts)...)
 	}
 	if t, ok := i.evidence.trials[q.parts.key()]; ok {
-		messages = append(messages, wireEvidence{ID: t.id, Parts: q.parts, Trial: true, AgeMilliseconds: now.Sub(t.startedAt).Milliseconds()})
+		messages = append(messages, wireEvidence{ID: t.id, Trial: q.parts.key(), AgeMilliseconds: now.Sub(t.startedAt).Milliseconds()})
 	}
 	return messages
 }
 
-func (r crashReport) wire(now time.Time, id evidenceID) wireEvidence {
-	return wireEvidence{
-		ID: id, Parts: r.parts, Member: r.member,
-		AgeMilliseconds: now.Sub(r.endedAt).Milliseconds(), SentAgeMilliseconds: now.Sub(r.sentAt).Milliseconds(),
-	}
-}
-
-func (r soundRun) wire(now time.Time, parts []Part) wireEvidence {
-	return wireEvidence{ID: r.id, Parts: parts, AgeMilliseconds: now.Sub(r.began).Milliseconds()}
-}
-
 func (i *Isolator) broadcastEvidence(messages []wireEvidence) {
 	for _, batch := range packEvidence(messages) {
 		i.broadcast(wireMessage{Evidence: batch})
 	}
 }
 
-// packEvidence groups observations into messages below maxMessageBytes.
-func packEvidence(messages []wireEvidence) [][]wireEvidence {
-	var batches [][]wireEvidence
-	for _, message := range messages {
-		if last := len(batches) - 1; last >= 0 && fitsMessage(append(slices.Clip(batches[last]), message)) {
-			batches[last] = append(batches[last], message)
-			continue
-		}
-		batches = append(batches, []wireEvidence{message})
-	}
-	return batches
-}
-
-func fitsMessage(batch []wireEvidence) bool {
-	payload, err := json.Marshal(wireMessage{Evidence: batch})
-	return err == nil && len(payload) <= maxMessageBytes
-}
-
 // verdictDelay returns how long this node waits before it broadcasts evidence again.
 func (i *Isolator) verdictDelay() time.Duration {
 	mean := verdictInterval * time.Duration(max(1, i.options.Nodes()))
@@ -405,9 +385,9 @@
 	return mean/2 + time.Duration(i.random.Int64N(int64(mean)))
 }
 
-// sortedParts returns up to maxPartsPerMessage parts, sorted, without duplicates.
+// sortedParts returns a sorted copy of parts without duplicates.
 func sortedParts(parts []Part) []Part {
-	sorted := slices.Clone(parts[:min(len(parts), maxPartsPerMessage)])
+	sorted := slices.Clone(parts)
 	slices.Sort(sorted)
 	return slices.Compact(sorted)
 }
@@ -430,8 +410,13 @@
 	current, older map[Part]soundRun
 }
 
-// recentParts bounds the parts of recentRuns.
-const recentParts = 4096
+const (
+	// recentParts bounds the parts of recentRuns.
+	recentParts = 4096
+	// maxRecentPerRequest bounds those of one request, so that a long prompt doesn't take the place
+	// of all others. They are the first in the order of their hashes, the same in all requests.
+	maxRecentPerRequest = 512
+)
 
 func (r *recentRuns) add(part Part, run soundRun) {
 	if len(r.current) >= recentParts {
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -27,16 +27,22 @@
 	return combinationKey(digest.Sum64())
 }
 
-// isIn reports whether a prompt has all parts of the combination.
+// isIn reports whether a prompt, sorted, has all parts of the combination.
 func (c combination) isIn(prompt []Part) bool {
 	for _, part := range c {
-		if !slices.Contains(prompt, part) {
+		if !hasPart(prompt, part) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasPart reports whether sorted parts have one.
+func hasPart(sorted []Part, part Part) bool {
+	_, found := slices.BinarySearch(sorted, part)
+	return found
+}
+
 const (
 	// certainThreshold is the number of crashes after which parts are quarantined of which
 	// one was never in a request that ran well. It is larger than poisonThreshold: many
@@ -100,27 +106,14 @@
 func (e *evidence) judge() *verdict {
 	crashes := e.crashes()
 	v := &verdict{suspects: map[Part]bool{}}
-	explainable := map[Part][]int{}
-	for n, c := range crashes {
-		parts := map[Part]bool{}
-		for _, request := range c.requests {
-			for _, part := range request {
-				parts[part] = parts[part] || !e.isSound(part, c.at)
-			}
-		}
-		for part, suspect := range parts {
-			if suspect {
-				explainable[part] = append(explainable[part], n)
-			}
-		}
-	}
-	for part := range explainable {
-		if !e.ranWell(part) {
+	all := e.suspicions(crashes)
+	for part, s := range all {
+		if s.isNew {
 			v.suspects[part] = true
 		}
 	}
 	for {
-		best := e.bestExplanations(crashes, explainable)
+		best := e.bestExplanations(crashes, all)
 		if len(best) == 0 {
 			return v
 		}
@@ -134,17 +127,86 @@
 		for _, n := range slices.Sorted(maps.Keys(explained)) {
 			v.explained = append(v.explained, crashes[n])
 		}
-		for part, rest := range explainable {
-			explainable[part] = slices.DeleteFunc(rest, func(n int) bool { return explained[n] })
+		for part, suspicion := range all {
+			suspicion.remove(explained)
+			if len(suspicion.requests) == 0 {
+				delete(all, part)
+			}
 		}
 	}
 }
 
+// suspicion is the requests with a part that were in flight at crashes which the part may have
+// caused, each as the indexes of its crash and among the requests of that.
+type suspicion struct {
+	requests [][2]int
+	// isNew is set if the part never ran well.
+	isNew bool
+}
+
+// suspicions returns the suspicion on each part.
+func (e *evidence) suspicions(crashes []crash) map[Part]*suspicion {
+	all := map[Part]*suspicion{}
+	for n, c := range crashes {
+		for m, request := range c.requests {
+			for _, part := range request {
+				if e.isSound(part, c.at) {
+					continue
+				}
+				if all[part] == nil {
+					all[part] = &suspicion{isNew: !e.ranWell(part)}
+				}
+				all[part].requests = append(all[part].requests, [2]int{n, m})
+			}
+		}
+	}
+	return all
+}
+
+// remove removes crashes that are explained.
+func (s *suspicion) remove(explained map[int]bool) {
+	s.requests = slices.DeleteFunc(s.requests, func(r [2]int) bool { return explained[r[0]] })
+}
+
+// crashes returns the indexes of the crashes, in order of time.
+func (s *suspicion) crashes() []int {
+	var indexes []int
+	for _, r := range s.requests {
+		if last := len(indexes) - 1; last < 0 || indexes[last] != r[0] {
+			indexes = append(indexes, r[0])
+		}
+	}
+	return indexes
+}
+
+// distinct returns one suspicion of those with the same requests, which have the same explanation:
+// one on a part that never ran well if there is one.
+func distinct(all map[Part]*suspicion) map[string]*suspicion {
+	found := map[string]*suspicion{}
+	for _, s := range all {
+		key := s.key()
+		if known := found[key]; known == nil || !known.isNew {
+			found[key] = s
+		}
+	}
+	return found
+}
+
+// key is the same for parts that were in the same requests.
+func (s *suspicion) key() string {
+	key := make([]byte, 0, 8*len(s.requests))
+	for _, r := range s.requests {
+		key = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(key, uint32(r[0])), uint32(r[1]))
+	}
+	return string(key)
+}
+
 // explanation is a combination with the crashes that it may have caused.
 type explanation struct {
 	parts combination
-	// isNew is set if one of the parts was never in a request that ran well.
-	isNew bool
+	// isNew is set if one of the parts was never in a request that ran well, and startsNew if that
+	// is one of those from which the explanation was made: the others are only in all their requests.
+	isNew, startsNew bool
 	// isNeeded is set if certainThreshold of the crashes can't have been caused by any part
 	// that never ran well.
 	isNeeded bool
@@ -152,8 +214,9 @@
 	crashes []int
 }
 
-// compare orders explanations, the most likely first. The last criterion prefers the one that
-// refuses fewer requests.
+// compare orders explanations, the most likely first. In long prompts some parts that ran well are
+// by chance in the requests of all crashes, with the deadly one beside them. The last criterion
+// prefers the explanation that refuses fewer requests.
 func (x explanation) compare(other explanation) int {
 	if likely := x.isNew || x.isNeeded; likely != (other.isNew || other.isNeeded) {
 		if likely {
@@ -161,19 +224,27 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(len(other.crashes), len(x.crashes)), cmp.Compare(len(other.parts), len(x.parts)))
+	order := cmp.Compare(len(other.crashes), len(x.crashes))
+	if order == 0 && x.startsNew != other.startsNew {
+		if x.startsNew {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(order, cmp.Compare(len(other.parts), len(x.parts)))
 }
 
 // bestExplanations returns the most likely explanation that reaches its threshold, or several
 // that explain the same crashes and are equally likely. These have to reach the higher
 // threshold, as further crashes tell most of them apart.
-func (e *evidence) bestExplanations(crashes []crash, explainable map[Part][]int) []explanation {
+func (e *evidence) bestExplanations(crashes []crash, all map[Part]*suspicion) []explanation {
 	var found []explanation
-	for _, part := range slices.Sorted(maps.Keys(explainable)) {
-		if len(explainable[part]) < certainThreshold {
+	for _, candidate := range distinct(all) {
+		explained := candidate.crashes()
+		if len(explained) < certainThreshold {
 			continue
 		}
-		x := e.explain(part, crashes, explainable[part])
+		x := e.explain(candidate, crashes, explained)
 		if x.isNew || len(x.crashes) >= doubtfulThreshold {
 			found = append(found, x)
 		}
@@ -203,23 +274,18 @@
 	return nil
 }
 
-// explain returns a part together with those that explain the same crashes in all requests that
-// had it.
-func (e *evidence) explain(part Part, crashes []crash, explained []int) explanation {
+// explain returns the parts that all suspected requests have and that explain the same crashes.
+func (e *evidence) explain(s *suspicion, crashes []crash, explained []int) explanation {
 	var common []Part
-	first := true
-	for _, n := range explained {
-		for _, request := range crashes[n].requests {
-			if !slices.Contains(request, part) {
-				continue
-			}
-			if first {
-				common, first = slices.Clone(request), false
-			}
-			common = slices.DeleteFunc(common, func(other Part) bool {
-				return !slices.Contains(request, other) || e.isSound(other, crashes[n].at)
-			})
+	for n, r := range s.requests {
+		c := crashes[r[0]]
+		request := c.requests[r[1]]
+		if n == 0 {
+			common = slices.Clone(request)
 		}
+		common = slices.DeleteFunc(common, func(part Part) bool {
+			return !hasPart(request, part) || e.isSound(part, c.at)
+		})
 	}
 	isNew := slices.ContainsFunc(common, func(part Part) bool { return !e.ranWell(part) })
 	withoutNew := 0
@@ -228,7 +294,7 @@
 			withoutNew++
 		}
 	}
-	return explanation{parts: common, isNew: isNew, isNeeded: withoutNew >= certainThreshold, crashes: explained}
+	return explanation{parts: common, isNew: isNew, startsNew: s.isNew, isNeeded: withoutNew >= certainThreshold, crashes: explained}
 }
 
 // hasNew reports whether a part that never ran well was in flight at a crash.
--- a/isolator/verdict_test.go
+++ b/isolator/verdict_test.go
@@ -38,7 +38,9 @@
 			default:
 				member := identifier.Member(fmt.Sprint("engine-", rapid.IntRange(0, 3).Draw(r, "engine")))
 				sentAt := at.Add(-time.Duration(rapid.IntRange(0, 5_000).Draw(r, "sent")) * time.Millisecond)
-				observations = append(observations, func(e *evidence) { e.addReport(id, crashReport{member, parts, sentAt, at}) })
+				observations = append(observations, func(e *evidence) {
+					e.addReport(id, crashReport{member: member, parts: parts, sentAt: sentAt, endedAt: at})
+				})
 			}
 		}
 		merge := func(all []func(e *evidence)) *verdict {
@@ -78,8 +80,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEvidence()
-			e.addReport(1, crashReport{"engine", []Part{1}, at(5), at(10)})
-			e.addReport(2, crashReport{"engine", []Part{2}, at(test.sentAt), at(test.endedAt)})
+			e.addReport(1, crashReport{member: "engine", parts: []Part{1}, sentAt: at(5), endedAt: at(10)})
+			e.addReport(2, crashReport{member: "engine", parts: []Part{2}, sentAt: at(test.sentAt), endedAt: at(test.endedAt)})
 			if got := len(e.crashes()); got != test.crashes {
 				t.Errorf("%d crashes", got)
 			}
@@ -129,8 +131,8 @@
 	})
 }
 
-// TestEvidenceFitsGossipMessages guards against lost evidence, and against evidence that grows
-// without bound.
+// TestEvidenceFitsGossipMessages guards against lost evidence, also of long prompts and engines with
+// long names, and against evidence that grows without bound.
 func TestEvidenceFitsGossipMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		largest, messages := 0, 0
@@ -138,10 +140,10 @@
 		random := rand.New(rand.NewPCG(1, 2))
 		for n := range 4 * maxReports {
 			var parts []Part
-			for range 2 * maxPartsPerMessage {
+			for range 2 * maxReportParts {
 				parts = append(parts, Part(random.Uint64()|1<<63))
 			}
-			i.ReportEngineCrash(Crash{Member: identifier.Member(strings.Repeat("m", 64)), Fingerprint: uint64(n), Parts: parts})
+			i.ReportEngineCrash(Crash{Member: identifier.Member(strings.Repeat("\"", 600)), Fingerprint: uint64(n), Parts: parts})
 			i.ReportPartsSound(parts, time.Now().Add(time.Second))
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -150,19 +152,56 @@
 		if largest > maxMessageBytes || messages-before > maxRepeats {
 			t.Errorf("messages of up to %d bytes, %d of them in one repeat", largest, messages-before)
 		}
-		if len(i.evidence.reports) > maxReports || len(i.evidence.sound) > maxReports || len(i.lastCrashes) > maxReports*maxPartsPerMessage {
+		if len(i.evidence.reports) > maxReports || len(i.evidence.sound) > maxSoundParts || len(i.lastCrashes) > maxReportedParts {
 			t.Errorf("%d reports, %d parts that ran well", len(i.evidence.reports), len(i.evidence.sound))
 		}
 	})
 }
 
+// TestPartOfReportBlamesNothing guards against a verdict on the first message of a report, which
+// lacks the deadly part: what all requests share would be refused.
+func TestPartOfReportBlamesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := New(Options{})
+		var rest [][]byte
+		reporter := New(Options{Broadcast: func(_ string, payload []byte) {
+			var message wireMessage
+			if err := json.Unmarshal(payload, &message); err != nil {
+				t.Fatal(err)
+			}
+			if len(message.Evidence) > 0 && slices.Contains(message.Evidence[0].Parts, Part(maxReportParts)) {
+				rest = append(rest, payload)
+				return
+			}
+			late.Receive(payload, 0)
+		}})
+		var parts []Part
+		for n := range maxReportParts {
+			parts = append(parts, Part(n+1))
+		}
+		for at := range certainThreshold {
+			reporter.ReportEngineCrash(Crash{Member: identifier.Member(fmt.Sprint("decode-", at)), Fingerprint: uint64(at), Parts: parts})
+			time.Sleep(time.Second)
+		}
+		if v := late.currentVerdict(time.Now()); len(v.quarantines) > 0 || late.evidence.countIncomplete() != certainThreshold {
+			t.Errorf("%+v from a part of the reports", v.quarantines)
+		}
+		for _, payload := range rest {
+			late.Receive(payload, time.Second)
+		}
+		if got, want := late.currentVerdict(time.Now()).combinations(), reporter.currentVerdict(time.Now()).combinations(); len(want) != 1 || !reflect.DeepEqual(got, want) {
+			t.Errorf("%x from the whole reports, the reporter has %x", got, want)
+		}
+	})
+}
+
 // FuzzReceive guards against messages of other nodes that end the process, grow the records
 // without bound or date an observation in the future.
 func FuzzReceive(f *testing.F) {
 	sample, _ := json.Marshal(wireMessage{Evidence: []wireEvidence{
 		{ID: 1, Parts: []Part{1, 2}, Member: "decode-1", AgeMilliseconds: 20, SentAgeMilliseconds: 900},
 		{ID: 2, Parts: []Part{1}, AgeMilliseconds: 10},
-		{ID: 3, Parts: []Part{2}, Trial: true},
+		{ID: 3, Trial: 2},
 	}})
 	f.Add(sample, int64(0))
 	f.Add([]byte(`{"evidence":[{"id":1,"parts":[],"member":"x","age-milliseconds":-9223372036854775808}]}`), int64(1))
@@ -172,7 +211,7 @@
 		i.Receive(payload, max(0, time.Duration(ageMilliseconds%300_000)*time.Millisecond))
 		now := time.Now()
 		for _, r := range i.evidence.reports {
-			if r.endedAt.After(now) || r.sentAt.After(r.endedAt) || len(r.parts) > maxPartsPerMessage || !slices.IsSorted(r.parts) {
+			if r.endedAt.After(now) || r.sentAt.After(r.endedAt) || len(r.parts) > maxReportParts || !slices.IsSorted(r.parts) {
 				t.Errorf("report %+v", r)
 			}
 		}
@@ -198,7 +237,7 @@
 			parts = append(parts, Part(100*(place+1)+random.IntN(20)))
 		}
 		at := began.Add(time.Duration(n/10) * time.Second)
-		e.addReport(evidenceID(n), crashReport{identifier.Member(fmt.Sprint("engine-", n/10)), sortedParts(parts), at.Add(-time.Second), at})
+		e.addReport(evidenceID(n), crashReport{member: identifier.Member(fmt.Sprint("engine-", n/10)), parts: sortedParts(parts), sentAt: at.Add(-time.Second), endedAt: at})
 	}
 	for b.Loop() {
 		e.judge()
