platform, forwarder: the id of a part of a prompt is a text of any length

Cause: parseCost read an id as a number of 64 bits and left out a part whose id is none, so that evidence against parts and the choice of engines with a cached prompt knew nothing of it. Event 3103 is missing at each crash.

An id is now hashed as it stands before anything compares it. A part without an id is told by event 6218 once a minute and counted. Event 3103 has the callers' ids beside their hashes.

Failed before: the case "ids of 128 bits" of TestDeadlyPartStopsCrashingEngines (19 crashes, 13 late requests).

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,6 +50,8 @@
 		"A back end says that it takes a number of requests a second that can't be one, such as 2^64 - 1. It counts as no limit. Logged once for each process of a back end.")
 	eventInvalidCost = logger.Define(6217, logrus.InfoLevel, "caller names an invalid number",
 		"A request names a number of tokens out of bounds, which counts as unknown. Logged for the first such request of the process only, and all are counted (invalid-costs).")
+	eventUnreadablePart = logger.Define(6218, logrus.WarnLevel, "part of a prompt without an id",
+		"A request names a part of its prompt without an id. The part is left out: it is not known to be cached anywhere, and can't be held if it crashes engines. Logged once a minute, and all such requests are counted (unreadable-parts).")
 	eventPanicked = logger.Define(6216, logrus.ErrorLevel, "request ended by a panic",
 		"A fault of this program ended one request, whose caller got 502 or a closed connection. Report the value and the stack.")
 	eventFreeFailed = logger.Define(6204, logrus.InfoLevel, "prefilled prompt not freed",
@@ -205,6 +208,28 @@
 	}
 }
 
+// noteUnreadablePart counts a request with a part that can't be told apart, and logs one a span.
+func (c *call) noteUnreadablePart() {
+	c.metrics.scope.Counter("unreadable-parts").Inc(1)
+	if c.unreadableParts.isDue(time.Now()) {
+		c.options.Log.Log(eventUnreadablePart, c.logFields())
+	}
+}
+
+// logSpan is the time in which one of several like events is logged.
+const logSpan = time.Minute
+
+// logTurn tells when a frequent event is to be logged again.
+type logTurn struct {
+	next atomic.Pointer[time.Time]
+}
+
+// isDue reports whether the event was not logged in the last logSpan.
+func (l *logTurn) isDue(now time.Time) bool {
+	next, after := l.next.Load(), now.Add(logSpan)
+	return (next == nil || !now.Before(*next)) && l.next.CompareAndSwap(next, &after)
+}
+
 // logInvalidRate logs a rate that is out of bounds, as the back end named it.
 func (c *call) logInvalidRate(backend Backend, named string) {
 	c.metrics.scope.Counter("invalid-rates").Inc(1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,6 +113,8 @@
 	metrics   metrics
 	// invalidCostLogged is set once a request with an invalid cost was logged.
 	invalidCostLogged atomic.Bool
+	// unreadableParts decides when a request with an unreadable part is logged.
+	unreadableParts logTurn
 }
 
 // New returns a forwarder. Unfetched KV caches are only freed while Run runs.
@@ -192,6 +194,9 @@
 	if request.Cost.Invalid {
 		call.noteInvalidCost()
 	}
+	if request.Cost.HasUnreadablePart {
+		call.noteUnreadablePart()
+	}
 	reply, refusal := call.runGuarded()
 	if refusal != nil {
 		call.finish(refusal)
@@ -348,7 +353,7 @@
 const quarantinedMessage = "this request, or a part of its prompt, crashed several back ends"
 
 func (c *call) isQuarantined() bool {
-	return c.options.Isolator.IsQuarantined(c.request.Fingerprint) || c.options.Isolator.IsPromptQuarantined(c.request.Fingerprint, c.request.Cost.parts())
+	return c.options.Isolator.IsQuarantined(c.request.Fingerprint) || c.options.Isolator.IsPromptQuarantined(c.request.Fingerprint, c.request.Cost.isolatorParts())
 }
 
 // releaseBody drops the body of a model request whose answer has begun, as streams last long.
@@ -495,7 +500,8 @@
 	c.options.Isolator.ReportEngineCrash(isolator.Crash{
 		Member:      backend.Name,
 		Fingerprint: c.request.Fingerprint,
-		Parts:       c.request.Cost.parts(),
+		Parts:       c.request.Cost.isolatorParts(),
+		Names:       c.request.Cost.partNames(),
 		SentAt:      sentAt,
 		EndedAt:     lostAt,
 	})
--- a/forwarder/rate_test.go
+++ b/forwarder/rate_test.go
@@ -51,3 +51,18 @@
 		}
 	})
 }
+
+// TestFrequentEventIsLoggedOnceASpan guards against an event that is never logged again, or for
+// each request.
+func TestFrequentEventIsLoggedOnceASpan(t *testing.T) {
+	var turn logTurn
+	began := time.Now()
+	for _, step := range []struct {
+		at   time.Duration
+		want bool
+	}{{0, true}, {time.Millisecond, false}, {logSpan - 1, false}, {logSpan, true}, {logSpan + time.Second, false}, {5 * logSpan, true}} {
+		if got := turn.isDue(began.Add(step.at)); got != step.want {
+			t.Errorf("at %v: %t", step.at, got)
+		}
+	}
+}
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -226,7 +226,7 @@
 		return
 	}
 	r.soundReported = true
-	r.call.options.Isolator.ReportPartsSound(r.call.request.Cost.parts(), r.firstEventAt)
+	r.call.options.Isolator.ReportPartsSound(r.call.request.Cost.isolatorParts(), r.firstEventAt)
 }
 
 // handleReadError ends a reply that the back end cut off or that was cancelled.
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"github.com/foxtailspool/foxtailspool/identifier"
@@ -47,21 +50,59 @@
 	Limit identifier.Tokens
 	// Hint is the caller's estimate of the output; zero means none.
 	Hint identifier.Tokens
-	// Prefixes are the ids of the prompt's parts that other requests can share, from the
-	// first on.
-	Prefixes []uint64
+	// Parts are the prompt's parts that other requests can share, from the first on.
+	Parts []Part
+	// HasUnreadablePart means that the caller named a part without an id, which is left out.
+	HasUnreadablePart bool
 	// Invalid means that the caller named a number out of bounds, which counts as unknown.
 	Invalid bool
 }
 
-func (c Cost) parts() []isolator.Part {
-	parts := make([]isolator.Part, 0, len(c.Prefixes))
-	for _, id := range c.Prefixes {
-		parts = append(parts, isolator.Part(id))
+// Part is a part of a prompt.
+type Part struct {
+	// Name is the id that the caller gave it.
+	Name string
+	// Hash stands for the name wherever parts are compared or sent to other nodes.
+	Hash uint64
+}
+
+// NewPart returns the part with a name, which may be of any length.
+func NewPart(name string) Part { return Part{name, xxhash.Sum64String(name)} }
+
+// hashes returns the hashes of at most some of the first parts.
+func (c Cost) hashes(most int) []uint64 {
+	hashes := make([]uint64, 0, min(len(c.Parts), most))
+	for _, part := range c.Parts[:min(len(c.Parts), most)] {
+		hashes = append(hashes, part.Hash)
+	}
+	return hashes
+}
+
+// isolatorParts returns the parts as package isolator compares them.
+func (c Cost) isolatorParts() []isolator.Part {
+	parts := make([]isolator.Part, 0, len(c.Parts))
+	for _, part := range c.Parts {
+		parts = append(parts, isolator.Part(part.Hash))
 	}
 	return parts
 }
 
+// maxLoggedNames and maxLoggedNameBytes bound what is logged of the parts of one prompt.
+const (
+	maxLoggedNames     = 64
+	maxLoggedNameBytes = 40
+)
+
+// partNames returns the names of parts by which operators find their hashes in the log.
+func (c Cost) partNames() []string {
+	names := make([]string, 0, min(len(c.Parts), maxLoggedNames))
+	for _, part := range c.Parts[:min(len(c.Parts), maxLoggedNames)] {
+		name := strings.ToValidUTF8(part.Name[:min(len(part.Name), maxLoggedNameBytes)], "")
+		names = append(names, strconv.FormatUint(part.Hash, 16)+"="+name)
+	}
+	return names
+}
+
 // Work is one send of a request to one back end.
 type Work struct {
 	Request *Request
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -158,7 +158,7 @@
 		FirstTokenBudget: max(minGrantWait, c.grantTimeLeft()),
 		TargetMissed:     c.grantTimeLeft() <= 0,
 		MaxTokenInterval: c.route.MaxEventGap,
-		Prefixes:         cost.Prefixes[:min(len(cost.Prefixes), maxDemandPrefixes)],
+		Prefixes:         cost.hashes(maxDemandPrefixes),
 		NoResume:         true,
 		Suspect:          c.options.Isolator.IsSuspect(c.request.Fingerprint),
 		Avoid:            append(rejecting, c.tried...),
--- a/isolator/events.go
+++ b/isolator/events.go
@@ -12,7 +12,7 @@
 	eventQuarantined = logger.Define(3101, logrus.ErrorLevel, "poison request quarantined",
 		"The request was in flight at crashes of two different backend servers; it is refused until its record expires.")
 	eventPartsCrash = logger.Define(3103, logrus.InfoLevel, "engine ended with parts of a prompt in flight",
-		"The process of an engine ended while it ran a request of this node; the field parts has the parts of its prompt that other requests share.")
+		"The process of an engine ended while it ran a request of this node; the field parts has hashes of the parts of its prompt that other requests share, names the ids that the caller gave the first of them, and left-out the number of those that a long prompt has besides.")
 	eventPartQuarantined = logger.Define(3104, logrus.ErrorLevel, "parts of prompts quarantined",
 		"Requests with all these parts of a prompt were in flight when several engines ended, and none ran well in between; requests with all of them are refused. Doubtful means that the parts ran well before the crashes, or that other parts explain the crashes as well; such a verdict is tried again within seconds.")
 	eventPartReleased = logger.Define(3105, logrus.InfoLevel, "quarantine of parts of prompts ended",
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -17,6 +17,8 @@
 	Fingerprint uint64
 	// Parts are the parts of the request's prompt that other requests can share.
 	Parts []Part
+	// Names are the callers' names of the parts, for the log only.
+	Names []string
 	// SentAt is when the request was sent, EndedAt when the end of the process was seen.
 	SentAt, EndedAt time.Time
 }
@@ -48,7 +50,7 @@
 		return
 	}
 	i.leftOutCounter.Inc(int64(leftOut))
-	i.options.Log.Log(eventPartsCrash, logger.Fields{"member": c.Member, "parts": formatParts(parts), "left-out": leftOut})
+	i.options.Log.Log(eventPartsCrash, logger.Fields{"member": c.Member, "parts": formatParts(parts), "left-out": leftOut, "names": c.Names})
 	now := time.Now()
 	report := crashReport{member: c.Member.Short(), parts: parts, count: len(parts), sentAt: c.SentAt, endedAt: c.EndedAt}
 	if report.endedAt.IsZero() {
--- a/starter/deadly_part_test.go
+++ b/starter/deadly_part_test.go
@@ -52,6 +52,7 @@
 	for name, traffic := range map[string]deadlyTraffic{
 		"behind 8 parts":          {prompt: shared(8) + "%[1]s:300,%[2]x:500", output: 100, soundEvery: 400 * time.Millisecond, deadlyEvery: 500 * time.Millisecond, burst: 1},
 		"behind 62 parts":         {prompt: shared(62) + "%[1]s:300,%[2]x:500", output: 100, soundEvery: 400 * time.Millisecond, deadlyEvery: 500 * time.Millisecond, burst: 1},
+		"ids of 128 bits":         {prompt: "5c1e07a2f3b84d6690aa17c2e45b8d01:200,5c1e07a2f3b84d6690aa17c2%[1]s:300,5c1e07a2f3b84d6690aa17c2%[2]x:500", output: 100, soundEvery: 400 * time.Millisecond, deadlyEvery: 500 * time.Millisecond, burst: 1},
 		"frequent":                {prompt: "5c1e:200,%[1]s:300,%[2]x:500", output: 100, soundEvery: 200 * time.Millisecond, deadlyEvery: 200 * time.Millisecond, burst: 1},
 		"a common part behind it": {prompt: "5c1e:200,%[1]s:300,c3c3:100,%[2]x:400", output: 400, soundEvery: 4 * time.Second, deadlyEvery: 4500 * time.Millisecond, burst: 3, burstGap: 1100 * time.Millisecond},
 		"alone":                   {prompt: "%[1]s:500,%[2]x:500", output: 100, soundEvery: 200 * time.Millisecond, deadlyEvery: 400 * time.Millisecond, burst: 1},
