--- a/excluder/excluder.go
+++ b/excluder/excluder.go
@@ -45,7 +45,8 @@
 	defaultPollInterval   = 500 * time.Millisecond
 	defaultRepeatInterval = 30 * time.Second
 	defaultExpiry         = 90 * time.Second
-	maxMessageAddresses   = 64
+	// maxMessageBytes is the gossip's size limit.
+	maxMessageBytes = 512
 )
 
 // Excluder tracks the leaving VMs that one node knows of.
@@ -173,16 +174,29 @@
 
 // broadcastLeaving broadcasts the leaving VMs that this node knows from the platform.
 func (e *Excluder) broadcastLeaving() {
-	leaving := e.options.Leaving()
-	for start := 0; start < len(leaving); start += maxMessageAddresses {
-		var message leavingMessage
-		for _, address := range leaving[start:min(start+maxMessageAddresses, len(leaving))] {
-			message.Addresses = append(message.Addresses, hostOf(address))
-		}
-		if payload, err := json.Marshal(message); err == nil {
-			e.options.Broadcast(Topic, payload)
+	for _, payload := range encodeLeaving(e.options.Leaving()) {
+		e.options.Broadcast(Topic, payload)
+	}
+}
+
+// encodeLeaving returns messages of at most maxMessageBytes with the hosts of addresses.
+func encodeLeaving(addresses []identifier.Address) [][]byte {
+	var payloads [][]byte
+	var message leavingMessage
+	for _, address := range addresses {
+		message.Addresses = append(message.Addresses, hostOf(address))
+		payload, err := json.Marshal(message)
+		switch last := len(payloads) - 1; {
+		case err != nil: // Strings can be encoded.
+		case len(message.Addresses) > 1 && len(payload) <= maxMessageBytes:
+			payloads[last] = payload
+		default:
+			message.Addresses = message.Addresses[len(message.Addresses)-1:]
+			payload, _ = json.Marshal(message)
+			payloads = append(payloads, payload)
 		}
 	}
+	return payloads
 }
 
 // Receive handles another node's broadcast. It ignores a payload that it cannot decode.
@@ -192,7 +206,7 @@
 		return
 	}
 	now := time.Now()
-	for _, host := range message.Addresses[:min(len(message.Addresses), maxMessageAddresses)] {
+	for _, host := range message.Addresses {
 		e.addLeaving(host, now)
 	}
 }
