limiter: a rate is told to all nodes whatever the back end's name

A back end whose id is long, or long once encoded, named a rate and only the nodes that it answered kept to it: the message to the others was longer than the 512 bytes that the gossip carries, and was dropped.

Messages had the name itself.

Quotas now know a back end by identifier.Member.Short, the name or a hash of a long one, as the isolator does. Failed before: TestQuotaOfLongName (a message of 648 bytes for a name of 600).

--- a/limiter/quotas.go
+++ b/limiter/quotas.go
@@ -65,7 +65,8 @@
 	refused tally.Counter
 
 	// mutex guards the fields below.
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// quotas is by the short names that messages have.
 	quotas map[identifier.Member]*quota
 	// lostSince holds when this node first saw another one as dead.
 	lostSince map[identifier.Node]time.Time
@@ -128,7 +129,7 @@
 // from all nodes together, or none if rate is zero. process is the start of the back end's
 // process. It reports whether the other nodes were told because the rate is new.
 func (q *Quotas) Named(now, sentAt time.Time, member identifier.Member, process time.Time, rate Rate) (isNew bool) {
-	message, changed := q.note(now, sentAt, member, process, rate)
+	message, changed := q.note(now, sentAt, member.Short(), process, rate)
 	if message == nil {
 		return false
 	}
@@ -267,6 +268,7 @@
 func (q *Quotas) Take(now time.Time, member identifier.Member, process time.Time) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	member = member.Short()
 	known := q.current(now, member, process)
 	if known == nil || known.rate == (Rate{}) {
 		return true
@@ -297,6 +299,7 @@
 func (q *Quotas) Allowance(now time.Time, member identifier.Member, process time.Time) Allowance {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	member = member.Short()
 	known := q.current(now, member, process)
 	if known == nil || known.rate == (Rate{}) {
 		return Allowance{}
@@ -318,6 +321,7 @@
 func (q *Quotas) OwnerRate(now time.Time, member identifier.Member, process time.Time) float64 {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	member = member.Short()
 	known := q.current(now, member, process)
 	if known == nil {
 		return 0
--- a/limiter/quotas_test.go
+++ b/limiter/quotas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -230,3 +231,24 @@
 		t.Error("a limit holds that nobody has confirmed for its lifetime")
 	}
 }
+
+// TestQuotaOfLongName guards against a rate that only one node learns because the back end's name is
+// too long for a message.
+func TestQuotaOfLongName(t *testing.T) {
+	for _, member := range []identifier.Member{"i-1", identifier.Member(strings.Repeat("i", 600)), identifier.Member(strings.Repeat("\"", 100))} {
+		f := newQuotaFleet(2)
+		now := time.Now()
+		f.quotas[0].Named(now, now, member, time.Time{}, mustRate(10))
+		for _, payload := range f.told {
+			if len(payload) > 512 {
+				t.Errorf("a message of %d bytes", len(payload))
+			}
+		}
+		f.tell()
+		for n, q := range f.quotas {
+			if !q.Allowance(time.Now(), member, time.Time{}).Limited || q.OwnerRate(time.Now(), member, time.Time{}) != 10 {
+				t.Errorf("node %d knows no rate of a name of %d bytes", n, len(member))
+			}
+		}
+	}
+}
