prober, isolator: what is dropped for its size or number is told

Broadcast dropped a message above 512 bytes without a word, and a full store evicted rumours, and the isolator evidence, without one.

Events 4013 and 4014 and the counter of events tell of messages too long and evicted, isolator_evicted of records and observations removed for room. Failed before: TestDroppedMessagesAreLogged, which needs the events.

--- a/isolator/evidence.go
+++ b/isolator/evidence.go
@@ -51,6 +51,8 @@
 	sound map[Part]soundRun
 	// trials is by the parts that were tried.
 	trials map[combinationKey]trial
+	// evicted is the number of observations removed for room since it was last read.
+	evicted int
 }
 
 const (
@@ -92,8 +94,8 @@
 	}
 	e.reports[id] = r
 	at := func(r crashReport) time.Time { return r.endedAt }
-	keepLatest(e.reports, maxReports, at, nil)
-	keepLatest(e.reports, maxReportedParts, at, func(r crashReport) int { return len(r.parts) })
+	e.evicted += keepLatest(e.reports, maxReports, at, nil)
+	e.evicted += keepLatest(e.reports, maxReportedParts, at, func(r crashReport) int { return len(r.parts) })
 }
 
 // hasSame reports whether another request with the same parts was in flight at the same crash.
@@ -117,7 +119,7 @@
 			e.sound[part] = run
 		}
 	}
-	keepLatest(e.sound, maxSoundParts, func(run soundRun) time.Time { return run.began }, nil)
+	e.evicted += keepLatest(e.sound, maxSoundParts, func(run soundRun) time.Time { return run.began }, nil)
 }
 
 // addTrial merges a trial. It keeps the latest of each combination.
@@ -130,7 +132,7 @@
 		return
 	}
 	e.trials[key] = t
-	keepLatest(e.trials, maxTrials, func(t trial) time.Time { return t.startedAt }, nil)
+	e.evicted += keepLatest(e.trials, maxTrials, func(t trial) time.Time { return t.startedAt }, nil)
 }
 
 // removeBefore removes observations from before a time.
@@ -151,8 +153,9 @@
 	return count
 }
 
-// keepLatest removes the earliest values above a limit of their sizes together; a nil size is one.
-func keepLatest[K cmp.Ordered, V any](values map[K]V, limit int, at func(V) time.Time, size func(V) int) {
+// keepLatest removes the earliest values above a limit of their sizes together, and returns how many.
+// A nil size is one.
+func keepLatest[K cmp.Ordered, V any](values map[K]V, limit int, at func(V) time.Time, size func(V) int) (removed int) {
 	total := len(values)
 	if size != nil {
 		total = 0
@@ -161,15 +164,13 @@
 		}
 	}
 	if total <= limit {
-		return
+		return 0
 	}
 	keys := slices.SortedFunc(maps.Keys(values), func(a, b K) int {
 		return cmp.Or(at(values[a]).Compare(at(values[b])), cmp.Compare(b, a))
 	})
-	for _, key := range keys {
-		if total <= limit {
-			return
-		}
+	for ; total > limit; removed++ {
+		key := keys[removed]
 		if size != nil {
 			total -= size(values[key])
 		} else {
@@ -177,6 +178,7 @@
 		}
 		delete(values, key)
 	}
+	return removed
 }
 
 // ranWell reports whether a request with a part ran well at any time.
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -81,6 +81,8 @@
 	// leftOutCounter counts the parts of long prompts that crash reports lack.
 	leftOutCounter  tally.Counter
 	incompleteGauge tally.Gauge
+	// evictedCounter counts the records and observations removed for room.
+	evictedCounter  tally.Counter
 	quarantineGauge tally.Gauge
 	mutex           sync.Mutex
 	// records has the requests in flight at crashes, by fingerprint.
@@ -162,6 +164,7 @@
 		trialCounter:    scope.Counter("trials"),
 		leftOutCounter:  scope.Counter("parts-left-out"),
 		incompleteGauge: scope.Gauge("incomplete-reports"),
+		evictedCounter:  scope.Counter("evicted"),
 		quarantineGauge: scope.Gauge("quarantined-combinations"),
 		records:         map[uint64]*requestRecord{},
 		evidence:        newEvidence(),
@@ -372,6 +375,7 @@
 		}
 	}
 	delete(i.records, oldest)
+	i.evictedCounter.Inc(1)
 }
 
 func (r *requestRecord) evictBefore(other *requestRecord) bool {
--- a/isolator/parts.go
+++ b/isolator/parts.go
@@ -272,6 +272,8 @@
 	}
 	i.removeExpiredEvidence(now)
 	i.incompleteGauge.Update(float64(i.evidence.countIncomplete()))
+	i.evictedCounter.Inc(int64(i.evidence.evicted))
+	i.evidence.evicted = 0
 	i.verdict, i.verdictAt, i.verdictIsStale = i.evidence.judge(), now, false
 	i.nextVerdictAt = now.Add(verdictRest * time.Since(now))
 	quarantined := map[combinationKey]combination{}
--- a/prober/events.go
+++ b/prober/events.go
@@ -34,4 +34,8 @@
 		"Two processes use the same node name, or the clock went back between two runs. Give each process its own name.")
 	eventAddressReused = logger.Define(4011, logrus.InfoLevel, "member's address was taken over",
 		"A newer run listens at the member's address, so the member is dead.")
+	eventMessageTooLong = logger.Define(4013, logrus.ErrorLevel, "broadcast message too long",
+		"A message to all nodes is longer than the gossip carries and was dropped: the other nodes don't learn what it says. A fault of this program; report the topic and the size.")
+	eventMessagesEvicted = logger.Define(4014, logrus.WarnLevel, "broadcast messages evicted",
+		"More messages to all nodes came than a node keeps. In the last second, the field evicted tells how many were removed before their lifetime ended; nodes that had not received them by then never will.")
 )
--- a/prober/machine.go
+++ b/prober/machine.go
@@ -161,6 +161,9 @@
 	if !now.Before(m.nextProbe) {
 		m.nextProbe = later(m.nextProbe.Add(m.options.Interval), now)
 		m.probeNextNeighbour(now)
+		if evicted := m.rumours.takeEvictions(); evicted > 0 {
+			m.out.logEvent(eventMessagesEvicted, logger.Fields{"evicted": evicted})
+		}
 	}
 	if !now.Before(m.nextReconnect) {
 		m.reconnect(now)
@@ -370,6 +373,10 @@
 }
 
 func (m *stateMachine) broadcast(now time.Time, topic string, payload []byte) {
+	if len(payload) > maxRumourBytes {
+		m.out.logEvent(eventMessageTooLong, logger.Fields{"topic": topic, "bytes": len(payload)})
+		return
+	}
 	m.mergeRumour(now, rumour{id: m.random.Uint64(), topic: topic, payload: payload, remaining: m.options.RumourLifetime})
 	m.pushUpdates(now)
 }
--- a/prober/rumour.go
+++ b/prober/rumour.go
@@ -34,6 +34,8 @@
 type rumourStore struct {
 	byID    map[uint64]storedRumour
 	evicted map[uint64]time.Time
+	// evictions is the number of rumours evicted since takeEvictions was called.
+	evictions int
 }
 
 // maxEvicted limits the IDs of evicted rumours.
@@ -67,11 +69,19 @@
 		}
 	}
 	delete(s.byID, first)
+	s.evictions++
 	if len(s.evicted) < maxEvicted {
 		s.evicted[first] = ends
 	}
 }
 
+// takeEvictions returns the number of rumours evicted since the last call.
+func (s *rumourStore) takeEvictions() int {
+	count := s.evictions
+	s.evictions = 0
+	return count
+}
+
 // outgoing returns a rumour to send, and false if it is unknown or close to its expiry.
 func (s *rumourStore) outgoing(now time.Time, id uint64) (rumour, bool) {
 	held, known := s.byID[id]
--- a/prober/rumour_test.go
+++ b/prober/rumour_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/foxtailspool/foxtailspool/logger"
 )
 
 // TestRumourStoreLimits checks that a rumour is accepted only once while its ID is kept,
@@ -90,3 +93,31 @@
 		t.Errorf("%.1f calls a second at each node while the rumours spread", perNode)
 	}
 }
+
+// TestDroppedMessagesAreLogged guards against messages to all nodes that are dropped without a word,
+// as they are too long or too many.
+func TestDroppedMessagesAreLogged(t *testing.T) {
+	f := newFleet(1, 1, 1, Options{})
+	m := f.nodes[0].machine
+	count := func(out output, event logger.Event) int {
+		return len(slices.DeleteFunc(out.events, func(e loggedEvent) bool { return e.event.Number != event.Number }))
+	}
+	for size, want := range map[int]int{maxRumourBytes: 0, maxRumourBytes + 1: 1} {
+		m.broadcast(f.now, "topic", make([]byte, size))
+		if got := count(m.takeOutput(), eventMessageTooLong); got != want {
+			t.Errorf("%d bytes: %d events", size, got)
+		}
+	}
+	for range maxRumours + 1 {
+		m.broadcast(f.now, "topic", nil)
+	}
+	var evicted int
+	for range 3 {
+		f.now = f.now.Add(time.Second)
+		m.tick(f.now)
+		evicted += count(m.takeOutput(), eventMessagesEvicted)
+	}
+	if evicted != 1 {
+		t.Errorf("%d events of evictions", evicted)
+	}
+}
--- a/prober/service.go
+++ b/prober/service.go
@@ -88,7 +88,7 @@
 
 // Broadcast sends a small message to the subscribers on every live node, including this
 // one, and on nodes that join within Options.RumourLifetime after the call. A payload of
-// more than 512 bytes is dropped.
+// more than 512 bytes is dropped, which is logged and counted.
 func (p *Prober) Broadcast(topic string, payload []byte) {
 	p.runInput(func(m *stateMachine, now time.Time) { m.broadcast(now, topic, payload) })
 }
