--- a/connector/connections.go
+++ b/connector/connections.go
@@ -61,7 +61,7 @@
 type trackedConn struct {
 	net.Conn
 	table *connections
-	// writeTimeout bounds each write that begins later than that before answerBy.
+	// writeTimeout bounds each write, but for those that may last until answerBy.
 	writeTimeout time.Duration
 	// answerBy is until when the clients of the connection's requests wait for their answers; nil
 	// means that this is not known.
@@ -401,7 +401,8 @@
 // closeRead closes the lingering connections whose answers have been read, and returns how many
 // are left.
 func (t *connections) closeRead(now time.Time) (left int) {
-	for _, c := range t.forgetLingering(func(c *trackedConn) bool { return c.isRead(now) }, &left) {
+	closed, left := t.forgetLingering(func(c *trackedConn) bool { return c.isRead(now) })
+	for _, c := range closed {
 		_ = c.Conn.Close()
 	}
 	return left
@@ -409,30 +410,30 @@
 
 // abandonLingering leaves the lingering connections to the kernel.
 func (t *connections) abandonLingering(now time.Time) {
-	var left int
-	for _, c := range t.forgetLingering(func(*trackedConn) bool { return true }, &left) {
+	abandoned, _ := t.forgetLingering(func(*trackedConn) bool { return true })
+	for _, c := range abandoned {
 		_ = c.Conn.(pendingConn).CloseWithin(c.answerBy.Load().Sub(now))
 	}
 }
 
-// forgetLingering forgets and returns the lingering connections that are to be closed, and counts
-// the others.
-func (t *connections) forgetLingering(isClosed func(c *trackedConn) bool, left *int) (list []*trackedConn) {
+// forgetLingering forgets and returns the lingering connections that are to be closed, and returns
+// how many are left.
+func (t *connections) forgetLingering(isClosed func(c *trackedConn) bool) (closed []*trackedConn, left int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for element := t.waiting.Front(); element != nil; element = element.Next() {
 		switch c := element.Value.(*trackedConn); {
 		case !c.lingering:
 		case isClosed(c):
-			list = append(list, c)
+			closed = append(closed, c)
 		default:
-			*left++
+			left++
 		}
 	}
-	for _, c := range list {
+	for _, c := range closed {
 		t.forget(c)
 	}
-	return list
+	return closed, left
 }
 
 // closeExpired closes the connections that have exceeded a timeout.
--- a/connector/window.go
+++ b/connector/window.go
@@ -151,8 +151,8 @@
 	writing atomic.Int32
 	// gone is set once the peer is held to be gone.
 	gone atomic.Bool
-	// window is used by check only.
-	window sendWindow
+	// silence is used by check only.
+	silence peerSilence
 	// ownsTimeout is set once the watch has taken the place of TCP_USER_TIMEOUT.
 	ownsTimeout atomic.Bool
 	openedAt    time.Time
@@ -174,24 +174,23 @@
 // hasPending reports whether the peer has not acknowledged all that was written.
 func (s peerState) hasPending() bool { return s.inFlight > 0 || s.unsent > 0 }
 
-// sendWindow follows the peer of a connection.
-type sendWindow struct {
-	// unansweredSince is when the peer was first seen to leave something unanswered since it was
-	// last heard, zero if it has not.
-	unansweredSince time.Time
+// peerSilence follows a peer that leaves something unanswered.
+type peerSilence struct {
+	// since is when the peer was first seen to do so after it was last heard, zero if it does not.
+	since time.Time
 }
 
 // isGone reports whether a peer has acknowledged nothing for as long as timeout, with several
 // attempts to get an answer.
-func (s *sendWindow) isGone(now time.Time, peer peerState, timeout time.Duration) bool {
+func (s *peerSilence) isGone(now time.Time, peer peerState, timeout time.Duration) bool {
 	if peer.unanswered == 0 {
-		s.unansweredSince = time.Time{}
+		s.since = time.Time{}
 		return false
 	}
-	if s.unansweredSince.Before(now.Add(-peer.silence)) {
-		s.unansweredSince = now
+	if s.since.Before(now.Add(-peer.silence)) {
+		s.since = now
 	}
-	return peer.silence >= timeout && now.Sub(s.unansweredSince) >= timeout-timeout/windowChecks
+	return peer.silence >= timeout && now.Sub(s.since) >= timeout-timeout/windowChecks
 }
 
 // check takes the place of the connection's timeout if need be, and aborts it if the peer is gone.
@@ -206,7 +205,7 @@
 	if peer.heldUp && !c.ownsTimeout.Load() {
 		c.takeTimeout()
 	}
-	if c.ownsTimeout.Load() && c.window.isGone(now, peer, c.watch.timeout) {
+	if c.ownsTimeout.Load() && c.silence.isGone(now, peer, c.watch.timeout) {
 		c.abort()
 		return false
 	}
--- a/isolator/evidence.go
+++ b/isolator/evidence.go
@@ -94,7 +94,7 @@
 	}
 	e.reports[id] = r
 	at := func(r crashReport) time.Time { return r.endedAt }
-	e.evicted += keepLatest(e.reports, maxReports, at, nil)
+	e.evicted += keepLatest(e.reports, maxReports, at, one)
 	e.evicted += keepLatest(e.reports, maxReportedParts, at, func(r crashReport) int { return len(r.parts) })
 }
 
@@ -119,7 +119,7 @@
 			e.sound[part] = run
 		}
 	}
-	e.evicted += keepLatest(e.sound, maxSoundParts, func(run soundRun) time.Time { return run.began }, nil)
+	e.evicted += keepLatest(e.sound, maxSoundParts, func(run soundRun) time.Time { return run.began }, one)
 }
 
 // addTrial merges a trial. It keeps the latest of each combination.
@@ -132,7 +132,7 @@
 		return
 	}
 	e.trials[key] = t
-	e.evicted += keepLatest(e.trials, maxTrials, func(t trial) time.Time { return t.startedAt }, nil)
+	e.evicted += keepLatest(e.trials, maxTrials, func(t trial) time.Time { return t.startedAt }, one)
 }
 
 // removeBefore removes observations from before a time.
@@ -153,15 +153,14 @@
 	return count
 }
 
+// one is the size of values that are only counted.
+func one[V any](V) int { return 1 }
+
 // keepLatest removes the earliest values above a limit of their sizes together, and returns how many.
-// A nil size is one.
 func keepLatest[K cmp.Ordered, V any](values map[K]V, limit int, at func(V) time.Time, size func(V) int) (removed int) {
-	total := len(values)
-	if size != nil {
-		total = 0
-		for _, value := range values {
-			total += size(value)
-		}
+	total := 0
+	for _, value := range values {
+		total += size(value)
 	}
 	if total <= limit {
 		return 0
@@ -170,13 +169,8 @@
 		return cmp.Or(at(values[a]).Compare(at(values[b])), cmp.Compare(b, a))
 	})
 	for ; total > limit; removed++ {
-		key := keys[removed]
-		if size != nil {
-			total -= size(values[key])
-		} else {
-			total--
-		}
-		delete(values, key)
+		total -= size(values[keys[removed]])
+		delete(values, keys[removed])
 	}
 	return removed
 }
--- a/isolator/verdict.go
+++ b/isolator/verdict.go
@@ -218,20 +218,24 @@
 // by chance in the requests of all crashes, with the deadly one beside them. The last criterion
 // prefers the explanation that refuses fewer requests.
 func (x explanation) compare(other explanation) int {
-	if likely := x.isNew || x.isNeeded; likely != (other.isNew || other.isNeeded) {
-		if likely {
-			return -1
-		}
-		return 1
-	}
-	order := cmp.Compare(len(other.crashes), len(x.crashes))
-	if order == 0 && x.startsNew != other.startsNew {
-		if x.startsNew {
-			return -1
-		}
+	return cmp.Or(
+		trueFirst(x.isNew || x.isNeeded, other.isNew || other.isNeeded),
+		cmp.Compare(len(other.crashes), len(x.crashes)),
+		trueFirst(x.startsNew, other.startsNew),
+		cmp.Compare(len(other.parts), len(x.parts)),
+	)
+}
+
+// trueFirst orders true before false.
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
 		return 1
 	}
-	return cmp.Or(order, cmp.Compare(len(other.parts), len(x.parts)))
 }
 
 // bestExplanations returns the most likely explanation that reaches its threshold, or several
