--- a/connector/liveness_test.go
+++ b/connector/liveness_test.go
@@ -59,8 +59,9 @@
 func readSlowly(source io.Reader, piece int, pause time.Duration) ([]byte, error) {
 	var got []byte
 	buffer := make([]byte, piece)
-	for {
-		time.Sleep(pause)
+	pauses := time.NewTicker(pause)
+	defer pauses.Stop()
+	for range pauses.C {
 		n, err := io.ReadFull(source, buffer)
 		got = append(got, buffer[:n]...)
 		switch err {
@@ -71,6 +72,7 @@
 			return got, err
 		}
 	}
+	return got, nil
 }
 
 // TestSlowPeerIsKept guards against a peer that reads slowly, or not at all for a while, and is
@@ -156,7 +158,7 @@
 					written <- err
 				}()
 				if test.after > 0 {
-					time.Sleep(test.after)
+					<-time.After(test.after)
 					if test.isRead {
 						_, _ = io.ReadFull(peer, make([]byte, test.written))
 					}
--- a/exchanger/slow_upload_test.go
+++ b/exchanger/slow_upload_test.go
@@ -30,7 +30,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(3 * time.Second)
+		<-time.After(3 * time.Second)
 		n, _ := io.Copy(io.Discard, r.Body)
 		_, _ = fmt.Fprint(w, n)
 	})}
--- a/starter/slow_reader_test.go
+++ b/starter/slow_reader_test.go
@@ -58,6 +58,6 @@
 }
 
 func (c *pausingConn) Read(buffer []byte) (int, error) {
-	c.once.Do(func() { time.Sleep(slowReaderPause) })
+	c.once.Do(func() { <-time.After(slowReaderPause) })
 	return c.Conn.Read(buffer)
 }
